--- a/pipitkeel/__init__.py
+++ b/pearhill/__init__.py
@@ -1,5 +1,5 @@
 """Routing decisions for language-model servers that read prompts and write answers in two stages."""
 
-from pipitkeel.rules import Router
+from pearhill.rules import Router
 
 __all__ = ["Router"]
--- a/pipitkeel/adapter.py
+++ b/pearhill/adapter.py
@@ -6,9 +6,9 @@
 import sys
 from typing import Any, BinaryIO
 
-from pipitkeel import interface as i
-from pipitkeel import wire
-from pipitkeel.rules import Router
+from pearhill import interface as i
+from pearhill import wire
+from pearhill.rules import Router
 
 ROLES = {"read": i.READER, "write": i.WRITER, "both": i.MIXED}
 EFFECTS = {"read_like": i.SAFE, "idempotency_key": i.KEYED, "non_idempotent": i.UNSAFE}
@@ -85,7 +85,7 @@
     try:
         Adapter().run(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as e:
-        print(f"pipitkeel: {e}", file=sys.stderr)
+        print(f"pearhill: {e}", file=sys.stderr)
         return 2
     return 0
 
--- a/pipitkeel/interface.py
+++ b/pearhill/interface.py
@@ -1,4 +1,4 @@
-"""The types between a node and `pipitkeel.rules`: settings, events and actions.
+"""The types between a node and `pearhill.rules`: settings, events and actions.
 
 Times are integer microseconds, sizes are tokens. Nothing here decides anything. A *reader* reads prompts
 (prefill), a *writer* streams answers (decode), a *mixed* server does both.
--- a/pipitkeel/rules.py
+++ b/pearhill/rules.py
@@ -1,4 +1,4 @@
-"""All of pipitkeel's decisions. The types of its settings, events and actions: `pipitkeel/interface.py`.
+"""All of pearhill's decisions. The types of its settings, events and actions: `pearhill/interface.py`.
 
 The ordinary path: a capped share of the prompt tokens, only short or kept prompts, is read directly at
 writers; all other prompts go to the emptier of two readers hashed from their prefix, and a nearby writer is
@@ -15,7 +15,7 @@
 from dataclasses import replace
 from typing import Any
 
-from pipitkeel import interface as i
+from pearhill import interface as i
 
 STEP_EVERY = 2_000_000  # design: the ratio moves every two seconds
 RATIO_START, RATIO_STEP, RATIO_MAX = 0.2, 0.1, 0.3  # design
--- a/pipitkeel/wire.py
+++ b/pearhill/wire.py
@@ -1,4 +1,4 @@
-"""The codec between the simulator's frames and the types of `pipitkeel.interface`. It decides nothing."""
+"""The codec between the simulator's frames and the types of `pearhill.interface`. It decides nothing."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import BinaryIO
 
-from pipitkeel import interface as i
+from pearhill import interface as i
 
 PHASES = {0: i.GONE, 1: i.READY, 2: i.DRAINING}
 OUTCOMES = {200: i.ANSWERED, 102: i.READ, 500: i.ERROR, 503: i.FULL, 504: i.TIMEOUT, 502: i.UNREACHABLE,
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from pipitkeel import interface as i
-from pipitkeel.rules import Router
+from pearhill import interface as i
+from pearhill.rules import Router
 
 S = 1_000_000
 CLASS = i.ClassSpec(aim=1 * S, aim_per_1000=40_000.0, deadline=4 * S, worth=1.0, late_worth=0.1, effect=i.SAFE,
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 """Guards: outliers, time-outs, storms."""
 
-from pipitkeel import interface as i
-from pipitkeel.rules import OUTLIER, Job
+from pearhill import interface as i
+from pearhill.rules import OUTLIER, Job
 from tests.driver import Drive, S, entry, of, settings
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from pipitkeel import interface as i
-from pipitkeel.rules import RATIO_MAX, RATIO_START, Router
+from pearhill import interface as i
+from pearhill.rules import RATIO_MAX, RATIO_START, Router
 from tests.driver import FLEET, SETTINGS, Drive, S, entry, of
 
 
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pipitkeel import interface as i
+from pearhill import interface as i
 from tests.driver import FLEET, Drive, entry, settings
 
 OUTCOMES = (i.READ, i.FULL, i.NO_STATE, i.TIMEOUT, i.UNREACHABLE, i.BROKEN, i.ERROR, i.CANCELLED, i.MOOT)
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pipitkeel import interface as i
+from pearhill import interface as i
 from tests.driver import FLEET, Drive, S, entry, of, settings
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from pipitkeel import interface as i
-from pipitkeel.rules import RATIO_START, Job
+from pearhill import interface as i
+from pearhill.rules import RATIO_START, Job
 from tests.driver import CLASS, FLEET, Drive, S, entry, of, settings
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from pipitkeel import interface as i
-from pipitkeel import wire
-from pipitkeel.adapter import Adapter, settings_of
+from pearhill import interface as i
+from pearhill import wire
+from pearhill.adapter import Adapter, settings_of
 
 EXAMPLE = bytes.fromhex(
     "0c0000005a5c8000000000005900000005000000 05 04000000 03000000"
@@ -106,7 +106,7 @@
 
 
 def run(raw: bytes) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "pipitkeel.adapter"], input=raw, capture_output=True, timeout=60)
+    return subprocess.run([sys.executable, "-m", "pearhill.adapter"], input=raw, capture_output=True, timeout=60)
 
 
 def test_adapter_answers_every_frame_and_exits_in_order():
@@ -146,7 +146,7 @@
     def broken(self, now, event):
         raise KeyError("gone wrong")
 
-    monkeypatch.setattr("pipitkeel.rules.Router.handle", broken)
+    monkeypatch.setattr("pearhill.rules.Router.handle", broken)
     adapter, due = Adapter(), record(5, b"\x03\0\0\0") + record(1, b"\x01\0\0\0")
     adapter.answer(read(frame(start(), 2)))
     assert wire.encode_action(wire.Fault("KeyError: 'gone wrong'")) in adapter.answer(read(frame(due, 2)))
