Serve the platform on sockets: core, HTTP/1.1 machines, replicas, discovery

Seen: the module had only the simulator's adapter. The daemon drives it from real sockets; the adapter and the daemon share one parse of the settings.

--- /dev/null
+++ b/pearhill/config.py
@@ -0,0 +1,65 @@
+"""What a daemon is told at its start: the platform's variables and the file that one of them names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pearhill import settings
+from pearhill.net.pool import Address, parse_address
+
+
+class ConfigError(Exception):
+    """One line that names the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Mapping[str, Any]
+    deployment: settings.Deployment
+
+
+def _address(key: str, text: Any) -> Address:
+    try:
+        return parse_address(str(text))
+    except ValueError as e:
+        raise ConfigError(f"{key}: {e}") from None
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG: is not set; it names the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as e:
+        raise ConfigError(f"RELAY_CONFIG: {path}: {e}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"RELAY_CONFIG: {path}: holds no JSON object")
+    for key in ("settings", "known"):
+        if not isinstance(told.get(key, {} if key == "known" else None), dict):
+            raise ConfigError(f"{key}: must be an object")
+    try:
+        deployment = settings.parse(told["settings"])
+    except settings.SettingsError as e:
+        raise ConfigError(f"settings: {e}") from None
+    limits = told.get("limits") or {}
+    try:
+        seed, sockets = int(str(told.get("seed", "0")), 16), int(limits.get("sockets", 1024))
+    except (ValueError, TypeError, AttributeError) as e:
+        raise ConfigError(f"seed or limits.sockets: {e}") from None
+    if sockets < 64:
+        raise ConfigError("limits.sockets: at least 64 are needed")
+    return Config(
+        name=environ.get("RELAY_NAME") or str(told.get("name", "pearhill")),
+        listen=_address("listen", environ.get("RELAY_LISTEN") or told.get("listen")),
+        discovery=_address("discovery", environ.get("RELAY_DISCOVERY") or told.get("discovery")),
+        seed=seed, sockets=sockets, known=told.get("known") or {}, deployment=deployment)
--- /dev/null
+++ b/pearhill/core/dispatcher.py
@@ -0,0 +1,292 @@
+"""Drives one Router: requests come in from a front, attempts go out to a backend, outcomes come back.
+
+The Router judges; this module keeps its books. It owns the promise that a request taken gets one final answer,
+knows which engines may hold something for a request, and turns whatever happens into one event each.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from pearhill import interface as i
+from pearhill.core.deadlines import Deadlines, Key
+from pearhill.core.ports import Backend, Client
+from pearhill.counters import Counters
+from pearhill.rules import Router
+from pearhill.settings import Deployment
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a front has read off a request: the fields of `Arrived` that describe it."""
+
+    cls: int
+    ttl: int
+    prompt: int
+    max_out: int
+    session: int = 0
+    prefix: int = 0
+    prefix_len: int = 0
+    tenant: int = 0
+    repeat: bool = False
+    resumed: bool = False
+
+
+class Request:
+    """One request from its arrival to its final answer and the end of its last attempt."""
+
+    __slots__ = ("number", "client", "payload", "end", "sends", "current", "answered", "holders", "backstop")
+
+    def __init__(self, number: int, client: Client, payload: Any, end: int) -> None:
+        self.number, self.client, self.payload, self.end = number, client, payload, end
+        self.sends = 0
+        self.current: Attempt | None = None
+        self.answered = False  # nothing more is owed: answered, broken after its start, or the client has gone
+        self.holders: set[int] = set()  # engines that may hold a state for it
+        self.backstop: Key | None = None
+
+
+class Attempt:
+    """One send of a request to one engine. The backend reports through `begin` and `end`."""
+
+    __slots__ = ("request", "index", "engine", "sent_at", "deadline", "began", "over", "_owner", "_expiry")
+
+    def __init__(self, owner: Dispatcher, request: Request, index: int, engine: int, sent_at: int, deadline: int,
+                 ) -> None:
+        self.request, self.index, self.engine = request, index, engine
+        self.sent_at, self.deadline = sent_at, deadline
+        self.began = self.over = False
+        self._owner = owner
+        self._expiry: Key | None = owner.deadlines.at(deadline, lambda: owner.expire(self))
+
+    @property
+    def patience(self) -> int:
+        return self.deadline - self.sent_at
+
+    def begin(self) -> bool:
+        """The first event of the answer is here. False: the attempt is over, the event must not be passed on."""
+        return self._owner.begin(self)
+
+    def end(self, outcome: str, kept: int = 0, may_hold: bool = False) -> None:
+        """The attempt is over. `may_hold`: the engine may hold a state for the request, however it ended."""
+        self._owner.end(self, outcome, kept, may_hold)
+
+    def stop_clock(self) -> None:
+        self._owner.deadlines.cancel(self._expiry)
+        self._expiry = None
+
+
+class Dispatcher:
+    def __init__(self, deployment: Deployment, seed: int, deadlines: Deadlines, counters: Counters) -> None:
+        self.deployment, self.deadlines, self.counters = deployment, deadlines, counters
+        self.clock = deadlines.clock
+        self.router = Router(deployment.router, seed)
+        self.backend: Backend | None = None
+        self.requests: dict[int, Request] = {}
+        self.engines: dict[int, i.Entry] = {}
+        self.on_empty: Callable[[], None] = lambda: None
+        self._next, self._events, self._busy = 1, deque[i.Event](), False
+
+    # From a front.
+
+    def take(self, ask: Ask, client: Client, payload: Any, arrived: int | None = None) -> Request:
+        """Take a request. `arrived` is the time of its last byte: its deadline runs from there."""
+        now = self.clock()
+        end = (now if arrived is None else arrived) + ask.ttl
+        request = Request(self._next, client, payload, end)
+        self._next += 1
+        self.requests[request.number] = request
+        self.counters.taken += 1
+        request.backstop = self.deadlines.at(end, lambda: self._overdue(request))
+        self._feed(i.Arrived(request.number, ask.cls, ask.tenant, ask.session, ask.prefix, ask.prefix_len,
+                             ask.prompt, ask.max_out, max(1, end - now), ask.repeat, ask.resumed))
+        return request
+
+    def leave(self, request: Request) -> None:
+        """The client has gone. Its attempt is called off, even one whose answer has begun: nobody reads it."""
+        if request.answered:
+            return
+        self._settle(request)
+        self.counters.left += 1
+        attempt = request.current
+        self._feed(i.Left(request.number))
+        if attempt and not attempt.over:
+            self._call_off(attempt)
+
+    # From the list of engines.
+
+    def listed(self, full: bool, entries: tuple[i.Entry, ...]) -> None:
+        if full:
+            self.engines = {}
+        for entry in entries:
+            self.engines[entry.engine] = entry
+            if entry.phase == i.GONE:
+                del self.engines[entry.engine]
+        self._feed(i.Listed(full, entries))
+
+    @property
+    def can_answer(self) -> bool:
+        """Some engine that writes answers is listed as ready."""
+        kinds = self.deployment.router.kinds
+        return any(e.phase == i.READY and kinds[e.kind].role != i.READER for e in self.engines.values())
+
+    # From a backend.
+
+    def begin(self, attempt: Attempt) -> bool:
+        if attempt.over or attempt.request.answered:
+            return False
+        if not attempt.began:
+            attempt.began = True
+            attempt.stop_clock()
+            self.deadlines.cancel(attempt.request.backstop)
+            attempt.request.holders.clear()  # with the first event all else that is held goes by itself
+            self._feed(i.Began(attempt.request.number, attempt.index, attempt.engine, self.clock() - attempt.sent_at))
+        return True
+
+    def end(self, attempt: Attempt, outcome: str, kept: int = 0, may_hold: bool = False) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        attempt.stop_clock()
+        request = attempt.request
+        request.current = None
+        self.counters.outcomes[outcome] += 1
+        if may_hold and not attempt.began:
+            request.holders.add(attempt.engine)
+        if not request.answered and (attempt.began or outcome == i.ANSWERED):
+            self._settle(request)
+            if outcome == i.ANSWERED:
+                self.counters.served += 1
+                request.client.finish()
+            else:  # Danger: a broken answer that is ended in good order would pass for a whole one.
+                self.counters.broken += 1
+                request.client.abort()
+        self._feed(i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept,
+                           self.clock() - attempt.sent_at, None))
+
+    def expire(self, attempt: Attempt) -> None:
+        """Its time is over. Danger: the connection goes first, or the next send would be a second copy."""
+        self._stop(attempt, i.TIMEOUT)
+
+    # Inside.
+
+    def _call_off(self, attempt: Attempt) -> None:
+        self._stop(attempt, i.CANCELLED)
+
+    def _stop(self, attempt: Attempt, outcome: str) -> None:
+        if attempt.over:
+            return
+        assert self.backend is not None
+        sent = self.backend.cancel(attempt)
+        # Danger: a read may have ended well at the very moment of its closing, and its state stays pinned.
+        self.end(attempt, outcome if sent else i.UNREACHABLE, may_hold=sent)
+
+    def _settle(self, request: Request) -> None:
+        request.answered = True
+        self.deadlines.cancel(request.backstop)
+
+    def _overdue(self, request: Request) -> None:
+        """Danger: a fault elsewhere must not leave a client without an answer. The Router is told as of a
+        client that has left, since nothing is owed any more."""
+        if request.answered:
+            return
+        logger.error("request {} reached its deadline without an answer from the router", request.number)
+        self._settle(request)
+        self.counters.failed += 1
+        request.client.fail()
+        self._feed(i.Left(request.number))
+
+    def _feed(self, event: i.Event) -> None:
+        """One event to the Router and its actions carried out, in order; events raised meanwhile wait."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self.router.handle(self.clock(), event)
+                except Exception:
+                    # Danger: one fault of the module must not end the process and all that it has taken.
+                    self.counters.faults += 1
+                    logger.exception("the router failed on {}", event)
+                    continue
+                for action in actions:
+                    self._act(action)
+                if not isinstance(event, i.Listed | i.Due):
+                    self._forget(event.request)
+        finally:
+            self._busy = False
+
+    def _forget(self, number: int) -> None:
+        request = self.requests.get(number)
+        if request and request.answered and request.current is None:
+            del self.requests[number]
+            if request.holders:  # Danger: whatever path led here, a state must not stay pinned.
+                self._release(request)
+            if not self.requests:
+                self.on_empty()
+
+    def _act(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer(timer, wait):
+                self.deadlines.after(wait, lambda: self._feed(i.Due(timer)))
+                return
+            case i.Report(text):
+                logger.info("router: {}", text)
+                return
+        request = self.requests.get(action.request)
+        if request is None:
+            return
+        match action:
+            case i.Send(_, engine, patience):
+                self._send(request, engine, patience)
+            case i.CallOff(_, index):
+                attempt = request.current
+                if attempt and attempt.index == index and not attempt.began:
+                    self._call_off(attempt)
+            case i.Refuse(_, stay_away):
+                if not request.answered:
+                    self._settle(request)
+                    self.counters.refused += 1
+                    request.client.refuse(stay_away)
+            case i.Fail():
+                if not request.answered:
+                    self._settle(request)
+                    self.counters.failed += 1
+                    request.client.fail()
+            case i.Release():
+                self._release(request)
+            case i.Move():
+                logger.warning("request {}: streams are not moved here", request.number)
+
+    def _send(self, request: Request, engine: int, patience: int) -> None:
+        assert self.backend is not None
+        now = self.clock()
+        index, request.sends = request.sends, request.sends + 1
+        attempt = Attempt(self, request, index, engine, now, min(now + patience, request.end))
+        if request.answered or request.current or index >= self.deployment.router.max_attempts:
+            return self.end_unsent(attempt)
+        request.current = attempt
+        self.counters.sent += 1
+        self.backend.send(attempt)
+
+    def end_unsent(self, attempt: Attempt) -> None:
+        """Not sent: the request is over, bound to another attempt, or out of attempts."""
+        attempt.over = True
+        attempt.stop_clock()
+        self._feed(i.Ended(attempt.request.number, attempt.index, attempt.engine, i.MOOT, attempt.request.answered,
+                           0, 0, None))
+
+    def _release(self, request: Request) -> None:
+        assert self.backend is not None
+        engines, request.holders = request.holders, set()
+        if engines:
+            self.counters.released += len(engines)
+            self.backend.release(request, engines)
--- /dev/null
+++ b/pearhill/core/ports.py
@@ -0,0 +1,40 @@
+"""What the core asks of the two sides that it stands between."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from pearhill.core.dispatcher import Attempt, Request
+
+
+class Client(Protocol):
+    """Where a request came from. The core calls exactly one of `refuse`, `fail`, `finish` and `abort`."""
+
+    def refuse(self, stay_away: int) -> None:
+        """Final: not done, trying again is harmless, in `stay_away` microseconds (0: no advice)."""
+
+    def fail(self) -> None:
+        """Final: failed, nothing is promised."""
+
+    async def pass_on(self, data: bytes) -> None:
+        """A piece of the answer, unchanged; returns when there is room for more."""
+
+    def finish(self) -> None:
+        """The answer is whole."""
+
+    def abort(self) -> None:
+        """The answer has begun and will not be whole."""
+
+
+class Backend(Protocol):
+    """The way to the engines. For each attempt it calls `Attempt.end` once, whatever happens, except after `cancel`."""
+
+    def send(self, attempt: Attempt) -> None: ...
+
+    def cancel(self, attempt: Attempt) -> bool:
+        """Close the attempt's connection before returning. False: the engine surely never had the whole request."""
+
+    def release(self, request: Request, engines: Collection[int]) -> None:
+        """Let go of what the engines may hold for the request, trying again as need be."""
--- /dev/null
+++ b/pearhill/counters.py
@@ -0,0 +1,29 @@
+"""What the process takes in, sends and answers, counted since its start."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+
+@dataclass(slots=True)
+class Counters:
+    taken: int = 0  # requests with a place in the core
+    sent: int = 0  # attempts
+    served: int = 0  # answered whole
+    refused: int = 0
+    failed: int = 0
+    broken: int = 0  # answers that ended after their start
+    left: int = 0  # clients that went before their answer
+    rejected: int = 0  # bad input, answered 4xx and not taken
+    released: int = 0  # calls to let go of what an engine may hold
+    release_retries: int = 0
+    lists: int = 0  # lists of engines applied
+    faults: int = 0  # exceptions out of the router
+    replayed: int = 0  # answers repeated from the idempotency store
+    outcomes: Counter[str] = field(default_factory=Counter)  # of attempts
+    connections: Counter[str] = field(default_factory=Counter)  # ended, by side and reason code
+
+    def as_dict(self) -> dict[str, Any]:
+        return asdict(self)
--- /dev/null
+++ b/pearhill/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 as state machines that are fed bytes and know no socket."""
--- /dev/null
+++ b/pearhill/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the only place that reads and writes them."""
--- /dev/null
+++ b/pearhill/net/listener.py
@@ -0,0 +1,338 @@
+"""Where clients connect: accepts, feeds each connection's state machine, writes what the handler answers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from loguru import logger
+
+from pearhill.core.deadlines import Deadlines, Key
+from pearhill.counters import Counters
+from pearhill.http1 import messages
+from pearhill.http1.messages import Headers, RequestMessage
+from pearhill.http1.server import ContinueWanted, Rejected, ServerConnection
+from pearhill.net.pool import Address
+from pearhill.net.turns import pause
+
+BUFFER = 16 * 1024
+ROOM = 64 * 1024  # bytes of an answer that may wait for a slow client before its server is held back
+PIPELINED = 4  # requests that may wait on one connection behind the one being answered
+MESSAGE_WITHIN = 10_000_000  # a request that has begun is whole by then
+IDLE_WITHIN = 120_000_000
+LINGER = 1_000_000
+WRITE_WITHIN = 20_000_000  # a client that takes no byte for so long is gone
+EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Pending(Protocol):
+    """A request that is being answered."""
+
+    def left(self) -> None:
+        """Its client has gone."""
+
+
+class Reply(Protocol):
+    """How a handler answers one request: `answer`, or `start`, any number of `write`, and `finish` or `abort`."""
+
+    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None: ...
+    def start(self, status: int, headers: Headers = ()) -> None: ...
+    async def write(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def abort(self) -> None: ...
+
+
+class Handler(Protocol):
+    def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
+        """Answer a request, now or later. None: it is answered already, or its client's leaving is no matter."""
+
+    def rejected(self, status: int, why: str) -> tuple[Headers, bytes]:
+        """Headers and body for input that was turned away before it became a request."""
+
+
+class Link:
+    """One client's connection, and the Reply to the request that is being answered on it."""
+
+    def __init__(self, listener: Listener, sock: socket.socket, peer: Any) -> None:
+        self.listener, self.sock, self.peer = listener, sock, peer
+        self.machine = ServerConnection()
+        self.waiting: deque[RequestMessage | Rejected] = deque()
+        self.pending: Pending | None = None
+        self.answering = self.closed = self.ending = False
+        self.requests = 0
+        self.idle_since = listener.deadlines.clock()
+        self._keep = True
+        self._out = bytearray()
+        self._wake, self._room, self._next = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self._room.set()
+        self._timer: Key | None = None
+        self._reason = "answered"
+        self._reader = listener.spawn(self._read())
+        self._writer = listener.spawn(self._write())
+        for task in (self._reader, self._writer):
+            task.add_done_callback(self._task_over)
+        self._watch()
+
+    @property
+    def idle(self) -> bool:
+        return not (self.answering or self.waiting or self.machine.in_message or self._out)
+
+    # Reply.
+
+    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
+        self._put(messages.answer(status, headers, body, close=not self._keeps()))
+        self._done()
+
+    def start(self, status: int, headers: Headers = ()) -> None:
+        self._put(messages.stream_head(status, headers, close=not self._keeps()))
+
+    async def write(self, data: bytes) -> None:
+        self._put(messages.chunk(data))
+        await self._room.wait()
+
+    def finish(self) -> None:
+        self._put(messages.LAST_CHUNK)
+        self._done()
+
+    def abort(self) -> None:
+        self.close("answer-broken")
+
+    # Inside.
+
+    def _keeps(self) -> bool:
+        """Whether the connection outlives this answer. Told to the client, so settled once."""
+        self._keep = self._keep and not self.listener.draining
+        return self._keep
+
+    def _put(self, data: bytes) -> None:
+        if not self.closed:
+            self._out += data
+            self._wake.set()
+            if len(self._out) > ROOM:
+                self._room.clear()
+
+    def _done(self) -> None:
+        self.answering, self.pending = False, None
+        if not self._keep:
+            self.ending = True
+            self._wake.set()
+            return
+        self._advance()
+
+    def _advance(self) -> None:
+        """Take up the next request, unless one is being answered."""
+        while self.waiting and not (self.answering or self.ending or self.closed):
+            message = self.waiting.popleft()
+            self._next.set()
+            self.answering = True
+            if isinstance(message, Rejected):
+                self._reject(message)
+                break
+            self.requests += 1
+            self._keep = message.keep_alive
+            turn = self.requests
+            pending = self.listener.handler.handle(message, self)
+            if self.answering and self.requests == turn:
+                self.pending = pending
+        if not self.answering:
+            self.idle_since = self.listener.deadlines.clock()
+        self._watch()
+
+    def _reject(self, message: Rejected) -> None:
+        self.listener.counters.rejected += 1
+        self._keep, self._reason = False, f"rejected-{message.status}"
+        headers, body = self.listener.handler.rejected(message.status, message.why)
+        self.answer(message.status, headers, body)
+
+    def _watch(self) -> None:
+        """One deadline a connection: for a half-sent request, or for the next one to begin."""
+        self.listener.deadlines.cancel(self._timer)
+        self._timer = None
+        if self.closed or self.answering or self.ending:
+            return
+        if self.machine.in_message:
+            self._timer = self.listener.deadlines.after(MESSAGE_WITHIN, self._too_slow)
+        else:
+            self._timer = self.listener.deadlines.after(IDLE_WITHIN, lambda: self.close("idle"))
+
+    def _too_slow(self) -> None:
+        self.waiting.append(Rejected(408, "the request did not arrive in time"))
+        self._advance()
+
+    async def _read(self) -> None:
+        buffer = bytearray(BUFFER)
+        view = memoryview(buffer)
+        loop, reason = self.listener.loop, "client-closed"
+        try:
+            while not self.closed:
+                try:
+                    size = await loop.sock_recv_into(self.sock, buffer)
+                except OSError as e:
+                    size, reason = 0, f"client-{type(e).__name__}"
+                if not size:
+                    break
+                began = self.machine.in_message
+                for event in self.machine.feed(view[:size]):
+                    if isinstance(event, ContinueWanted):
+                        self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    else:
+                        self.waiting.append(event)
+                if self.waiting:
+                    self._advance()
+                elif self.machine.in_message != began:
+                    self._watch()
+                while len(self.waiting) > PIPELINED and not self.closed:
+                    self._next.clear()
+                    await self._next.wait()
+        finally:
+            self.close(self._reason if self.ending else reason)
+
+    def _task_over(self, task: asyncio.Task[None]) -> None:
+        """Danger: a socket that is closed while the loop still polls it may hand its number to another."""
+        if self._reader.done() and self._writer.done():
+            self.sock.close()
+            self.listener.links.discard(self)
+
+    async def _write(self) -> None:
+        loop = self.listener.loop
+        while not self.closed:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._out and not self.closed:
+                data, self._out = self._out, bytearray()
+                stuck = self.listener.deadlines.after(WRITE_WITHIN, lambda: self.close("client-stuck"))
+                try:
+                    await loop.sock_sendall(self.sock, data)
+                except OSError as e:
+                    return self.close(f"client-{type(e).__name__}")
+                finally:
+                    self.listener.deadlines.cancel(stuck)
+                self._room.set()
+            if self.ending and not self._out:
+                return self._linger()
+
+    def _linger(self) -> None:
+        """Danger: closed with input unread, the connection is reset and the answer lost on its way."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.close(self._reason)
+        self._timer = self.listener.deadlines.after(LINGER, lambda: self.close(self._reason))
+
+    def close(self, reason: str) -> None:
+        """End the connection now; a request still being answered on it loses its client."""
+        if self.closed:
+            return
+        self.closed = True
+        self.listener.deadlines.cancel(self._timer)
+        self._room.set()
+        self._next.set()
+        with contextlib.suppress(OSError):  # the client was first
+            self.sock.shutdown(socket.SHUT_RDWR)
+        for task in (self._reader, self._writer):
+            if asyncio.current_task(self.listener.loop) is not task:
+                task.cancel()
+        self.listener.counters.connections[f"client {reason}"] += 1
+        logger.info("connection side=client peer={} reason={} requests={}", self.peer, reason, self.requests)
+        pending, self.pending = self.pending, None
+        if pending:
+            pending.left()
+
+
+class Listener:
+    """`most` bounds the clients' connections; past it the one that has idled longest makes room."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, handler: Handler,
+                 most: int) -> None:
+        self.loop, self.deadlines, self.counters, self.handler, self.most = loop, deadlines, counters, handler, most
+        self.links: set[Link] = set()
+        self.draining = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._sock: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            logger.opt(exception=error).error("a client connection's task failed")
+
+    def listen(self, address: Address) -> Address:
+        """Open the door; the address that it got."""
+        self._sock = sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(1024)
+        self._accepting = self.spawn(self._accept(sock))
+        host, port = sock.getsockname()[:2]
+        return host, port
+
+    async def _accept(self, sock: socket.socket) -> None:
+        while True:
+            if len(self.links) >= self.most and not self._make_room():
+                await pause(self.deadlines, 20_000)
+                continue
+            try:
+                client, peer = await self.loop.sock_accept(sock)
+            except OSError as e:
+                # Danger: out of descriptors for a moment, a loop that ends here never accepts again.
+                if e.errno in EXHAUSTED:
+                    logger.warning("accepting pauses: {}", e)
+                    self._make_room()
+                await pause(self.deadlines, 20_000)
+                continue
+            client.setblocking(False)
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
+
+    def _make_room(self) -> bool:
+        idle = [link for link in self.links if link.idle and not link.closed]
+        if idle:
+            min(idle, key=lambda link: link.idle_since).close("room-needed")
+        return bool(idle)
+
+    @property
+    def quiet(self) -> bool:
+        """Nothing is being read, answered or written."""
+        return all(link.closed or link.idle for link in self.links)
+
+    def drain(self) -> None:
+        """From now on each answer ends its connection."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        for link in list(self.links):
+            if link.idle:
+                link.close("drained")
+
+    async def stop_accepting(self) -> None:
+        """Shut the door. Danger: whoever waits behind it unaccepted is reset, and what it has sent is lost."""
+        if self._sock and self._accepting:
+            self._accepting.cancel()
+            await asyncio.gather(self._accepting, return_exceptions=True)
+            while True:
+                try:
+                    client, peer = self._sock.accept()
+                except OSError:
+                    break
+                client.setblocking(False)
+                self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
+            self._sock.close()
+            self._sock = None
+
+    async def close(self) -> None:
+        await self.stop_accepting()
+        for link in list(self.links):
+            link.close("shutdown")
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/pearhill/net/pool.py
@@ -0,0 +1,243 @@
+"""Connections to servers: opened as needed, one exchange at a time on each, kept a while, watched while idle."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import defaultdict
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from loguru import logger
+
+from pearhill.core.deadlines import Deadlines, Key
+from pearhill.counters import Counters
+from pearhill.http1.client import ClientConnection, Data, End, Event, Head, Lost
+from pearhill.net.turns import time_limit
+
+Address = tuple[str, int]
+BUFFER = 16 * 1024
+
+
+def parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+class CannotConnect(Exception):
+    """No connection came up; nothing was sent."""
+
+
+class Exchange(Protocol):
+    """One request on a connection. `handle` gets each piece of the answer, a `Lost` at the latest."""
+
+    async def handle(self, event: Event) -> None: ...
+
+
+class Connection:
+    """One socket to a server. Its reader runs for its whole life, so the end of an idle one is seen at once."""
+
+    def __init__(self, pool: Pool, address: Address, sock: socket.socket) -> None:
+        self.pool, self.address, self.sock = pool, address, sock
+        self.machine = ClientConnection()
+        self.exchange: Exchange | None = None
+        self.writing = self.sent = False  # the exchange's request is being written; its last byte is written
+        self.exchanges = 0
+        self.closed = False
+        self.idle_key: Key | None = None
+        self._reader = pool.spawn(self._read())
+        # Danger: a socket that is closed while the loop still polls it may hand its number to another.
+        self._reader.add_done_callback(lambda _: sock.close())
+
+    @property
+    def usable(self) -> bool:
+        """Danger: a request written to a connection that the server has closed ends as a reset, which may
+        have run. The kernel may know of the end before the reader's turn has come."""
+        if self.closed:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def send(self, exchange: Exchange, data: bytes) -> None:
+        """Write one request. OSError: its last byte was not written."""
+        self.exchange, self.writing, self.sent = exchange, True, False
+        self.exchanges += 1
+        self.machine.expect()
+        await self.pool.loop.sock_sendall(self.sock, data)
+        self.writing, self.sent = False, True
+
+    async def _read(self) -> None:
+        buffer = bytearray(BUFFER)
+        view = memoryview(buffer)
+        reason = "reader-failed"
+        try:
+            while not self.closed:
+                try:
+                    size = await self.pool.loop.sock_recv_into(self.sock, buffer)
+                    events = self.machine.feed(view[:size]) if size else self.machine.eof()
+                    reason = "server-eof"
+                except OSError as e:
+                    size, events, reason = 0, self.machine.eof(), f"server-{type(e).__name__}"
+                for event in events:
+                    await self._deliver(event)
+                if not size:
+                    break
+        finally:
+            self.close(reason)
+
+    async def _deliver(self, event: Event) -> None:
+        exchange = self.exchange
+        if isinstance(event, Lost):
+            self.close("unasked-bytes" if exchange is None else f"lost-{event.why.partition(':')[0]}")
+        elif isinstance(event, End):
+            self.exchange = None
+            # Danger: an answer that comes before the whole request was sent leaves the rest on the wire.
+            if event.reusable and self.sent and not self.closed:
+                self.pool.put_back(self)
+            else:
+                self.close("server-asked")
+        if exchange is not None:
+            await exchange.handle(event)
+
+    def close(self, reason: str) -> None:
+        """End it now: the sending side is shut before this returns, whatever the loop still holds of the socket."""
+        if self.closed:
+            return
+        self.closed, self.exchange = True, None
+        with contextlib.suppress(OSError):  # it was never up, or is down already
+            self.sock.shutdown(socket.SHUT_RDWR)
+        if asyncio.current_task(self.pool.loop) is not self._reader:
+            self._reader.cancel()
+        self.pool.forget(self)
+        self.pool.counters.connections[f"server {reason}"] += 1
+        logger.info("connection side=server peer={}:{} reason={} exchanges={}", *self.address, reason, self.exchanges)
+
+
+class Pool:
+    """All connections to servers. `most` bounds them all together."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, *,
+                 connect_timeout: int, keep_idle: int, most: int) -> None:
+        self.loop, self.deadlines, self.counters = loop, deadlines, counters
+        self.connect_timeout, self.keep_idle, self.most = connect_timeout, keep_idle, most
+        self.idle: defaultdict[Address, list[Connection]] = defaultdict(list)
+        self.open: set[Connection] = set()
+        self._connecting = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a task that is held until it ends and whose failure is seen."""
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            logger.opt(exception=error).error("a connection's task failed")
+
+    async def acquire(self, address: Address, fresh: bool = False) -> Connection:
+        """A connection that is up: an idle one that still stands, the latest used first, else a new one."""
+        idle = self.idle[address]
+        while idle and not fresh:
+            connection = idle.pop()
+            self.deadlines.cancel(connection.idle_key)
+            if connection.usable:
+                return connection
+            connection.close("stale")
+        if len(self.open) + self._connecting >= self.most and not self._drop_oldest():
+            raise CannotConnect("every descriptor set aside for servers is in use")
+        self._connecting += 1
+        sock: socket.socket | None = None
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with time_limit(self.deadlines, self.connect_timeout):
+                await self.loop.sock_connect(sock, address)
+        except (OSError, TimeoutError) as e:
+            if sock:
+                sock.close()
+            raise CannotConnect(f"{address[0]}:{address[1]}: {e or 'timed out'}") from None
+        except asyncio.CancelledError:
+            if sock:
+                sock.close()
+            raise
+        finally:
+            self._connecting -= 1
+        connection = Connection(self, address, sock)
+        self.open.add(connection)
+        return connection
+
+    def put_back(self, connection: Connection) -> None:
+        self.idle[connection.address].append(connection)
+        # Danger: a server closes an idle connection without a word, and what is then sent may have run.
+        connection.idle_key = self.deadlines.after(self.keep_idle, lambda: connection.close("idle"))
+
+    def forget(self, connection: Connection) -> None:
+        self.open.discard(connection)
+        self.deadlines.cancel(connection.idle_key)
+        if connection in (idle := self.idle[connection.address]):
+            idle.remove(connection)
+
+    def drop_idle(self, address: Address) -> None:
+        for connection in list(self.idle[address]):
+            connection.close("server-left")
+
+    def _drop_oldest(self) -> bool:
+        oldest = min((c for idle in self.idle.values() for c in idle), key=lambda c: c.idle_key or (0, 0), default=None)
+        if oldest:
+            oldest.close("room-needed")
+        return oldest is not None
+
+    def close(self) -> None:
+        for connection in list(self.open):
+            connection.close("shutdown")
+
+
+class Gathered:
+    """An exchange whose whole answer is wanted, up to a size."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int) -> None:
+        self.status, self.body, self.most = 0, bytearray(), most
+        self.done: asyncio.Future[None] = loop.create_future()
+
+    async def handle(self, event: Event) -> None:
+        match event:
+            case Lost(why):
+                self._finish(ConnectionResetError(why))
+            case End():
+                self._finish(None)
+            case Head(status):
+                self.status = status
+            case Data(data):
+                self.body += data
+                if len(self.body) > self.most:
+                    self._finish(ValueError("the answer is too large"))
+
+    def _finish(self, error: Exception | None) -> None:
+        if not self.done.done():
+            self.done.set_exception(error) if error else self.done.set_result(None)
+
+
+async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = 16 << 20) -> tuple[int, bytes]:
+    """One request and its whole answer. OSError, TimeoutError, ValueError or CannotConnect where there is none."""
+    connection = await pool.acquire(address)
+    gathered = Gathered(pool.loop, most)
+    try:
+        async with time_limit(pool.deadlines, timeout):
+            await connection.send(gathered, data)
+            await gathered.done
+    except BaseException:
+        connection.close("call-failed")
+        raise
+    return gathered.status, bytes(gathered.body)
--- /dev/null
+++ b/pearhill/platform/front.py
@@ -0,0 +1,174 @@
+"""The thin front: the platform's request headers in, the core's answers out."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pearhill.core.dispatcher import Ask, Dispatcher, Request
+from pearhill.http1.messages import Headers, RequestMessage
+from pearhill.net.listener import Pending, Reply
+
+PATH = "/v1/chat/completions"
+SLACK = 10_000  # microseconds kept back from the client's time, for the way here and back
+MAX_TTL = 600_000_000
+_ID = re.compile(r"[\x21-\x7e]{1,128}")
+TEXT: Headers = (("Content-Type", "text/plain"),)
+EVENTS: Headers = (("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"))
+
+
+class BadRequest(Exception):
+    """A request that cannot be read; the text is for its client."""
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """What a replica gets of the request, unchanged."""
+
+    id: str
+    method: str
+    target: str
+    body: bytes
+    content_type: str
+
+
+def retry_after(micros: int) -> Headers:
+    return (("Retry-After", f"{micros / 1e6:.3f}"),) if micros > 0 else ()
+
+
+def key_of(text: str) -> int:
+    """A conversation or opening as a number, the same at every dispatcher; 0 where there is none."""
+    if not text:
+        return 0
+    if len(text) <= 16 and re.fullmatch(r"[0-9a-fA-F]+", text):
+        return int(text, 16)
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+def _number(name: str, text: str) -> int:
+    if not re.fullmatch(r"[0-9]{1,10}", text):
+        raise BadRequest(f"{name} must be a whole number")
+    return int(text)
+
+
+class PlatformClient:
+    """The core's view of one client of the platform."""
+
+    def __init__(self, dispatcher: Dispatcher, reply: Reply, on_over: Callable[[], None]) -> None:
+        self.dispatcher, self.reply, self.on_over = dispatcher, reply, on_over
+        self.request: Request | None = None
+        self.started = False
+
+    def refuse(self, stay_away: int) -> None:
+        self.on_over()
+        self.reply.answer(503, (*TEXT, *retry_after(stay_away)), b"refused: trying again is harmless\n")
+
+    def fail(self) -> None:
+        self.on_over()
+        self.reply.answer(500, TEXT, b"failed\n")
+
+    async def pass_on(self, data: bytes) -> None:
+        if not self.started:
+            self.started = True
+            self.reply.start(200, EVENTS)
+        await self.reply.write(data)
+
+    def finish(self) -> None:
+        self.on_over()
+        self.reply.finish()
+
+    def abort(self) -> None:
+        self.on_over()
+        self.reply.abort()
+
+    def left(self) -> None:
+        self.on_over()
+        if self.request:
+            self.dispatcher.leave(self.request)
+
+
+class PlatformFront:
+    def __init__(self, dispatcher: Dispatcher, is_ready: Callable[[], bool]) -> None:
+        self.dispatcher, self.is_ready = dispatcher, is_ready
+        self.open: set[str] = set()
+        names = dispatcher.deployment.class_names
+        self._classes = {name: k for k, name in enumerate(names)}
+        self._tenants = {name: k for k, name in enumerate(dispatcher.deployment.tenant_names)}
+
+    def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
+        path, method, counters = message.path, message.method, self.dispatcher.counters
+        if path == "/ready" and method == "GET":
+            ready = self.is_ready()
+            reply.answer(200 if ready else 503, TEXT, b"ready\n" if ready else b"not ready\n")
+        elif path == "/counters" and method == "GET":
+            reply.answer(200, (("Content-Type", "application/json"),), json.dumps(counters.as_dict()).encode())
+        elif path != PATH or method != "POST":
+            counters.rejected += 1
+            known = {PATH: "POST", "/ready": "GET", "/counters": "GET"}.get(path)
+            reply.answer(405 if known else 404, (*TEXT, ("Allow", known)) if known else TEXT, b"no such call\n")
+        else:
+            return self._take(message, reply)
+        return None
+
+    def rejected(self, status: int, why: str) -> tuple[Headers, bytes]:
+        return TEXT, f"{why}\n".encode()
+
+    def _take(self, message: RequestMessage, reply: Reply) -> Pending | None:
+        dispatcher = self.dispatcher
+        try:
+            id, ask = self._read(message)
+        except BadRequest as e:
+            dispatcher.counters.rejected += 1
+            reply.answer(400, TEXT, f"{e}\n".encode())
+            return None
+        if id in self.open:  # Danger: two requests of one id could not be told apart at a replica.
+            dispatcher.counters.rejected += 1
+            reply.answer(409, TEXT, b"a request with this Request-Id is open\n")
+            return None
+        if len(dispatcher.requests) >= dispatcher.deployment.most_held:
+            dispatcher.counters.refused += 1
+            reply.answer(503, (*TEXT, *retry_after(dispatcher.deployment.router.max_retry_after)), b"too many open\n")
+            return None
+        self.open.add(id)
+        client = PlatformClient(dispatcher, reply, lambda: self.open.discard(id))
+        payload = Payload(id, message.method, message.target, message.body,
+                          message.headers.get("content-type", "application/json"))
+        client.request = dispatcher.take(ask, client, payload)
+        return client
+
+    def _read(self, message: RequestMessage) -> tuple[str, Ask]:
+        headers = message.headers
+        for name in ("Request-Id", "Request-Class", "Request-Timeout-Ms"):
+            if not headers.get(name.lower()):
+                raise BadRequest(f"{name} is missing")
+        id = headers["request-id"]
+        if not _ID.fullmatch(id):
+            raise BadRequest("Request-Id is malformed")
+        cls = self._classes.get(headers["request-class"])
+        if cls is None:
+            raise BadRequest("Request-Class is unknown")
+        ttl = _number("Request-Timeout-Ms", headers["request-timeout-ms"]) * 1000
+        if not 0 < ttl <= MAX_TTL:
+            raise BadRequest("Request-Timeout-Ms is out of range")
+        try:
+            body = json.loads(message.body)
+        except (ValueError, RecursionError):
+            raise BadRequest("the body is no JSON") from None
+        if not isinstance(body, dict):
+            raise BadRequest("the body is no JSON object")
+        info: dict[str, str] = {}
+        for part in filter(None, (p.strip() for p in headers.get("request-info", "").split(","))):
+            name, equals, value = part.partition("=")
+            if not equals:
+                raise BadRequest("Request-Info is malformed")
+            info[name.strip()] = value.strip()
+        prompt = _number("prompt_len", info.get("prompt_len", str(len(message.body) // 4)))
+        max_out = _number("max_out", info.get("max_out", "0"))
+        tenant = self._tenants.get(headers.get("tenant", ""), 0)
+        return id, Ask(
+            cls, max(1, ttl - SLACK), prompt, max_out, session=key_of(headers.get("affinity-key", "")),
+            prefix=key_of(info.get("prefix", "")), prefix_len=_number("prefix_len", info.get("prefix_len", "0")),
+            tenant=tenant, repeat=headers.get("client-retry") == "1", resumed=headers.get("client-retry") == "again")
--- /dev/null
+++ b/pearhill/settings.py
@@ -0,0 +1,75 @@
+"""One parse of a deployment's settings: the object that the simulator's START and a daemon's configuration share."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pearhill import interface as i
+
+ROLES = {"read": i.READER, "write": i.WRITER, "both": i.MIXED}
+EFFECTS = {"read_like": i.SAFE, "idempotency_key": i.KEYED, "non_idempotent": i.UNSAFE}
+
+
+class SettingsError(ValueError):
+    """Settings that cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The router's settings, with what only the node round it needs. Times are microseconds."""
+
+    router: i.Settings
+    load_at: tuple[int, int]  # where the two load values stand in a report (-1: not reported)
+    class_names: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    kind_names: tuple[str, ...]
+    tenant_names: tuple[str, ...]
+    connect_timeout: int
+    conn_idle: int
+    most_held: int
+
+
+def _names(rows: Any) -> tuple[str, ...]:
+    return tuple(str(row["name"]) if isinstance(row, Mapping) and "name" in row else str(row) for row in rows)
+
+
+def parse(s: Mapping[str, Any]) -> Deployment:
+    """The settings object, as nested JSON was read."""
+    try:
+        extra, allowed, rules = s["extra"], s["allowed"], s["rules"]
+        n = len(s["classes"])
+        per_k = extra.get("aim-us-per-1000-prompt-tokens") or [0.0] * n
+        pace = extra.get("token-aim") or [0.0] * n
+        classes = tuple(
+            i.ClassSpec(int(c["aim"]), float(per_k[k]), int(c["deadline"]), float(c["worth"]),
+                        float(c.get("late-worth", 0)), EFFECTS.get(c["effect"], c["effect"]),
+                        c.get("group", "all"), int(c.get("window", 0)), float(pace[k]))
+            for k, c in enumerate(s["classes"]))
+        kinds = tuple(i.KindSpec(ROLES.get(role, role), int(memory)) for role, memory in zip(
+            extra["role-by-kind"], extra["tokens-by-kind"], strict=True))
+        columns = s.get("report", {}).get("columns", [])
+        load_at = tuple(columns.index(name) if name in columns else -1 for name in ("x0", "x1"))
+        router = i.Settings(
+            instances=int(s["n-instances"]), zone=int(s["zone"]), classes=classes, kinds=kinds,
+            quotas=tuple(float(t["quota-rps"]) for t in s.get("tenants", [])),
+            over_share_worth=float(s.get("over-share-worth", 1)),
+            release_within=int(extra["release-within"]), local_read=bool(extra["local-read"]),
+            may_cancel=bool(allowed["may-cancel"]), second_copies=bool(allowed["second-copies"]),
+            may_move=bool(extra.get("resume", False)), retry_hints=bool(allowed.get("retry-after", False)),
+            max_retry_after=int(allowed.get("max-retry-after", 0)),
+            max_attempts=int(allowed["max-attempts"]), cold=int(rules["cold"]),
+            cold_from=float(rules["cold-from"]), fall=int(rules["fall"]),
+            fall_multiple=float(rules["fall-multiple"]), tick=int(s["tick"]))
+        return Deployment(
+            router, (load_at[0], load_at[1]),
+            class_names=tuple(str(c.get("name", k)) for k, c in enumerate(s["classes"])),
+            zone_names=_names(s.get("zones", [])), kind_names=_names(s.get("models", [])),
+            tenant_names=_names(s.get("tenants", [])),
+            connect_timeout=int(allowed.get("connect-timeout", 250_000)),
+            conn_idle=int(allowed.get("conn-idle", 15_000_000)), most_held=int(allowed.get("most-held", 10_000)))
+    except KeyError as e:
+        raise SettingsError(f"{e.args[0]} is missing") from None
+    except (ValueError, TypeError, IndexError, AttributeError) as e:
+        raise SettingsError(str(e)) from None
