Test the platform's path with stand-ins; fix the counters report that ended a drain with 1

Seen: SIGTERM made the process exit 1, and GET /counters closed the connection. Cause: counters.py used dataclasses.asdict, which rebuilds a Counter from pairs and so gives JSON keys that are tuples. A handler's exception also left its client without an answer; it gets a 500 now. A release that no replica answers no longer holds up the exit for 20 s. Checked with 13 tests against the real process.

--- a/pearhill/__main__.py
+++ b/pearhill/__main__.py
@@ -10,7 +10,7 @@
 
 from pearhill.config import ConfigError, load
 from pearhill.net.log import LogThread
-from pearhill.platform.daemon import Daemon
+from pearhill.platform.daemon import serve
 
 
 def main() -> int:
@@ -21,12 +21,9 @@
         return 2
     log = LogThread(os.environ.get("PEARHILL_LOG", "INFO"))
 
-    async def serve() -> None:
-        await Daemon(config, asyncio.get_running_loop()).run()
-
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve())
+            runner.run(serve(config))
     except OSError as e:
         print(f"pearhill: listen: {e}", file=sys.stderr)
         return 1
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -89,7 +88,6 @@
         self.backend: Backend | None = None
         self.requests: dict[int, Request] = {}
         self.engines: dict[int, i.Entry] = {}
-        self.on_empty: Callable[[], None] = lambda: None
         self._next, self._events, self._busy = 1, deque[i.Event](), False
 
     # From a front.
@@ -230,8 +228,6 @@
             del self.requests[number]
             if request.holders:  # Danger: whatever path led here, a state must not stay pinned.
                 self._release(request)
-            if not self.requests:
-                self.on_empty()
 
     def _act(self, action: i.Action) -> None:
         match action:
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import Any
 
 
@@ -26,4 +26,6 @@
     connections: Counter[str] = field(default_factory=Counter)  # ended, by side and reason code
 
     def as_dict(self) -> dict[str, Any]:
-        return asdict(self)
+        # Danger: dataclasses.asdict rebuilds a Counter from pairs and counts those; JSON then takes none of it.
+        values = {f.name: getattr(self, f.name) for f in fields(self)}
+        return {name: dict(v) if isinstance(v, Counter) else v for name, v in values.items()}
--- /dev/null
+++ b/pearhill/net/backend.py
@@ -0,0 +1,219 @@
+"""The way to servers over HTTP/1.1: one attempt is one request on one connection. What is said there, and what
+makes an answer whole, is a dialect's matter; when it ran and what it left behind is settled here for all."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Collection
+from typing import Any, Protocol
+
+from loguru import logger
+
+from pearhill import interface as i
+from pearhill.core.deadlines import Key
+from pearhill.core.dispatcher import Attempt, Request
+from pearhill.http1.client import Data, End, Event, Head, Lost
+from pearhill.net.pool import Address, CannotConnect, Connection, Pool, call
+from pearhill.net.turns import pause
+
+STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
+RELEASE_FOR = 20_000_000  # how long a release is tried again
+RELEASE_WAIT = 250_000  # for the answer to a release before it is tried again
+UNANSWERED = 8  # releases written and never answered, each on a connection that came up
+FIRST_RETRY, LAST_RETRY = 20_000, 500_000  # between tries of a release
+END_WITHIN = 1_000_000  # for the last chunk of an answer that is whole without it
+MAX_BODY = 64 * 1024  # of an answer that is no stream
+
+
+class Malformed(Exception):
+    """A stream that does not follow its form."""
+
+
+class Stream(Protocol):
+    """One answer's stream, fed what comes."""
+
+    @property
+    def kept(self) -> int:
+        """Prompt tokens found kept, as far as the stream has told."""
+
+    def feed(self, data: bytes) -> bytes:
+        """What of it to pass on now. Malformed: the answer cannot be trusted any further."""
+
+    @property
+    def whole(self) -> bool:
+        """Nothing is missing, whatever the connection does next."""
+
+    def ends_well(self) -> bool:
+        """Whether the last chunk may come here."""
+
+
+class Dialect(Protocol):
+    def request(self, payload: Any, wait_ms: int) -> bytes: ...
+
+    def release(self, payload: Any) -> bytes:
+        """The call that lets go of what is held for a request."""
+
+    def stream(self, payload: Any) -> Stream: ...
+
+
+class Call:
+    """One attempt on its connection."""
+
+    def __init__(self, backend: HttpBackend, attempt: Attempt) -> None:
+        self.backend, self.attempt = backend, attempt
+        self.connection: Connection | None = None
+        self.tried = False  # from here on the server may have the whole request
+        self.status, self.never_ran = 0, False
+        self.body = bytearray()
+        self.stream = backend.dialect.stream(attempt.request.payload)
+        self.stall: Key | None = None
+        self.task: asyncio.Task[None] = backend.pool.spawn(self._open())
+
+    async def _open(self) -> None:
+        attempt, pool = self.attempt, self.backend.pool
+        address = self.backend.addresses.get(attempt.engine)
+        try:
+            if address is None:
+                raise CannotConnect("the engine has no address")
+            connection = self.connection = await pool.acquire(address)
+        except CannotConnect:
+            return self.over(i.UNREACHABLE)
+        wait = max(1, (attempt.deadline - pool.deadlines.clock()) // 1000)
+        data = self.backend.dialect.request(attempt.request.payload, wait)
+        self.tried = True
+        try:
+            await connection.send(self, data)
+        except OSError:  # its last byte was never written
+            connection.close("send-failed")
+            return self.over(i.UNREACHABLE)
+        if connection.closed:
+            self.over(i.BROKEN, may_hold=True)
+
+    async def handle(self, event: Event) -> None:
+        match event:
+            case Head(status, headers):
+                self.status, self.never_ran = status, headers.get("not-started") == "1"
+            case Data(data) if self.status == 200:
+                await self._stream(data)
+            case Data(data):
+                self.body += data[:MAX_BODY - len(self.body)]
+            case End():
+                self._ended()
+            case Lost():
+                # While the request is being written only the writer can tell whether its last byte went out.
+                if self.connection and not self.connection.writing:
+                    self.over(i.BROKEN, may_hold=True)
+
+    async def _stream(self, data: bytes) -> None:
+        deadlines = self.backend.pool.deadlines
+        deadlines.cancel(self.stall)
+        try:
+            ready = self.stream.feed(data)
+        except Malformed as e:
+            return self._give_up("malformed", i.BROKEN if self.attempt.began else i.ERROR, str(e))
+        if ready and not self.attempt.over:
+            if not self.attempt.begin():
+                return
+            await self.attempt.request.client.pass_on(ready)
+        if self.attempt.over:
+            return
+        if self.stream.whole:
+            self.over(i.ANSWERED, self.stream.kept)
+            deadlines.after(END_WITHIN, self._no_end)
+        elif self.attempt.began:  # counted from here, so a slow client is not taken for a silent server
+            self.stall = deadlines.after(STALL, lambda: self._give_up("stalled", i.BROKEN))
+
+    def _no_end(self) -> None:
+        """Danger: a server that never sends the last chunk would keep this connection for good."""
+        if self.connection and self.connection.exchange is self:
+            self.connection.close("no-last-chunk")
+
+    def _give_up(self, reason: str, outcome: str, detail: str = "") -> None:
+        """Danger: a machine that vanished in mid-stream says nothing, and its client would wait for ever; one that
+        talks nonsense may go on for as long."""
+        if detail:
+            logger.warning("engine {}: {} stream: {}", self.attempt.engine, reason, detail)
+        if self.connection:
+            self.connection.close(reason)
+        self.over(outcome)
+
+    def _ended(self) -> None:
+        if self.status == 200:
+            well = self.attempt.began and self.stream.ends_well()
+            self.over(i.ANSWERED if well else i.BROKEN if self.attempt.began else i.ERROR, self.stream.kept)
+        elif self.status == 202:
+            self.over(i.READ, self._kept_read(), may_hold=True)
+        elif self.status in (503, 504) and self.never_ran:
+            self.over(i.FULL)
+        elif self.status == 410 and self.never_ran:
+            self.over(i.NO_STATE)
+        else:
+            self.over(i.ERROR, may_hold=True)
+
+    def _kept_read(self) -> int:
+        try:
+            return int(json.loads(self.body)["cached_tokens"])
+        except (ValueError, KeyError, TypeError):
+            return 0
+
+    def over(self, outcome: str, kept: int = 0, may_hold: bool = False) -> None:
+        self.backend.pool.deadlines.cancel(self.stall)
+        self.backend.calls.pop(self.attempt, None)
+        self.attempt.end(outcome, kept, may_hold)
+
+    def cancel(self) -> bool:
+        self.backend.pool.deadlines.cancel(self.stall)
+        self.task.cancel()
+        if self.connection:
+            self.connection.close("called-off")
+        return self.tried
+
+
+class HttpBackend:
+    def __init__(self, pool: Pool, dialect: Dialect) -> None:
+        self.pool, self.dialect = pool, dialect
+        self.addresses: dict[int, Address] = {}
+        self.calls: dict[Attempt, Call] = {}
+        self.releasing = 0
+
+    def locate(self, engine: int, address: Address, wanted: bool) -> None:
+        """Where an engine listens. Connections to one that is not wanted any more are not kept."""
+        old, self.addresses[engine] = self.addresses.get(engine), address
+        if old and (old != address or not wanted):
+            self.pool.drop_idle(old)
+
+    def send(self, attempt: Attempt) -> None:
+        self.calls[attempt] = Call(self, attempt)
+
+    def cancel(self, attempt: Attempt) -> bool:
+        call = self.calls.pop(attempt, None)
+        return call.cancel() if call else False
+
+    def release(self, request: Request, engines: Collection[int]) -> None:
+        data = self.dialect.release(request.payload)
+        for engine in engines:
+            if address := self.addresses.get(engine):
+                self.releasing += 1
+                self.pool.spawn(self._release(address, data))
+
+    async def _release(self, address: Address, data: bytes) -> None:
+        """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
+        it may be on its way to a machine that is cut off, or to one that is slow, so it is said again."""
+        pool, wait, unanswered = self.pool, FIRST_RETRY, 0
+        until = pool.deadlines.clock() + RELEASE_FOR
+        try:
+            while unanswered < UNANSWERED and pool.deadlines.clock() < until:
+                try:
+                    await call(pool, address, data, RELEASE_WAIT)
+                    return
+                except TimeoutError:
+                    unanswered += 1
+                except (OSError, ValueError, CannotConnect):
+                    pass
+                pool.counters.release_retries += 1
+                await pause(pool.deadlines, wait)
+                wait = min(2 * wait, LAST_RETRY)
+            logger.warning("a release at {}:{} is given up", *address)
+        finally:
+            self.releasing -= 1
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -136,7 +136,15 @@
             self.requests += 1
             self._keep = message.keep_alive
             turn = self.requests
-            pending = self.listener.handler.handle(message, self)
+            try:
+                pending = self.listener.handler.handle(message, self)
+            except Exception:
+                # Danger: a fault in a handler must not leave its client without an answer.
+                logger.exception("a handler failed on {} {}", message.method, message.path)
+                if self.answering and self.requests == turn:
+                    self._keep = False
+                    self.answer(500)
+                continue
             if self.answering and self.requests == turn:
                 self.pending = pending
         if not self.answering:
--- /dev/null
+++ b/pearhill/node.py
@@ -0,0 +1,98 @@
+"""What every running dispatcher is made of, whatever fronts and servers it has: its start and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from pearhill import interface as i
+from pearhill.core.deadlines import Deadlines
+from pearhill.core.dispatcher import Dispatcher
+from pearhill.counters import Counters
+from pearhill.net.backend import Dialect, HttpBackend
+from pearhill.net.clock import start_clock
+from pearhill.net.listener import Handler, Listener
+from pearhill.net.pool import Address, Pool
+from pearhill.net.turns import Turns, pause
+from pearhill.settings import Deployment
+
+SPARE = 48  # descriptors for the log, the loop, the listener and the list of servers
+KEEP_OPEN = 500_000  # after SIGTERM clients still use the connections they have, and new ones still come
+ACCEPT_FOR = 1_000_000
+RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried
+LOOK_AGAIN = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    sockets: int
+    seed: int
+
+
+class Node:
+    """A dispatcher with its pool and backend. Belongs to the running event loop."""
+
+    def __init__(self, deployment: Deployment, dialect: Dialect, limits: Limits) -> None:
+        loop = asyncio.get_running_loop()
+        self.loop = loop
+        self.counters = Counters()
+        self.deadlines = Deadlines(start_clock())
+        self.turns = Turns(loop, self.deadlines)
+        self.room = (limits.sockets - SPARE) // 2  # for clients, and as many for servers
+        self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
+                         keep_idle=deployment.conn_idle * 2 // 3, most=self.room)
+        self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
+        self.backend = HttpBackend(self.pool, dialect)
+        self.dispatcher.backend = self.backend
+        self.draining = False
+
+    def listed(self, full: bool, entries: tuple[i.Entry, ...], addresses: dict[int, Address]) -> None:
+        """A list of servers, to be in force before the next send."""
+        self.counters.lists += 1
+        for entry in entries:
+            self.backend.locate(entry.engine, addresses[entry.engine], entry.phase != i.GONE)
+        self.dispatcher.listed(full, entries)
+
+    async def serve(self, address: Address, handler: Handler, name: str) -> None:
+        """Take requests until SIGTERM or SIGINT, then see through all that was taken."""
+        stopped = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, stopped.set)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room)
+        host, port = listener.listen(address)
+        logger.info("{} listens on {}:{}", name, host, port)
+        await stopped.wait()
+        logger.info("draining: {} requests open", len(self.dispatcher.requests))
+        self.draining = True
+        listener.drain()
+        await pause(self.deadlines, KEEP_OPEN)
+        listener.close_idle()
+        await pause(self.deadlines, ACCEPT_FOR - KEEP_OPEN)
+        await listener.stop_accepting()
+        await self.until(lambda: listener.quiet, listener.close_idle)
+        await listener.close()
+
+    async def until(self, quiet: Callable[[], bool] = lambda: True, meanwhile: Callable[[], None] = lambda: None,
+                    ) -> None:
+        """Wait for the end of every request and whatever else is to be quiet, then a while for the last releases.
+        Danger: the system ends a process that takes long, and a replica that is gone never answers a release."""
+        while self.dispatcher.requests or not quiet():
+            await pause(self.deadlines, LOOK_AGAIN)
+            meanwhile()
+        last = self.deadlines.clock() + RELEASES_FOR
+        while self.backend.releasing and self.deadlines.clock() < last:
+            await pause(self.deadlines, LOOK_AGAIN)
+
+    def close(self) -> None:
+        self.pool.close()
+        self.turns.close()
+        self.report()
+
+    def report(self) -> None:
+        logger.info("counters {}", json.dumps(self.counters.as_dict()))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,195 @@
+"""The platform's front, replicas and discovery, over real sockets."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+import unittest
+
+from tests.standins import LAST, ROOT, TOKENS, Discovery, Standin, dead_address, platform
+
+PATH = "/v1/chat/completions"
+BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
+
+
+def headers(id: str = "a1", cls: str = "advice", wait_ms: int = 5000, **more: str) -> dict[str, str]:
+    return {"Request-Id": id, "Request-Class": cls, "Request-Timeout-Ms": str(wait_ms), "Affinity-Key": "7f3a",
+            "Request-Info": "prompt_len=3000,max_out=100", **more}
+
+
+class PlatformCase(unittest.TestCase):
+    def start(self, *kinds: str) -> list[Standin]:
+        servers = [Standin() for _ in kinds]
+        self.discovery = Discovery(*((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(
+            zip(servers, kinds, strict=True))))
+        self.program = platform(self.discovery.address)
+        for thing in (*servers, self.discovery):
+            self.addCleanup(thing.close)
+        self.addCleanup(self.program.stop)
+        self.program.wait_ready()
+        return servers
+
+
+class Serving(PlatformCase):
+    def test_two_stages_pass_everything_on_unchanged(self):
+        reader, writer = self.start("reader", "writer")
+        reader.respond = lambda h, b: h.plain(202, b'{"cached_tokens":0}')
+        status, _, body = self.program.ask("POST", PATH + "?q=1", BODY, headers("abc"))
+        self.assertEqual((status, body), (200, b"".join(TOKENS) + LAST))
+        for server in (reader, writer):
+            self.assertEqual(server.calls, [("POST", PATH + "?q=1")])
+            self.assertEqual(server.bodies, [BODY])
+            self.assertEqual(server.headers[0]["Request-Id"], "abc")
+        counters = self.program.counters()
+        self.assertEqual((counters["taken"], counters["sent"], counters["served"]), (1, 2, 1))
+
+    def test_a_booking_that_may_have_run_is_not_sent_again(self):
+        servers = self.start("all-in-one", "all-in-one")
+        for server in servers:
+            server.respond = lambda h, b: h.plain(500)
+        status, _, _ = self.program.ask("POST", PATH, BODY, headers(cls="job-booking"))
+        self.assertEqual(status, 500)
+        self.assertEqual(sum(s.runs for s in servers), 1)
+
+    def test_a_503_proves_nothing_without_its_mark(self):
+        for mark, status, again in (({}, 500, False), ({"Not_Started": "1"}, 503, True)):
+            with self.subTest(mark=mark):
+                servers = self.start("all-in-one", "all-in-one")
+                for server in servers:
+                    server.respond = lambda h, b, mark=mark: h.plain(503, **mark)
+                self.assertEqual(self.program.ask("POST", PATH, BODY, headers(cls="job-booking"))[0], status)
+                self.assertEqual(sum(s.runs for s in servers) > 1, again)
+
+    def test_a_dead_replica_costs_one_attempt_and_a_refusal_tells_when_to_come_back(self):
+        (alive,) = self.start("all-in-one")
+        self.discovery.update(("s-9", dead_address(), "all-in-one"))
+        self.discovery.wait_for("GET", "/v1/endpoints?", 2)
+        status, _, _ = self.program.ask("POST", PATH, BODY, headers(cls="job-booking"))
+        self.assertEqual((status, alive.runs), (503, 0))
+        self.assertGreaterEqual(self.program.counters()["outcomes"]["unreachable"], 1)
+
+    def test_a_silent_replica_is_given_up_by_the_deadline(self):
+        (server,) = self.start("all-in-one")
+        server.respond = lambda h, b: server.go.wait(20)
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers(cls="job-booking", wait_ms=400))[0], 500)
+        self.assertEqual(server.runs, 1)
+
+    def test_a_broken_stream_is_closed_without_its_last_chunk(self):
+        (server,) = self.start("all-in-one")
+
+        def broken(handler, body):
+            handler.chunks(TOKENS[0], last=False)
+            handler.connection.shutdown(socket.SHUT_RDWR)
+        server.respond = broken
+        with socket.create_connection((self.program.host, self.program.port), 20) as client:
+            head = "".join(f"{k}: {v}\r\n" for k, v in headers().items())
+            client.sendall(f"POST {PATH} HTTP/1.1\r\nHost: a\r\n{head}Content-Length: {len(BODY)}\r\n\r\n".encode()
+                           + BODY)
+            got = b"".join(iter(lambda: client.recv(4096), b""))
+        self.assertIn(b"one ", got)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
+        self.assertEqual(server.runs, 1)
+
+    def test_what_a_reader_holds_is_released_when_no_writer_takes_it(self):
+        reader, writer = self.start("reader", "writer")
+        reader.respond = lambda h, b: h.plain(*((204,) if h.command == "DELETE" else (202, b"{}")))
+        writer.respond = lambda h, b: h.plain(204 if h.command == "DELETE" else 500)
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers("b7", "job-booking"))[0], 500)
+        reader.wait_for("DELETE", "/state/b7")
+        self.assertEqual(writer.runs, 1)
+
+    def test_a_read_cut_off_in_flight_is_released_too(self):
+        reader, _ = self.start("reader", "writer")
+        reader.respond = lambda h, b: h.plain(204) if h.command == "DELETE" else reader.go.wait(20)
+        connection = self.program.connect()
+        connection.request("POST", PATH, BODY, headers("c3"))
+        reader.wait_for("POST")
+        connection.close()  # the client leaves
+        reader.wait_for("DELETE", "/state/c3")
+        self.assertEqual(self.program.counters()["left"], 1)
+
+
+class Input(PlatformCase):
+    def test_bad_input_is_a_plain_4xx_and_counted(self):
+        (server,) = self.start("all-in-one")
+        good = headers()
+        cases = [
+            (400, BODY, {k: v for k, v in good.items() if k != "Request-Id"}),
+            (400, BODY, {**good, "Request-Class": "unheard-of"}),
+            (400, BODY, {**good, "Request-Timeout-Ms": "soon"}),
+            (400, BODY, {**good, "Request-Info": "prompt_len"}),
+            (400, BODY, {**good, "Request-Info": "prompt_len=-5"}),
+            (400, b"{not json", good), (400, b"[]", good), (413, b"x" * 300_000, good)]
+        for status, body, given in cases:
+            with self.subTest(given=given, body=body[:9]):
+                self.assertEqual(self.program.ask("POST", PATH, body, given)[0], status)
+        self.assertEqual(self.program.ask("GET", "/nothing")[0], 404)
+        self.assertEqual(self.program.ask("GET", PATH)[0], 405)
+        raw = [(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+               (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
+               (b"POST / HTTP/1.1\r\n\r\n", b"400"), (b"nonsense\r\n\r\n", b"400"),
+               (b"GET / HTTP/1.1\r\nHost: a\r\nLong: " + b"x" * 40_000 + b"\r\n\r\n", b"431")]
+        for sent, status in raw:
+            address = self.program.host, self.program.port
+            with self.subTest(sent=sent[:60]), socket.create_connection(address, 20) as s:
+                s.sendall(sent)
+                got = b"".join(iter(lambda s=s: s.recv(4096), b""))
+                self.assertEqual(got.split(b" ")[1], status)
+        self.assertEqual(self.program.counters()["rejected"], len(cases) + len(raw) + 2)
+        self.assertEqual(server.calls, [])
+
+    def test_bad_configuration_is_one_line_that_names_the_key(self):
+        for environ, key in (({}, "RELAY_CONFIG"), ({"RELAY_CONFIG": "/nowhere"}, "RELAY_CONFIG")):
+            done = subprocess.run([sys.executable, "-m", "pearhill"], env=environ, cwd=ROOT, capture_output=True)
+            self.assertEqual(done.returncode, 2)
+            self.assertEqual(done.stderr.count(b"\n"), 1)
+            self.assertIn(key.encode(), done.stderr)
+
+
+class Ending(PlatformCase):
+    def test_sigterm_answers_what_was_taken_then_exits_well(self):
+        (server,) = self.start("all-in-one")
+
+        def waits(handler, body):
+            server.go.wait(20)
+            handler.chunks(*TOKENS, LAST)
+        server.respond = waits
+        connection = self.program.connect()
+        connection.request("POST", PATH, BODY, headers())
+        server.wait_for("POST")
+        self.program.process.terminate()
+        self.program.wait_line("draining: 1 requests open")
+        self.assertEqual(self.program.ask("GET", "/ready")[0], 503)
+        server.go.set()
+        response = connection.getresponse()
+        self.assertEqual((response.status, response.getheader("Connection")), (200, "close"))
+        self.assertEqual(response.read(), b"".join(TOKENS) + LAST)
+        self.assertEqual(self.program.process.wait(20), 0)
+        self.program.wait_line(r'counters .*"served": 1')
+
+    def test_an_idle_connection_that_the_replica_closed_is_not_used_again(self):
+        (server,) = self.start("all-in-one")
+
+        def once(handler, body):
+            handler.chunks(*TOKENS, LAST)
+            handler.close_connection = True
+        server.respond = once
+        for n in range(5):
+            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"d{n}", "job-booking"))[0], 200)
+        self.assertEqual(server.runs, 5)
+        self.program.wait_line("side=server .* reason=(server-eof|stale)")
+
+    def test_a_list_known_at_the_start_must_do_while_discovery_is_silent(self):
+        server, silent = Standin(), Standin()
+        silent.respond = lambda h, b: silent.go.wait(20)
+        self.addCleanup(server.close)
+        self.addCleanup(silent.close)
+        known = Discovery(("s-1", server.address, "all-in-one"))
+        self.addCleanup(known.close)
+        self.program = platform(silent.address, known.answer()["targets"])
+        self.addCleanup(self.program.stop)
+        end = time.monotonic() + 20
+        while self.program.ask("GET", "/ready")[0] != 200:
+            self.assertLess(time.monotonic(), end)
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers())[0], 200)
