Chat front as one whole path: streams, one outcome, idempotency, errors, operator's file

A second front speaks an OpenAI-style chat API on the same core (pearhill/chat), off on the platform, set up by deploy/chat.toml. Seen and fixed on the way: a broken stream's first events were thrown away with the connection (listener.py, abort).

--- a/pearhill/__main__.py
+++ b/pearhill/__main__.py
@@ -1,31 +1,43 @@
-"""The daemon: `python -m pearhill`."""
+"""The daemon. `python -m pearhill` serves the platform; `python -m pearhill --chat FILE` serves the chat API."""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import os
 import sys
+from collections.abc import Coroutine
+from typing import Any
 
 import uvloop
 
+from pearhill.chat import service, setup
 from pearhill.config import ConfigError, load
 from pearhill.net.log import LogThread
-from pearhill.platform.daemon import serve
+from pearhill.platform import daemon
+
+
+def _work(arguments: argparse.Namespace) -> Coroutine[Any, Any, None]:
+    if arguments.chat:
+        return service.serve(setup.load(arguments.chat))
+    return daemon.serve(load(os.environ))
 
 
 def main() -> int:
+    parser = argparse.ArgumentParser(prog="pearhill", description="A dispatcher for language-model servers.")
+    parser.add_argument("--chat", metavar="FILE", help="serve the chat API as this operator's file says")
+    arguments = parser.parse_args()
     try:
-        config = load(os.environ)
+        work = _work(arguments)
     except ConfigError as e:
         print(f"pearhill: {e}", file=sys.stderr)
         return 2
     log = LogThread(os.environ.get("PEARHILL_LOG", "INFO"))
-
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(work)
     except OSError as e:
-        print(f"pearhill: listen: {e}", file=sys.stderr)
+        print(f"pearhill: {e}", file=sys.stderr)
         return 1
     finally:
         log.close()
--- /dev/null
+++ b/pearhill/chat/records.py
@@ -0,0 +1,169 @@
+"""Requests that must end in one outcome whoever waits for it: the run goes on when its client leaves, what came
+of it is kept a while, and a repeat under the same idempotency key gets that one answer.
+
+The store belongs to this process alone and is bounded in bytes and in time. When bytes run short the oldest
+answers are let go of first and only their outcome is kept: a repeat is then told so, and still nothing runs twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from loguru import logger
+
+from pearhill.chat.answers import Answer
+from pearhill.core.deadlines import Deadlines, Key
+
+OPEN, ANSWERED, FAILED, BROKEN, REFUSED = "open", "answered", "failed", "broken", "refused"
+OVERHEAD = 512  # bytes that an entry costs beside its answer
+
+
+class Spawn(Protocol):
+    def __call__(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]: ...
+
+
+class Record:
+    """The core's client for one run, and the source for all who want its answer."""
+
+    def __init__(self, id: str, digest: bytes, spawn: Spawn) -> None:
+        self.id, self.digest = id, digest
+        self.state, self.stay_away = OPEN, 0
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.dropped = False  # the answer is not kept any more, only its outcome
+        self.followers = 0
+        self._spawn, self._news = spawn, asyncio.Event()
+        self.store: Store | None = None
+        self.key = b""
+        self.expiry: Key | None = None
+
+    # The core's client.
+
+    def refuse(self, stay_away: int) -> None:
+        self.stay_away = stay_away
+        self._end(REFUSED)
+
+    def fail(self) -> None:
+        self._end(FAILED)
+
+    async def pass_on(self, data: bytes) -> None:
+        if self.store:
+            self.store.grow(len(data))
+        elif not self.followers:
+            return  # nobody can ask for it any more: only the outcome counts
+        self.size += len(data)
+        self.parts.append(data)
+        self._wake()
+
+    def finish(self) -> None:
+        self._end(ANSWERED)
+
+    def abort(self) -> None:
+        self._end(BROKEN)
+
+    # Inside.
+
+    def _end(self, state: str) -> None:
+        self.state = state
+        logger.info("outcome request={} state={} bytes={} followers={}", self.id, state, self.size, self.followers)
+        if self.store:
+            self.store.ended(self)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def follow(self, answer: Answer) -> Follower:
+        return Follower(self, answer, self._spawn)
+
+    async def replay(self, answer: Answer) -> None:
+        """The answer from its beginning, as far as it is there, then as it comes."""
+        at = 0
+        while True:
+            while at < len(self.parts):
+                at += 1
+                await answer.pass_on(self.parts[at - 1])
+            if self.state != OPEN:
+                break
+            await self._news.wait()
+        if self.state == REFUSED:
+            answer.refuse(self.stay_away)
+        elif self.state == FAILED:
+            answer.fail()
+        elif self.state == BROKEN:
+            answer.abort()
+        else:
+            answer.finish()
+
+    def drop(self) -> int:
+        """Keep only the outcome; the bytes that this sets free."""
+        freed = self.size
+        self.parts, self.size, self.dropped = [], 0, True
+        return freed
+
+
+class Follower:
+    """One client that waits for a record; its leaving stops nothing but itself."""
+
+    def __init__(self, record: Record, answer: Answer, spawn: Spawn) -> None:
+        self._record = record
+        record.followers += 1
+        self._task = spawn(record.replay(answer))
+        self._task.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self._record.followers -= 1
+
+    def left(self) -> None:
+        self._task.cancel()
+
+
+class Store:
+    def __init__(self, deadlines: Deadlines, max_bytes: int, keep: int) -> None:
+        self._deadlines, self.max_bytes, self.keep = deadlines, max_bytes, keep
+        self._records: OrderedDict[bytes, Record] = OrderedDict()
+        self.size = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, key: bytes) -> Record | None:
+        return self._records.get(key)
+
+    def add(self, key: bytes, record: Record) -> bool:
+        """False: even with every answer let go of there is no room to remember one more."""
+        if not self._make_room(OVERHEAD):
+            return False
+        self.size += OVERHEAD
+        record.store, record.key = self, key
+        self._records[key] = record
+        return True
+
+    def grow(self, size: int) -> None:
+        self._make_room(size)  # an answer under way is kept whole all the same: someone may be reading it
+        self.size += size
+
+    def ended(self, record: Record) -> None:
+        if record.state == REFUSED:  # never run: the key is as good as new
+            return self._forget(record)
+        record.expiry = self._deadlines.after(self.keep, lambda: self._forget(record))
+        self._make_room(0)
+
+    def _forget(self, record: Record) -> None:
+        del self._records[record.key]
+        self.size -= record.size + OVERHEAD
+        record.store = None
+
+    def _make_room(self, wanted: int) -> bool:
+        """Let go of the oldest answers that nobody is reading. What is forgotten altogether may run again, so
+        outcomes go only when their own time has come."""
+        for record in self._records.values():
+            if self.size + wanted <= self.max_bytes:
+                return True
+            if record.state != OPEN and not record.followers:
+                self.size -= record.drop()
+        return self.size + wanted <= self.max_bytes
--- /dev/null
+++ b/pearhill/eureka/__init__.py
@@ -0,0 +1,1 @@
+"""Eureka's registry API, from its public REST description."""
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -100,7 +100,8 @@
         self._done()
 
     def abort(self) -> None:
-        self.close("answer-broken")
+        self._keep, self._reason = False, "answer-broken"
+        self._done()  # what came of the answer still goes out, then the connection ends without its last chunk
 
     # Inside.
 
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -104,8 +104,16 @@
                 self.pool.put_back(self)
             else:
                 self.close("server-asked")
-        if exchange is not None:
+        if exchange is None:
+            return
+        try:
             await exchange.handle(event)
+        except Exception:
+            # Danger: a fault over one answer would end the reader, and its request would wait for ever.
+            logger.exception("an exchange failed on {}", type(event).__name__)
+            self.close("fault")
+            if not isinstance(event, Lost):
+                await exchange.handle(Lost("fault"))
 
     def close(self, reason: str) -> None:
         """End it now: the sending side is shut before this returns, whatever the loop still holds of the socket."""
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -58,7 +58,9 @@
             self.backend.locate(entry.engine, addresses[entry.engine], entry.phase != i.GONE)
         self.dispatcher.listed(full, entries)
 
-    async def serve(self, address: Address, handler: Handler, name: str) -> None:
+    async def serve(self, address: Address, handler: Handler, name: str,
+                    opened: Callable[[Address], None] = lambda address: None,
+                    leaving: Callable[[], Awaitable[None]] | None = None) -> None:
         """Take requests until SIGTERM or SIGINT, then see through all that was taken."""
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -67,10 +69,13 @@
         listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room)
         host, port = listener.listen(address)
         logger.info("{} listens on {}:{}", name, host, port)
+        opened((host, port))
         await stopped.wait()
         logger.info("draining: {} requests open", len(self.dispatcher.requests))
         self.draining = True
         listener.drain()
+        if leaving:
+            await leaving()
         await pause(self.deadlines, KEEP_OPEN)
         listener.close_idle()
         await pause(self.deadlines, ACCEPT_FOR - KEEP_OPEN)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,7 +4,7 @@
 
 from pearhill import interface as i
 from pearhill.rules import RATIO_MAX, RATIO_START, Router
-from tests.driver import FLEET, SETTINGS, Drive, S, entry, of
+from tests.driver import FLEET, SETTINGS, Drive, S, entry, of, settings
 
 
 def read_for(d, share, prompt=3000):
@@ -161,3 +161,10 @@
         assert a.arrive(prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400) == \
             b.arrive(prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400)
     assert isinstance(a.router, Router)
+
+
+def test_a_refused_client_is_told_when_to_come_back_within_the_bound():
+    for hints, most, away in ((True, 2 * S, 500_000), (True, 300_000, 300_000), (False, 2 * S, 0)):
+        d = Drive(settings(retry_hints=hints, max_retry_after=most), fleet=())
+        _, out = d.arrive()
+        assert [a.stay_away for a in of(i.Refuse, out)] == [away]
