--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -27,7 +27,6 @@
 OUTLIER = 1 / 3  # an engine or zone whose attempts fail this much more often than its peers' is out
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
-COME_BACK = 500_000  # when a refused client should, where no queue tells
 COLD_MARGIN = 0.4  # of my part of what a cold engine may be sent
 KEYS, KEEP = 20_000, 600_000_000  # entries of the prefix table, and how long any may stay: a pause in a talk
 
@@ -258,7 +257,7 @@
                 reader, job.home = other, -1
             # Load shedding, least worth first. Danger: work that is late anyway delays what could be in time.
             elif takes > line and job.attempt < 0:
-                return self._close(job, int(takes - line))
+                return self._close(job)
             return self._send(job, reader)
         # No reader is left: the exception reads at a writer or mixed server, whatever the prompt's length.
         if rest := mixed + (roomy if self.s.local_read else []):
@@ -383,12 +382,12 @@
         self.actions.append(i.Release(job.req.request))
         self._place(job)
 
-    def _close(self, job: Job, wait: int = COME_BACK) -> None:
-        """The final answer, and whatever is held goes with it. A client that is refused is told to come back
-        when the reads before it are done, as far as they are known. Danger: those who come at once add to a jam."""
+    def _close(self, job: Job) -> None:
+        """The final answer, and whatever is held goes with it. A refused client is told to stay away for as long as
+        it heeds. Danger: those who come back at once add to the jam that they were refused for."""
         spec, ran = self.s.classes[job.req.cls], job.ran is not None or (job.out and not job.reading)
         harmless = not ran or spec.effect == i.SAFE or (spec.effect == i.KEYED and spec.group == "all")
-        away = min(wait, self.s.max_retry_after) if self.s.retry_hints else 0
+        away = self.s.max_retry_after if self.s.retry_hints else 0
         self.actions.append(i.Refuse(job.req.request, away) if harmless else i.Fail(job.req.request))
         self._drop(job)
 
