--- a/tests/standins.py
+++ b/tests/standins.py
@@ -157,12 +157,15 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "pearhill", *arguments], stderr=subprocess.PIPE, text=True, cwd=ROOT,
             env={**{k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}, **environ})
+        self.follow_log()
+        self.host, _, port = self.wait_line(r"listens on (\S+)")[1].rpartition(":")
+        self.port = int(port)
+
+    def follow_log(self) -> None:
         self.lines: list[str] = []
         self.heard = threading.Condition()
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
-        self.host, _, port = self.wait_line(r"listens on (\S+)")[1].rpartition(":")
-        self.port = int(port)
 
     def _read(self) -> None:
         assert self.process.stderr
@@ -201,6 +204,11 @@
                 return
         raise AssertionError("never ready")
 
+    def kill(self) -> None:
+        """For what a test leaves behind."""
+        self.process.kill()
+        self.stop()
+
     def stop(self) -> int:
         if self.process.poll() is None:
             self.process.terminate()
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -48,7 +48,7 @@
             self.addCleanup(server.close)
         path = write_file(self, operator_file([s.address for s in servers] + list(addresses), extra))
         self.program = Program("--chat", path)
-        self.addCleanup(self.program.stop)
+        self.addCleanup(self.program.kill)
         return servers
 
     def ask(self, body: bytes, **headers: str) -> tuple[int, dict[str, str], bytes]:
@@ -239,7 +239,8 @@
 class OperatorFile(unittest.TestCase):
     def test_bad_files_are_one_line_that_names_the_key(self):
         good = operator_file(["127.0.0.1:1"])
-        cases = {"chat.listen": good.replace("'127.0.0.1:0'", "'nowhere'"), "chat.lisen": good.replace("listen", "lisen"),
+        cases = {"chat.listen": good.replace("'127.0.0.1:0'", "'nowhere'"),
+                 "chat.lisen": good.replace("listen", "lisen"),
                  "chat.rule[0].class": good.replace('"job-booking"\n[', '"no-class"\n['),
                  "server[0].address": good.replace("127.0.0.1:1\"", "x\""), "server": operator_file([]),
                  "settings": good.replace('"rules" =', '"rulers" ='), "idempotency.keep_s": good
--- /dev/null
+++ b/tests/test_eureka.py
@@ -0,0 +1,133 @@
+"""The registry client against a stand-in registry, through the program and by itself."""
+
+import json
+import unittest
+from collections import Counter
+from typing import Any
+
+from pearhill import interface as i
+from pearhill import settings
+from pearhill.eureka.registry import BadRegistry, Registry
+from tests.standins import SETTINGS, Program, Standin
+from tests.test_chat import PATH, body, operator_file, write_file
+
+APP = "HELPDESK"
+
+
+def instance(id: str, address: str = "127.0.0.1:9", status: str = "UP", action: str = "ADDED", **metadata: str,
+             ) -> dict[str, Any]:
+    host, _, port = address.rpartition(":")
+    return {"instanceId": id, "hostName": host, "app": APP, "ipAddr": host, "status": status, "actionType": action,
+            "port": {"$": int(port), "@enabled": "true"}, "metadata": {"role": "both", "zone": "north", **metadata}}
+
+
+def answer(*instances: dict[str, Any], code: str | None = None) -> dict[str, Any]:
+    counts = Counter(row["status"] for row in instances)
+    code = "".join(f"{s}_{counts[s]}_" for s in sorted(counts)) if code is None else code
+    return {"applications": {"versions__delta": "1", "apps__hashcode": code,
+                             "application": [{"name": APP, "instance": list(instances)}] if instances else []}}
+
+
+class Eureka(Standin):
+    """Answers with what a test has put into `whole` and `delta`; leases are by path."""
+
+    def __init__(self) -> None:
+        self.whole, self.delta, self.leases, self.down = answer(), answer(), set[str](), False
+        super().__init__()
+
+    def respond(self, handler: Any, body: bytes) -> None:
+        path = handler.path.partition("?")[0]
+        if self.down:
+            return handler.plain(500)
+        if handler.command == "GET":
+            return handler.plain(200, json.dumps(self.delta if path.endswith("/delta") else self.whole).encode())
+        if handler.command == "POST":
+            self.leases.add(f"{path}/{json.loads(body)['instance']['instanceId']}")
+            return handler.plain(204)
+        known = path.replace("%3A", ":") in self.leases
+        if handler.command == "DELETE":
+            self.leases.discard(path.replace("%3A", ":"))
+        handler.plain(200 if known else 404)
+
+
+class ThroughTheProgram(unittest.TestCase):
+    def setUp(self) -> None:
+        self.server, self.eureka = Standin(), Eureka()
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.eureka.close)
+        self.eureka.whole = answer(instance("m1", self.server.address))
+        self.eureka.delta = answer(code="UP_1_")
+        table = (f'[eureka]\naddress = "{self.eureka.address}"\nservers = "helpdesk"\nregister_as = "pearhill"\n'
+                 "renew_s = 1\nfetch_s = 1\n")
+        self.program = Program("--chat", write_file(self, operator_file([], table)))
+        self.addCleanup(self.program.kill)
+        self.program.wait_ready()
+
+    def test_servers_of_the_registry_serve_and_stay_when_it_is_down(self):
+        self.assertEqual(self.program.ask("POST", PATH, body())[0], 200)
+        self.eureka.down = True
+        self.program.wait_line("the last one stays")
+        self.assertEqual(self.program.ask("POST", PATH, body())[0], 200)
+
+    def test_a_server_that_is_not_up_gets_nothing_new(self):
+        self.eureka.delta = answer(instance("m1", self.server.address, status="OUT_OF_SERVICE", action="MODIFIED"))
+        self.eureka.wait_for("GET", "/eureka/apps/delta")
+        while self.program.ask("GET", "/ready")[0] == 200:
+            pass
+        self.assertEqual((self.program.ask("POST", PATH, body())[0], self.server.runs), (503, 0))
+
+    def test_a_delta_that_does_not_add_up_fetches_the_whole_list(self):
+        self.eureka.delta = answer(code="UP_2_")
+        self.program.wait_line("does not add up")
+        self.eureka.wait_for("GET", "/eureka/apps", 3)
+
+    def test_registered_renewed_registered_anew_and_cancelled(self):
+        self.eureka.wait_for("POST", "/eureka/apps/PEARHILL")
+        self.eureka.wait_for("PUT", "/eureka/apps/PEARHILL")
+        own = json.loads(next(b for (m, _), b in zip(self.eureka.calls, self.eureka.bodies, strict=True)
+                              if m == "POST"))["instance"]
+        self.assertEqual((own["status"], own["port"]["$"]), ("UP", self.program.port))
+        self.eureka.leases.clear()  # the registry forgets: the next renewal is a 404
+        self.eureka.wait_for("POST", "/eureka/apps/PEARHILL", 2)
+        self.assertEqual(self.program.stop(), 0)
+        self.eureka.wait_for("DELETE", "/eureka/apps/PEARHILL")
+
+
+class Lists(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry, self.deployment = Registry(), settings.parse(SETTINGS)
+
+    def entries(self) -> list[i.Entry]:
+        return list(self.registry.servers(APP, self.deployment)[0])
+
+    def test_metadata_gives_role_zone_and_cell(self):
+        self.registry.replace(answer(instance("a", role="reader", zone="south", cell="4"),
+                                     instance("b", kind="writer")))
+        self.assertEqual([(e.kind, e.zone, e.cell) for e in self.entries()], [(0, 1, 4), (1, 0, 0)])
+        self.registry.replace(answer(instance("a", zone="nowhere"), instance("b", role="cook"), instance("c", cell="x"),
+                                     instance("d")))
+        self.assertEqual(len(self.entries()), 1)  # what makes no sense is left out
+
+    def test_deltas_and_the_hash_code(self):
+        self.registry.replace(answer(instance("a"), instance("b", status="DOWN")))
+        self.assertEqual(self.registry.hash_code, "DOWN_1_UP_1_")
+        self.assertTrue(self.registry.apply(answer(instance("b", action="DELETED"), instance("c"), code="UP_2_")))
+        self.assertFalse(self.registry.apply(answer(code="UP_3_")))
+        self.assertTrue(self.registry.apply(answer(instance("a", status="STARTING", action="MODIFIED"),
+                                                   code="STARTING_1_UP_1_")))
+        self.assertEqual(sorted(e.phase for e in self.entries()), [i.DRAINING, i.READY])
+
+    def test_a_list_of_one_may_come_as_the_one_alone(self):
+        told = answer(instance("a"))
+        told["applications"]["application"] = {"name": APP, "instance": instance("a")}
+        self.registry.replace(told)
+        self.assertEqual(len(self.entries()), 1)
+
+    def test_nonsense_is_an_error_and_changes_nothing(self):
+        self.registry.replace(answer(instance("a")))
+        for told in (None, [], {}, {"applications": {"application": [7]}},
+                     {"applications": {"application": [{"instance": {}}]}}):
+            with self.subTest(told=told), self.assertRaises(BadRegistry):
+                self.registry.replace(told)
+        self.assertEqual(len(self.entries()), 1)
+        self.assertEqual(self.registry.hash_code, "UP_1_")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,7 +26,7 @@
         self.program = platform(self.discovery.address)
         for thing in (*servers, self.discovery):
             self.addCleanup(thing.close)
-        self.addCleanup(self.program.stop)
+        self.addCleanup(self.program.kill)
         self.program.wait_ready()
         return servers
 
@@ -188,7 +188,7 @@
         known = Discovery(("s-1", server.address, "all-in-one"))
         self.addCleanup(known.close)
         self.program = platform(silent.address, known.answer()["targets"])
-        self.addCleanup(self.program.stop)
+        self.addCleanup(self.program.kill)
         end = time.monotonic() + 20
         while self.program.ask("GET", "/ready")[0] != 200:
             self.assertLess(time.monotonic(), end)
