--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -154,6 +154,9 @@
         request = attempt.request
         request.current = None
         self.counters.outcomes[outcome] += 1
+        rtt = self.clock() - attempt.sent_at
+        logger.debug("attempt request={} n={} engine={} outcome={} began={} rtt_us={} patience_us={}", request.number,
+                     attempt.index, attempt.engine, outcome, attempt.began, rtt, attempt.patience)
         if may_hold and not attempt.began:
             request.holders.add(attempt.engine)
         if not request.answered and (attempt.began or outcome == i.ANSWERED):
@@ -165,7 +168,7 @@
                 self.counters.broken += 1
                 request.client.abort()
         self._feed(i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept,
-                           self.clock() - attempt.sent_at, None))
+                           rtt, None))
 
     def expire(self, attempt: Attempt) -> None:
         """Its time is over. Danger: the connection goes first, or the next send would be a second copy."""
