A prompt of many times its class's usual length is not believed kept

Cause: rules.py, _belief took the share that reads had found kept at the pair for prompts of any length, so a giant of some 40 thousand tokens of new text was expected to read in a quarter second, sent on, given too little patience, and tried again elsewhere.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -27,6 +27,7 @@
 OUTLIER = 1 / 3  # an engine or zone whose attempts fail this much more often than its peers' is out
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
+GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
 COLD_MARGIN = 0.4  # of my part of what a cold engine may be sent
 KEYS, KEEP = 20_000, 600_000_000  # entries of the prefix table, and how long any may stay: a pause in a talk
 
@@ -116,6 +117,7 @@
         self.zones: dict[int, Faded] = {}  # failed attempts, by zone
         self.found = [Faded(2 * STEP_EVERY, 30), Faded(2 * STEP_EVERY, 30)]  # kept share of prompts, by home
         self.usual, self.served, self.sends = (dict.fromkeys(self.ready, 0.0) for _ in range(3))
+        self.lengths: dict[int, Faded] = {}  # of prompts, by class
         self.lasts: dict[int, Faded] = {}  # time from sending to the end of an answer, by class
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Listed: self._listed, i.Arrived: self._arrived, i.Began: self._began, i.Ended: self._ended,
@@ -149,7 +151,9 @@
     def _belief(self, e: Engine, req: i.Arrived, home: int = -1) -> int:
         """Prompt tokens an engine should still keep: entries that its memory's worth of new tokens has not
         pushed out, or what reads found lately at the pair (home 1: the session's own one, 0: the other)."""
-        best = int(self.found[home].value * req.prompt) if home >= 0 else 0
+        # Danger: a prompt of many times the usual length is new text; believed kept, it jams all readers.
+        usual = GIANT * self.lengths[req.cls].value if req.cls in self.lengths else req.prompt
+        best = int(self.found[home].value * min(req.prompt, usual)) if home >= 0 else 0
         for key, most in keys(e, req):
             tokens, at, epoch = self.kept.get(key, (0, 0, -1))
             if epoch == e.epoch and (self.now - at) * self.sends[e.role] < e.memory:
@@ -223,6 +227,7 @@
     def _arrived(self, req: i.Arrived) -> None:
         aim = self.s.classes[req.cls].aim + self.s.classes[req.cls].aim_per_1000 * req.prompt / 1000
         job = self.jobs[req.request] = Job(req, self.now + req.ttl, int(self.now + aim))
+        self.lengths.setdefault(req.cls, Faded(2 * STEP_EVERY, 30)).add(self.now, req.prompt)
         self._timer(req.request, max(1, req.ttl - 4 * self.s.tick))
         self.asked[req.tenant] = self.asked.get(req.tenant, 0.0) + (not req.repeat)
         self.allowed = min(4 * SHORT, self.allowed + self.ratio * req.prompt)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -168,3 +168,16 @@
         d = Drive(settings(retry_hints=hints, max_retry_after=most), fleet=())
         _, out = d.arrive()
         assert [a.stay_away for a in of(i.Refuse, out)] == [away]
+
+
+def test_a_giant_prompt_is_not_believed_as_kept_as_usual_ones():
+    d = Drive()
+    for n in range(20):  # reads find nearly all of each prompt kept
+        r, _ = d.arrive(prompt=5000, session=n + 1, prefix=7, prefix_len=4000)
+        d.end(r, i.READ, kept=4500)
+        d.began(r)
+        d.end(r, i.ANSWERED, settled=True)
+    reader = d.router.engines[1]
+    usual, giant = (i.Arrived(99, 0, 0, 77, 8, 0, prompt, 100, 4 * S, False, False) for prompt in (5000, 60_000))
+    assert d.router._belief(reader, usual, 1) > 3000
+    assert d.router._belief(reader, giant, 1) < 12_000
