Hold tasks in one place; test descriptor budgets, leaving replicas and list entries

Seen in review: listener and pool each kept tasks by the same lines; a 100 Continue could land inside the answer to an earlier request on the connection; a stream begun before SIGTERM left its connection open after its end.

--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -7,7 +7,6 @@
 import errno
 import socket
 from collections import deque
-from collections.abc import Coroutine
 from typing import Any, Protocol
 
 from loguru import logger
@@ -18,6 +17,7 @@
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import ContinueWanted, Rejected, ServerConnection
 from pearhill.net.pool import Address
+from pearhill.net.tasks import Tasks
 from pearhill.net.turns import pause
 
 BUFFER = 16 * 1024
@@ -80,7 +80,11 @@
 
     @property
     def idle(self) -> bool:
-        return not (self.answering or self.waiting or self.machine.in_message or self._out)
+        return self.idle_but_reading and not self.machine.in_message
+
+    @property
+    def idle_but_reading(self) -> bool:
+        return not (self.answering or self.waiting or self._out)
 
     # Reply.
 
@@ -119,7 +123,7 @@
 
     def _done(self) -> None:
         self.answering, self.pending = False, None
-        if not self._keep:
+        if not self._keep or self.listener.closing:
             self.ending = True
             self._wake.set()
             return
@@ -187,10 +191,10 @@
                     break
                 began = self.machine.in_message
                 for event in self.machine.feed(view[:size]):
-                    if isinstance(event, ContinueWanted):
-                        self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
-                    else:
+                    if not isinstance(event, ContinueWanted):
                         self.waiting.append(event)
+                    elif self.idle_but_reading:  # Danger: elsewhere it would land inside another's answer.
+                        self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
                 if self.waiting:
                     self._advance()
                 elif self.machine.in_message != began:
@@ -260,22 +264,12 @@
                  most: int) -> None:
         self.loop, self.deadlines, self.counters, self.handler, self.most = loop, deadlines, counters, handler, most
         self.links: set[Link] = set()
-        self.draining = False
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self.draining = self.closing = False
+        self._tasks = Tasks(loop, "a client connection's task")
+        self.spawn = self._tasks.spawn
         self._sock: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = self.loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-        return task
-
-    def _ended(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            logger.opt(exception=error).error("a client connection's task failed")
-
     def listen(self, address: Address) -> Address:
         """Open the door; the address that it got."""
         self._sock = sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -321,6 +315,8 @@
         self.draining = True
 
     def close_idle(self) -> None:
+        """From now on no connection outlives its answer, even one that was begun before the drain."""
+        self.closing = True
         for link in list(self.links):
             if link.idle:
                 link.close("drained")
@@ -344,4 +340,4 @@
         await self.stop_accepting()
         for link in list(self.links):
             link.close("shutdown")
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.all_ended()
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -6,14 +6,14 @@
 import contextlib
 import socket
 from collections import defaultdict
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from typing import Protocol
 
 from loguru import logger
 
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.counters import Counters
 from pearhill.http1.client import ClientConnection, Data, End, Event, Head, Lost
+from pearhill.net.tasks import Tasks
 from pearhill.net.turns import time_limit
 
 Address = tuple[str, int]
@@ -139,19 +139,7 @@
         self.idle: defaultdict[Address, list[Connection]] = defaultdict(list)
         self.open: set[Connection] = set()
         self._connecting = 0
-        self._tasks: set[asyncio.Task[Any]] = set()
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run a task that is held until it ends and whose failure is seen."""
-        task = self.loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-        return task
-
-    def _done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            logger.opt(exception=error).error("a connection's task failed")
+        self.spawn = Tasks(loop, "a connection's task").spawn
 
     async def acquire(self, address: Address, fresh: bool = False) -> Connection:
         """A connection that is up: an idle one that still stands, the latest used first, else a new one."""
@@ -217,7 +205,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int) -> None:
         self.status, self.body, self.most = 0, bytearray(), most
-        self.done: asyncio.Future[None] = loop.create_future()
+        self.done: asyncio.Future[Exception | None] = loop.create_future()
 
     async def handle(self, event: Event) -> None:
         match event:
@@ -234,7 +222,7 @@
 
     def _finish(self, error: Exception | None) -> None:
         if not self.done.done():
-            self.done.set_exception(error) if error else self.done.set_result(None)
+            self.done.set_result(error)
 
 
 async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = 16 << 20) -> tuple[int, bytes]:
@@ -244,7 +232,8 @@
     try:
         async with time_limit(pool.deadlines, timeout):
             await connection.send(gathered, data)
-            await gathered.done
+            if error := await gathered.done:
+                raise error
     except BaseException:
         connection.close("call-failed")
         raise
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import re
+import resource
 import subprocess
 import sys
 import tempfile
@@ -153,10 +154,14 @@
 class Program:
     """The program as a process. Its log lines are kept; the address is read off the line that tells it."""
 
-    def __init__(self, *arguments: str, **environ: str) -> None:
+    def __init__(self, *arguments: str, files: int = 0, **environ: str) -> None:
+        def limit() -> None:
+            if files:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))
+
         self.process = subprocess.Popen(
             [sys.executable, "-m", "pearhill", *arguments], stderr=subprocess.PIPE, text=True, cwd=ROOT,
-            env={**{k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}, **environ})
+            preexec_fn=limit, env={**{k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}, **environ})
         self.follow_log()
         self.host, _, port = self.wait_line(r"listens on (\S+)")[1].rpartition(":")
         self.port = int(port)
@@ -219,13 +224,14 @@
         return code
 
 
-def platform(discovery: str, known: list[dict[str, Any]] | None = None, **changes: Any) -> Program:
+def platform(discovery: str, known: list[dict[str, Any]] | None = None, files: int = 0, **changes: Any,
+             ) -> Program:
     """A dispatcher of the platform."""
     with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
         json.dump({"name": "t1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f", "settings": SETTINGS,
                    "limits": {"sockets": 256}, "known": {"rev": 0, "all": True, "targets": known or []}, **changes},
                   file)
     try:
-        return Program(RELAY_CONFIG=file.name)
+        return Program(files=files, RELAY_CONFIG=file.name)
     finally:
         os.unlink(file.name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,8 +6,13 @@
 import sys
 import time
 import unittest
+from typing import Any
 
-from tests.standins import LAST, ROOT, TOKENS, Discovery, Standin, dead_address, platform
+from pearhill import interface as i
+from pearhill import settings
+from pearhill.net.clock import start_clock
+from pearhill.platform.discovery import engine_of, entries_of
+from tests.standins import LAST, ROOT, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform
 
 PATH = "/v1/chat/completions"
 BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
@@ -19,11 +24,11 @@
 
 
 class PlatformCase(unittest.TestCase):
-    def start(self, *kinds: str) -> list[Standin]:
+    def start(self, *kinds: str, **changes: Any) -> list[Standin]:
         servers = [Standin() for _ in kinds]
         self.discovery = Discovery(*((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(
             zip(servers, kinds, strict=True))))
-        self.program = platform(self.discovery.address)
+        self.program = platform(self.discovery.address, **changes)
         for thing in (*servers, self.discovery):
             self.addCleanup(thing.close)
         self.addCleanup(self.program.kill)
@@ -147,6 +152,49 @@
             self.assertIn(key.encode(), done.stderr)
 
 
+class Limits(PlatformCase):
+    def idle(self, count: int) -> list[socket.socket]:
+        """So many clients that connect and say nothing."""
+        made = [socket.create_connection((self.program.host, self.program.port), 20) for _ in range(count)]
+        for client in made:
+            self.addCleanup(client.close)
+        return made
+
+    def test_past_the_budget_the_longest_idle_client_makes_room(self):
+        self.start("all-in-one", limits={"sockets": 64})
+        first = self.idle(20)[0]
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers())[0], 200)
+        self.assertEqual(first.recv(1), b"")
+        self.program.wait_line("side=client .* reason=room-needed")
+
+    def test_out_of_descriptors_accepting_pauses_and_goes_on(self):
+        self.start("all-in-one", files=24)
+        self.idle(40)
+        self.program.wait_line("accepting pauses")
+        self.assertEqual(self.program.ask("GET", "/ready")[0], 200)
+
+
+class Lists(unittest.TestCase):
+    TARGET = {"uid": "s-1", "endpoint": "127.0.0.1:8080", "az": "south", "model": "writer", "pod_group": 3,
+              "state": "active", "capacity_hint": 1.5, "boot_ms": 1_764_600_000_000}
+
+    def test_a_target_is_an_engine_that_started_on_the_programs_clock(self):
+        deployment = settings.parse(SETTINGS)
+        (entry,), addresses = entries_of([self.TARGET], deployment)
+        self.assertEqual(entry, i.Entry(engine_of("s-1"), 1, 1, 3, i.READY, 1.5, 1_764_600_000_000_000))
+        self.assertEqual(addresses, {entry.engine: ("127.0.0.1", 8080)})
+        # The clock reads as Unix time, so that a start of just now is neither ahead of it nor long past.
+        self.assertLess(abs(start_clock()() - time.time() * 1e6), 60e6)
+
+    def test_letters_and_numbers_stand_for_places_and_nonsense_is_left_out(self):
+        deployment = settings.parse(SETTINGS)
+        (entry,), _ = entries_of([{**self.TARGET, "az": "b", "model": "m2"}], deployment)
+        self.assertEqual((entry.zone, entry.kind), (1, 2))
+        for change in ({"az": "z"}, {"model": "m9"}, {"state": "asleep"}, {"endpoint": "nowhere"}, {"uid": None}):
+            bad = {k: v for k, v in {**self.TARGET, **change}.items() if v is not None}
+            self.assertEqual(entries_of([bad, 7, self.TARGET], deployment)[0][0].zone, 1)
+
+
 class Ending(PlatformCase):
     def test_sigterm_answers_what_was_taken_then_exits_well(self):
         (server,) = self.start("all-in-one")
@@ -180,6 +228,14 @@
         self.assertEqual(server.runs, 5)
         self.program.wait_line("side=server .* reason=(server-eof|stale)")
 
+    def test_a_replica_that_is_leaving_gets_nothing_new(self):
+        first, second = self.start("all-in-one", "all-in-one")
+        self.discovery.update(("s-1", second.address, "all-in-one"))
+        self.discovery.wait_for("GET", "/v1/endpoints?after=2")
+        for n in range(6):
+            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"e{n}"))[0], 200)
+        self.assertEqual((first.runs, second.runs), (0, 6))
+
     def test_a_list_known_at_the_start_must_do_while_discovery_is_silent(self):
         server, silent = Standin(), Standin()
         silent.respond = lambda h, b: silent.go.wait(20)
