Only passed-on events count as a stream's progress; the store finds room in few steps

Seen in review, each now tested or bounded: a server that sends comments for ever kept its client waiting past 5 s, since any byte re-armed the stall (net/backend.py, _stream); an end without an answer passed for one (chat/servers.py); past its bytes the store walked over every record at each event (chat/records.py).

--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -125,7 +125,8 @@
 class Store:
     def __init__(self, deadlines: Deadlines, max_bytes: int, keep: int) -> None:
         self._deadlines, self.max_bytes, self.keep = deadlines, max_bytes, keep
-        self._records: OrderedDict[bytes, Record] = OrderedDict()
+        self._records: dict[bytes, Record] = {}
+        self._whole: OrderedDict[bytes, Record] = OrderedDict()  # ended, with their answers; the oldest first
         self.size = 0
 
     def __len__(self) -> int:
@@ -151,19 +152,24 @@
         if record.state == REFUSED:  # never run: the key is as good as new
             return self._forget(record)
         record.expiry = self._deadlines.after(self.keep, lambda: self._forget(record))
+        self._whole[record.key] = record
         self._make_room(0)
 
     def _forget(self, record: Record) -> None:
         del self._records[record.key]
+        self._whole.pop(record.key, None)
         self.size -= record.size + OVERHEAD
         record.store = None
 
     def _make_room(self, wanted: int) -> bool:
         """Let go of the oldest answers that nobody is reading. What is forgotten altogether may run again, so
         outcomes go only when their own time has come."""
-        for record in self._records.values():
-            if self.size + wanted <= self.max_bytes:
-                return True
-            if record.state != OPEN and not record.followers:
+        read: list[Record] = []
+        while self._whole and self.size + wanted > self.max_bytes:
+            _, record = self._whole.popitem(last=False)
+            if record.followers:
+                read.append(record)
+            else:
                 self.size -= record.drop()
+        self._whole.update((record.key, record) for record in read)
         return self.size + wanted <= self.max_bytes
--- a/pearhill/chat/servers.py
+++ b/pearhill/chat/servers.py
@@ -43,7 +43,7 @@
     """Passes on whole events that make sense, unchanged, and is whole with `[DONE]`."""
 
     def __init__(self, wants_usage: bool) -> None:
-        self.kept, self._whole = 0, False
+        self.kept, self._whole, self._chunks = 0, False, 0
         self._wants_usage = wants_usage
         self._parser = EventParser()
 
@@ -60,6 +60,8 @@
                 if event.data is None:
                     continue  # a comment: it keeps the connection alive and tells nothing
                 if event.data == DONE:
+                    if not self._chunks:
+                        raise Malformed("an end without an answer")
                     self._whole = True
                 elif not self._read(chunk_of(event.data)):
                     continue
@@ -70,6 +72,7 @@
 
     def _read(self, chunk: dict[str, Any]) -> bool:
         """Whether the client is to see this chunk."""
+        self._chunks += bool(chunk["choices"])
         usage = chunk.get("usage")
         if isinstance(usage, dict):
             details = usage.get("prompt_tokens_details")
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -107,22 +107,21 @@
 
     async def _stream(self, data: bytes) -> None:
         deadlines = self.backend.pool.deadlines
-        deadlines.cancel(self.stall)
         try:
             ready = self.stream.feed(data)
         except Malformed as e:
             return self._give_up("malformed", i.BROKEN if self.attempt.began else i.ERROR, str(e))
         if ready and not self.attempt.over:
+            # Danger: only what is passed on shows progress; bytes that never make an event could trickle for ever.
+            deadlines.cancel(self.stall)
             if not self.attempt.begin():
                 return
             await self.attempt.request.client.pass_on(ready)
-        if self.attempt.over:
-            return
-        if self.stream.whole:
+            if not self.attempt.over:  # counted from here, so a slow client is not taken for a silent server
+                self.stall = deadlines.after(STALL, lambda: self._give_up("stalled", i.BROKEN))
+        if self.stream.whole and not self.attempt.over:
             self.over(i.ANSWERED, self.stream.kept)
             deadlines.after(END_WITHIN, self._no_end)
-        elif self.attempt.began:  # counted from here, so a slow client is not taken for a silent server
-            self.stall = deadlines.after(STALL, lambda: self._give_up("stalled", i.BROKEN))
 
     def _no_end(self) -> None:
         """Danger: a server that never sends the last chunk would keep this connection for good."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
@@ -203,11 +204,10 @@
     def counters(self) -> dict[str, Any]:
         return json.loads(self.ask("GET", "/counters")[2])
 
-    def wait_ready(self) -> None:
-        for _ in range(2000):
-            if self.ask("GET", "/ready")[0] == 200:
-                return
-        raise AssertionError("never ready")
+    def wait_ready(self, status: int = 200) -> None:
+        end = time.monotonic() + 20
+        while self.ask("GET", "/ready")[0] != status:
+            assert time.monotonic() < end, f"never {status}:\n{''.join(self.lines)}"
 
     def kill(self) -> None:
         """For what a test leaves behind."""
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -124,6 +124,7 @@
     """What a server may send instead of an answer."""
     BAD = (b"data: {broken\n\n", b"data: 7\n\n", b'data: {"error":{"message":"no"}}\n\n',
            b'data: {"choices":[{"index":0}]}\n\n', b"data: \xff\n\n")
+    EMPTY = b"data: [DONE]\n\n"
 
     def test_malformed_events_end_as_failed_and_bookings_are_not_run_again(self):
         (server,) = self.start()
@@ -137,6 +138,11 @@
                                   [(500, "request_failed"), (502, "stream_broken")])
                     self.assertEqual(server.runs, runs + 1)
 
+    def test_an_end_without_an_answer_is_no_answer(self):
+        (server,) = self.start()
+        server.respond = lambda h, b: h.chunks(self.EMPTY)
+        self.assertEqual((self.ask(body("booking"))[0], server.runs), (500, 1))
+
     def test_a_truncated_stream_is_never_passed_off_as_whole(self):
         (server,) = self.start()
         for parts in ((TOKENS[0],), (TOKENS[0], TOKENS[1][:20])):
@@ -155,7 +161,8 @@
 
         def stall(handler, body):
             handler.chunks(TOKENS[0], last=False)
-            server.go.wait(20)
+            while not server.go.wait(0.5):
+                handler.more(b": comments are no events\n\n")
         server.respond = stall
         self.assertEqual(self.ask(body("booking"))[0], 502)
         self.assertEqual(server.runs, 1)
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -72,8 +72,7 @@
     def test_a_server_that_is_not_up_gets_nothing_new(self):
         self.eureka.delta = answer(instance("m1", self.server.address, status="OUT_OF_SERVICE", action="MODIFIED"))
         self.eureka.wait_for("GET", "/eureka/apps/delta")
-        while self.program.ask("GET", "/ready")[0] == 200:
-            pass
+        self.program.wait_ready(503)
         self.assertEqual((self.program.ask("POST", PATH, body())[0], self.server.runs), (503, 0))
 
     def test_a_delta_that_does_not_add_up_fetches_the_whole_list(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -245,7 +245,5 @@
         self.addCleanup(known.close)
         self.program = platform(silent.address, known.answer()["targets"])
         self.addCleanup(self.program.kill)
-        end = time.monotonic() + 20
-        while self.program.ask("GET", "/ready")[0] != 200:
-            self.assertLess(time.monotonic(), end)
+        self.program.wait_ready()
         self.assertEqual(self.program.ask("POST", PATH, BODY, headers())[0], 200)
