Imports point inwards: engine numbers in core, addresses and handlers apart from sockets

Seen in review: the chat front and Eureka imported from platform/, and fronts imported the socket driver for its protocols.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -15,9 +15,9 @@
 from pearhill.chat.front import PATH
 from pearhill.chat.service import ChatService
 from pearhill.chat.setup import ChatSetup
+from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import MAX_BODY
-from pearhill.net.listener import Pending
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from pearhill.chat.sse import EventParser
+from pearhill.http1.handler import Reply
 from pearhill.http1.messages import Headers
-from pearhill.net.listener import Reply
 
 JSON: Headers = (("Content-Type", "application/json"),)
 ODD = (ValueError, TypeError, KeyError, AttributeError, IndexError)  # what chunks of an odd shape raise
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -22,8 +22,8 @@
 from pearhill.chat.servers import ChatPayload
 from pearhill.chat.setup import Reading
 from pearhill.core.dispatcher import Ask, Dispatcher, Request
+from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
-from pearhill.net.listener import Pending, Reply
 
 PATH, MODELS = "/v1/chat/completions", "/v1/models"
 CALLS = {PATH: "POST", MODELS: "GET", "/ready": "GET", "/counters": "GET"}
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -9,7 +9,7 @@
 from pearhill.chat.servers import ChatDialect
 from pearhill.chat.setup import ChatSetup
 from pearhill.eureka.client import Eureka
-from pearhill.net.pool import Address
+from pearhill.net.address import Address
 from pearhill.node import Limits, Node
 
 
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -11,8 +11,9 @@
 from pearhill import interface as i
 from pearhill import settings
 from pearhill.config import ConfigError
-from pearhill.net.pool import Address, parse_address
-from pearhill.platform.discovery import engine_of
+from pearhill.core.engines import engine_of
+from pearhill.eureka.setup import EurekaSetup
+from pearhill.net.address import Address, parse_address
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,18 +48,6 @@
     models: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EurekaSetup:
-    address: Address
-    base: str
-    vip: str  # the application whose instances are the servers
-    app: str  # the name under which this dispatcher registers; empty: it does not
-    instance: str
-    lease_s: int
-    renew_s: int
-    fetch_s: int
-
-
 @dataclass(frozen=True, slots=True)
 class ChatSetup:
     listen: Address
--- a/pearhill/config.py
+++ b/pearhill/config.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from pearhill import settings
-from pearhill.net.pool import Address, parse_address
+from pearhill.net.address import Address, parse_address
 
 
 class ConfigError(Exception):
--- a/pearhill/eureka/client.py
+++ b/pearhill/eureka/client.py
@@ -11,10 +11,11 @@
 from loguru import logger
 
 from pearhill import interface as i
-from pearhill.chat.setup import EurekaSetup
 from pearhill.eureka.registry import BadRegistry, Registry
+from pearhill.eureka.setup import EurekaSetup
 from pearhill.http1 import messages
-from pearhill.net.pool import Address, CannotConnect, Pool, call
+from pearhill.net.address import Address
+from pearhill.net.pool import CannotConnect, Pool, call
 from pearhill.net.turns import pause
 from pearhill.settings import Deployment
 
--- a/pearhill/eureka/registry.py
+++ b/pearhill/eureka/registry.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from pearhill import interface as i
-from pearhill.net.pool import Address, parse_address
-from pearhill.platform.discovery import engine_of
+from pearhill.core.engines import engine_of
+from pearhill.net.address import Address, parse_address
 from pearhill.settings import Deployment
 
 
--- /dev/null
+++ b/pearhill/http1/handler.py
@@ -0,0 +1,32 @@
+"""What answers requests, and how: for the listener's connections and for ASGI alike."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from pearhill.http1.messages import Headers, RequestMessage
+
+
+class Pending(Protocol):
+    """A request that is being answered."""
+
+    def left(self) -> None:
+        """Its client has gone."""
+
+
+class Reply(Protocol):
+    """How a handler answers one request: `answer`, or `start`, any number of `write`, and `finish` or `abort`."""
+
+    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None: ...
+    def start(self, status: int, headers: Headers = ()) -> None: ...
+    async def write(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def abort(self) -> None: ...
+
+
+class Handler(Protocol):
+    def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
+        """Answer a request, now or later. None: it is answered already, or its client's leaving is no matter."""
+
+    def rejected(self, status: int, why: str) -> tuple[Headers, bytes]:
+        """Headers and body for input that was turned away before it became a request."""
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -14,7 +14,8 @@
 from pearhill.core.deadlines import Key
 from pearhill.core.dispatcher import Attempt, Request
 from pearhill.http1.client import Data, End, Event, Head, Lost
-from pearhill.net.pool import Address, CannotConnect, Connection, Pool, call
+from pearhill.net.address import Address
+from pearhill.net.pool import CannotConnect, Connection, Pool, call
 from pearhill.net.turns import pause
 
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -7,16 +7,17 @@
 import errno
 import socket
 from collections import deque
-from typing import Any, Protocol
+from typing import Any
 
 from loguru import logger
 
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.counters import Counters
 from pearhill.http1 import messages
+from pearhill.http1.handler import Handler, Pending
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import ContinueWanted, Rejected, ServerConnection
-from pearhill.net.pool import Address
+from pearhill.net.address import Address
 from pearhill.net.tasks import Tasks
 from pearhill.net.turns import pause
 
@@ -30,31 +31,6 @@
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-class Pending(Protocol):
-    """A request that is being answered."""
-
-    def left(self) -> None:
-        """Its client has gone."""
-
-
-class Reply(Protocol):
-    """How a handler answers one request: `answer`, or `start`, any number of `write`, and `finish` or `abort`."""
-
-    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None: ...
-    def start(self, status: int, headers: Headers = ()) -> None: ...
-    async def write(self, data: bytes) -> None: ...
-    def finish(self) -> None: ...
-    def abort(self) -> None: ...
-
-
-class Handler(Protocol):
-    def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
-        """Answer a request, now or later. None: it is answered already, or its client's leaving is no matter."""
-
-    def rejected(self, status: int, why: str) -> tuple[Headers, bytes]:
-        """Headers and body for input that was turned away before it became a request."""
-
-
 class Link:
     """One client's connection, and the Reply to the request that is being answered on it."""
 
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -13,20 +13,13 @@
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.counters import Counters
 from pearhill.http1.client import ClientConnection, Data, End, Event, Head, Lost
+from pearhill.net.address import Address
 from pearhill.net.tasks import Tasks
 from pearhill.net.turns import time_limit
 
-Address = tuple[str, int]
 BUFFER = 16 * 1024
 
 
-def parse_address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no HOST:PORT")
-    return host.strip("[]"), int(port)
-
-
 class CannotConnect(Exception):
     """No connection came up; nothing was sent."""
 
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -14,10 +14,12 @@
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.dispatcher import Dispatcher
 from pearhill.counters import Counters
+from pearhill.http1.handler import Handler
+from pearhill.net.address import Address
 from pearhill.net.backend import Dialect, HttpBackend
 from pearhill.net.clock import start_clock
-from pearhill.net.listener import Handler, Listener
-from pearhill.net.pool import Address, Pool
+from pearhill.net.listener import Listener
+from pearhill.net.pool import Pool
 from pearhill.net.turns import Turns, pause
 from pearhill.settings import Deployment
 
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -10,8 +9,10 @@
 from loguru import logger
 
 from pearhill import interface as i
+from pearhill.core.engines import engine_of
 from pearhill.http1 import messages
-from pearhill.net.pool import Address, CannotConnect, Pool, call, parse_address
+from pearhill.net.address import Address, parse_address
+from pearhill.net.pool import CannotConnect, Pool, call
 from pearhill.net.turns import pause
 from pearhill.settings import Deployment
 
@@ -24,11 +25,6 @@
 OnList = Callable[[bool, tuple[i.Entry, ...], dict[int, Address]], None]
 
 
-def engine_of(uid: str) -> int:
-    """The number of a replica: the same at every dispatcher, as its uid is."""
-    return int.from_bytes(hashlib.blake2b(uid.encode(), digest_size=8).digest())
-
-
 def _index(value: Any, names: tuple[str, ...], bound: int) -> int:
     """Where a name stands among the settings'; else it carries its place: `b` and `m1` are the second."""
     text = str(value)
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 
 from pearhill.core.dispatcher import Ask, Dispatcher, Request
+from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
-from pearhill.net.listener import Pending, Reply
 
 PATH = "/v1/chat/completions"
 SLACK = 10_000  # microseconds kept back from the client's time, for the way here and back
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,8 +10,9 @@
 
 from pearhill import interface as i
 from pearhill import settings
+from pearhill.core.engines import engine_of
 from pearhill.net.clock import start_clock
-from pearhill.platform.discovery import engine_of, entries_of
+from pearhill.platform.discovery import entries_of
 from tests.standins import LAST, ROOT, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform
 
 PATH = "/v1/chat/completions"
