An unsafe request is not refused while its read is still out

Cause: rules.py, _close counted an attempt that is out only when it was no read; the wire lets a read off only once it has ended. Now any attempt out makes it a failure.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -390,7 +390,8 @@
     def _close(self, job: Job) -> None:
         """The final answer, and whatever is held goes with it. A refused client is told to stay away for as
         long as it heeds. Danger: those who come back at once add to the jam that they were refused for."""
-        spec, ran = self.s.classes[job.req.cls], job.ran is not None or (job.out and not job.reading)
+        # Danger: even a read counts as one that may run until it has ended, and a refusal would be a lie.
+        spec, ran = self.s.classes[job.req.cls], job.ran is not None or job.out
         harmless = not ran or spec.effect == i.SAFE or (spec.effect == i.KEYED and spec.group == "all")
         away = self.s.max_retry_after if self.s.retry_hints else 0
         self.actions.append(i.Refuse(job.req.request, away) if harmless else i.Fail(job.req.request))
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -189,3 +189,11 @@
     d.feed(i.Listed(True, FLEET[:6]))
     out = d.end(q, i.READ)
     assert of(i.Release, out) and final(out)
+
+
+def test_an_unsafe_request_is_not_refused_while_its_read_is_still_out():
+    d = Drive(settings(i.UNSAFE))
+    r, _ = d.arrive(prompt=5000)
+    out = d.wait(4 * S)
+    assert r in d.sent and d.sent[r].engine < 11
+    assert of(i.Fail, out) and not of(i.Refuse, out)
