SIGHUP reads the configuration anew in the same process

Cause: no handler for SIGHUP anywhere (node.py, serve, installed SIGTERM, SIGINT and SIGUSR1 only), so the system's own handling ended the process. Checked besides: config.load lets RELAY_DISCOVERY win over the file, so a plain second read would have kept the old address; platform/discovery.py kept its version over a change of address. Change: a reload per front. On the platform a new discovery ends the old watch and is asked for its whole list at once; a file that cannot be used keeps the old one, with one line that names the key; what cannot change while running is documented. The chat front rereads rules, servers, store bounds and registry. SIGHUP is blocked before the handler stands and after it is gone.

--- a/pearhill/__main__.py
+++ b/pearhill/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Coroutine
 from typing import Any
@@ -19,14 +20,16 @@
 
 def _work(arguments: argparse.Namespace) -> Coroutine[Any, Any, None]:
     if arguments.chat:
-        return service.serve(setup.load(arguments.chat))
-    return daemon.serve(load(os.environ))
+        return service.serve(setup.load(arguments.chat), lambda: setup.load(arguments.chat))
+    return daemon.serve(load(os.environ), lambda before: load(os.environ, before))
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="pearhill", description="A dispatcher for language-model servers.")
     parser.add_argument("--chat", metavar="FILE", help="serve the chat API as this operator's file says")
     arguments = parser.parse_args()
+    # Danger: until there is a handler a SIGHUP would end the process. It waits; threads started here never get it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         work = _work(arguments)
     except ConfigError as e:
--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -132,6 +132,11 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def reconfigure(self, max_bytes: int, keep: int) -> None:
+        """In force at once for the bytes, and from the next answer on for the time that it is kept."""
+        self.max_bytes, self.keep = max_bytes, keep
+        self._make_room(0)
+
     def get(self, key: bytes) -> Record | None:
         return self._records.get(key)
 
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from pearhill.chat.front import ChatFront
 from pearhill.chat.records import Store
 from pearhill.chat.servers import ChatDialect
 from pearhill.chat.setup import ChatSetup
+from pearhill.config import for_next_start
 from pearhill.eureka.client import Eureka
 from pearhill.net.address import Address
 from pearhill.node import Limits, Node
@@ -21,10 +23,14 @@
         self.node = node = Node(setup.deployment, ChatDialect(), Limits(setup.sockets, setup.seed))
         self.store = Store(node.deadlines, setup.store_bytes, setup.store_keep)
         self.front = ChatFront(node.dispatcher, setup.reading, self.store, "pearhill", node.pool.spawn, self.is_ready)
-        self._eureka = Eureka(node.pool, setup.eureka, setup.deployment, node.listed) if setup.eureka else None
+        self._eureka = self._registry(setup)
+        self._address: Address | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._registering: asyncio.Task[None] | None = None
 
+    def _registry(self, setup: ChatSetup) -> Eureka | None:
+        return Eureka(self.node.pool, setup.eureka, setup.deployment, self.node.listed) if setup.eureka else None
+
     def is_ready(self) -> bool:
         return not self.node.draining and self.node.dispatcher.can_answer
 
@@ -36,6 +42,7 @@
 
     def register(self, address: Address) -> None:
         """Tell the registry where this dispatcher listens."""
+        self._address = address
         if self._eureka and self._eureka.setup.app:
             self._registering = self.node.pool.spawn(self._eureka.keep_registered(address))
 
@@ -45,19 +52,52 @@
             self._registering = None
             await self._eureka.cancel()
 
+    def reload(self, fresh: ChatSetup) -> str:
+        """Another operator's file, for all that is taken from now on."""
+        before, node = self.setup, self.node
+        node.reconfigure(fresh.deployment)
+        self.setup, self.front.reading = fresh, fresh.reading
+        self.store.reconfigure(fresh.store_bytes, fresh.store_keep)
+        if fresh.eureka != before.eureka:
+            self._move(fresh)
+        elif self._eureka:
+            self._eureka.deployment = fresh.deployment
+        if not fresh.eureka:
+            node.listed(True, fresh.entries, fresh.addresses)
+        return f"{len(fresh.reading.rules)} rules" + for_next_start(
+            ("chat.listen", before.listen, fresh.listen), ("chat.sockets", before.sockets, fresh.sockets),
+            ("chat.seed", before.seed, fresh.seed))
+
+    def _move(self, fresh: ChatSetup) -> None:
+        """Another registry, or none: the old one is left, and the list is taken from the new one."""
+        self._leave_registry()
+        if self._eureka:
+            self.node.pool.spawn(self._eureka.cancel())
+        self._eureka = self._registry(fresh)
+        if self._eureka:
+            self._fetching = self.node.pool.spawn(self._eureka.follow())
+        if self._address and not self.node.draining:
+            self.register(self._address)
+
+    def _leave_registry(self) -> None:
+        for task in (self._fetching, self._registering):
+            if task:
+                task.cancel()
+        self._fetching = self._registering = None
+
     async def close(self) -> None:
         """See through what was taken, then end."""
         self.node.draining = True
         await self.deregister()
         await self.node.until()
-        if self._fetching:
-            self._fetching.cancel()
+        self._leave_registry()
         self.node.close()
 
 
-async def serve(setup: ChatSetup) -> None:
-    """The chat front as a daemon."""
+async def serve(setup: ChatSetup, read_anew: Callable[[], ChatSetup]) -> None:
+    """The chat front as a daemon. `read_anew` reads the operator's file once more."""
     service = ChatService(setup)
     await service.open()
-    await service.node.serve(setup.listen, service.front, "chat front", service.register, service.deregister)
+    await service.node.serve(setup.listen, service.front, "chat front",
+                             lambda: service.reload(read_anew()), service.register, service.deregister)
     await service.close()
--- a/pearhill/config.py
+++ b/pearhill/config.py
@@ -20,6 +20,7 @@
     name: str
     listen: Address
     discovery: Address
+    discovery_in_file: Any  # as the file puts it, whatever the environment says
     seed: int
     sockets: int
     known: Mapping[str, Any]
@@ -33,7 +34,14 @@
         raise ConfigError(f"{key}: {e}") from None
 
 
-def load(environ: Mapping[str, str]) -> Config:
+def for_next_start(*told: tuple[str, object, object]) -> str:
+    """Of (key, in force, told anew): what a reload leaves for the next start, in words."""
+    keys = ", ".join(key for key, old, new in told if old != new)
+    return f"; for the next start: {keys}" if keys else ""
+
+
+def load(environ: Mapping[str, str], before: Config | None = None) -> Config:
+    """The configuration at a start, or at a reload that follows `before`."""
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: is not set; it names the configuration file")
@@ -58,8 +66,15 @@
         raise ConfigError(f"seed or limits.sockets: {e}") from None
     if sockets < 64:
         raise ConfigError("limits.sockets: at least 64 are needed")
+    discovery = told.get("discovery")
+    if before and discovery == before.discovery_in_file:
+        found = before.discovery
+    elif before:  # Danger: the environment is as old as the process; it would undo what the file now says.
+        found = _address("discovery", discovery)
+    else:
+        found = _address("discovery", environ.get("RELAY_DISCOVERY") or discovery)
     return Config(
         name=environ.get("RELAY_NAME") or str(told.get("name", "pearhill")),
         listen=_address("listen", environ.get("RELAY_LISTEN") or told.get("listen")),
-        discovery=_address("discovery", environ.get("RELAY_DISCOVERY") or told.get("discovery")),
-        seed=seed, sockets=sockets, known=told.get("known") or {}, deployment=deployment)
+        discovery=found, discovery_in_file=discovery, seed=seed, sockets=sockets, known=told.get("known") or {},
+        deployment=deployment)
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -127,6 +127,11 @@
                 del self.engines[entry.engine]
         self._feed(i.Listed(full, entries))
 
+    def reconfigure(self, deployment: Deployment) -> None:
+        """Other settings for the same classes, kinds and zones; requests, attempts and beliefs stay as they are."""
+        self.deployment = deployment
+        self.router.reconfigure(deployment.router)
+
     @property
     def can_answer(self) -> bool:
         """Some engine that writes answers is listed as ready."""
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -167,6 +167,10 @@
         self.open.add(connection)
         return connection
 
+    def reconfigure(self, connect_timeout: int, keep_idle: int) -> None:
+        """In force for what is connected, or put back, from now on."""
+        self.connect_timeout, self.keep_idle = connect_timeout, keep_idle
+
     def put_back(self, connection: Connection) -> None:
         self.idle[connection.address].append(connection)
         # Danger: a server closes an idle connection without a word, and what is then sent may have run.
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from pearhill import interface as i
+from pearhill.config import ConfigError
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.dispatcher import Dispatcher
 from pearhill.counters import Counters
@@ -30,6 +31,11 @@
 LOOK_AGAIN = 20_000
 
 
+def _keep_idle(deployment: Deployment) -> int:
+    """How long a connection may stand unused: well under what the servers allow."""
+    return deployment.conn_idle * 2 // 3
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     sockets: int
@@ -47,7 +53,7 @@
         self.turns = Turns(loop, self.deadlines)
         self.room = (limits.sockets - SPARE) // 2  # for clients, and as many for servers
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
-                         keep_idle=deployment.conn_idle * 2 // 3, most=self.room)
+                         keep_idle=_keep_idle(deployment), most=self.room)
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.backend = HttpBackend(self.pool, dialect)
         self.dispatcher.backend = self.backend
@@ -60,14 +66,32 @@
             self.backend.locate(entry.engine, addresses[entry.engine], entry.phase != i.GONE)
         self.dispatcher.listed(full, entries)
 
-    async def serve(self, address: Address, handler: Handler, name: str,
+    def reconfigure(self, deployment: Deployment) -> None:
+        """Other settings for a running dispatcher. ConfigError: they ask for what only a start can do."""
+        old, new = self.dispatcher.deployment.held_fast(), deployment.held_fast()
+        if unlike := [key for key in old if old[key] != new[key]]:
+            raise ConfigError(f"settings.{unlike[0]}: cannot change while running")
+        self.dispatcher.reconfigure(deployment)
+        self.pool.reconfigure(deployment.connect_timeout, _keep_idle(deployment))
+
+    def _reload(self, reload: Callable[[], str]) -> None:
+        """Danger: whatever a file holds, and whenever it is read, the process and all that it has taken live on."""
+        try:
+            logger.info("reload: done, {}", reload())
+        except ConfigError as e:
+            logger.warning("reload: the old configuration stays: {}", e)
+
+    async def serve(self, address: Address, handler: Handler, name: str, reload: Callable[[], str],
                     opened: Callable[[Address], None] = lambda address: None,
                     leaving: Callable[[], Awaitable[None]] | None = None) -> None:
-        """Take requests until SIGTERM or SIGINT, then see through all that was taken."""
+        """Take requests until SIGTERM or SIGINT, then see through all that was taken. `reload` reads the
+        configuration anew at each SIGHUP and tells in words what came of it."""
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stopped.set)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload, reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room)
         host, port = listener.listen(address)
         logger.info("{} listens on {}:{}", name, host, port)
@@ -84,6 +108,8 @@
         await listener.stop_accepting()
         await self.until(lambda: listener.quiet, listener.close_idle)
         await listener.close()
+        # Danger: as the loop closes, the system's own handling comes back, and a late SIGHUP would end the process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     async def until(self, quiet: Callable[[], bool] = lambda: True, meanwhile: Callable[[], None] = lambda: None,
                     ) -> None:
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from pearhill.config import Config
+from collections.abc import Callable
+
+from pearhill.config import Config, for_next_start
 from pearhill.node import Limits, Node
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFront
@@ -11,7 +13,8 @@
 KNOWN_AFTER = 1_000_000  # how long discovery may stay silent before the list known at the start must do
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, read_anew: Callable[[Config], Config]) -> None:
+    """`read_anew` gives the configuration that follows the one in force."""
     node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed))
     watch = Watch(node.pool, config.discovery, config.deployment, node.listed)
     if config.known.get("targets"):
@@ -23,7 +26,18 @@
         told = watch.heard or node.deadlines.clock() > known_until
         return told and not node.draining and node.dispatcher.can_answer
 
-    watching = node.pool.spawn(watch.run())
-    await node.serve(config.listen, PlatformFront(node.dispatcher, is_ready), config.name)
-    watching.cancel()
+    def reload() -> str:
+        nonlocal config
+        before, fresh = config, read_anew(config)
+        node.reconfigure(fresh.deployment)
+        watch.deployment, config = fresh.deployment, fresh
+        if fresh.discovery != before.discovery:
+            watch.move(fresh.discovery)
+        later = for_next_start(("name", before.name, fresh.name), ("listen", before.listen, fresh.listen),
+                               ("limits.sockets", before.sockets, fresh.sockets))
+        return f"discovery at {fresh.discovery[0]}:{fresh.discovery[1]}{later}"
+
+    watch.start()
+    await node.serve(config.listen, PlatformFront(node.dispatcher, is_ready), config.name, reload)
+    watch.stop()
     node.close()
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -59,8 +60,24 @@
 class Watch:
     def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList) -> None:
         self.pool, self.address, self.deployment, self.on_list = pool, address, deployment, on_list
-        self.heard = False  # discovery has answered since the start
-        self.rev: int | None = None
+        self.heard = self._told = False  # discovery has answered since the start; since it was last sought
+        self.rev = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._task = self.pool.spawn(self._run())
+
+    def stop(self) -> None:
+        """Danger: an answer to the old watch would be taken for the new one's. It ends with its connection."""
+        if self._task:
+            self._task.cancel()
+
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now. Danger: its versions may be counted otherwise, so the list is asked for whole."""
+        self.stop()
+        self.pool.drop_idle(self.address)
+        self.address = address
+        self.start()
 
     def apply(self, answer: Mapping[str, Any]) -> None:
         entries, addresses = entries_of(answer["targets"], self.deployment)
@@ -68,11 +85,11 @@
         if entries or answer["all"]:
             self.on_list(bool(answer["all"]), entries, addresses)
 
-    async def run(self) -> None:
+    async def _run(self) -> None:
         """For as long as the process lives. Discovery may stay silent: what was known then stays in force."""
-        host = f"{self.address[0]}:{self.address[1]}"
+        host, self._told = f"{self.address[0]}:{self.address[1]}", False
         while True:
-            whole = not self.heard or self.rev is None
+            whole = not self._told
             target = PATH if whole else f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}"
             try:
                 status, body = await call(self.pool, self.address, messages.request("GET", target, host),
@@ -80,7 +97,7 @@
                 if status != 200:
                     raise ValueError(f"status {status}")
                 self.apply(json.loads(body))
-                self.heard = True
+                self.heard = self._told = True
             except (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect) as e:
                 logger.warning("discovery: no answer to {}: {!r}", target, e)
                 await pause(self.pool.deadlines, RETRY)
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -99,8 +99,9 @@
     """Decides for one node. Feed it every event with its time; do what it returns, in order."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.s, self.rng = settings, random.Random(seed)
+        self.rng = random.Random(seed)
         self.now, self.actions = 0, list[i.Action]()
+        self.reconfigure(settings)
         self.engines: dict[int, Engine] = {}
         self.ready: dict[str, list[Engine]] = {i.READER: [], i.WRITER: [], i.MIXED: []}
         self.jobs: dict[int, Job] = {}
@@ -109,7 +110,6 @@
         self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
         self.read_share = Faded(STEP_EVERY, 30)
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
-        self.best = max(spec.worth for spec in settings.classes) or 1
         least = min(spec.aim for spec in settings.classes) / SHORT  # until seen, reads are just quick enough
         self.guess = [(0.0, least / (16 if kind.role == i.READER else 4)) for kind in settings.kinds]
         self.paces = [(Faded(STEP_EVERY, 30), Faded(STEP_EVERY, 30)) for _ in settings.kinds]  # a kind's all
@@ -123,6 +123,10 @@
             i.Listed: self._listed, i.Arrived: self._arrived, i.Began: self._began, i.Ended: self._ended,
             i.Left: self._left, i.Due: self._due}
 
+    def reconfigure(self, settings: i.Settings) -> None:
+        """Other figures for the same classes, kinds and zones."""
+        self.s, self.best = settings, max(spec.worth for spec in settings.classes) or 1
+
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         """One event in, the actions it asks for out."""
         self.now, self.actions = now, []
--- a/pearhill/settings.py
+++ b/pearhill/settings.py
@@ -30,6 +30,11 @@
     conn_idle: int
     most_held: int
 
+    def held_fast(self) -> dict[str, tuple[object, ...]]:
+        """What a running process has numbered or sized its books by, under the keys of the settings."""
+        return {"classes": self.class_names, "zones": self.zone_names, "models": self.kind_names,
+                "extra.role-by-kind": tuple(kind.role for kind in self.router.kinds), "tenants": self.tenant_names}
+
 
 def _names(rows: Any) -> tuple[str, ...]:
     return tuple(str(row["name"]) if isinstance(row, Mapping) and "name" in row else str(row) for row in rows)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,6 +9,7 @@
 import pathlib
 import re
 import resource
+import signal
 import subprocess
 import sys
 import tempfile
@@ -155,6 +156,9 @@
 class Program:
     """The program as a process. Its log lines are kept; the address is read off the line that tells it."""
 
+    config = pathlib.Path()  # the file that it was started with
+    folder: tempfile.TemporaryDirectory[str] | None = None  # where that file was made for it alone
+
     def __init__(self, *arguments: str, files: int = 0, **environ: str) -> None:
         def limit() -> None:
             if files:
@@ -180,9 +184,9 @@
                 self.lines.append(line)
                 self.heard.notify_all()
 
-    def wait_line(self, pattern: str) -> re.Match[str]:
+    def wait_line(self, pattern: str, after: int = 0) -> re.Match[str]:
         def find() -> re.Match[str] | None:
-            return next(filter(None, (re.search(pattern, line) for line in self.lines)), None)
+            return next(filter(None, (re.search(pattern, line) for line in self.lines[after:])), None)
         with self.heard:
             found = self.heard.wait_for(find, 20)
         assert found, f"no line with {pattern!r} in:\n{''.join(self.lines)}"
@@ -213,6 +217,15 @@
         """For what a test leaves behind."""
         self.process.kill()
         self.stop()
+        if self.folder:
+            self.folder.cleanup()
+
+    def reload(self, text: str, line: str = "reload: done") -> None:
+        """Another text for the file that it was started with; returns once a new line tells what came of it."""
+        self.config.write_text(text)
+        known = len(self.lines)
+        self.process.send_signal(signal.SIGHUP)
+        self.wait_line(line, known)
 
     def stop(self) -> int:
         if self.process.poll() is None:
@@ -224,14 +237,18 @@
         return code
 
 
+def platform_file(discovery: str, known: list[dict[str, Any]] | None = None, **changes: Any) -> str:
+    return json.dumps({"name": "t1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
+                       "settings": SETTINGS, "limits": {"sockets": 256},
+                       "known": {"rev": 0, "all": True, "targets": known or []}, **changes})
+
+
 def platform(discovery: str, known: list[dict[str, Any]] | None = None, files: int = 0, **changes: Any,
              ) -> Program:
-    """A dispatcher of the platform."""
-    with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-        json.dump({"name": "t1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f", "settings": SETTINGS,
-                   "limits": {"sockets": 256}, "known": {"rev": 0, "all": True, "targets": known or []}, **changes},
-                  file)
-    try:
-        return Program(files=files, RELAY_CONFIG=file.name)
-    finally:
-        os.unlink(file.name)
+    """A dispatcher of the platform. Its environment names discovery too, as the deployment's does."""
+    folder = tempfile.TemporaryDirectory()
+    path = pathlib.Path(folder.name) / "config.json"
+    path.write_text(platform_file(discovery, known, **changes))
+    program = Program(files=files, RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery)
+    program.config, program.folder = path, folder
+    return program
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -49,6 +49,7 @@
         path = write_file(self, operator_file([s.address for s in servers] + list(addresses), extra))
         self.program = Program("--chat", path)
         self.addCleanup(self.program.kill)
+        self.program.config = pathlib.Path(path)
         return servers
 
     def ask(self, body: bytes, **headers: str) -> tuple[int, dict[str, str], bytes]:
@@ -120,6 +121,18 @@
         self.assertGreater(sum(s.runs for s in servers), 2)
 
 
+class Reload(ChatCase):
+    def test_rules_and_servers_come_from_the_new_file(self):
+        first, other = self.start()[0], Standin()
+        self.addCleanup(other.close)
+        self.program.reload(operator_file([other.address]).replace("'help'", "'new'"))
+        self.assertEqual(self.ask(body())[0], 200)
+        self.assertEqual((first.runs, other.runs), (0, 1))
+        self.assertEqual(json.loads(self.program.ask("GET", "/v1/models")[2])["data"][0]["id"], "new")
+        self.program.reload("[chat", "reload: the old configuration stays")
+        self.assertEqual(self.ask(body())[0], 200)
+
+
 class Events(ChatCase):
     """What a server may send instead of an answer."""
     BAD = (b"data: {broken\n\n", b"data: 7\n\n", b'data: {"error":{"message":"no"}}\n\n',
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -1,6 +1,7 @@
 """The registry client against a stand-in registry, through the program and by itself."""
 
 import json
+import pathlib
 import unittest
 from collections import Counter
 from typing import Any
@@ -57,12 +58,16 @@
         self.addCleanup(self.eureka.close)
         self.eureka.whole = answer(instance("m1", self.server.address))
         self.eureka.delta = answer(code="UP_1_")
-        table = (f'[eureka]\naddress = "{self.eureka.address}"\nservers = "helpdesk"\nregister_as = "pearhill"\n'
-                 "renew_s = 1\nfetch_s = 1\n")
-        self.program = Program("--chat", write_file(self, operator_file([], table)))
+        path = write_file(self, self.file(self.eureka))
+        self.program = Program("--chat", path)
         self.addCleanup(self.program.kill)
+        self.program.config = pathlib.Path(path)
         self.program.wait_ready()
 
+    def file(self, eureka: Eureka) -> str:
+        return operator_file([], f'[eureka]\naddress = "{eureka.address}"\nservers = "helpdesk"\n'
+                             'register_as = "pearhill"\nrenew_s = 1\nfetch_s = 1\n')
+
     def test_servers_of_the_registry_serve_and_stay_when_it_is_down(self):
         self.assertEqual(self.program.ask("POST", PATH, body())[0], 200)
         self.eureka.down = True
@@ -80,6 +85,17 @@
         self.program.wait_line("does not add up")
         self.eureka.wait_for("GET", "/eureka/apps", 3)
 
+    def test_a_reload_leaves_the_old_registry_and_registers_with_the_new_one(self):
+        self.eureka.wait_for("POST", "/eureka/apps/PEARHILL")
+        other = Eureka()
+        self.addCleanup(other.close)
+        other.whole, other.delta = answer(instance("m2", self.server.address)), answer(code="UP_1_")
+        self.program.reload(self.file(other))
+        self.eureka.wait_for("DELETE", "/eureka/apps/PEARHILL")
+        other.wait_for("POST", "/eureka/apps/PEARHILL")
+        other.wait_for("GET", "/eureka/apps")
+        self.assertEqual(self.program.ask("POST", PATH, body())[0], 200)
+
     def test_registered_renewed_registered_anew_and_cancelled(self):
         self.eureka.wait_for("POST", "/eureka/apps/PEARHILL")
         self.eureka.wait_for("PUT", "/eureka/apps/PEARHILL")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,7 +13,7 @@
 from pearhill.core.engines import engine_of
 from pearhill.net.clock import start_clock
 from pearhill.platform.discovery import entries_of
-from tests.standins import LAST, ROOT, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform
+from tests.standins import LAST, ROOT, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform, platform_file
 
 PATH = "/v1/chat/completions"
 BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
@@ -33,7 +33,8 @@
         for thing in (*servers, self.discovery):
             self.addCleanup(thing.close)
         self.addCleanup(self.program.kill)
-        self.program.wait_ready()
+        if kinds:
+            self.program.wait_ready()
         return servers
 
 
@@ -175,6 +176,55 @@
         self.assertEqual(self.program.ask("GET", "/ready")[0], 200)
 
 
+class Reload(PlatformCase):
+    def test_a_new_discovery_is_asked_for_the_whole_list_and_what_is_open_lives_on(self):
+        old, new = self.start("all-in-one")[0], Standin()
+        other = Discovery(("s-9", new.address, "all-in-one"))
+        for thing in (new, other):
+            self.addCleanup(thing.close)
+
+        def waits(handler, body):
+            handler.chunks(TOKENS[0], last=False)
+            old.go.wait(20)
+            handler.more(TOKENS[1] + LAST)
+            handler.wfile.write(b"0\r\n\r\n")
+        old.respond = waits
+        connection = self.program.connect()
+        connection.request("POST", PATH, BODY, headers("open"))
+        response = connection.getresponse()
+        self.program.reload(platform_file(other.address))  # its environment still names the old one
+        other.wait_for("GET", "/v1/endpoints?")
+        self.assertEqual(other.calls[0], ("GET", "/v1/endpoints"))
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers("next"))[0], 200)
+        old.go.set()
+        self.assertEqual(response.read(), b"".join(TOKENS) + LAST)
+        self.assertEqual((old.runs, new.runs), (1, 1))
+
+    def test_settings_change_and_a_bad_file_keeps_the_old_ones(self):
+        self.start()
+        stay = {**SETTINGS["allowed"], "max-retry-after": 250000}
+        self.program.reload(platform_file(self.discovery.address, settings={**SETTINGS, "allowed": stay}))
+        kinds = {**SETTINGS, "models": ["writer", "reader", "all-in-one"]}
+        for text, key in (("{", "RELAY_CONFIG"), (platform_file("nowhere"), "discovery"),
+                          (platform_file(self.discovery.address, settings=kinds), "settings.models")):
+            self.program.reload(text, f"reload: the old configuration stays: {key}")
+        status, told, _ = self.program.ask("POST", PATH, BODY, headers())
+        self.assertEqual((status, told["retry-after"]), (503, "0.250"))
+
+    def test_in_a_drain_it_does_no_harm(self):
+        (server,) = self.start("all-in-one")
+        server.respond = lambda h, b: (server.go.wait(20), h.chunks(*TOKENS, LAST))
+        connection = self.program.connect()
+        connection.request("POST", PATH, BODY, headers())
+        server.wait_for("POST")
+        self.program.process.terminate()
+        self.program.wait_line("draining")
+        self.program.reload(platform_file(self.discovery.address))
+        server.go.set()
+        self.assertEqual(connection.getresponse().status, 200)
+        self.assertEqual(self.program.process.wait(20), 0)
+
+
 class Lists(unittest.TestCase):
     TARGET = {"uid": "s-1", "endpoint": "127.0.0.1:8080", "az": "south", "model": "writer", "pod_group": 3,
               "state": "active", "capacity_hint": 1.5, "boot_ms": 1_764_600_000_000}
