Bound whatever is read and held: heads, chunks, silent clients, left replicas

Causes, each measured: - net/listener.py gave a message 10 s and an idle link 120 s, so 2,500 clients that ask once and stay held every place; room was made from idle links only. - httptools gathers a header value, a trailer or interim answers for ever and calls nobody (400 blocks of 16 KB fed, 2 callbacks); sizes were counted in on_header alone (http1/server.py, client.py). Signed, repeated and conflicting lengths it does refuse. - http1/client.py handed on a chunk before its end proved its size; a second answer in the same read put a connection back into the pool twice. - http1/server.py kept the exception of a refusal, and with it the frames and buffers of the reader: 500 refused clients left 22 MB until the collector came. - Pool.idle's keys and HttpBackend.addresses never forgot a replica; a full list never told the backend who had left. - A want of descriptors here was told to the Router as the engine's failure. - One log line cost a third of refusing a client (profile): loguru's time format. Change: a message is timed from its first byte, the first one from its accept; links that owe a request make room before idle ones; a chunk is handed on when whole; the platform passes on whole events; nothing behind bad input is served; releases and discovery have descriptors of their own; addresses go a minute after their replica.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -16,7 +16,7 @@
 from pearhill.chat.service import ChatService
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
-from pearhill.http1.messages import Headers, RequestMessage
+from pearhill.http1.messages import Headers, RequestMessage, add_header
 from pearhill.http1.server import MAX_BODY
 
 Scope = MutableMapping[str, Any]
@@ -44,6 +44,9 @@
         self.messages.put_nowait({"type": "http.response.body", "body": body})
         self.messages.put_nowait(None)
 
+    def turn_away(self, status: int, headers: Headers, body: bytes) -> None:
+        self.answer(status, (*headers, ("Connection", "close")), body)
+
     def start(self, status: int, headers: Headers = ()) -> None:
         self.messages.put_nowait({"type": "http.response.start", "status": status, "headers": [
             (name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers]})
@@ -110,13 +113,15 @@
         body = await self._body(receive)
         if body is None:
             return
-        headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in scope["headers"]}
+        headers: dict[str, str] = {}
+        for name, value in scope["headers"]:
+            add_header(headers, name.decode("latin-1").lower(), value.decode("latin-1"))
         query = scope.get("query_string", b"").decode("latin-1")
         target = PATH + (f"?{query}" if query else "")
         if len(body) > MAX_BODY:
             service.node.counters.rejected += 1
             extra, text = service.front.rejected(413, "the body is too large")
-            reply.answer(413, extra, text)
+            reply.turn_away(413, extra, text)
             return await self._pump(reply, send)
         pending = service.front.take(RequestMessage("POST", target, headers, body), reply)
         watch = asyncio.create_task(self._watch(receive, pending, reply))
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
-from pearhill.chat.sse import EventParser
 from pearhill.http1.handler import Reply
 from pearhill.http1.messages import Headers
+from pearhill.http1.sse import EventParser
 
 JSON: Headers = (("Content-Type", "application/json"),)
 ODD = (ValueError, TypeError, KeyError, AttributeError, IndexError)  # what chunks of an odd shape raise
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -120,7 +120,7 @@
 
     def _turn_away(self, reply: Reply, status: int, why: str, code: str, param: str | None = None) -> None:
         self.dispatcher.counters.rejected += 1
-        reply.answer(status, JSON, error_body(why, "invalid_request_error", code, param))
+        reply.turn_away(status, JSON, error_body(why, "invalid_request_error", code, param))
 
     def _has_room(self, answer: Answer) -> bool:
         dispatcher = self.dispatcher
--- a/pearhill/chat/servers.py
+++ b/pearhill/chat/servers.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pearhill.chat.sse import BadEvents, EventParser
 from pearhill.http1 import messages
+from pearhill.http1.sse import BadEvents, EventParser
 from pearhill.net.backend import Malformed
 
 DONE = "[DONE]"
--- a/pearhill/http1/client.py
+++ b/pearhill/http1/client.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-MAX_HEAD = 32 * 1024
+MAX_HEAD = 32 * 1024  # of an answer, the interim ones before it included
+MAX_CHUNK = 256 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Data:
+    """A piece of the body; of a chunked one, a whole chunk."""
+
     data: bytes
 
 
@@ -44,21 +47,28 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events: list[Event] = []
         self._headers: dict[str, str] = {}
-        self._size = 0
+        self._chunk: bytearray | None = None  # what has come of a chunk that is not whole
+        self._framing = 0  # bytes of this answer that are no body
         self.awaiting = False  # an exchange is open
 
     def expect(self) -> None:
-        self.awaiting = True
+        self.awaiting, self._framing = True, 0
 
     def feed(self, data: bytes | memoryview) -> list[Event]:
         self._events = []
         if not self.awaiting:
             return [Lost("unasked")]
+        self._framing += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self.awaiting = False
-            self._events.append(Lost(f"malformed: {e}"))
+            # Danger: the parser keeps a header that never ends, and tells nothing of it until it does.
+            if self.awaiting and self._framing > MAX_HEAD:
+                raise ValueError("the head of the answer is too large")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as e:
+            if not self.awaiting:  # Danger: whatever follows an answer would be taken for the next one.
+                self._events[-1] = End(reusable=False)
+            else:
+                self._lost(f"malformed: {e.__context__ or e}")
         return self._events
 
     def eof(self) -> list[Event]:
@@ -67,28 +77,48 @@
         if self.awaiting:
             # An answer without a length ends with its connection; no server here may send one, since its end
             # could not be told from a break.
-            self.awaiting = False
-            self._events.append(Lost("eof"))
+            self._lost("eof")
         return self._events
 
+    def _lost(self, why: str) -> None:
+        self.awaiting = False
+        self._events.append(Lost(why))
+
     # What the parser calls.
 
     def on_message_begin(self) -> None:
-        self._headers, self._size = {}, 0
+        if not self.awaiting:
+            raise ValueError("an answer that was not asked for")
+        self._headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEAD:
-            raise ValueError("the head of the answer is too large")
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200:
-            self._events.append(Head(status, self._headers))
+            # Trailers come later and are no headers: the event has a dictionary of its own.
+            self._events.append(Head(status, dict(self._headers)))
+
+    def on_chunk_header(self) -> None:
+        self._chunk = bytearray()
 
     def on_body(self, body: bytes) -> None:
-        self._events.append(Data(body))
+        self._framing -= len(body)
+        if self._chunk is None:
+            self._events.append(Data(body))
+            return
+        self._chunk += body
+        # Danger: a chunk said to hold gigabytes keeps coming. What is gathered of it must have a bound.
+        if len(self._chunk) > MAX_CHUNK:
+            raise ValueError("a chunk is too large")
+
+    def on_chunk_complete(self) -> None:
+        """Danger: whether a chunk's size fits shows only behind its last byte. Until then none of it can be trusted,
+        and nothing of it is handed on."""
+        if self._chunk:
+            self._events.append(Data(bytes(self._chunk)))
+        self._chunk = None
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() >= 200:
--- a/pearhill/http1/handler.py
+++ b/pearhill/http1/handler.py
@@ -15,9 +15,14 @@
 
 
 class Reply(Protocol):
-    """How a handler answers one request: `answer`, or `start`, any number of `write`, and `finish` or `abort`."""
+    """How a handler answers one request: `answer` or `turn_away`, or `start`, any number of `write`, and `finish`
+    or `abort`."""
 
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None: ...
+
+    def turn_away(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer bad input. Danger: what follows it on its connection may be a part of it; none of that is served."""
+
     def start(self, status: int, headers: Headers = ()) -> None: ...
     async def write(self, data: bytes) -> None: ...
     def finish(self) -> None: ...
--- a/pearhill/http1/messages.py
+++ b/pearhill/http1/messages.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class RequestMessage:
-    """A request that has come in whole. Header names are in lower case; a repeated header's last value counts."""
+    """A request that has come in whole. Header names are in lower case; see `add_header` for repeated ones."""
 
     method: str
     target: str
@@ -25,6 +25,12 @@
         return self.target.partition("?")[0]
 
 
+def add_header(headers: dict[str, str], name: str, value: str) -> None:
+    """Danger: of a header that comes twice, two readers may each believe another one. Both values count, as a list;
+    where one value is wanted, a list is none."""
+    headers[name] = f"{headers[name]}, {value}" if name in headers else value
+
+
 def _fields(headers: Headers) -> str:
     return "".join(f"{name}: {value}\r\n" for name, value in headers)
 
--- a/pearhill/http1/server.py
+++ b/pearhill/http1/server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 import httptools
 
-from pearhill.http1.messages import RequestMessage
+from pearhill.http1.messages import RequestMessage, add_header
 
 MAX_BODY = 256 * 1024
 MAX_HEAD = 32 * 1024
@@ -28,10 +29,8 @@
 Event = RequestMessage | Rejected | ContinueWanted
 
 
-class _Refusal(Exception):
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status, self.why = status, why
+class _Refused(Exception):
+    """Raised through the parser, which forgets why."""
 
 
 class ServerConnection:
@@ -41,12 +40,12 @@
         self.max_body, self.max_head = max_body, max_head
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[Event] = []
-        self._refusal: _Refusal | None = None
+        # Danger: the exception itself, kept here, would keep its frames and so this connection's buffers.
+        self._refusal: Rejected | None = None
         self._message = RequestMessage("", "")
         self._body = bytearray()
-        self._head = 0
-        self._codings: list[str] = []
-        self._lengths: list[str] = []
+        self._head = self._framing = 0  # bytes of the head's whole parts; bytes of this message that are no body
+        self._headed = False  # the head is whole
         self.in_message = False  # a request has begun and is not whole
         self.broken = False
 
@@ -54,24 +53,21 @@
         self._events = []
         if self.broken:
             return self._events
+        self._framing += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "no upgrade is offered here")
-        except httptools.HttpParserCallbackError as e:
-            refusal = self._refusal
-            self._reject(*((refusal.status, refusal.why) if refusal else (400, str(e))))
-        except httptools.HttpParserError as e:
-            self._reject(400, str(e))
+            # Danger: the parser keeps a header that never ends, and tells nothing of it until it does. Endless
+            # chunk extensions, trailers and blank lines before a request are no better.
+            if self._framing > self.max_head:
+                self._refuse(431, "the head of the request is too large")
+        except (_Refused, httptools.HttpParserError) as e:
+            self.broken, self.in_message = True, False
+            self._events.append(self._refusal or Rejected(400, str(e)))
         return self._events
 
-    def _reject(self, status: int, why: str) -> None:
-        self.broken, self.in_message = True, False
-        self._events.append(Rejected(status, why))
-
     def _refuse(self, status: int, why: str) -> None:
-        self._refusal = _Refusal(status, why)
-        raise self._refusal
+        self._refusal = Rejected(status, why)
+        raise _Refused
 
     def _count_head(self, size: int) -> None:
         self._head += size
@@ -82,7 +78,7 @@
 
     def on_message_begin(self) -> None:
         self._message, self._body = RequestMessage("", ""), bytearray()
-        self._head, self._codings, self._lengths = 0, [], []
+        self._head, self._framing, self._headed = 0, 0, False
         self.in_message = True
 
     def on_url(self, url: bytes) -> None:
@@ -91,32 +87,34 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value) + 4)
-        key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip()
-        if key == "transfer-encoding":
-            self._codings.append(text.lower())
-        elif key == "content-length":
-            self._lengths.append(text)
-        self._message.headers[key] = text
+        if not self._headed:  # Danger: a trailer would pass for a header that the head did not have.
+            add_header(self._message.headers, name.decode("latin-1").lower(), value.decode("latin-1").strip())
 
     def on_headers_complete(self) -> None:
+        self._headed, headers = True, self._message.headers
+        length, coding = headers.get("content-length"), headers.get("transfer-encoding")
         # Danger: two ways to tell where the body ends let one request hide inside another.
-        if len(self._lengths) > 1 or (self._lengths and self._codings):
+        if length is not None and (coding is not None or "," in length):
             self._refuse(400, "the length of the body is stated in more than one way")
-        if self._codings and self._codings != ["chunked"]:
+        if coding is not None and coding.lower() != "chunked":
             self._refuse(400, "the only transfer coding taken is chunked")
-        if self._lengths and not self._lengths[0].isdecimal():
+        if length is not None and not re.fullmatch("[0-9]{1,18}", length):
             self._refuse(400, "Content-Length is no number")
-        if self._lengths and int(self._lengths[0]) > self.max_body:
+        if length is not None and int(length) > self.max_body:
             self._refuse(413, "the body is too large")
         if self._parser.get_http_version() != "1.1":
             self._refuse(426, "HTTP/1.1 is needed")
-        if "host" not in self._message.headers:
-            self._refuse(400, "Host is missing")
+        if "," in headers.get("host", ","):
+            self._refuse(400, "one Host is needed")
+        # Danger: for the parser the body of such a request is another protocol's, and the request has none.
+        if self._parser.should_upgrade():
+            self._refuse(400, "no upgrade is offered here")
         self._message.method = self._parser.get_method().decode("latin-1")
         if self._message.headers.get("expect", "").lower() == "100-continue":
             self._events.append(ContinueWanted())
 
     def on_body(self, body: bytes) -> None:
+        self._framing -= len(body)
         if len(self._body) + len(body) > self.max_body:
             self._refuse(413, "the body is too large")
         self._body += body
@@ -124,6 +122,6 @@
     def on_message_complete(self) -> None:
         self._message.body = bytes(self._body)
         self._message.keep_alive = self._parser.should_keep_alive()
-        self._body = bytearray()
+        self._body, self._framing = bytearray(), 0
         self.in_message = False
         self._events.append(self._message)
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 from collections.abc import Collection
+from functools import partial
 from typing import Any, Protocol
 
 from loguru import logger
@@ -15,11 +16,12 @@
 from pearhill.core.dispatcher import Attempt, Request
 from pearhill.http1.client import Data, End, Event, Head, Lost
 from pearhill.net.address import Address
-from pearhill.net.pool import CannotConnect, Connection, Pool, call
+from pearhill.net.pool import CannotConnect, Connection, NoRoom, Pool, call
 from pearhill.net.turns import pause
 
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
 RELEASE_FOR = 20_000_000  # how long a release is tried again
+KEEP_LEFT = 60_000_000  # the address of an engine that has left the list: attempts and releases may still need it
 RELEASE_WAIT = 250_000  # for the answer to a release before it is tried again
 UNANSWERED = 8  # releases written and never answered, each on a connection that came up
 FIRST_RETRY, LAST_RETRY = 20_000, 500_000  # between tries of a release
@@ -78,6 +80,8 @@
             if address is None:
                 raise CannotConnect("the engine has no address")
             connection = self.connection = await pool.acquire(address)
+        except NoRoom:  # Danger: taken for the engine's failure, a crowd here would shun every engine in turn.
+            return self.over(i.MOOT)
         except CannotConnect:
             return self.over(i.UNREACHABLE)
         wait = max(1, (attempt.deadline - pool.deadlines.clock()) // 1000)
@@ -174,14 +178,26 @@
     def __init__(self, pool: Pool, dialect: Dialect) -> None:
         self.pool, self.dialect = pool, dialect
         self.addresses: dict[int, Address] = {}
+        self.leaving: dict[int, Key] = {}  # engines off the list, whose addresses go when their time is over
         self.calls: dict[Attempt, Call] = {}
         self.releasing = 0
 
-    def locate(self, engine: int, address: Address, wanted: bool) -> None:
-        """Where an engine listens. Connections to one that is not wanted any more are not kept."""
-        old, self.addresses[engine] = self.addresses.get(engine), address
-        if old and (old != address or not wanted):
-            self.pool.drop_idle(old)
+    def locate(self, addresses: dict[int, Address], gone: Collection[int], full: bool) -> None:
+        """Where engines listen; those that are gone, or missing from a full list, have left. No connections are
+        kept to an engine that has left or moved."""
+        for engine, address in addresses.items():
+            old, self.addresses[engine] = self.addresses.get(engine), address
+            self.pool.deadlines.cancel(self.leaving.pop(engine, None))
+            if old and old != address:
+                self.pool.drop_idle(old)
+        for engine in {*gone, *(self.addresses.keys() - addresses.keys() if full else ())} - self.leaving.keys():
+            if engine in self.addresses:
+                self.pool.drop_idle(self.addresses[engine])
+                self.leaving[engine] = self.pool.deadlines.after(KEEP_LEFT, partial(self._forget, engine))
+
+    def _forget(self, engine: int) -> None:
+        """Danger: where machines come and go all day under new names, whatever is kept of each fills the memory."""
+        del self.addresses[engine], self.leaving[engine]
 
     def send(self, attempt: Attempt) -> None:
         self.calls[attempt] = Call(self, attempt)
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -24,10 +24,12 @@
 BUFFER = 16 * 1024
 ROOM = 64 * 1024  # bytes of an answer that may wait for a slow client before its server is held back
 PIPELINED = 4  # requests that may wait on one connection behind the one being answered
-MESSAGE_WITHIN = 10_000_000  # a request that has begun is whole by then
-IDLE_WITHIN = 120_000_000
-LINGER = 1_000_000
+MESSAGE_WITHIN = 2_000_000  # a request is whole by then, from its first byte; the first one from its accept
+IDLE_WITHIN = 5_000_000
+LINGER, LINGER_BYTES = 1_000_000, 256 * 1024  # how long, and how much, is read past the last answer
 WRITE_WITHIN = 20_000_000  # a client that takes no byte for so long is gone
+ACCEPT_AT_ONCE = 16  # connections taken in one turn
+TURN = 250_000  # a connection that young may have bytes that no turn has come to read
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -41,17 +43,16 @@
         self.pending: Pending | None = None
         self.answering = self.closed = self.ending = False
         self.requests = 0
-        self.idle_since = listener.deadlines.clock()
+        self.since = listener.deadlines.clock()  # its accept, the first byte of what is being read, the last answer
         self._keep = True
         self._out = bytearray()
-        self._wake, self._room, self._next = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self._room, self._next = asyncio.Event(), asyncio.Event()
         self._room.set()
         self._timer: Key | None = None
         self._reason = "answered"
+        self._writer: asyncio.Task[None] | None = None  # while there is something to write
         self._reader = listener.spawn(self._read())
-        self._writer = listener.spawn(self._write())
-        for task in (self._reader, self._writer):
-            task.add_done_callback(self._task_over)
+        self._reader.add_done_callback(self._task_over)
         self._watch()
 
     @property
@@ -60,7 +61,22 @@
 
     @property
     def idle_but_reading(self) -> bool:
-        return not (self.answering or self.waiting or self._out)
+        return not (self.answering or self.waiting or self._out or (self._writer and not self._writer.done()))
+
+    @property
+    def owes_a_request(self) -> bool:
+        """Nothing was ever asked on it, or a request has begun and is not whole."""
+        return self.machine.in_message or not self.requests
+
+    @property
+    def unread(self) -> bool:
+        """It has only just come, and bytes with it. Danger: a request among hundreds that only connect would go too."""
+        if self.requests or self.listener.deadlines.clock() - self.since > TURN:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
 
     # Reply.
 
@@ -68,6 +84,10 @@
         self._put(messages.answer(status, headers, body, close=not self._keeps()))
         self._done()
 
+    def turn_away(self, status: int, headers: Headers, body: bytes) -> None:
+        self._keep, self._reason = False, f"rejected-{status}"
+        self.answer(status, headers, body)
+
     def start(self, status: int, headers: Headers = ()) -> None:
         self._put(messages.stream_head(status, headers, close=not self._keeps()))
 
@@ -93,7 +113,7 @@
     def _put(self, data: bytes) -> None:
         if not self.closed:
             self._out += data
-            self._wake.set()
+            self._flush()
             if len(self._out) > ROOM:
                 self._room.clear()
 
@@ -101,10 +121,16 @@
         self.answering, self.pending = False, None
         if not self._keep or self.listener.closing:
             self.ending = True
-            self._wake.set()
+            self._flush()
             return
         self._advance()
 
+    def _flush(self) -> None:
+        """A writer for as long as there is something to write: hundreds that say nothing cost no second task."""
+        if not self.closed and (self._writer is None or self._writer.done()):
+            self._writer = self.listener.spawn(self._write())
+            self._writer.add_done_callback(self._task_over)
+
     def _advance(self) -> None:
         """Take up the next request, unless one is being answered."""
         while self.waiting and not (self.answering or self.ending or self.closed):
@@ -129,34 +155,35 @@
             if self.answering and self.requests == turn:
                 self.pending = pending
         if not self.answering:
-            self.idle_since = self.listener.deadlines.clock()
+            self.since = self.listener.deadlines.clock()
         self._watch()
 
     def _reject(self, message: Rejected) -> None:
         self.listener.counters.rejected += 1
-        self._keep, self._reason = False, f"rejected-{message.status}"
-        headers, body = self.listener.handler.rejected(message.status, message.why)
-        self.answer(message.status, headers, body)
+        self.turn_away(message.status, *self.listener.handler.rejected(message.status, message.why))
 
     def _watch(self) -> None:
-        """One deadline a connection: for a half-sent request, or for the next one to begin."""
+        """One deadline a connection: for a half-sent request, or for the next one to begin. Danger: were it set anew
+        by each byte, or only by the first, a client that trickles or says nothing would hold its place for good."""
         self.listener.deadlines.cancel(self._timer)
         self._timer = None
         if self.closed or self.answering or self.ending:
             return
-        if self.machine.in_message:
-            self._timer = self.listener.deadlines.after(MESSAGE_WITHIN, self._too_slow)
+        if self.owes_a_request:
+            self._timer = self.listener.deadlines.at(self.since + MESSAGE_WITHIN, self._too_slow)
         else:
-            self._timer = self.listener.deadlines.after(IDLE_WITHIN, lambda: self.close("idle"))
+            self._timer = self.listener.deadlines.at(self.since + IDLE_WITHIN, lambda: self.close("idle"))
 
     def _too_slow(self) -> None:
+        if not self.machine.in_message:
+            return self.close("silent")
         self.waiting.append(Rejected(408, "the request did not arrive in time"))
         self._advance()
 
     async def _read(self) -> None:
         buffer = bytearray(BUFFER)
         view = memoryview(buffer)
-        loop, reason = self.listener.loop, "client-closed"
+        loop, reason, past = self.listener.loop, "client-closed", 0
         try:
             while not self.closed:
                 try:
@@ -165,15 +192,22 @@
                     size, reason = 0, f"client-{type(e).__name__}"
                 if not size:
                     break
+                if self.ending:
+                    past += size
+                    if past > LINGER_BYTES:  # Danger: whoever sends megabytes after its answer is read to the end.
+                        break
+                    continue
                 began = self.machine.in_message
                 for event in self.machine.feed(view[:size]):
                     if not isinstance(event, ContinueWanted):
                         self.waiting.append(event)
-                    elif self.idle_but_reading:  # Danger: elsewhere it would land inside another's answer.
+                    elif not (self.answering or self.waiting):  # Danger: it would land inside another's answer.
                         self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
                 if self.waiting:
                     self._advance()
                 elif self.machine.in_message != began:
+                    if self.requests:
+                        self.since = self.listener.deadlines.clock()
                     self._watch()
                 while len(self.waiting) > PIPELINED and not self.closed:
                     self._next.clear()
@@ -183,27 +217,24 @@
 
     def _task_over(self, task: asyncio.Task[None]) -> None:
         """Danger: a socket that is closed while the loop still polls it may hand its number to another."""
-        if self._reader.done() and self._writer.done():
+        if self._reader.done() and (self._writer is None or self._writer.done()):
             self.sock.close()
             self.listener.links.discard(self)
 
     async def _write(self) -> None:
         loop = self.listener.loop
-        while not self.closed:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._out and not self.closed:
-                data, self._out = self._out, bytearray()
-                stuck = self.listener.deadlines.after(WRITE_WITHIN, lambda: self.close("client-stuck"))
-                try:
-                    await loop.sock_sendall(self.sock, data)
-                except OSError as e:
-                    return self.close(f"client-{type(e).__name__}")
-                finally:
-                    self.listener.deadlines.cancel(stuck)
-                self._room.set()
-            if self.ending and not self._out:
-                return self._linger()
+        while self._out and not self.closed:
+            data, self._out = self._out, bytearray()
+            stuck = self.listener.deadlines.after(WRITE_WITHIN, lambda: self.close("client-stuck"))
+            try:
+                await loop.sock_sendall(self.sock, data)
+            except OSError as e:
+                return self.close(f"client-{type(e).__name__}")
+            finally:
+                self.listener.deadlines.cancel(stuck)
+            self._room.set()
+        if self.ending and not self.closed:
+            self._linger()
 
     def _linger(self) -> None:
         """Danger: closed with input unread, the connection is reset and the answer lost on its way."""
@@ -224,7 +255,7 @@
         with contextlib.suppress(OSError):  # the client was first
             self.sock.shutdown(socket.SHUT_RDWR)
         for task in (self._reader, self._writer):
-            if asyncio.current_task(self.listener.loop) is not task:
+            if task and asyncio.current_task(self.listener.loop) is not task:
                 task.cancel()
         self.listener.counters.connections[f"client {reason}"] += 1
         logger.info("connection side=client peer={} reason={} requests={}", self.peer, reason, self.requests)
@@ -234,7 +265,7 @@
 
 
 class Listener:
-    """`most` bounds the clients' connections; past it the one that has idled longest makes room."""
+    """`most` bounds the clients' connections; past it those that are of least use make room."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, handler: Handler,
                  most: int) -> None:
@@ -271,15 +302,35 @@
                     self._make_room()
                 await pause(self.deadlines, 20_000)
                 continue
-            client.setblocking(False)
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
+            self._take(client, peer)
+            # Danger: one a turn, those who ask would stand in line behind hundreds who only connect.
+            for _ in range(min(ACCEPT_AT_ONCE, self.most - len(self.links))):
+                try:
+                    self._take(*sock.accept())
+                except OSError:  # nobody else is there, or the next turn will tell
+                    break
+
+    def _take(self, client: socket.socket, peer: Any) -> None:
+        client.setblocking(False)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
 
     def _make_room(self) -> bool:
-        idle = [link for link in self.links if link.idle and not link.closed]
-        if idle:
-            min(idle, key=lambda link: link.idle_since).close("room-needed")
-        return bool(idle)
+        """First go those that have had their last answer, then those that still owe a request: hundreds of them
+        would shut everyone out. Then whoever has idled longest. One that is being answered never goes."""
+        spent, owing, idle = list[Link](), list[Link](), list[Link]()
+        for link in self.links:
+            if not link.closed and link.idle_but_reading:
+                kind = spent if link.ending else owing if link.owes_a_request else idle
+                kind.append(link)
+        for links, most in (spent, ACCEPT_AT_ONCE), (owing, ACCEPT_AT_ONCE), (idle, 1):
+            if links:  # several at once where they are cheap to lose: each look is a walk over all
+                links = [link for link in sorted(links, key=lambda link: link.since)[:most] if not link.unread]
+                for link in links:
+                    link.close("room-needed")
+                if links:
+                    return True
+        return False
 
     @property
     def quiet(self) -> bool:
@@ -307,8 +358,7 @@
                     client, peer = self._sock.accept()
                 except OSError:
                     break
-                client.setblocking(False)
-                self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
+                self._take(client, peer)
             self._sock.close()
             self._sock = None
 
--- a/pearhill/net/log.py
+++ b/pearhill/net/log.py
@@ -2,28 +2,32 @@
 
 from __future__ import annotations
 
-import contextlib
 import queue
 import sys
 import threading
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
+if TYPE_CHECKING:
+    from loguru import Message
+
 MOST = 10_000  # lines that may wait; past it lines are dropped
-FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}"
 
 
 class LogThread:
     def __init__(self, level: str = "INFO") -> None:
-        self._lines: queue.Queue[str | None] = queue.Queue(MOST)
+        self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         logger.remove()
-        logger.add(self._put, format=FORMAT, level=level, backtrace=False, diagnose=False)
+        # The line's own form is made here: loguru's way with times costs as much as all the rest of a line.
+        logger.add(self._put, format="{message}", level=level, backtrace=False, diagnose=False)
         self._thread.start()
 
-    def _put(self, line: str) -> None:
-        with contextlib.suppress(queue.Full):
-            self._lines.put_nowait(line)
+    def _put(self, message: Message) -> None:
+        if self._lines.qsize() < MOST:
+            time, level = message.record["time"], message.record["level"].name
+            self._lines.put(f"{time.replace(tzinfo=None).isoformat(timespec='milliseconds')} {level} {message}")
 
     def _run(self) -> None:
         while (line := self._lines.get()) is not None:
@@ -35,8 +39,5 @@
 
     def close(self) -> None:
         """Write what waits, within a second."""
-        try:
-            self._lines.put(None, timeout=1)
-        except queue.Full:
-            return
+        self._lines.put(None)
         self._thread.join(1)
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import socket
-from collections import defaultdict
 from typing import Protocol
 
 from loguru import logger
@@ -18,12 +17,17 @@
 from pearhill.net.turns import time_limit
 
 BUFFER = 16 * 1024
+MAX_ANSWER = 4 << 20  # of a list of servers
 
 
 class CannotConnect(Exception):
     """No connection came up; nothing was sent."""
 
 
+class NoRoom(CannotConnect):
+    """It was not even tried: this process has no descriptor for it. That says nothing of the server."""
+
+
 class Exchange(Protocol):
     """One request on a connection. `handle` gets each piece of the answer, a `Lost` at the latest."""
 
@@ -123,28 +127,31 @@
 
 
 class Pool:
-    """All connections to servers. `most` bounds them all together."""
+    """All connections to servers. `most` bounds them all together; `spare` more are for those of `acquire(urgent)`."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, *,
-                 connect_timeout: int, keep_idle: int, most: int) -> None:
+                 connect_timeout: int, keep_idle: int, most: int, spare: int) -> None:
         self.loop, self.deadlines, self.counters = loop, deadlines, counters
         self.connect_timeout, self.keep_idle, self.most = connect_timeout, keep_idle, most
-        self.idle: defaultdict[Address, list[Connection]] = defaultdict(list)
+        self.spare = spare
+        self.idle: dict[Address, list[Connection]] = {}  # no empty lists: servers come and go, their keys too
         self.open: set[Connection] = set()
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
-    async def acquire(self, address: Address, fresh: bool = False) -> Connection:
-        """A connection that is up: an idle one that still stands, the latest used first, else a new one."""
-        idle = self.idle[address]
-        while idle and not fresh:
-            connection = idle.pop()
-            self.deadlines.cancel(connection.idle_key)
+    async def acquire(self, address: Address, urgent: bool = False) -> Connection:
+        """A connection that is up: an idle one that still stands, the latest used first, else a new one. `urgent`:
+        a call that keeps the books in order, whatever the requests hold."""
+        while address in self.idle:
+            connection = self.idle[address][-1]
+            self._leave_idle(connection)
             if connection.usable:
                 return connection
             connection.close("stale")
-        if len(self.open) + self._connecting >= self.most and not self._drop_oldest():
-            raise CannotConnect("every descriptor set aside for servers is in use")
+        # Danger: requests by the hundred would leave no descriptor for releases and for the list of servers.
+        most = self.most + self.spare * urgent
+        if len(self.open) + self._connecting >= most and not self._drop_oldest():
+            raise NoRoom("every descriptor set aside for servers is in use")
         self._connecting += 1
         sock: socket.socket | None = None
         try:
@@ -172,18 +179,24 @@
         self.connect_timeout, self.keep_idle = connect_timeout, keep_idle
 
     def put_back(self, connection: Connection) -> None:
-        self.idle[connection.address].append(connection)
+        self.idle.setdefault(connection.address, []).append(connection)
         # Danger: a server closes an idle connection without a word, and what is then sent may have run.
         connection.idle_key = self.deadlines.after(self.keep_idle, lambda: connection.close("idle"))
 
     def forget(self, connection: Connection) -> None:
         self.open.discard(connection)
+        self._leave_idle(connection)
+
+    def _leave_idle(self, connection: Connection) -> None:
         self.deadlines.cancel(connection.idle_key)
-        if connection in (idle := self.idle[connection.address]):
+        idle = self.idle.get(connection.address, [])
+        if connection in idle:
             idle.remove(connection)
+            if not idle:
+                del self.idle[connection.address]
 
     def drop_idle(self, address: Address) -> None:
-        for connection in list(self.idle[address]):
+        for connection in list(self.idle.get(address, ())):
             connection.close("server-left")
 
     def _drop_oldest(self) -> bool:
@@ -222,9 +235,9 @@
             self.done.set_result(error)
 
 
-async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = 16 << 20) -> tuple[int, bytes]:
+async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = MAX_ANSWER) -> tuple[int, bytes]:
     """One request and its whole answer. OSError, TimeoutError, ValueError or CannotConnect where there is none."""
-    connection = await pool.acquire(address)
+    connection = await pool.acquire(address, urgent=True)
     gathered = Gathered(pool.loop, most)
     try:
         async with time_limit(pool.deadlines, timeout):
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -24,7 +24,8 @@
 from pearhill.net.turns import Turns, pause
 from pearhill.settings import Deployment
 
-SPARE = 48  # descriptors for the log, the loop, the listener and the list of servers
+SPARE = 48  # descriptors for the log, the loop, the listener, and
+FOR_BOOKS = 24  # of them for releases and the list of servers
 KEEP_OPEN = 500_000  # after SIGTERM clients still use the connections they have, and new ones still come
 ACCEPT_FOR = 1_000_000
 RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried
@@ -51,9 +52,9 @@
         self.counters = Counters()
         self.deadlines = Deadlines(start_clock())
         self.turns = Turns(loop, self.deadlines)
-        self.room = (limits.sockets - SPARE) // 2  # for clients, and as many for servers
+        self.room = (limits.sockets - SPARE) // 2  # for clients, and as many for requests at servers
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
-                         keep_idle=_keep_idle(deployment), most=self.room)
+                         keep_idle=_keep_idle(deployment), most=self.room, spare=FOR_BOOKS)
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.backend = HttpBackend(self.pool, dialect)
         self.dispatcher.backend = self.backend
@@ -62,8 +63,7 @@
     def listed(self, full: bool, entries: tuple[i.Entry, ...], addresses: dict[int, Address]) -> None:
         """A list of servers, to be in force before the next send."""
         self.counters.lists += 1
-        for entry in entries:
-            self.backend.locate(entry.engine, addresses[entry.engine], entry.phase != i.GONE)
+        self.backend.locate(addresses, [entry.engine for entry in entries if entry.phase == i.GONE], full)
         self.dispatcher.listed(full, entries)
 
     def reconfigure(self, deployment: Deployment) -> None:
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -122,11 +122,11 @@
             id, ask = self._read(message)
         except BadRequest as e:
             dispatcher.counters.rejected += 1
-            reply.answer(400, TEXT, f"{e}\n".encode())
+            reply.turn_away(400, TEXT, f"{e}\n".encode())
             return None
         if id in self.open:  # Danger: two requests of one id could not be told apart at a replica.
             dispatcher.counters.rejected += 1
-            reply.answer(409, TEXT, b"a request with this Request-Id is open\n")
+            reply.turn_away(409, TEXT, b"a request with this Request-Id is open\n")
             return None
         if len(dispatcher.requests) >= dispatcher.deployment.most_held:
             dispatcher.counters.refused += 1
--- a/pearhill/platform/replica.py
+++ b/pearhill/platform/replica.py
@@ -5,6 +5,8 @@
 import re
 
 from pearhill.http1 import messages
+from pearhill.http1.sse import BadEvents, EventParser
+from pearhill.net.backend import Malformed
 from pearhill.platform.front import Payload
 
 HOST = "app.svc"
@@ -13,10 +15,11 @@
 
 
 class ReplicaStream:
-    """Passed on as it comes, byte for byte; only the usage near its end is read."""
+    """Its events are passed on as they come, byte for byte; only the usage near its end is read."""
 
     def __init__(self) -> None:
         self._tail = b""
+        self._parser = EventParser()
 
     @property
     def kept(self) -> int:
@@ -28,11 +31,16 @@
         return False  # the platform's streams are whole with their last chunk, and not before
 
     def feed(self, data: bytes) -> bytes:
-        self._tail = (self._tail + data)[-TAIL:]
-        return data
+        # Danger: a stream may be spoilt in the middle of an event. Only whole ones go on.
+        try:
+            ready = b"".join(event.raw for event in self._parser.feed(data))
+        except BadEvents as e:
+            raise Malformed(str(e)) from None
+        self._tail = (self._tail + ready)[-TAIL:]
+        return ready
 
     def ends_well(self) -> bool:
-        return True
+        return self._parser.between_events
 
 
 class ReplicaDialect:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,17 +1,23 @@
 """The core and the state machines by themselves: no socket, no process, a clock by hand."""
 
+import asyncio
 import unittest
+import weakref
 from typing import Any
+from unittest.mock import Mock
 
 from pearhill import interface as i
 from pearhill import settings
-from pearhill.chat.sse import BadEvents, EventParser
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.dispatcher import Ask, Attempt, Dispatcher
 from pearhill.counters import Counters
 from pearhill.http1.client import ClientConnection, Data, End, Head, Lost
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import Rejected, ServerConnection
+from pearhill.http1.sse import BadEvents, EventParser
+from pearhill.net.backend import HttpBackend
+from pearhill.net.pool import NoRoom, Pool
+from pearhill.platform.replica import ReplicaDialect
 from tests.standins import SETTINGS
 
 ADVICE, BOOKING = 0, 1
@@ -172,6 +178,68 @@
             (bad,) = ServerConnection().feed(head)
             self.assertEqual(bad.status, 400)
 
+    def test_what_never_ends_is_turned_away_while_it_still_comes(self):
+        block, head = b"x" * 8192, b"POST / HTTP/1.1\r\nHost: x\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for start in (head + b"A: ", head, b"GET /", chunked + b"1;a=", chunked + b"0\r\nA: ", b""):
+            with self.subTest(start=start):
+                machine, got = ServerConnection(), []
+                for part in (start, *[block if start else b"\r\n" * 4096] * 6):
+                    got += machine.feed(part)
+                self.assertEqual([e.status for e in got], [431])
+        for start in (b"HTTP/1.1 200 OK\r\nA: ", b"HTTP/1.1 200 ", b""):
+            with self.subTest(start=start):
+                client, got = ClientConnection(), []
+                client.expect()
+                for part in (start, *[block if start else b"HTTP/1.1 100 Continue\r\n\r\n" * 400] * 6):
+                    got += client.feed(part)
+                self.assertEqual([type(e) for e in got if client.awaiting or e != Lost("unasked")], [Lost])
+
+    def test_a_whole_body_in_small_pieces_is_no_endless_head(self):
+        parts = [b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n", *[b"x" * 1000] * 200] * 2
+        machine = ServerConnection()
+        self.assertEqual([len(e.body) for part in parts for e in machine.feed(part)], [200_000] * 2)
+
+    def test_a_trailer_is_no_header_and_a_header_that_comes_twice_is_a_list(self):
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nA: 1\r\na: 2\r\n\r\n0\r\nB: 3\r\n\r\n"
+        (got,) = ServerConnection().feed(head)
+        self.assertEqual((got.headers["a"], "b" in got.headers), ("1, 2", False))
+        for more in (b"Host: y", b"Content-Length: -1", b"Content-Length: +1", b"Content-Length: 1\r\n" * 2 + b"A: b",
+                     b"Upgrade: h2c\r\nConnection: upgrade"):
+            (bad,) = ServerConnection().feed(b"POST / HTTP/1.1\r\nHost: x\r\n" + more + b"\r\n\r\n")
+            self.assertEqual(bad.status, 400)
+
+    def test_what_is_turned_away_is_let_go_of_at_once(self):
+        machine = ServerConnection()
+
+        class Buffer:
+            pass
+
+        def read() -> weakref.ref[Buffer]:
+            buffer = Buffer()
+            machine.feed(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 999999\r\n\r\n")
+            return weakref.ref(buffer)
+        self.assertIsNone(read()())  # the machine lives on; it must not hold those who fed it
+
+    def test_a_chunk_counts_once_its_end_proves_its_size(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for spoilt in (b"3\r\nhello\r\n", b"9\r\nhello\r\n0\r\n\r\n", b"g\r\n", b"-5\r\nhello\r\n",
+                       b"BFFFFFFF\r\n" + b"x" * 300_000):
+            with self.subTest(spoilt=spoilt[:20]):
+                machine, got = ClientConnection(), []
+                machine.expect()
+                for part in (head + b"2\r\nhi\r\n", spoilt):
+                    got += machine.feed(part)
+                self.assertEqual([type(e) for e in got], [Head, Data, Lost])
+
+    def test_whatever_follows_an_answer_ends_its_connection(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+        for more, reusable in ((b"", True), (whole, False), (b"noise", False)):
+            machine = ClientConnection()
+            machine.expect()
+            got = machine.feed(b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + whole + more)
+            self.assertEqual(got, [Head(200, {"content-length": "2"}), Data(b"hi"), End(reusable)])
+
     def test_answers_in_pieces_and_what_comes_unasked(self):
         machine = ClientConnection()
         self.assertEqual(machine.feed(b"HTTP/1.1 200 OK\r\n"), [Lost("unasked")])
@@ -195,3 +263,54 @@
             self.assertEqual(b"".join(e.raw for e in got), stream)
         with self.assertRaises(BadEvents):
             EventParser(most=10).feed(b"data: " + b"x" * 10)
+
+
+class Books(unittest.IsolatedAsyncioTestCase):
+    """What is kept of servers, and room for what must get through."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 0
+        self.deadlines = Deadlines(lambda: self.now)
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        self.address = server.sockets[0].getsockname()
+        self.pool = Pool(asyncio.get_running_loop(), self.deadlines, Counters(), connect_timeout=10**6,
+                         keep_idle=10**6, most=1, spare=1)
+        self.addCleanup(self.pool.close)
+
+    async def test_calls_that_keep_the_books_get_through_a_crowd(self):
+        await self.pool.acquire(self.address)
+        with self.assertRaises(NoRoom):
+            await self.pool.acquire(self.address)
+        await self.pool.acquire(self.address, urgent=True)
+        with self.assertRaises(NoRoom):
+            await self.pool.acquire(self.address, urgent=True)
+
+    async def test_a_shortage_of_descriptors_here_is_no_fault_of_the_engines(self):
+        backend = HttpBackend(self.pool, ReplicaDialect())
+        backend.locate({1: self.address}, [], full=True)
+        await self.pool.acquire(self.address)
+        attempt = Mock(engine=1, deadline=10**6)
+        backend.send(attempt)
+        await backend.calls[attempt].task
+        attempt.end.assert_called_once_with(i.MOOT, 0, False)
+
+    async def test_servers_that_have_left_are_forgotten_once_nothing_is_owed_to_them(self):
+        backend = HttpBackend(self.pool, ReplicaDialect())
+        for n in range(1000):
+            backend.locate({n: self.address}, [], full=True)  # each list names one server, and a new one
+            self.assertIn(n - 1 if n else n, backend.addresses)  # a release may still be owed to the last one
+            self.now += 1_000_000
+            self.deadlines.sweep()
+        self.assertLess(len(backend.addresses), 100)
+        backend.locate({}, [999], full=False)
+        backend.locate({999: self.address}, [], full=False)  # it is back
+        self.now += 100_000_000
+        self.deadlines.sweep()
+        self.assertEqual(set(backend.addresses), {999})
+        connection = await self.pool.acquire(self.address)
+        self.pool.put_back(connection)
+        self.assertEqual(list(self.pool.idle), [self.address])
+        backend.locate({}, [999], full=False)
+        self.assertEqual((self.pool.idle, connection.closed), ({}, True))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,7 @@
 """The platform's front, replicas and discovery, over real sockets."""
 
+import contextlib
+import http.client
 import json
 import socket
 import subprocess
@@ -146,6 +148,32 @@
         self.assertEqual(self.program.counters()["rejected"], len(cases) + len(raw) + 2)
         self.assertEqual(server.calls, [])
 
+    def test_nothing_behind_bad_input_is_served(self):
+        (server,) = self.start("all-in-one")
+
+        def request(id: str, cls: str) -> bytes:
+            head = "".join(f"{k}: {v}\r\n" for k, v in headers(id, cls).items())
+            return f"POST {PATH} HTTP/1.1\r\nHost: a\r\n{head}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
+        with socket.create_connection((self.program.host, self.program.port), 20) as s:
+            s.sendall(request("bad", "unheard-of") + request("good", "advice"))
+            got = b"".join(iter(lambda: s.recv(4096), b""))
+        self.assertEqual((got.count(b"HTTP/1.1"), got.split(b" ")[1], server.calls), (1, b"400", []))
+
+    def test_who_trickles_or_says_nothing_is_cut_off_in_time(self):
+        self.start("all-in-one")
+        address = self.program.host, self.program.port
+        with socket.create_connection(address, 20) as silent, socket.create_connection(address, 20) as trickling:
+            trickling.settimeout(0.05)
+            trickling.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nA: ")
+            got = b""
+            while not got:
+                trickling.sendall(b"x")
+                with contextlib.suppress(TimeoutError):
+                    got = trickling.recv(4096)
+            self.assertIn(b"408", got)
+            self.assertEqual(silent.recv(1), b"")
+        self.program.wait_line("side=client .* reason=silent")
+
     def test_bad_configuration_is_one_line_that_names_the_key(self):
         for environ, key in (({}, "RELAY_CONFIG"), ({"RELAY_CONFIG": "/nowhere"}, "RELAY_CONFIG")):
             done = subprocess.run([sys.executable, "-m", "pearhill"], env=environ, cwd=ROOT, capture_output=True)
@@ -164,9 +192,17 @@
 
     def test_past_the_budget_the_longest_idle_client_makes_room(self):
         self.start("all-in-one", limits={"sockets": 64})
-        first = self.idle(20)[0]
+        used = self.program.connect()
+        used.request("GET", "/ready")
+        used.getresponse().read()
+        half, first = self.idle(2)
+        half.sendall(b"GET / HT")  # Danger: half a request would hold its place until its time is over
+        self.idle(20)
         self.assertEqual(self.program.ask("POST", PATH, BODY, headers())[0], 200)
         self.assertEqual(first.recv(1), b"")
+        self.assertEqual(half.recv(1), b"")
+        used.request("GET", "/ready")  # it has been of use: others make room first
+        self.assertEqual(used.getresponse().status, 200)
         self.program.wait_line("side=client .* reason=room-needed")
 
     def test_out_of_descriptors_accepting_pauses_and_goes_on(self):
@@ -176,6 +212,52 @@
         self.assertEqual(self.program.ask("GET", "/ready")[0], 200)
 
 
+class Spoilt(PlatformCase):
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    def raw(self, *parts: bytes) -> Any:
+        """A server's answer to a POST, byte by byte as the test says; its connection stays open."""
+        def respond(handler, body):
+            try:
+                for part in parts:
+                    handler.wfile.write(part)
+                handler.wfile.flush()
+                handler.rfile.read(1)  # the dispatcher's end of it
+            except OSError:
+                pass
+            handler.close_connection = True
+        return respond
+
+    def test_before_the_first_event_it_may_have_run_and_later_the_client_gets_good_events_alone(self):
+        first = b"%x\r\n%b\r\n" % (len(TOKENS[0]), TOKENS[0])
+        endless = self.HEAD[:-2] + b"A: " + b"x" * 100_000
+        lying, huge = b"5\r\n" + TOKENS[1] + b"\r\n", b"BFFFFFFF\r\n" + b"x" * 300_000
+        half = b"%x\r\n%b\r\n" % (9, TOKENS[1][:9])
+        (server,) = self.start("all-in-one")
+        for n, parts in enumerate(((b"noise\r\n\r\n",), (endless,), (self.HEAD, lying))):
+            server.respond = self.raw(*parts)
+            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"a{n}", "job-booking"))[0], 500)
+            self.assertEqual(server.runs, n + 1)
+        for n, spoilt in enumerate((lying, huge, half + b"zz\r\n")):
+            server.respond = self.raw(self.HEAD, first, spoilt)
+            connection = self.program.connect()
+            self.addCleanup(connection.close)
+            connection.request("POST", PATH, BODY, headers(f"b{n}"))
+            response, got = connection.getresponse(), b""
+            with self.assertRaises(http.client.IncompleteRead) as broken:
+                got = response.read()
+            self.assertEqual(got + broken.exception.partial, TOKENS[0])
+        self.program.wait_line("side=server .* reason=lost-malformed")
+
+    def test_interim_answers_do_no_harm_and_a_second_answer_is_never_read_as_the_next(self):
+        whole = self.HEAD + b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in (*TOKENS, LAST)) + b"0\r\n\r\n"
+        (server,) = self.start("all-in-one")
+        server.respond = self.raw(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 E\r\nA: b\r\n\r\n" + whole + whole)
+        for n in range(3):
+            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"c{n}"))[2], b"".join(TOKENS) + LAST)
+        self.assertEqual(server.runs, 3)
+
+
 class Reload(PlatformCase):
     def test_a_new_discovery_is_asked_for_the_whole_list_and_what_is_open_lives_on(self):
         old, new = self.start("all-in-one")[0], Standin()
