Token budgets from the front to the bill: reserved, settled, journaled, refused at once

Need: partner schools ask for fair shares; each tenant gets a budget in tokens that is counted, enforced and billed.

The core's client is wrapped, so that every way a request can end settles it once: whole, broken (by what was seen), declined, left.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 lint: build
 	.venv/bin/ruff check .
 	.venv/bin/mypy
+	.venv/bin/lint-imports --no-cache
 
 # The chat front. The platform's dispatcher is `python -m pearhill`, with the platform's variables set.
 run: build
--- a/pearhill/budgets/limits.py
+++ b/pearhill/budgets/limits.py
@@ -9,11 +9,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pearhill.interface import DEBT, OVER, SPARE, WITHIN
+
 MILLI = 1_000
 GRAINS = 60_000_000  # in a milli
 DAY = 86_400  # seconds
 
-WITHIN, SPARE, OVER, DEBT = "within", "spare", "over", "debt"
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,3 +150,7 @@
             and 1 <= int(month) <= 12 and int(year) >= 1970):
         raise ValueError(f"{name!r} is no month as in 2026-12")
     return (int(year) - 1970) * 12 + int(month) - 1
+
+
+__all__ = ["DAY", "DEBT", "GRAINS", "MILLI", "OVER", "SPARE", "WITHIN", "Limit", "Plan", "Prices", "Reservation",
+           "Standing", "TenantPlan", "Used", "month_name", "month_of", "periods"]
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -67,6 +67,7 @@
         self.headers, self.heart, self._on_over = tuple(headers), heart, on_over
         self.started = self.over = False
         self.whole = True  # as far as it could be put together
+        self.refusal = BUSY
 
     def _end(self, status: int, code: str) -> bool:
         """False: its client has been answered already."""
@@ -83,7 +84,7 @@
             self.reply.answer(error.status, (*JSON, *self.headers, retry, *more), error.body())
 
     def refuse(self, stay_away: int) -> None:
-        self.error(BUSY, True, retry_headers(stay_away))
+        self.error(self.refusal, self.refusal.type != "insufficient_quota", retry_headers(stay_away))
 
     def fail(self) -> None:
         self.error(FAILED, self.repeatable)
--- a/pearhill/chat/file.py
+++ b/pearhill/chat/file.py
@@ -7,6 +7,7 @@
 from msgspec import Meta, Struct, field
 
 Whole = Annotated[int, Meta(ge=1)]
+Tokens = Annotated[int, Meta(ge=0, le=10**15)]
 Micros = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Text = Annotated[str, Meta(min_length=1)]
@@ -62,6 +63,7 @@
     max_answer_bytes: Annotated[int, Meta(ge=1024, le=256 << 20)] = 4 << 20
     heartbeat_s: Annotated[float, Meta(ge=0, le=600)] = 0.0
     server_key_file: str = ""
+    budgets_file: str = ""
     rule: list[RuleTable] = []
     model: list[ModelTable] = []
     tenant: list[TenantTable] = []
@@ -156,9 +158,61 @@
     report: dict[str, Any] = {}
 
 
+class LimitsTable(Struct, forbid_unknown_fields=True):
+    """Limits of one level. 0: no such limit."""
+
+    tokens_per_min: Tokens = 0
+    burst_tokens: Tokens = 0
+    debt_tokens: Tokens = 0
+    day_tokens: Tokens = 0
+    month_tokens: Tokens = 0
+    open_requests: Tokens = 0
+
+
+class AccountTable(LimitsTable, forbid_unknown_fields=True, kw_only=True):
+    name: Text
+
+
+class DefaultTable(LimitsTable, forbid_unknown_fields=True, kw_only=True):
+    """A tenant's own limits, its weight in what is spare, and the limits of each of its keys."""
+
+    weight: Annotated[float, Meta(ge=0, le=1_000)] = 1.0
+    key_tokens_per_min: Tokens = 0
+    key_burst_tokens: Tokens = 0
+    key_debt_tokens: Tokens = 0
+    key_day_tokens: Tokens = 0
+    key_month_tokens: Tokens = 0
+    key_open_requests: Tokens = 0
+
+
+class BudgetTable(DefaultTable, forbid_unknown_fields=True, kw_only=True):
+    name: Text
+    account: str = ""
+
+
+class BudgetsTable(Struct, forbid_unknown_fields=True):
+    capacity_tokens_per_min: Tokens = 0
+    capacity_burst_tokens: Tokens = 0
+    cached_price: Annotated[float, Meta(ge=0, le=1_000)] = 1.0
+    answer_price: Annotated[float, Meta(ge=0, le=1_000)] = 1.0
+    instances: Whole = 1
+    folder: str = ""
+    uncounted_tokens: Tokens = 0
+    default: DefaultTable = field(default_factory=DefaultTable)
+    account: list[AccountTable] = []
+    tenant: list[BudgetTable] = []
+
+
+class BudgetsFile(Struct, forbid_unknown_fields=True):
+    """A file of budgets alone."""
+
+    budgets: BudgetsTable
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True):
     settings: SettingsTable
     chat: ChatTable
     idempotency: IdempotencyTable = field(default_factory=IdempotencyTable)
     server: list[ServerTable] = []
     eureka: EurekaTable | None = None
+    budgets: BudgetsTable | None = None
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -16,6 +16,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from urllib.parse import unquote
 
 import msgspec
@@ -25,18 +26,21 @@
 from pearhill.chat.answers import Answer, Heart, Spawn
 from pearhill.chat.endpoints import ENDPOINTS
 from pearhill.chat.errors import AUTHENTICATION, JSON, PERMISSION, RATE, ApiError, invalid, retry_headers
-from pearhill.chat.keys import ANYONE, Keyring, Tenant
+from pearhill.chat.keys import ANYONE, Keyring, Tenant, key_number
 from pearhill.chat.keys import told as key_told
+from pearhill.chat.meter import Meter
 from pearhill.chat.prompt import Made, Prompt
 from pearhill.chat.records import Record, Store
 from pearhill.chat.servers import ChatPayload
 from pearhill.chat.setup import Model, Reading
+from pearhill.chat.spending import Desk, Spender, turned_away
 from pearhill.core.dispatcher import Ask, Dispatcher, Request
 from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
 
-MODELS = "/v1/models"
-CALLS = {**dict.fromkeys(ENDPOINTS, "POST"), MODELS: "GET", "/ready": "GET", "/counters": "GET"}
+MODELS, USAGE = "/v1/models", "/v1/usage"
+CALLS = {**dict.fromkeys(ENDPOINTS, "POST"), MODELS: "GET", USAGE: "GET", "/ready": "GET", "/counters": "GET"}
+HINT = "x-expected-answer-tokens"  # how long a client thinks that its answer will be
 LONGEST_KEY = 256  # characters of an Idempotency-Key
 _CLIENT_ID = re.compile(r"[\x20-\x7e]{1,512}")
 
@@ -47,7 +51,7 @@
 
 def owns(path: str) -> bool:
     """Whether a path is the API's: an embedding application leaves those to it."""
-    return path in ENDPOINTS or path == MODELS or path.startswith(f"{MODELS}/")
+    return path in ENDPOINTS or path in (MODELS, USAGE) or path.startswith(f"{MODELS}/")
 
 
 class _Direct:
@@ -56,9 +60,12 @@
     def __init__(self, dispatcher: Dispatcher, answer: Answer) -> None:
         self._dispatcher, self._answer = dispatcher, answer
         self.request: Request | None = None
+        self.spender: Spender | None = None
 
     def left(self) -> None:
         self._answer.left()
+        if self.spender:
+            self.spender.left()
         if self.request:
             self._dispatcher.leave(self.request)
 
@@ -66,19 +73,26 @@
 class _Asked:
     """One request on its way through the front."""
 
-    __slots__ = ("id", "message", "reply", "tenant", "model", "prompt", "since", "front")
+    __slots__ = ("id", "message", "reply", "tenant", "model", "prompt", "since", "front", "key", "_limits")
 
     def __init__(self, front: ChatFront, message: RequestMessage, reply: Reply) -> None:
         self.front, self.message, self.reply = front, message, reply
         self.id = secrets.token_hex(12)
         self.since = front.dispatcher.clock()
         self.tenant: Tenant = ANYONE
+        self.key = ""  # the number of the one that it came with
+        self._limits: Headers = ()
         self.model: Model | None = None
         self.prompt: Prompt | None = None
 
     @property
     def headers(self) -> Headers:
-        return (("x-request-id", self.id),)
+        return (("x-request-id", self.id), *self._limits)
+
+    def count_in(self) -> None:
+        """Tell its client how its budget stands from here on."""
+        if self.front.desk:
+            self._limits = self.front.desk.headers(self.tenant.name)
 
     def turn_away(self, error: ApiError) -> None:
         """Answer what was not taken. The message's end is known, so that its connection goes on."""
@@ -100,9 +114,9 @@
 
 class ChatFront:
     def __init__(self, dispatcher: Dispatcher, reading: Reading, keyring: Keyring, store: Store, spawn: Spawn,
-                 is_ready: Callable[[], bool]) -> None:
+                 is_ready: Callable[[], bool], desk: Desk | None = None) -> None:
         self.dispatcher, self.reading, self.keyring, self.store = dispatcher, reading, keyring, store
-        self.spawn, self.is_ready = spawn, is_ready
+        self.spawn, self.is_ready, self.desk = spawn, is_ready, desk
         self._classes = {name: k for k, name in enumerate(dispatcher.deployment.class_names)}
 
     def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
@@ -134,10 +148,16 @@
         elif path == "/counters":
             told = self.dispatcher.counters.as_dict()
         else:
-            asked.tenant = self._tenant(asked.message)
-            told = self._models(asked.tenant, unquote(path.removeprefix(MODELS).removeprefix("/")))
+            self._identify(asked)
+            name = unquote(path.removeprefix(MODELS).removeprefix("/"))
+            told = self._usage(asked) if path == USAGE else self._models(asked.tenant, name)
         asked.reply.answer(status, (*JSON, *asked.headers), msgspec.json.encode(told))
 
+    def _usage(self, asked: _Asked) -> dict[str, object]:
+        if self.desk is None:
+            raise ApiError(404, "No budgets are kept here.", "unknown_url")
+        return self.desk.usage(asked.tenant.name)
+
     def _models(self, tenant: Tenant, name: str) -> dict[str, object]:
         if name:
             return self._card(self._model(name, tenant))
@@ -150,15 +170,17 @@
 
     # Who asks, and for what.
 
-    def _tenant(self, message: RequestMessage) -> Tenant:
+    def _identify(self, asked: _Asked) -> None:
+        """Whose request it is. ApiError: nobody's."""
         if not self.keyring:
-            return ANYONE
-        key = key_told(message.headers)
+            return asked.count_in()
+        key = key_told(asked.message.headers)
         if not key:
             raise ApiError(401, "You didn't provide an API key: send Authorization: Bearer KEY.", "invalid_api_key",
                            type=AUTHENTICATION, headers=(("WWW-Authenticate", "Bearer"),))
         if tenant := self.keyring.owner(key):
-            return tenant
+            asked.tenant, asked.key = tenant, key_number(key)
+            return asked.count_in()
         raise ApiError(401, "The API key is not valid here.", "invalid_api_key", type=AUTHENTICATION,
                        headers=(("WWW-Authenticate", "Bearer"),))
 
@@ -176,7 +198,7 @@
     def _take(self, asked: _Asked) -> Pending | None:
         """One request, to its place in the core or to the answer that it has already. ApiError: turned away."""
         message = asked.message
-        asked.tenant = self._tenant(message)
+        self._identify(asked)
         if message.headers.get("content-encoding", "identity").lower() != "identity":
             raise invalid("Bodies are taken as they are: leave Content-Encoding out.", code="unsupported_encoding",
                           status=415)
@@ -193,17 +215,40 @@
             return None
         if answer.repeatable:
             direct = _Direct(self.dispatcher, answer)
-            direct.request = self.dispatcher.take(ask, answer, self._payload(asked))
+            ask, client, payload = self._reserve(asked, ask, answer, answer)
+            direct.spender = client if isinstance(client, Spender) else None
+            direct.request = self.dispatcher.take(ask, client, payload)
             return direct
         return self._run(Record(asked.id, b"", self.spawn), asked, ask, answer)
 
+    def _reserve(self, asked: _Asked, ask: Ask, answer: Answer, inner: Answer | Record,
+                 ) -> tuple[Ask, Answer | Record | Spender, ChatPayload]:
+        """What its budget says goes with the request, as a fact. The Router refuses what is not to be let in."""
+        desk, model = self.desk, asked.model
+        if desk is None:
+            return ask, inner, self._payload(asked)
+        assert model
+        told = asked.message.headers.get(HINT, "")
+        hint = int(told) if re.fullmatch("[0-9]{1,7}", told) else 0
+        standing = desk.admit(asked.tenant.name, asked.key, ask.prompt, ask.max_out, hint)
+        ask = replace(ask, standing=standing.kind, away=standing.wait)
+        if standing.reservation is None:
+            desk.refused(asked.tenant.name, asked.key)
+            answer.refusal = turned_away(standing)
+            return ask, inner, self._payload(asked)
+        asked.count_in()
+        answer.headers = tuple(asked.headers)
+        meter = Meter()
+        spender = desk.spender(standing.reservation, meter, ask.prompt, asked.id, model.name, asked.message.path, inner)
+        return ask, spender, self._payload(asked, meter)
+
     def _answer(self, asked: _Asked, prompt: Prompt, model: Model, ask: Ask) -> Answer:
         safe = self.dispatcher.deployment.router.classes[ask.cls].effect == i.SAFE
         heart = Heart(self.dispatcher.deadlines, self.spawn, self.reading.heartbeat)
         made = Made(asked.id, model.name, int(time.time()))
         return Answer(asked.reply, prompt.words(made), prompt.stream, safe, asked.headers, heart, asked.over)
 
-    def _payload(self, asked: _Asked) -> ChatPayload:
+    def _payload(self, asked: _Asked, meter: Meter | None = None) -> ChatPayload:
         """What servers get: the client's fields as they came, but for those that are this dispatcher's matter."""
         prompt, model = asked.prompt, asked.model
         assert prompt and model
@@ -211,7 +256,9 @@
         options = msgspec.json.decode(options) if isinstance(options, msgspec.Raw) else options
         fields = {**prompt.fields, "model": model.served_as, "stream": True,
                   "stream_options": {**(options or {}), "include_usage": True}}
-        return ChatPayload(asked.id, msgspec.json.encode(fields), prompt.wants_usage, self.reading.max_answer)
+        if meter and prompt.max_out is None:  # Danger: an answer without a limit would be a debt without one.
+            fields["max_completion_tokens"] = model.max_out or self.reading.max_out
+        return ChatPayload(asked.id, msgspec.json.encode(fields), prompt.wants_usage, self.reading.max_answer, meter)
 
     def _has_room(self, asked: _Asked) -> bool:
         """Danger: the core's books are bounded; past that nothing is taken, and the client is told at once."""
@@ -228,7 +275,8 @@
     def _run(self, record: Record, asked: _Asked, ask: Ask, answer: Answer) -> Pending:
         """Danger: a booking whose client leaves in mid-stream may have run. It is seen through to one outcome."""
         follower = record.follow(answer)
-        self.dispatcher.take(ask, record, self._payload(asked))
+        ask, client, payload = self._reserve(asked, ask, answer, record)
+        self.dispatcher.take(ask, client, payload)
         return follower
 
     def _once(self, key: str, asked: _Asked, ask: Ask, answer: Answer) -> Pending | None:
--- a/pearhill/chat/keys.py
+++ b/pearhill/chat/keys.py
@@ -42,7 +42,8 @@
     return f"ph-{secrets.token_urlsafe(32)}"
 
 
-def _number(key: str) -> str:
+def key_number(key: str) -> str:
+    """What a key is called where it must not be shown."""
     return hashlib.blake2b(key.encode(errors="replace"), digest_size=4, person=b"pearhill-number").hexdigest()
 
 
@@ -55,7 +56,7 @@
     if not SHORTEST <= len(key) <= LONGEST or not re.fullmatch(r"[\x21-\x7e]+", key):
         raise BadKey(f"a key is {SHORTEST} to {LONGEST} printable characters without spaces")
     salt = secrets.token_bytes(16) if salt is None else salt
-    return f"{_number(key)}${salt.hex()}${_hash(key, salt).hex()}"
+    return f"{key_number(key)}${salt.hex()}${_hash(key, salt).hex()}"
 
 
 class Keyring:
@@ -80,7 +81,7 @@
         """Whose key it is. Danger: how long the answer takes must tell nothing of how much of a key is right; a number
         that nobody has is compared all the same."""
         found: Tenant | None = None
-        number = _number(key)
+        number = key_number(key)
         for salt, digest, tenant in self._found.get(number, self._nobody):
             if hmac.compare_digest(_hash(key, salt), digest) and number in self._found:
                 found = tenant
--- a/pearhill/chat/servers.py
+++ b/pearhill/chat/servers.py
@@ -12,6 +12,7 @@
 from pearhill import interface as i
 from pearhill.chat.collected import DONE
 from pearhill.chat.errors import SERVER, ApiError, Said
+from pearhill.chat.meter import Meter
 from pearhill.chat.schema.chat import Chunk, ServerError
 from pearhill.http1 import messages
 from pearhill.http1.sse import BadEvents, EventParser
@@ -35,15 +36,19 @@
     body: bytes  # always asks for a stream with its usage: the router learns from it what was kept
     wants_usage: bool  # whether the usage event goes on to the client's words
     most: int = 4 << 20  # bytes that the answer's stream may have
+    meter: Meter | None = None  # is told what the stream shows of its use
 
 
 class ChatStream:
     """Passes on whole events that make sense, unchanged, and is whole with `[DONE]`."""
 
-    def __init__(self, wants_usage: bool, most: int) -> None:
+    def __init__(self, wants_usage: bool, most: int, meter: Meter | None = None) -> None:
         self.kept, self._whole, self._chunks = 0, False, 0
         self._wants_usage, self._room = wants_usage, most
         self._parser = EventParser()
+        self._meter = meter
+        if meter:
+            meter.restart()
 
     @property
     def whole(self) -> bool:
@@ -85,8 +90,12 @@
         if chunk.usage is not None:
             details = chunk.usage.prompt_tokens_details
             self.kept = details.cached_tokens or self.kept if details else self.kept
+            if self._meter:
+                self._meter.usage(chunk.usage.prompt_tokens, self.kept, chunk.usage.completion_tokens)
         if chunk.choices:
             self._chunks += 1
+            if self._meter:
+                self._meter.event()
             return True
         return self._wants_usage
 
@@ -126,7 +135,7 @@
         return messages.request("DELETE", f"/state/{payload.id}", HOST, self._authorization(engine))
 
     def stream(self, payload: ChatPayload) -> ChatStream:
-        return ChatStream(payload.wants_usage, payload.most)
+        return ChatStream(payload.wants_usage, payload.most, payload.meter)
 
     def accepts(self, headers: Mapping[str, str]) -> bool:
         kind = headers.get("content-type", "text/event-stream").partition(";")[0]
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -9,6 +9,7 @@
 from pearhill.chat.records import Store
 from pearhill.chat.servers import ChatDialect
 from pearhill.chat.setup import ChatSetup
+from pearhill.chat.spending import Corrupt, Desk
 from pearhill.config import for_next_start
 from pearhill.eureka.client import Eureka
 from pearhill.net.address import Address
@@ -26,8 +27,11 @@
         limits = Limits(setup.sockets, setup.seed, setup.max_body, SEND_BUFFER)
         self.node = node = Node(setup.deployment, self.dialect, limits)
         self.store = Store(node.deadlines, setup.store_bytes, setup.store_keep)
+        self.desk = Desk(setup.spending, node.deadlines) if setup.spending else None
         self.front = ChatFront(node.dispatcher, setup.reading, setup.keyring, self.store, node.pool.spawn,
-                               self.is_ready)
+                               self.is_ready, self.desk)
+        if self.desk:
+            node.on_report = self.desk.report
         self._eureka = self._registry(setup)
         self._address: Address | None = None
         self._fetching: asyncio.Task[None] | None = None
@@ -40,6 +44,12 @@
         return not self.node.draining and self.node.dispatcher.can_answer
 
     async def open(self) -> None:
+        """OSError: the journal of the budgets cannot be used."""
+        if self.desk:
+            try:
+                self.desk.open()
+            except (Corrupt, ValueError) as e:
+                raise OSError(f"budgets.folder: {self.setup.spending and self.setup.spending.folder}: {e}") from None
         if self.setup.entries:
             self.node.listed(True, self.setup.entries, self.setup.addresses)
         if self._eureka:
@@ -63,6 +73,8 @@
         node.reconfigure(fresh.deployment)
         self.setup, self.front.reading, self.front.keyring = fresh, fresh.reading, fresh.keyring
         self.dialect.keys, self.dialect.key = fresh.server_keys, fresh.server_key
+        if self.desk and fresh.spending:
+            self.desk.reconfigure(fresh.spending)
         self.store.reconfigure(fresh.store_bytes, fresh.store_keep)
         if fresh.eureka != before.eureka:
             self._move(fresh)
@@ -73,7 +85,9 @@
         return f"{len(fresh.reading.rules)} rules, {len(fresh.keyring.tenants)} tenants" + for_next_start(
             ("chat.listen", before.listen, fresh.listen), ("chat.sockets", before.sockets, fresh.sockets),
             ("chat.seed", before.seed, fresh.seed),
-            ("chat.max_body_bytes", before.max_body, fresh.max_body))
+            ("chat.max_body_bytes", before.max_body, fresh.max_body),
+            ("budgets", before.spending is None, fresh.spending is None),
+            ("budgets.folder", before.spending and before.spending.folder, fresh.spending and fresh.spending.folder))
 
     def _move(self, fresh: ChatSetup) -> None:
         """Another registry, or none: the old one is left, and the list is taken from the new one."""
@@ -98,6 +112,8 @@
         await self.deregister()
         await self.node.until()
         self._leave_registry()
+        if self.desk:
+            self.desk.close()
         self.node.close()
 
 
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import tomllib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -10,8 +11,10 @@
 
 from pearhill import interface as i
 from pearhill import settings
+from pearhill.budgets import Limit, Plan, Prices, TenantPlan
 from pearhill.chat import file as f
 from pearhill.chat.keys import BadKey, Keyring, Tenant
+from pearhill.chat.spending import SpendingSetup
 from pearhill.config import ConfigError, typed
 from pearhill.core.engines import engine_of
 from pearhill.eureka.setup import EurekaSetup
@@ -85,6 +88,7 @@
     server_key: str
     max_body: int
     eureka: EurekaSetup | None
+    spending: SpendingSetup | None = None
 
 
 def _choice(path: str, name: str, names: Sequence[str]) -> int:
@@ -179,6 +183,51 @@
                        table.register_as.upper(), table.instance, table.lease_s, table.renew_s, table.fetch_s)
 
 
+def _limit(path: str, told: f.LimitsTable, instances: int, prefix: str = "") -> Limit:
+    """`prefix`: the keys' limits. Each instance has its part of every rate and quota."""
+    figures = {name: getattr(told, f"{prefix}{name}") for name in f.LimitsTable.__struct_fields__}
+    if figures["tokens_per_min"] and not figures["burst_tokens"]:
+        raise typed.complaint(f"{path}.{prefix}burst_tokens", 0, "a whole number above 0, where a rate is given")
+    parts = {name: -(-value // instances) for name, value in figures.items()}
+    return Limit(parts["tokens_per_min"], parts["burst_tokens"], parts["day_tokens"], parts["month_tokens"],
+                 parts["open_requests"], parts["debt_tokens"])
+
+
+def _spending(table: f.BudgetsTable, deployment: settings.Deployment) -> SpendingSetup:
+    n, accounts, tenants = table.instances, dict[str, Limit](), dict[str, TenantPlan]()
+    if table.capacity_tokens_per_min and not table.capacity_burst_tokens:
+        raise typed.complaint("budgets.capacity_burst_tokens", 0, "a whole number above 0, where a capacity is given")
+    for k, account in enumerate(table.account):
+        if account.name in accounts:
+            raise typed.complaint(f"budgets.account[{k}].name", account.name, "a name that no other account has")
+        accounts[account.name] = _limit(f"budgets.account[{k}]", account, n)
+    for k, tenant in enumerate(table.tenant):
+        path = f"budgets.tenant[{k}]"
+        if tenant.name in tenants:
+            raise typed.complaint(f"{path}.name", tenant.name, "a name that no other budget has")
+        if tenant.account:
+            _choice(f"{path}.account", tenant.account, list(accounts))
+        tenants[tenant.name] = TenantPlan(_limit(path, tenant, n), tenant.account, tenant.weight,
+                                          _limit(path, tenant, n, "key_"))
+    default = TenantPlan(_limit("budgets.default", table.default, n), "", table.default.weight,
+                         _limit("budgets.default", table.default, n, "key_"))
+    for name, quota in zip(deployment.tenant_names, deployment.router.quotas, strict=True):
+        # The platform's own shares: a tenant that has no budget here gets the default one, and its quota as its weight.
+        tenants.setdefault(name, TenantPlan(default.limit, "", quota, default.key_limit))
+    prices = Prices(round(table.cached_price * 1000), round(table.answer_price * 1000))
+    plan = Plan(tenants, accounts, default, prices, table.capacity_tokens_per_min // n,
+                table.capacity_burst_tokens // n)
+    return SpendingSetup(plan, pathlib.Path(table.folder) if table.folder else None, table.uncounted_tokens)
+
+
+def _budgets(told: f.OperatorFile) -> f.BudgetsTable | None:
+    if not told.chat.budgets_file:
+        return told.budgets
+    if told.budgets:
+        raise typed.complaint("chat.budgets_file", told.chat.budgets_file, "none, where the file has [budgets] itself")
+    return typed.load(told.chat.budgets_file, f.BudgetsFile)[0].budgets
+
+
 def _build(told: f.OperatorFile, raw: Mapping[str, Any]) -> ChatSetup:
     try:
         deployment = settings.parse(raw["settings"])
@@ -198,13 +247,13 @@
             keys[engine] = key
     if not entries and not told.eureka:
         raise ConfigError("server: found no servers, and no [eureka] to ask for them; allowed: either, or both")
-    models = _models(chat, deployment)
+    models, budgets = _models(chat, deployment), _budgets(told)
     return ChatSetup(
         _address("chat.listen", chat.listen), chat.sockets, chat.seed, deployment,
         _reading(chat, models, deployment), _keyring(chat, deployment, models), told.idempotency.max_bytes,
         told.idempotency.keep_s * 1_000_000, tuple(entries), addresses, keys,
         _secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
-        _eureka(told.eureka) if told.eureka else None)
+        _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None)
 
 
 def load(path: str) -> ChatSetup:
--- a/pearhill/chat/spending.py
+++ b/pearhill/chat/spending.py
@@ -17,6 +17,7 @@
 from pearhill.budgets import charges as c
 from pearhill.chat.answers import Answer
 from pearhill.chat.errors import RATE, ApiError, Said
+from pearhill.chat.meter import Meter
 from pearhill.chat.records import Record
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.durable.journal import Corrupt, Journal, recover
@@ -24,7 +25,6 @@
 
 SNAPSHOT_EVERY = 10_000  # charges
 REFUSALS_EVERY = 1_000_000  # microseconds over which refusals are summed up
-LOG_REFUSALS = 60_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,26 +37,6 @@
     uncounted: int = 0
 
 
-class Meter:
-    """What has been seen of one run, in tokens."""
-
-    __slots__ = ("prompt", "cached", "answer", "events", "told")
-
-    def __init__(self) -> None:
-        self.restart()
-
-    def restart(self) -> None:
-        """Another attempt: what an earlier one has shown and nobody has read does not count."""
-        self.prompt = self.cached = self.answer = self.events = 0
-        self.told = False
-
-    def event(self) -> None:
-        self.events += 1
-
-    def usage(self, prompt: int, cached: int, answer: int) -> None:
-        self.prompt, self.cached, self.answer, self.told = prompt, min(cached, prompt), answer, True
-
-
 class Spender:
     """The core's client for one request with a budget: settles it, then passes the answer on. Settles once, however
     the request ends."""
@@ -124,7 +104,7 @@
         self.failing, self.uncounted = False, 0  # the disk fails; milli served meanwhile
         self._refused: Counter[tuple[str, str]] = Counter()
         self._since_snapshot = 0
-        self._timers: list[Key] = []
+        self._timers: dict[str, Key] = {}
 
     def open(self) -> None:
         """Balances from the journal. Corrupt, OSError, ValueError: they cannot be had."""
@@ -154,9 +134,16 @@
             self.uncounted = 0
 
     def _tick(self) -> None:
-        self._timers = [self._deadlines.at(self.budgets.tick(self._deadlines.clock()), self._tick), *self._timers[1:2]]
+        self._timer("tick", self.budgets.tick(self._deadlines.clock()), self._tick)
+
+    def _timer(self, name: str, at: int, callback: Callable[[], None]) -> None:
+        self._timers[name] = self._deadlines.at(at, callback)
 
     def _sum_up(self) -> None:
+        self._put_refused()
+        self._timer("refusals", self._deadlines.clock() + REFUSALS_EVERY, self._sum_up)
+
+    def _put_refused(self) -> None:
         """Danger: a tenant that hammers would fill the disk with its refusals, one by one."""
         for (tenant, key), count in self._refused.items():
             now, wall = self._deadlines.clock(), self._wall()
@@ -164,14 +151,13 @@
             self._put(c.Charge(now, wall, "", tenant, key, self.setup.plan.tenant(tenant).account, "", "", c.REFUSED,
                                0, 0, 0, 0, False, day, month, 0, count))
         self._refused.clear()
-        self._timers = [*self._timers[:1], self._deadlines.after(REFUSALS_EVERY, self._sum_up)]
 
     # For the front.
 
-    def admit(self, tenant: str, key: str, prompt: int, most: int) -> Standing:
+    def admit(self, tenant: str, key: str, prompt: int, most: int, hint: int = 0) -> Standing:
         if self.failing and self.uncounted >= self.setup.uncounted * 1000:
             return Standing("over", 1_000_000, "the journal cannot be written")
-        return self.budgets.admit(self._deadlines.clock(), self._wall(), tenant, key, prompt, most)
+        return self.budgets.admit(self._deadlines.clock(), self._wall(), tenant, key, prompt, most, hint)
 
     def refused(self, tenant: str, key: str) -> None:
         self._refused[tenant, key] += 1
@@ -229,17 +215,22 @@
             "remaining": told["remaining_tokens"] if told["limit_tokens"] else None},
             "requests": {"open": told["open_requests"], "limit": told["limit_requests"] or None}}
 
+    def report(self) -> None:
+        """Who hammers, for on-call."""
+        top = {hitter.key: hitter.weight // 1000 for hitter in self.budgets.top()}
+        logger.bind(top=top).info("budgets: top tenants {}", top)
+
     def reconfigure(self, setup: SpendingSetup) -> None:
         """Other limits; the folder stays until the next start."""
         self.setup = SpendingSetup(setup.plan, self.setup.folder, setup.uncounted)
         self.budgets.reconfigure(setup.plan, self._deadlines.clock())
 
     def close(self) -> None:
-        for key in self._timers:
+        for key in self._timers.values():
             self._deadlines.cancel(key)
+        self._timers = {}
         if self.journal:
-            self._sum_up()
-            self._deadlines.cancel(self._timers[-1])
+            self._put_refused()
             if self._since_snapshot:
                 self.journal.snapshot(c.pack_state(self.budgets))
             if not self.journal.close():
--- /dev/null
+++ b/pearhill/cli/lab.py
@@ -0,0 +1,69 @@
+"""`pearhill lab`: run a scenario, compare two runs."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help="The laboratory: scenarios on loopback stand-ins.")
+
+
+def _fail(why: object) -> NoReturn:
+    print(f"pearhill: {why}", file=sys.stderr)
+    raise typer.Exit(2)
+
+
+def _parts() -> Any:
+    """The modules that need the extra."""
+    try:
+        from pearhill.lab import report, run, scenario
+    except ImportError as e:
+        _fail(f"{e.name} is needed for the laboratory: pip install 'pearhill[lab]'")
+    return report, run, scenario
+
+
+@app.command("run")
+def run_scenario(
+    file: Annotated[Path, typer.Argument(help="the scenario (TOML)", show_default=False)],
+    out: Annotated[Path, typer.Option(help="where the results go, as Parquet and HTML")] = Path("."),
+) -> None:
+    """Run a scenario and write its results: FILE.parquet and FILE.html."""
+    from pearhill.config import ConfigError
+    from pearhill.conformance.runner import Unreachable
+
+    report, run, scenario = _parts()
+    try:
+        made = scenario.load(str(file))
+        with typer.progressbar(length=1000, label=file.stem, file=sys.stderr) as bar:
+            rows = asyncio.run(run.run(made, lambda done, total: bar.update(1000 * done // total - bar.pos)))
+    except (ConfigError, Unreachable, OSError) as e:
+        _fail(e)
+    out.mkdir(parents=True, exist_ok=True)
+    target = out / f"{file.stem}.parquet"
+    run.write(rows, made, target)
+    again, told = run.read(target)
+    target.with_suffix(".html").write_text(report.page(file.stem, {file.stem: (again, told)}), encoding="utf-8")
+    print(report.text(report.figures(again, told)))
+    print(f"{target}\n{target.with_suffix('.html')}")
+
+
+@app.command()
+def compare(
+    before: Annotated[Path, typer.Argument(help="a run's Parquet file", show_default=False)],
+    after: Annotated[Path, typer.Argument(help="another's", show_default=False)],
+    out: Annotated[Path, typer.Option(help="the page")] = Path("compare.html"),
+) -> None:
+    """Put two runs side by side."""
+    report, run, _ = _parts()
+    try:
+        runs = {f"{side}: {path.stem}": run.read(path) for side, path in (("A", before), ("B", after))}
+    except (OSError, ValueError) as e:
+        _fail(e)
+    out.write_text(report.page(f"{before.stem} and {after.stem}", runs), encoding="utf-8")
+    for name, (rows, told) in runs.items():
+        print(f"{name}\n{report.text(report.figures(rows, told))}\n")
+    print(out)
--- a/pearhill/cli/main.py
+++ b/pearhill/cli/main.py
@@ -1,4 +1,4 @@
-"""`pearhill`: serve, check, schema, key, conform, version."""
+"""`pearhill`: serve, check, schema, key, conform, bill, lab, version."""
 
 from __future__ import annotations
 
@@ -14,11 +14,13 @@
 import pearhill
 from pearhill.chat import keys, service, setup
 from pearhill.chat.file import OperatorFile
+from pearhill.cli import lab
 from pearhill.config import ConfigError
 from pearhill.process import run
 
 app = typer.Typer(name="pearhill", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A dispatcher for language-model servers.")
+app.add_typer(lab.app, name="lab")
 File = Annotated[Path, typer.Argument(help="the operator's file (TOML)", show_default=False)]
 
 
@@ -112,6 +114,33 @@
     raise typer.Exit(1 if report.failed or not report.results else 0)
 
 
+@app.command()
+def bill(
+    folder: Annotated[Path, typer.Argument(help="the budgets' folder", show_default=False)],
+    period: Annotated[str, typer.Option(help="the month, as in 2026-12")],
+    tenant: Annotated[str, typer.Option(help="this tenant alone")] = "",
+    out: Annotated[Path, typer.Option(help="where the files go")] = Path("."),
+) -> None:
+    """Write the bill of a month: every charge as Parquet, statements as HTML and CSV."""
+    from pearhill.bill import statement
+    from pearhill.durable.journal import Corrupt
+
+    if not folder.is_dir():
+        _fail(f"{folder}: is no folder")
+    try:
+        made = statement.sum_up(statement.read_folder(folder), period, tenant)
+    except (Corrupt, OSError, ValueError) as e:
+        _fail(str(e))
+    try:
+        from pearhill.bill import files
+    except ImportError as e:
+        _fail(f"{e.name} is needed for the files: pip install 'pearhill[lab]'")
+    for path in files.write(made, out):
+        print(path)
+    total = made.total
+    print(f"{len(made.lines)} tenants, {total.requests} requests, {total.milli / 1000:,.3f} tokens charged")
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -35,6 +35,8 @@
     repeat: bool = False
     resumed: bool = False
     kinds: tuple[int, ...] = ()
+    standing: str = ""
+    away: int = 0
 
 
 class Request:
@@ -105,7 +107,8 @@
         self.counters.taken += 1
         request.backstop = self.deadlines.at(end, lambda: self._overdue(request))
         self._feed(i.Arrived(request.number, ask.cls, ask.tenant, ask.session, ask.prefix, ask.prefix_len,
-                             ask.prompt, ask.max_out, max(1, end - now), ask.repeat, ask.resumed, ask.kinds))
+                             ask.prompt, ask.max_out, max(1, end - now), ask.repeat, ask.resumed, ask.kinds,
+                             ask.standing, ask.away))
         return request
 
     def leave(self, request: Request) -> None:
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -15,6 +15,8 @@
 # How an attempt ends. READ: the prompt is read and its state waits at the reader; nothing was answered.
 ANSWERED, READ, ERROR, TIMEOUT, BROKEN, CANCELLED = (
     "answered", "read", "error", "timeout", "broken", "cancelled")
+# How a request stands with its budget: guaranteed, out of what is spare, or not to be let in.
+WITHIN, SPARE, OVER, DEBT = "within", "spare", "over", "debt"
 # DECLINED: the server found fault with the request itself; its words are the answer, and tell nothing of its health.
 DECLINED = "declined"
 # These, and READ, prove that the request never ran. NO_STATE: there was no state left to fetch.
@@ -129,6 +131,8 @@
     repeat: bool
     resumed: bool
     kinds: tuple[int, ...] = ()  # of machines that may serve it; none named: all
+    standing: str = ""  # of its budget, where there is one
+    away: int = 0  # microseconds until its budget would let it in
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/pearhill/lab/scenario.py
@@ -0,0 +1,73 @@
+"""A scenario's file, and what is made of it."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct, field
+
+from pearhill.config import ConfigError, typed
+
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class FaultTable(Struct, forbid_unknown_fields=True):
+    """What a server does to a share of its requests for a while. `garble` and `stall` come after the first events."""
+
+    kind: Literal["refuse", "reset", "stall", "garble"]
+    from_s: Annotated[float, Meta(ge=0)] = 0.0
+    to_s: Positive = 1e9
+    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
+
+
+class ServerTable(Struct, forbid_unknown_fields=True):
+    """`count` servers alike. `kind` is one of the operator's file. Rates are of one request, and of reading."""
+
+    kind: str
+    count: Count = 1
+    slots: Count = 16
+    queue: Annotated[int, Meta(ge=0)] = 32
+    memory_tokens: Count = 200_000
+    read_tokens_per_s: Positive = 50_000.0
+    write_tokens_per_s: Positive = 100.0
+    fault: list[FaultTable] = []
+
+
+class TenantTable(Struct, forbid_unknown_fields=True):
+    """One tenant's requests: a Poisson stream, or a burst of `times` as many between two moments."""
+
+    name: Annotated[str, Meta(min_length=1)]
+    rate_per_s: Positive
+    model: str
+    prompt_tokens: Count = 200
+    answer_tokens: Count = 40
+    times: Positive = 1.0
+    from_s: Annotated[float, Meta(ge=0)] = 0.0
+    to_s: Positive = 1e9
+    max_tokens: Annotated[int, Meta(ge=0)] = 0
+
+
+class LabTable(Struct, forbid_unknown_fields=True):
+    operator_file: str
+    seconds: Annotated[float, Meta(gt=0, le=600)] = 20.0
+    warm_s: Annotated[float, Meta(ge=0)] = 2.0  # left out of the figures
+    seed: int = 1
+
+
+class Scenario(Struct, forbid_unknown_fields=True):
+    lab: LabTable
+    server: Annotated[list[ServerTable], Meta(min_length=1)]
+    tenant: Annotated[list[TenantTable], Meta(min_length=1)]
+    base: pathlib.Path = field(default_factory=pathlib.Path)
+
+
+def load(path: str) -> Scenario:
+    """ConfigError: the file cannot be used."""
+    made, _ = typed.load(path, Scenario)
+    made.base = pathlib.Path(path).resolve().parent
+    names = [tenant.name for tenant in made.tenant]
+    if len(set(names)) < len(names):
+        raise ConfigError(f"{path}: tenant: found a name twice; allowed: each once")
+    return made
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -63,6 +63,7 @@
         self.backend = HttpBackend(self.pool, dialect)
         self.dispatcher.backend = self.backend
         self.draining = False
+        self.on_report: Callable[[], None] = lambda: None  # told when the counters are logged
 
     def listed(self, full: bool, entries: tuple[i.Entry, ...], addresses: dict[int, Address]) -> None:
         """A list of servers, to be in force before the next send."""
@@ -135,3 +136,4 @@
     def report(self) -> None:
         counts = self.counters.as_dict()
         logger.bind(counters=counts).info("counters {}", json.dumps(counts))
+        self.on_report()
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -232,6 +232,9 @@
         return self._takes(e, e.queue + req.prompt - self._belief(e, req, home) + PAD)
 
     def _arrived(self, req: i.Arrived) -> None:
+        if req.standing in (i.OVER, i.DEBT):
+            away = req.away if self.s.retry_hints else 0
+            return self.actions.append(i.Refuse(req.request, away))
         aim = self.s.classes[req.cls].aim + self.s.classes[req.cls].aim_per_1000 * req.prompt / 1000
         job = self.jobs[req.request] = Job(req, self.now + req.ttl, int(self.now + aim))
         self.lengths.setdefault(req.cls, Faded(2 * STEP_EVERY, 30)).add(self.now, req.prompt)
@@ -287,6 +290,7 @@
         if req.tenant < len(self.s.quotas):  # five requests weigh for the share, whatever my few say
             mine = self.s.quotas[req.tenant] / self.s.instances * 5 * STEP_EVERY / 1_000_000
             over = max(0.0, 1 - (mine + 5) / (self.asked.get(req.tenant, 0.0) + 5))
+        over = 1.0 if req.standing == i.SPARE else over  # danger: what is lent out must not crowd out a guarantee
         return worth * (1 - over * (1 - self.s.over_share_worth))
 
     def _local(self, job: Job, pool: list[Engine]) -> Engine | None:
--- /dev/null
+++ b/tests/lab/test_lab.py
@@ -0,0 +1,117 @@
+"""The laboratory: its servers, its load and its reports, on a run of two seconds."""
+
+import asyncio
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import numpy
+
+from pearhill.config import ConfigError
+from pearhill.lab import load, report, run, scenario
+from pearhill.lab.load import REFUSED, SERVED, Row
+from tests.standins import ROOT
+
+LAB = ROOT / "deploy" / "lab"
+SMALL = """
+[lab]
+operator_file = "%s/front.toml"
+seconds = 2.0
+warm_s = 0.0
+seed = 5
+[[server]]
+kind = "all-in-one"
+count = 2
+write_tokens_per_s = 400.0
+%s
+[[tenant]]
+name = "one"
+rate_per_s = 20.0
+model = "help-desk"
+answer_tokens = 5
+[[tenant]]
+name = "two"
+rate_per_s = 10.0
+model = "help-desk"
+answer_tokens = 5
+"""
+
+
+class Runs(unittest.TestCase):
+    def setUp(self) -> None:
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.folder = pathlib.Path(made.name)
+
+    def scenario(self, fault: str = "", name: str = "small") -> pathlib.Path:
+        path = self.folder / f"{name}.toml"
+        path.write_text(SMALL % (LAB, fault))
+        return path
+
+    def cli(self, *arguments: str) -> subprocess.CompletedProcess:
+        return subprocess.run([sys.executable, "-c", "from pearhill.cli.main import main; main()", "lab", *arguments],
+                              cwd=ROOT, capture_output=True, text=True)
+
+    def test_a_run_its_files_and_a_comparison(self):
+        for name in ("small", "other"):
+            done = self.cli("run", str(self.scenario(name=name)), "--out", str(self.folder))
+            self.assertEqual(done.returncode, 0, done.stderr)
+        rows, told = run.read(self.folder / "small.parquet")
+        self.assertEqual(told["seconds"], 2.0)
+        self.assertEqual({row.outcome for row in rows}, {SERVED})
+        self.assertEqual({row.tokens for row in rows}, {5})
+        self.assertTrue(all(0 < row.first_s <= row.end_s for row in rows))
+        planned = [(row.tenant, row.planned_s) for row in rows]
+        self.assertEqual(planned, [(r.tenant, r.planned_s) for r in run.read(self.folder / "other.parquet")[0]])
+        page = (self.folder / "small.html").read_text()
+        self.assertEqual((page.count("<polyline"), page.count("<td>one</td>")), (4, 1))
+        done = self.cli("compare", *(str(self.folder / f"{n}.parquet") for n in ("small", "other")), "--out",
+                        str(self.folder / "c.html"))
+        self.assertEqual((done.returncode, (self.folder / "c.html").read_text().count("<polyline")), (0, 8))
+
+    def test_faults_are_seen_by_the_load(self):
+        made = scenario.load(str(self.scenario('[[server.fault]]\nkind = "refuse"')))
+        self.assertEqual({row.outcome for row in asyncio.run(run.run(made))}, {REFUSED})
+        made = scenario.load(str(self.scenario('[[server.fault]]\nkind = "garble"\nshare = 0.5')))
+        found = {row.outcome for row in asyncio.run(run.run(made))}
+        self.assertEqual(found, {SERVED, load.FAILED})
+
+    def test_what_cannot_be_run_or_compared_is_one_line(self):
+        bad = self.folder / "bad.toml"
+        bad.write_text(self.scenario().read_text().replace("seconds = 2.0", "seconds = 0"))
+        for arguments, why in ((("run", str(bad)), r"bad.toml: lab.seconds: found 0; allowed: a number > 0"),
+                               (("run", "nowhere.toml"), "nowhere.toml"),
+                               (("compare", str(bad), str(bad)), "bad.toml|magic")):
+            done = self.cli(*arguments)
+            self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+            self.assertRegex(done.stderr, why)
+
+    def test_the_scenarios_in_deploy_are_good(self):
+        for path in sorted(LAB.glob("*.toml")):
+            if path.name != "front.toml":
+                scenario.load(str(path))
+        twice = self.scenario().read_text().replace('name = "two"', 'name = "one"')
+        (self.folder / "twice.toml").write_text(twice)
+        with self.assertRaises(ConfigError):
+            scenario.load(str(self.folder / "twice.toml"))
+
+
+class Plans(unittest.TestCase):
+    def test_arrivals_are_seeded_and_denser_in_a_burst(self):
+        tenant = scenario.TenantTable("a", 50.0, "m", times=4.0, from_s=10.0, to_s=20.0)
+        times = load.plan(tenant, 40.0, numpy.random.SeedSequence(3))
+        self.assertEqual(times, load.plan(tenant, 40.0, numpy.random.SeedSequence(3)))
+        inside = sum(10 <= t < 20 for t in times)
+        self.assertTrue(1_800 < inside < 2_200 and 1_350 < len(times) - inside < 1_650, (inside, len(times)))
+
+    def test_figures_count_from_the_planned_time_and_leave_the_warming_out(self):
+        rows = [Row("a", t, 0.001, 200 if t % 2 else 429, SERVED if t % 2 else REFUSED, 0.1 * t, 0.2 * t, 10)
+                for t in range(10)]
+        (made,) = report.figures(rows, {"seconds": 10.0, "warm_s": 5.0})
+        self.assertEqual((made.asked, made.served, made.refused, made.tokens_per_s), (5, 0.6, 0.4, 6.0))
+        self.assertAlmostEqual(made.first_p50, 700, delta=2)
+        svg = report.plot(rows, 10.0, SERVED)
+        self.assertEqual(len(re.findall(r"points=\"([^\"]+)\"", svg)[0].split()), 10)
