--- a/pearhill/budgets/budgets.py
+++ b/pearhill/budgets/budgets.py
@@ -28,9 +28,10 @@
 from pearhill.structures.hitters import HeavyHitters, Hitter
 
 TICK = 10_000_000  # microseconds between looks for what may be forgotten
-LOOK = 2_000  # nodes that one tick looks at: bounded work, whatever their number
+LOOK = 500  # nodes that one tick looks at: bounded work, whatever their number
+PATHS = 4_096  # look-ups that are remembered
 OPEN_WAIT = 1_000_000  # after which an open request may have ended
-HITTERS = 64
+HITTERS, SAMPLED = 64, 7  # places of the sketch; it is shown one arrival in eight
 
 Index = dict[Any, Node]
 
@@ -48,8 +49,11 @@
         self.open: dict[int, Reservation] = {}
         self.spare = Spare(plan.capacity, plan.capacity_burst, now)
         self.hitters: HeavyHitters[str] = HeavyHitters(HITTERS)
-        self._next, self._due, self._sweep = 1, now + TICK, list[tuple[Index, Any]]()
-        self._last = (0, 0)  # the latest period seen
+        self._paths: dict[tuple[str, str], tuple[TenantPlan, tuple[Node, ...]]] = {}  # what was looked up of late
+        self._next, self._due, self._asked = 1, now + TICK, 0
+        self._sweep: list[Any] = []  # keys of the index that is being looked through
+        self._swept = 0  # which of the three that is
+        self._last, self._wall = (0, 0), -1  # the latest period seen, and when it was looked for
 
     # Levels.
 
@@ -59,6 +63,13 @@
             node = index[key] = Node(key if isinstance(key, str) else key[1], limit, now)
         return node
 
+    def _find(self, tenant: str, key: str, now: int) -> tuple[TenantPlan, tuple[Node, ...]]:
+        plan = self.plan.tenants.get(tenant) or self.plan.default
+        if len(self._paths) >= PATHS:
+            self._paths.clear()
+        found = self._paths[tenant, key] = plan, self._path(tenant, key, plan, now)
+        return found
+
     def _path(self, tenant: str, key: str, plan: TenantPlan, now: int) -> tuple[Node, ...]:
         """The tenant first, then whatever else bounds it."""
         nodes = [self._node(self.tenants, tenant, plan.limit, now)]
@@ -73,48 +84,58 @@
     def admit(self, now: int, wall: int, tenant: str, key: str, prompt: int, most: int, hint: int = 0) -> Standing:
         """How a request stands, and its reservation where it may be sent. `prompt` and `most` (its longest answer) are
         tokens; `hint` is how long its answer is likely to be, where somebody knows."""
-        plan = self.plan.tenants.get(tenant) or self.plan.default
+        plan, path = self._paths.get((tenant, key)) or self._find(tenant, key, now)
         prices, history = self.plan.prices, self.answers.get(tenant)
-        likely = min(most, hint) if hint else history.likely(most) if history else most
-        base = prompt * MILLI
-        amount, worst = base + likely * prices.answer, base + most * prices.answer
-        day, month = self.period(wall)
-        path = self._path(tenant, key, plan, now)
-        for node in path:
-            node.refill(now)
-            node.turn(day, month)
+        likely = (hint if hint < most else most) if hint else history.likely(most) if history else most
+        amount, worst = prompt * MILLI + likely * prices.answer, prompt * MILLI + most * prices.answer
+        day, month = self._last if wall == self._wall else self.period(wall)
+        for node in path:  # written out: at this place a call costs as much as what it does
+            if now > node.at:
+                if node.rate:
+                    level = node.level + node.rate * (now - node.at)
+                    node.level = level if level < node.cap else node.cap
+                node.at = now
+            if day != node.day:
+                node.turn(day, month)
             if node.rate and worst - amount > node.debt - node.exposure:
                 amount = worst - max(0, node.debt - node.exposure)
-        self.hitters.add(tenant, amount)
+        self._asked += 1
+        if self._asked & SAMPLED == 0:
+            self.hitters.add(tenant, amount * (SAMPLED + 1))
+        grains, wait = amount * GRAINS, 0
         for node in path:
-            if standing := _spent(node, amount, worst, wall, day):
+            short = node.rate and node.level < grains
+            if (short or node.open >= node.max_open or node.day_used + amount > node.day_cap
+                    or node.month_used + amount > node.month_cap) and (
+                    standing := _spent(node, amount, worst, wall, day)):
                 return standing
-        own, others = path[0], path[1:]
-        for node in others:
-            if node.rate and (wait := node.wait_for(amount)):
-                return Standing(OVER, wait, f"{node.name}: tokens a minute")
-        borrows, wait = False, own.wait_for(amount) if own.rate else 0
+            if short and (later := node.wait_for(amount)):
+                if node is not path[0]:
+                    return Standing(OVER, later, f"{node.name}: tokens a minute")
+                wait = later
+        borrows = False
         if wait:
             if not (plan.weight and self.spare.rate):
-                return Standing(OVER, wait, f"{own.name}: tokens a minute")
+                return Standing(OVER, wait, f"{path[0].name}: tokens a minute")
             self.spare.refill(now)
             if later := self.spare.borrow(now, tenant, plan.weight, amount):
-                return Standing(OVER, min(wait, later), f"{own.name}: tokens a minute, and nothing is spare")
+                return Standing(OVER, min(wait, later), f"{path[0].name}: tokens a minute, and nothing is spare")
             borrows = True
         elif self.spare.rate:
             self.spare.refill(now)
             self.spare.guaranteed(amount)
-        return self._reserve(path, tenant, key, plan, amount, worst, borrows, day, month)
-
-    def _reserve(self, path: tuple[Node, ...], tenant: str, key: str, plan: TenantPlan, amount: int, worst: int,
-                 borrows: bool, day: int, month: int) -> Standing:
-        made = Reservation(self._next, tenant, key, plan.account, amount, worst, borrows, day, month, path)
-        self._next += 1
-        self.open[made.number] = made
-        for k, node in enumerate(path):
-            node.take(amount, worst)
-            if borrows and not k and node.rate:
-                node.level += amount * GRAINS  # spare capacity is not out of its own bucket
+        number = self._next
+        self._next = number + 1
+        made = self.open[number] = Reservation(number, tenant, key, plan.account, amount, worst, borrows, day, month,
+                                               path)
+        beyond = worst - amount
+        for node in path:
+            if node.rate and not (borrows and node is path[0]):  # spare capacity is not out of its own bucket
+                node.level -= grains
+            node.exposure += beyond
+            node.open += 1
+            node.day_used += amount
+            node.month_used += amount
         return Standing(SPARE if borrows else WITHIN, reservation=made)
 
     # Settlement.
@@ -172,17 +193,22 @@
         leave their levels behind for ever."""
         if now < self._due:
             return self._due
-        if not self._sweep:
-            self._sweep = [(index, key) for index in (self.tenants, self.accounts, self.keys) for key in index]
-            self.spare.forget()
-            self.hitters.halve()
+        indexes = (self.tenants, self.accounts, self.keys)
+        if not self._sweep:  # one index after the other: a list of its keys is all that is copied
+            self._swept = (self._swept + 1) % len(indexes)
+            self._sweep = list(indexes[self._swept])
+            if not self._swept:
+                self.spare.forget()
+                self.hitters.halve()
+        index = indexes[self._swept]
         for _ in range(min(LOOK, len(self._sweep))):
-            index, key = self._sweep.pop()
+            key = self._sweep.pop()
             node = index.get(key)
             if node is not None and not node.open:
                 node.refill(now)
                 if node.neutral:
                     del index[key]
+                    self._paths.clear()  # danger: one that is found there would be charged and never looked at again
                     if index is self.tenants:
                         self.answers.pop(key, None)
         self._due = now + (TICK if not self._sweep else TICK // 100)
@@ -198,6 +224,7 @@
         self.spare.refill(now)
         self.spare.set_capacity(plan.capacity, plan.capacity_burst)
         self.plan = plan
+        self._paths.clear()
 
     @staticmethod
     def _tenant_limit(plan: Plan) -> Callable[[Any], Limit]:
@@ -213,7 +240,8 @@
 
     def period(self, wall: int) -> tuple[int, int]:
         """The day and the month in force: never before one that was in force already."""
-        self._last = max(self._last, periods(wall))
+        if wall != self._wall:
+            self._last, self._wall = max(self._last, periods(wall)), wall
         return self._last
 
     def state(self) -> dict[str, Any]:
@@ -249,10 +277,11 @@
                 node = self._node(index, key, limits[name](key), now)
                 node.level, node.at = min(level, node.cap), min(at, now)
                 node.day, node.day_used, node.month, node.month_used = day, day_used, month, month_used
-                self._last = max(self._last, (day, month))
+                self._last, self._wall = max(self._last, (day, month)), -1
         for name, (count, mean, spread) in told["answers"].items():
             answers = self.answers[name] = Answers()
             answers.count, answers.mean, answers.spread = count, mean, spread
+            answers.settle()
 
     def replay(self, now: int, tenant: str, key: str, account: str, charge: int, spare: bool, day: int, month: int,
                answer: int) -> None:
@@ -265,7 +294,7 @@
                 node.level -= charge * GRAINS
             node.day_used += charge if node.day == day else 0
             node.month_used += charge if node.month == month else 0
-        self._last = max(self._last, (day, month))
+        self._last, self._wall = max(self._last, (day, month)), -1
         if answer:
             self.answers.setdefault(tenant, Answers()).add(answer)
 
--- a/pearhill/budgets/limits.py
+++ b/pearhill/budgets/limits.py
@@ -82,7 +82,7 @@
         return self.tenants.get(name, self.default)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Standing:
     """How an arrival stands. `wait`: microseconds until it would be let in, as far as can be told. `why`: the level
     and the limit that speak against it. `lasting`: a quota is used up, and coming back soon is of no use."""
--- a/pearhill/budgets/node.py
+++ b/pearhill/budgets/node.py
@@ -4,12 +4,14 @@
 
 from pearhill.budgets.limits import GRAINS, MILLI, Limit
 
+NEVER = 1 << 62
+
 
 class Node:
     """Its bucket, its counts by period, and what is open. Amounts are milli, the bucket's level is grains."""
 
     __slots__ = ("name", "limit", "rate", "cap", "debt", "level", "at", "open", "exposure", "day", "day_used", "month",
-                 "month_used")
+                 "month_used", "max_open", "day_cap", "month_cap")
 
     def __init__(self, name: str, limit: Limit, now: int) -> None:
         self.name = name
@@ -25,6 +27,8 @@
         self.limit = limit
         self.rate, self.cap, self.debt = limit.tokens_per_min * MILLI, limit.burst * MILLI * GRAINS, limit.debt * MILLI
         self.level = min(self.level, self.cap)
+        self.max_open = limit.open or NEVER  # as figures that are always there: they are looked at by every arrival
+        self.day_cap, self.month_cap = limit.day * MILLI or NEVER, limit.month * MILLI or NEVER
 
     def refill(self, now: int) -> None:
         """Danger: a clock that went back would take away what was given, or give it twice."""
@@ -45,18 +49,11 @@
         """As good as new: it may be forgotten."""
         return self.level >= self.cap and not (self.open or self.day_used or self.month_used)
 
-    def take(self, amount: int, worst: int) -> None:
-        if self.rate:
-            self.level -= amount * GRAINS
-        self.exposure += worst - amount
-        self.open += 1
-        self.day_used += amount
-        self.month_used += amount
-
     def give_back(self, amount: int, worst: int, used: int, day: int, month: int) -> None:
         """A reservation becomes what was used. A period that has ended meanwhile keeps it: it was counted there."""
         if self.rate:
-            self.level = min(self.cap, self.level + (amount - used) * GRAINS)
+            level = self.level + (amount - used) * GRAINS
+            self.level = level if level < self.cap else self.cap
         self.exposure -= worst - amount
         self.open -= 1
         if day == self.day:
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 from urllib.parse import unquote
 
 import msgspec
@@ -31,6 +32,7 @@
 from pearhill.chat.meter import Meter
 from pearhill.chat.prompt import Made, Prompt
 from pearhill.chat.records import Record, Store
+from pearhill.chat.schema.answers import ModelCard, ModelList, UsageReport
 from pearhill.chat.servers import ChatPayload
 from pearhill.chat.setup import Model, Reading
 from pearhill.chat.spending import Desk, Spender, turned_away
@@ -142,31 +144,32 @@
         if wanted != method:
             raise ApiError(405, f"There is no {method} {path[:200]}", "unknown_url", headers=(("Allow", wanted),))
         status = 200
+        answer: dict[str, Any] | ModelCard | ModelList | UsageReport
         if path == "/ready":
             ready = self.is_ready()
-            status, told = 200 if ready else 503, dict[str, object](ready=ready)
+            status, answer = 200 if ready else 503, {"ready": ready}
         elif path == "/counters":
-            told = self.dispatcher.counters.as_dict()
+            answer = self.dispatcher.counters.as_dict()
         else:
             self._identify(asked)
             name = unquote(path.removeprefix(MODELS).removeprefix("/"))
-            told = self._usage(asked) if path == USAGE else self._models(asked.tenant, name)
-        asked.reply.answer(status, (*JSON, *asked.headers), msgspec.json.encode(told))
+            answer = self._usage(asked) if path == USAGE else self._models(asked.tenant, name)
+        asked.reply.answer(status, (*JSON, *asked.headers), msgspec.json.encode(answer))
 
-    def _usage(self, asked: _Asked) -> dict[str, object]:
+    def _usage(self, asked: _Asked) -> UsageReport:
         if self.desk is None:
             raise ApiError(404, "No budgets are kept here.", "unknown_url")
         return self.desk.usage(asked.tenant.name)
 
-    def _models(self, tenant: Tenant, name: str) -> dict[str, object]:
+    def _models(self, tenant: Tenant, name: str) -> ModelCard | ModelList:
         if name:
             return self._card(self._model(name, tenant))
         models = {model.name: model for model in self.reading.models.values() if tenant.may_use(model.name)}
-        return {"object": "list", "data": [self._card(model) for model in models.values()]}
+        return ModelList([self._card(model) for model in models.values()])
 
     @staticmethod
-    def _card(model: Model) -> dict[str, object]:
-        return {"id": model.name, "object": "model", "created": model.created, "owned_by": model.owned_by}
+    def _card(model: Model) -> ModelCard:
+        return ModelCard(model.name, model.created, model.owned_by)
 
     # Who asks, and for what.
 
--- a/pearhill/chat/spending.py
+++ b/pearhill/chat/spending.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from loguru import logger
 
@@ -19,6 +18,7 @@
 from pearhill.chat.errors import RATE, ApiError, Said
 from pearhill.chat.meter import Meter
 from pearhill.chat.records import Record
+from pearhill.chat.schema.answers import RequestsUsed, TokensUsed, UsageReport
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.durable.journal import Corrupt, Journal, recover
 from pearhill.http1.messages import Headers
@@ -206,14 +206,13 @@
                      ("x-ratelimit-reset-tokens", duration(told["reset_us"]))]
         return made
 
-    def usage(self, tenant: str) -> dict[str, Any]:
+    def usage(self, tenant: str) -> UsageReport:
         """The answer to GET /v1/usage."""
         told = self.budgets.balance(self._deadlines.clock(), self._wall(), tenant)
-        return {"object": "usage", "tenant": tenant, "tokens": {
-            "today": told["day_tokens"], "this_month": told["month_tokens"], "day_limit": told["day_limit"] or None,
-            "month_limit": told["month_limit"] or None, "debt": told["debt_tokens"],
-            "remaining": told["remaining_tokens"] if told["limit_tokens"] else None},
-            "requests": {"open": told["open_requests"], "limit": told["limit_requests"] or None}}
+        return UsageReport(tenant, TokensUsed(
+            told["day_tokens"], told["month_tokens"], told["day_limit"] or None, told["month_limit"] or None,
+            told["debt_tokens"], told["remaining_tokens"] if told["limit_tokens"] else None),
+            RequestsUsed(told["open_requests"], told["limit_requests"] or None))
 
     def report(self) -> None:
         """Who hammers, for on-call."""
--- a/pearhill/conformance/runner.py
+++ b/pearhill/conformance/runner.py
@@ -17,7 +17,10 @@
 
 import msgspec
 
-from pearhill.conformance.case import MODELS, Case, Expect, Seen, within
+from pearhill.chat.errors import ErrorObject
+from pearhill.chat.schema import answers as a
+from pearhill.chat.schema.chat import Chunk
+from pearhill.conformance.case import CHAT, MODELS, RESPONSES, TEXT, Case, Expect, Seen, within
 from pearhill.conformance.client import Got, Wire
 from pearhill.conformance.server import ScriptedServer
 from pearhill.conformance.suite import CASES
@@ -82,6 +85,29 @@
     return text
 
 
+# What a good answer, and an event of a stream, must read as, by endpoint.
+TYPES: dict[str, tuple[type, type]] = {CHAT: (a.ChatCompletion, Chunk), TEXT: (a.TextCompletion, a.TextCompletion),
+                                       RESPONSES: (a.Response, a.ResponseEvent)}
+
+
+def typed(got: Got, path: str) -> str:
+    """Why a good answer is not of its endpoint's form; empty where it is, and where the path has none."""
+    whole, event = TYPES.get(path, (None, None))
+    whole = whole or (a.ModelList if path == MODELS else a.ModelCard)
+    streamed = got.headers.get("content-type", "").startswith("text/event-stream")
+    pieces = [e.data for e in EventParser(64 << 20).feed(got.body)
+              if e.data is not None and e.data != b"[DONE]"] if streamed else [got.body]
+    try:
+        for piece in pieces:
+            if streamed and b'"error"' in piece[:12]:
+                msgspec.json.decode(piece, type=ErrorObject)
+            else:
+                msgspec.json.decode(piece, type=event if streamed else whole)
+    except msgspec.DecodeError as e:
+        return f"the answer is not of its form: {e}"
+    return ""
+
+
 def _headers(told: dict[str, str], wanted: dict[str, str], absent: tuple[str, ...]) -> str:
     for name, value in wanted.items():
         if name.lower() not in told or (value != "*" and told[name.lower()] != value):
@@ -89,7 +115,7 @@
     return next((f"header {name} is there" for name in absent if name.lower() in told), "")
 
 
-def judge_answer(got: Got, expect: Expect) -> str:
+def judge_answer(got: Got, expect: Expect, path: str) -> str:
     """Why an answer is not what it must be; empty where it is."""
     if got.status != expect.status:
         return f"status {got.status}, not {expect.status}: {got.body[:200]!r}"
@@ -106,6 +132,8 @@
             return f"the body is no JSON: {got.body[:100]!r}"
         if why := within(expect.json, told):
             return why
+    if expect.status == 200 and (why := typed(got, path)):
+        return why
     if expect.events is None and expect.names is None and expect.text is None:
         return ""
     events = [e for e in EventParser(64 << 20).feed(got.body) if e.data is not None]
@@ -151,7 +179,7 @@
         if case.leaves:
             if got.status != case.expect.status:
                 return f"status {got.status}, not {case.expect.status}"
-        elif why := judge_answer(got, case.expect):
+        elif why := judge_answer(got, case.expect, case.path):
             return why
         elif case.expect.usable is not None and case.expect.usable != await _usable(wire, headers):
             return f"the connection is {'not ' if case.expect.usable else ''}usable"
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -290,7 +290,8 @@
         if req.tenant < len(self.s.quotas):  # five requests weigh for the share, whatever my few say
             mine = self.s.quotas[req.tenant] / self.s.instances * 5 * STEP_EVERY / 1_000_000
             over = max(0.0, 1 - (mine + 5) / (self.asked.get(req.tenant, 0.0) + 5))
-        over = 1.0 if req.standing == i.SPARE else over  # danger: what is lent out must not crowd out a guarantee
+        # Danger: what is lent out must not crowd out a guarantee.
+        over = 1.0 if req.standing == i.SPARE else over
         return worth * (1 - over * (1 - self.s.over_share_worth))
 
     def _local(self, job: Job, pool: list[Engine]) -> Engine | None:
