--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -2,23 +2,28 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 from pearhill.config import Config, for_next_start
 from pearhill.node import Limits, Node
+from pearhill.platform.asking import Asking
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFront
 from pearhill.platform.replica import ReplicaDialect
 
 KNOWN_AFTER = 1_000_000  # how long discovery may stay silent before the list known at the start must do
 
+ASKING = 0x51  # the Router draws from the same seed: two streams that must not be one
+
 
 async def serve(config: Config, read_anew: Callable[[Config], Config]) -> None:
     """`read_anew` gives the configuration that follows the one in force."""
     node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed))
-    watch = Watch(node.pool, config.discovery, config.deployment, node.listed)
-    if config.known.get("targets"):
-        watch.apply(config.known)
+    deployment = config.deployment
+    # The seed is this start's own. Danger: drawn from one that all share, what is spread would be in step.
+    asking = Asking(deployment.shared_discovery, deployment.router.instances, random.Random(config.seed ^ ASKING))
+    watch = Watch(node.pool, config.discovery, deployment, node.listed, asking, config.known)
     known_until = node.deadlines.clock() + KNOWN_AFTER
 
     def is_ready() -> bool:
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -15,12 +15,14 @@
 from pearhill.net.address import Address, parse_address
 from pearhill.net.pool import CannotConnect, Pool, call
 from pearhill.net.turns import pause
+from pearhill.platform.asking import Asking
 from pearhill.settings import Deployment
 
 PATH = "/v1/endpoints"
 WAIT_MS = 10_000  # of a watch
-AT_ONCE = 2_000_000  # for an answer that need not wait
-RETRY = 100_000  # the next call belongs to the same watch only within 200 ms
+# For an answer that need not wait. Danger: discovery lets a call stand in line for 2 s; given up just before its turn,
+# it costs as much as one that is answered.
+AT_ONCE = 3_000_000
 STATES = {"active": i.READY, "leaving": i.DRAINING, "left": i.GONE}
 
 OnList = Callable[[bool, tuple[i.Entry, ...], dict[int, Address]], None]
@@ -58,14 +60,23 @@
 
 
 class Watch:
-    def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList) -> None:
+    """`known`: a list in discovery's form that the dispatcher starts with."""
+
+    def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList, asking: Asking,
+                 known: Mapping[str, Any]) -> None:
         self.pool, self.address, self.deployment, self.on_list = pool, address, deployment, on_list
-        self.heard = self._told = False  # discovery has answered since the start; since it was last sought
+        self.asking = asking
+        self.heard = False  # discovery has answered since the start
         self.rev = 0
+        if known.get("targets"):
+            self.apply(known)
+        # Danger: where all ask one service, whole lists by the dozen keep it busy for seconds, and nobody hears more.
+        # What has changed since the list that is known costs a line or two.
+        self._told = bool(known.get("targets")) and asking.shared  # a list, to which what comes next applies
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        self._task = self.pool.spawn(self._run())
+        self._task = self.pool.spawn(self._run(self.asking.first()))
 
     def stop(self) -> None:
         """Danger: an answer to the old watch would be taken for the new one's. It ends with its connection."""
@@ -76,28 +87,38 @@
         """Discovery is elsewhere now. Danger: its versions may be counted otherwise, so the list is asked for whole."""
         self.stop()
         self.pool.drop_idle(self.address)
-        self.address = address
-        self.start()
+        self.address, self._told = address, False
+        self._task = self.pool.spawn(self._run(0))
 
     def apply(self, answer: Mapping[str, Any]) -> None:
+        """KeyError, TypeError or ValueError: it is no list, and nothing of it is taken."""
         entries, addresses = entries_of(answer["targets"], self.deployment)
-        self.rev = int(answer["rev"])
-        if entries or answer["all"]:
-            self.on_list(bool(answer["all"]), entries, addresses)
-
-    async def _run(self) -> None:
+        rev, whole = int(answer["rev"]), bool(answer["all"])
+        if rev < self.rev and not whole:
+            # Danger: a discovery that counts anew would be asked for news of a version that it reaches in days.
+            self._told = False
+            raise ValueError(f"version {rev} after {self.rev}")
+        self.rev = rev
+        if entries or whole:
+            self.on_list(whole, entries, addresses)
+
+    async def _run(self, wait: int) -> None:
         """For as long as the process lives. Discovery may stay silent: what was known then stays in force."""
-        host, self._told = f"{self.address[0]}:{self.address[1]}", False
+        host = f"{self.address[0]}:{self.address[1]}"
+        if wait:
+            await pause(self.pool.deadlines, wait)
         while True:
-            whole = not self._told
-            target = PATH if whole else f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}"
+            target = f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}" if self._told else PATH
             try:
                 status, body = await call(self.pool, self.address, messages.request("GET", target, host),
-                                          AT_ONCE + (0 if whole else WAIT_MS * 1000))
+                                          AT_ONCE + (WAIT_MS * 1000 if self._told else 0))
                 if status != 200:
                     raise ValueError(f"status {status}")
                 self.apply(json.loads(body))
                 self.heard = self._told = True
+                self.asking.answered()
             except (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect) as e:
-                logger.warning("discovery: no answer to {target}: {error}", target=target, error=repr(e))
-                await pause(self.pool.deadlines, RETRY)
+                wait = self.asking.failed()
+                logger.warning("discovery: no answer to {target}: {error}; again in {wait_ms} ms", target=target,
+                               error=repr(e), wait_ms=wait // 1000)
+                await pause(self.pool.deadlines, wait)
