--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -28,7 +28,7 @@
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
-COLD_MARGIN = 0.4  # of my part of what a cold engine may be sent
+COLD_MARGIN = 0.8  # of my part of what a cold engine bears: twice its share of the work, of 2.5 times it
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
 
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,44 @@
+"""Forty routers and sixty engines: what each does alone, counted over all of them."""
+
+import random
+
+from pearhill import interface as i
+from tests.driver import Drive, S, entry, settings
+
+NODES, RATE = 40, 60  # routers, requests a second for all of them
+
+
+def test_a_mass_replacement_finds_its_share_of_work_and_stays_within_what_it_bears():
+    """Ten of sixteen readers are replaced at once. Sent nothing, they leave the six that stay to jam."""
+    old = tuple(entry(n, 0, cell=n % 4) for n in range(1, 17)) + tuple(entry(n, 1, cell=n % 4) for n in range(31, 49))
+    fleet = [Drive(settings(instances=NODES, cold=13 * S, fall=1_500_000), old, seed=n) for n in range(NODES)]
+    rng, start = random.Random(3), fleet[0].now
+    sent: dict[bool, list[tuple[int, int]]] = {False: [], True: []}
+    for n in range(RATE * 40):
+        at = start + n * S // RATE
+        if n == RATE * 30:  # warm until then
+            fresh = tuple(entry(100 + k, 0, cell=k % 4, started=at - S) for k in range(10))
+            gone = tuple(entry(k, 0, cell=k % 4, phase=i.DRAINING) for k in range(1, 11))
+            for each in fleet:
+                each.wait(max(0, at - each.now))
+                each.feed(i.Listed(False, fresh + gone))
+        d = fleet[rng.randrange(NODES)]
+        d.wait(max(0, at - d.now))
+        r, _ = d.arrive(prompt=3000, session=n + 1)
+        if r not in d.sent:
+            continue
+        engine = d.sent[r].engine
+        if n >= RATE * 30 and (engine < 17 or engine >= 100):
+            sent[engine >= 100].append((at, engine))
+        d.serve(r)
+    cold = sum(at < start + 36 * S for at, _ in sent[True])
+    share = cold / (cold + sum(at < start + 36 * S for at, _ in sent[False]))
+    # They can do 35 to 60% of a warm one's work meanwhile, which makes some 45% of all that readers can do then.
+    assert 0.28 < share < 0.6, share
+    # A warm reader had a sixteenth of the work. The bound is 2.5 times a cold one's part of what it can do, and it
+    # can do more than it had: half as much again, where a third is idle.
+    each_warm = RATE / 16
+    for at, engine in sent[True]:
+        inside = sum(e == engine and at <= other < at + 1_500_000 for other, e in sent[True])
+        part = 0.25 + 0.75 * (at - start - 29 * S) / (13 * S)
+        assert inside <= 2.5 * min(1.0, part) * each_warm * 1.5 * 1.5 + 1, (inside, part)
