--- /dev/null
+++ b/benchmarks/panels.py
@@ -0,0 +1,85 @@
+"""The regression check: the bench's panels one at a time, each by name, and the last figure of each beside the new one.
+
+    .venv/bin/python benchmarks/panels.py BENCH SITE --why "..." [--full] [--panel size] [--panel later]
+
+BENCH is the bench's program, SITE a site file. `size` is the days at size, `later` the earlier days on real sockets.
+A day is 0 where a rule was broken or a dispatcher crashed: that, and a panel that lost more than 0.03 against its last
+figure of the same kind (kept in `build/panels.json`, never committed), ends with exit code 1. Days are drawn anew for
+each score: replay the seeds that it prints on both versions before a loss is believed. Not for CI: it takes minutes,
+and every core.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KEPT = ROOT / "build" / "panels.json"
+PANELS: dict[str, list[str]] = {"size": [], "later": ["--panel", "later"]}
+LOSS = 0.03
+_DAY = re.compile(r"^(\S+)\s+G [\d.]+ .*\bscore (-?[\d.]+)$", re.MULTILINE)
+_SCORE = re.compile(r"^score of the real nodes (-?[\d.]+)", re.MULTILINE)
+
+
+def read(report: str) -> tuple[float, dict[str, float]]:
+    """The panel's figure and its days'. ValueError: the bench printed no score."""
+    score = _SCORE.search(report)
+    if not score:
+        raise ValueError(f"no score in what the bench printed:\n{report[-2000:]}")
+    days: dict[str, float] = {}
+    for name, figure in _DAY.findall(report):
+        days[name] = min(float(figure), days.get(name, 1.0))  # a kind that is played twice: its worse day
+    if not days:
+        raise ValueError(f"no day in what the bench printed:\n{report[-2000:]}")
+    return float(score[1]), days
+
+
+def verdict(name: str, score: float, days: dict[str, float], before: float | None) -> list[str]:
+    """What speaks against landing; empty where nothing does."""
+    against = [f"{name}: {day} is 0: a crash, a broken rule, or nothing kept"
+               for day, kept in days.items() if kept <= 0]
+    if before is not None and score < before - LOSS:
+        against.append(f"{name}: {score:.3f} after {before:.3f}: replay its seeds on both versions")
+    return against
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="The bench's panels, one at a time.")
+    parser.add_argument("bench", type=pathlib.Path)
+    parser.add_argument("site", type=pathlib.Path)
+    parser.add_argument("--why", required=True, help="one plain sentence under 120 characters, for the journal")
+    parser.add_argument("--full", action="store_true", help="all days of a panel, not the quick ones")
+    parser.add_argument("--panel", action="append", choices=sorted(PANELS), help="only this one; may be repeated")
+    told = parser.parse_args()
+    if len(told.why) >= 120:
+        parser.error(f"--why: {len(told.why)} characters, under 120 are allowed")
+    for path in (told.bench, told.site):
+        if not path.is_file():
+            parser.error(f"{path}: no such file")
+    kept: dict[str, float] = json.loads(KEPT.read_text()) if KEPT.exists() else {}
+    against: list[str] = []
+    for name in told.panel or sorted(PANELS, reverse=True):
+        command = [str(told.bench.resolve()), "score", str(told.site.resolve()), *PANELS[name], "--why", told.why]
+        done = subprocess.run(command + ([] if told.full else ["--quick"]), cwd=ROOT, text=True, capture_output=True)
+        print(done.stdout, done.stderr, sep="", flush=True)
+        kind = f"{name} {'full' if told.full else 'quick'}"
+        try:
+            score, days = read(done.stdout)
+        except ValueError as e:
+            against.append(f"{kind}: {e}")
+            continue
+        against += verdict(kind, score, days, kept.get(kind))
+        kept[kind] = score
+    KEPT.parent.mkdir(exist_ok=True)
+    KEPT.write_text(json.dumps(kept, indent=1) + "\n")
+    print("\n".join(against) or "nothing speaks against landing")
+    return 1 if against else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -1,8 +1,10 @@
 """The platform's daemon stays lean: it loads no library that it does not need."""
 
 import json
+import pathlib
 import subprocess
 import sys
+import tomllib
 import unittest
 
 from tests.standins import ROOT
@@ -11,6 +13,9 @@
 SHOW = ("import pearhill.__main__, pearhill.platform.daemon, sys, json;"
         "print(json.dumps([m for m in sys.modules if getattr(sys.modules[m], '__file__', None)]))")
 
+FILES = ("import pearhill.__main__, pearhill.platform.daemon, sys, json;"
+         "print(json.dumps([m.__file__ for n, m in sys.modules.items() if n.partition('.')[0] == 'pearhill']))")
+
 
 class Lean(unittest.TestCase):
     def test_the_platforms_daemon_loads_what_it_needs_and_nothing_else(self):
@@ -22,3 +27,14 @@
         self.assertLessEqual(ours, {f"pearhill.{name}" for name in (
             "__main__", "config", "core", "counters", "http1", "interface", "net", "node", "platform", "process",
             "rules", "settings")})
+
+    def test_the_deploy_file_names_all_that_the_platforms_daemon_runs_from_and_nothing_else(self):
+        told = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+        done = subprocess.run([sys.executable, "-c", FILES], cwd=ROOT, capture_output=True, text=True, check=True)
+        loaded = {pathlib.Path(path).relative_to(ROOT) for path in json.loads(done.stdout)}
+        named = [pathlib.Path(path) for path in told["policy"] + told["node"]]
+        self.assertEqual({str(p) for p in loaded if not any(p.is_relative_to(name) for name in named)}, set())
+        self.assertEqual({str(name) for name in named if not any(p.is_relative_to(name) for p in loaded)}, set())
+        for key, module in (("run", "pearhill"), ("sim", "pearhill.adapter")):
+            # One process at the end: whatever starts it must not stand between it and the platform's signals.
+            self.assertEqual(told[key], f"exec .venv/bin/python -m {module}")
--- /dev/null
+++ b/tests/test_panels.py
@@ -0,0 +1,25 @@
+"""The regression check reads what the bench prints and says what speaks against landing."""
+
+import pytest
+
+from benchmarks.panels import read, verdict
+
+REPORT = """playing herd+vast ...
+herd+vast                  G 0.385  floor 0.281  top 0.581  memory 17 of 112 MB  descriptors 52 of 768  score 0.35
+join+vast                  G 0.692  floor 0.548  top 0.890  memory 18 of 112 MB  descriptors 90 of 768  score 0.42
+join+vast                  G 0.592  floor 0.548  top 0.890  memory 18 of 112 MB  descriptors 90 of 768  score 0.00
+score of the real nodes 0.424 (the weighted mean of the days)
+"""
+
+
+def test_a_report_is_read_and_a_kinds_worse_day_counts():
+    assert read(REPORT) == (0.424, {"herd+vast": 0.35, "join+vast": 0.0})
+    for nothing in ("", "score of the real nodes 0.4 (..)\n"):
+        with pytest.raises(ValueError, match="in what the bench printed"):
+            read(nothing)
+
+
+def test_a_day_of_nothing_and_a_loss_speak_against_landing():
+    assert [line.split(":")[1] for line in verdict("size", 0.5, {"a": 0.0, "b": 0.4}, 0.5)] == [" a is 0"]
+    assert verdict("size", 0.46, {"b": 0.4}, 0.5) == ["size: 0.460 after 0.500: replay its seeds on both versions"]
+    assert verdict("size", 0.48, {"b": 0.4}, 0.5) == verdict("size", 0.1, {"b": 0.4}, None) == []
