--- a/pearhill/platform/asking.py
+++ b/pearhill/platform/asking.py
@@ -18,10 +18,14 @@
     long after each failure."""
 
     def __init__(self, shared: bool, instances: int, rng: random.Random) -> None:
-        self.shared, self.span, self.rng = shared, SHARE * max(1, instances), rng
-        self.failures = 0
+        self.rng, self.failures = rng, 0
+        self.reconfigure(shared, instances)
         self._last = LEAST
 
+    def reconfigure(self, shared: bool, instances: int) -> None:
+        """In force from the next call on."""
+        self.shared, self.span = shared, SHARE * max(1, instances)
+
     def first(self) -> int:
         """How long after the start the first call is made."""
         return int(self.rng.uniform(0, self.span)) if self.shared else 0
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -35,6 +35,7 @@
         nonlocal config
         before, fresh = config, read_anew(config)
         node.reconfigure(fresh.deployment)
+        asking.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances)
         watch.deployment, config = fresh.deployment, fresh
         if fresh.discovery != before.discovery:
             watch.move(fresh.discovery)
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -88,7 +88,7 @@
         self.stop()
         self.pool.drop_idle(self.address)
         self.address, self._told = address, False
-        self._task = self.pool.spawn(self._run(0))
+        self.start()  # Danger: a reload reaches the whole fleet at once, and so would whole lists be asked for
 
     def apply(self, answer: Mapping[str, Any]) -> None:
         """KeyError, TypeError or ValueError: it is no list, and nothing of it is taken."""
