The operators' door: figures, replicas out by hand, the drain and its end

Change: admin/door answers the calls on a listener of its own (16 descriptors, silent callers go oldest first); service/wishes, roster and drain decide, free of I/O; Dispatcher counts each request once at its end; the Router says which engines it avoids. The listener accepts by a reader callback: an accept that is called off could take a connection that nobody then held. Idle connections are ended only if nothing waits to be read on them.

--- /dev/null
+++ b/pearhill/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' door: their calls and the figures."""
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -108,7 +108,7 @@
 
     async def close(self) -> None:
         """See through what was taken, then end."""
-        self.node.draining = True
+        self.node.drain.end_process(self.node.deadlines.clock())
         await self.deregister()
         await self.node.until()
         self._leave_registry()
--- a/pearhill/config/platform.py
+++ b/pearhill/config/platform.py
@@ -25,6 +25,7 @@
     sockets: int
     known: Mapping[str, Any]
     deployment: settings.Deployment
+    admin: Address | None = None  # where operators call
 
 
 def _address(key: str, text: Any) -> Address:
@@ -66,6 +67,7 @@
         raise ConfigError(f"seed or limits.sockets: {e}") from None
     if sockets < 64:
         raise ConfigError("limits.sockets: at least 64 are needed")
+    admin = environ.get("RELAY_ADMIN_ADDR") or told.get("admin_addr")
     discovery = told.get("discovery")
     if before and discovery == before.discovery_in_file:
         found = before.discovery
@@ -77,4 +79,4 @@
         name=environ.get("RELAY_NAME") or str(told.get("name", "pearhill")),
         listen=_address("listen", environ.get("RELAY_LISTEN") or told.get("listen")),
         discovery=found, discovery_in_file=discovery, seed=seed, sockets=sockets, known=told.get("known") or {},
-        deployment=deployment)
+        deployment=deployment, admin=None if admin is None else _address("admin_addr", admin))
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -15,7 +15,7 @@
 from pearhill import interface as i
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.core.ports import Backend, Client
-from pearhill.counters import Counters
+from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
 from pearhill.rules import Router
 from pearhill.settings import Deployment
 
@@ -42,10 +42,10 @@
 class Request:
     """One request from its arrival to its final answer and the end of its last attempt."""
 
-    __slots__ = ("number", "client", "payload", "end", "sends", "current", "answered", "holders", "backstop")
+    __slots__ = ("number", "cls", "client", "payload", "end", "sends", "current", "answered", "holders", "backstop")
 
-    def __init__(self, number: int, client: Client, payload: Any, end: int) -> None:
-        self.number, self.client, self.payload, self.end = number, client, payload, end
+    def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int) -> None:
+        self.number, self.cls, self.client, self.payload, self.end = number, cls, client, payload, end
         self.sends = 0
         self.current: Attempt | None = None
         self.answered = False  # nothing more is owed: answered, broken after its start, or the client has gone
@@ -93,6 +93,8 @@
         self.backend: Backend | None = None
         self.requests: dict[int, Request] = {}
         self.engines: dict[int, i.Entry] = {}
+        self.calls = [Calls() for _ in deployment.class_names]
+        self.inflight = 0  # requests taken that have not ended
         self._next, self._events, self._busy = 1, deque[i.Event](), False
 
     # From a front.
@@ -101,21 +103,27 @@
         """Take a request. `arrived` is the time of its last byte: its deadline runs from there."""
         now = self.clock()
         end = (now if arrived is None else arrived) + ask.ttl
-        request = Request(self._next, client, payload, end)
+        request = Request(self._next, ask.cls, client, payload, end)
         self._next += 1
         self.requests[request.number] = request
         self.counters.taken += 1
+        self.inflight += 1
         request.backstop = self.deadlines.at(end, lambda: self._overdue(request))
         self._feed(i.Arrived(request.number, ask.cls, ask.tenant, ask.session, ask.prefix, ask.prefix_len,
                              ask.prompt, ask.max_out, max(1, end - now), ask.repeat, ask.resumed, ask.kinds,
                              ask.standing, ask.away))
         return request
 
+    def turned_away(self, cls: int) -> None:
+        """A front has refused a request that it had no room to take."""
+        self.counters.refused += 1
+        self._count(cls, BUSY)
+
     def leave(self, request: Request) -> None:
         """The client has gone. Its attempt is called off, even one whose answer has begun: nobody reads it."""
         if request.answered:
             return
-        self._settle(request)
+        self._settle(request, "")
         self.counters.left += 1
         attempt = request.current
         self._feed(i.Left(request.number))
@@ -173,7 +181,7 @@
         if may_hold and not attempt.began:
             request.holders.add(attempt.engine)
         if not request.answered and (attempt.began or outcome == i.ANSWERED):
-            self._settle(request)
+            self._settle(request, SUCCESS if outcome == i.ANSWERED else FAILURE)
             if outcome == i.ANSWERED:
                 self.counters.served += 1
                 request.client.finish()
@@ -181,7 +189,7 @@
                 self.counters.broken += 1
                 request.client.abort()
         elif not request.answered and said is not None:
-            self._settle(request)
+            self._settle(request, FAILURE)
             self.counters.declined += 1
             request.client.decline(said)
         self._feed(i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept,
@@ -204,8 +212,16 @@
         # Danger: a read may have ended well at the very moment of its closing, and its state stays pinned.
         self.end(attempt, outcome if sent else i.UNREACHABLE, may_hold=sent)
 
-    def _settle(self, request: Request) -> None:
+    def _count(self, cls: int, end: str) -> None:
+        calls = self.calls[cls]
+        setattr(calls, end, getattr(calls, end) + 1)
+
+    def _settle(self, request: Request, end: str) -> None:
+        """The one place where a request ends; `end` is empty where its client went first."""
         request.answered = True
+        self.inflight -= 1
+        if end:
+            self._count(request.cls, end)
         self.deadlines.cancel(request.backstop)
 
     def _overdue(self, request: Request) -> None:
@@ -215,7 +231,7 @@
             return
         logger.error("request {request} reached its deadline without an answer from the router",
                      request=request.number)
-        self._settle(request)
+        self._settle(request, FAILURE)
         self.counters.failed += 1
         request.client.fail()
         self._feed(i.Left(request.number))
@@ -270,12 +286,12 @@
                     self._call_off(attempt)
             case i.Refuse(_, stay_away):
                 if not request.answered:
-                    self._settle(request)
+                    self._settle(request, BUSY)
                     self.counters.refused += 1
                     request.client.refuse(stay_away)
             case i.Fail():
                 if not request.answered:
-                    self._settle(request)
+                    self._settle(request, FAILURE)
                     self.counters.failed += 1
                     request.client.fail()
             case i.Release():
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -3,14 +3,43 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field, fields
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
+SUCCESS, BUSY, FAILURE = "success", "busy", "failure"
+
+
+@dataclass(slots=True)
+class Calls:
+    """One class's requests by how they ended, each counted once, at its end."""
+
+    success: int = 0
+    busy: int = 0
+    failure: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What operators are told: `calls` by class, requests taken and not ended, attempts written whole, and the
+    replicas that are listed, and of those the ones that get nothing new."""
+
+    calls: Mapping[str, Calls]
+    inflight: int
+    backend_calls: int
+    hosts_listed: int
+    hosts_down: int
+
+    def as_dict(self) -> dict[str, Any]:
+        told = {f.name: getattr(self, f.name) for f in fields(self)}
+        return {**told, "calls": {name: asdict(calls) for name, calls in self.calls.items()}}
+
 
 @dataclass(slots=True)
 class Counters:
     taken: int = 0  # requests with a place in the core
     sent: int = 0  # attempts
+    written: int = 0  # attempts whose last byte went out
     served: int = 0  # answered whole
     refused: int = 0
     failed: int = 0
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -111,6 +111,7 @@
         except OSError:  # its last byte was never written
             connection.close("send-failed")
             return self.over(i.UNREACHABLE)
+        pool.counters.written += 1
         if connection.closed:
             self.over(i.BROKEN, may_hold=True)
 
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -19,7 +19,6 @@
 from pearhill.http1.server import MAX_BODY, ContinueWanted, Rejected, ServerConnection
 from pearhill.net.address import Address
 from pearhill.net.tasks import Tasks
-from pearhill.net.turns import pause
 
 FIRST_READ, READ = 2 * 1024, 64 * 1024  # at once, of what may begin a request, and of what goes on with one
 ROOM = 64 * 1024  # bytes of an answer that may wait for a slow client before its server is held back
@@ -29,6 +28,7 @@
 LINGER, LINGER_BYTES = 1_000_000, 256 * 1024  # how long, and how much, is read past the last answer
 WRITE_WITHIN = 20_000_000  # a client that takes no byte for so long is gone
 ACCEPT_AT_ONCE = 16  # connections taken in one turn
+LOOK_AGAIN = 20_000  # at the door, once there was no room
 TURN = 250_000  # a connection that young may have bytes that no turn has come to read
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -45,6 +45,7 @@
         self.requests = 0
         self.since = listener.deadlines.clock()  # its accept, the first byte of what is being read, the last answer
         self._keep = True
+        self._last = False  # the next answer ends it, whatever its request says
         self._out = bytearray()
         self._room, self._next = asyncio.Event(), asyncio.Event()
         self._room.set()
@@ -70,9 +71,15 @@
 
     @property
     def unread(self) -> bool:
-        """It has only just come, and bytes with it. Danger: a request among hundreds that only connect would go too."""
-        if self.requests or self.listener.deadlines.clock() - self.since > TURN:
-            return False
+        """It has only just come, and bytes with it, or its next request waits. Danger: a request among hundreds that
+        only connect would go too."""
+        if self.requests:
+            return self.idle and not self.ending and self.has_bytes
+        return self.listener.deadlines.clock() - self.since <= TURN and self.has_bytes
+
+    @property
+    def has_bytes(self) -> bool:
+        """Something waits to be read. Danger: a request that crosses the end of its connection is lost on its way."""
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
@@ -152,7 +159,7 @@
                 self._reject(message)
                 break
             self.requests += 1
-            self._keep = message.keep_alive
+            self._keep = message.keep_alive and not self._last
             turn = self.requests
             try:
                 pending = self.listener.handler.handle(message, self)
@@ -183,7 +190,7 @@
         if self.owes_a_request:
             self._timer = self.listener.deadlines.at(self.since + MESSAGE_WITHIN, self._too_slow)
         else:
-            self._timer = self.listener.deadlines.at(self.since + IDLE_WITHIN, lambda: self.close("idle"))
+            self._timer = self.listener.deadlines.at(self.since + IDLE_WITHIN, lambda: self.close_unless_asked("idle"))
 
     def _too_slow(self) -> None:
         if not self.machine.in_message:
@@ -262,6 +269,13 @@
             return self.close(self._reason)
         self._timer = self.listener.deadlines.after(LINGER, lambda: self.close(self._reason))
 
+    def close_unless_asked(self, reason: str) -> None:
+        """End an idle connection, unless a request has come that no turn has read yet: its answer ends it then."""
+        if self.has_bytes:
+            self._last = True
+        else:
+            self.close(reason)
+
     def close(self, reason: str) -> None:
         """End the connection now; a request still being answered on it loses its client."""
         if self.closed:
@@ -275,8 +289,8 @@
         for task in (self._reader, self._writer):
             if task and asyncio.current_task(self.listener.loop) is not task:
                 task.cancel()
-        self.listener.counters.connections[f"client {reason}"] += 1
-        logger.info("connection side={side} peer={peer} reason={reason} requests={requests}", side="client",
+        self.listener.counters.connections[f"{self.listener.side} {reason}"] += 1
+        logger.info("connection side={side} peer={peer} reason={reason} requests={requests}", side=self.listener.side,
                     peer=self.peer, reason=reason, requests=self.requests)
         pending, self.pending = self.pending, None
         if pending:
@@ -284,52 +298,80 @@
 
 
 class Listener:
-    """`most` bounds the clients' connections; past it those that are of least use make room. `send_buffer`: bytes that
-    the system may hold of an answer to one client, twice over; 0: as it likes."""
+    """`most` bounds the connections; past it those that are of least use make room. `send_buffer`: bytes that the
+    system may hold of an answer to one client, twice over; 0: as it likes. `side` names them in the log."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, handler: Handler,
-                 most: int, max_body: int = MAX_BODY, send_buffer: int = 0) -> None:
+                 most: int, max_body: int = MAX_BODY, send_buffer: int = 0, side: str = "client") -> None:
         self.loop, self.deadlines, self.counters, self.handler, self.most = loop, deadlines, counters, handler, most
-        self.max_body, self.send_buffer = max_body, send_buffer
+        self.max_body, self.send_buffer, self.side = max_body, send_buffer, side
         self.links: set[Link] = set()
         self.draining = self.closing = False
-        self._tasks = Tasks(loop, "a client connection's task")
+        self._tasks = Tasks(loop, f"a {side} connection's task")
         self.spawn = self._tasks.spawn
         self._sock: socket.socket | None = None
-        self._accepting: asyncio.Task[None] | None = None
+        self._polled = False  # connections are taken as they come
+        self._later: Key | None = None
 
     def listen(self, address: Address) -> Address:
-        """Open the door; the address that it got."""
-        self._sock = sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        """Open a door of our own; the address that it got."""
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(address)
+            sock.listen(1024)
+        except OSError:
+            sock.close()
+            raise
+        return self.adopt(sock)
+
+    def adopt(self, sock: socket.socket) -> Address:
+        """Take connections from a socket that listens already, maybe for others too; the address that it has."""
+        self._sock = sock
         sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(1024)
-        self._accepting = self.spawn(self._accept(sock))
+        self._accept()
         host, port = sock.getsockname()[:2]
         return host, port
 
-    async def _accept(self, sock: socket.socket) -> None:
-        while True:
-            if len(self.links) >= self.most and not self._make_room():
-                await pause(self.deadlines, 20_000)
-                continue
+    def _accept(self) -> None:
+        """Whoever waits at the door. Danger: an accept that is called off may have taken a connection that then
+        nobody holds; so nothing waits in one, and each is taken in the turn that it is seen."""
+        if self._later:
+            self.deadlines.cancel(self._later)
+            self._later = None
+        if self._sock is None:
+            return
+        if not self._polled:
+            self._polled = True
+            self.loop.add_reader(self._sock.fileno(), self._accept)
+        # Danger: one a turn, those who ask would stand in line behind hundreds who only connect.
+        for _ in range(ACCEPT_AT_ONCE):
+            full = len(self.links) >= self.most
+            if full and not self._make_room():
+                return self._accept_later()
             try:
-                client, peer = await self.loop.sock_accept(sock)
+                client, peer = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
             except OSError as e:
                 # Danger: out of descriptors for a moment, a loop that ends here never accepts again.
                 if e.errno in EXHAUSTED:
                     logger.warning("accepting pauses: {error}", error=str(e))
                     self._make_room()
-                await pause(self.deadlines, 20_000)
-                continue
+                return self._accept_later()
             self._take(client, peer)
-            # Danger: one a turn, those who ask would stand in line behind hundreds who only connect.
-            for _ in range(min(ACCEPT_AT_ONCE, self.most - len(self.links))):
-                try:
-                    self._take(*sock.accept())
-                except OSError:  # nobody else is there, or the next turn will tell
-                    break
+            if full:  # Danger: those who made room are gone with the next turn; until then more would have to go
+                return
+
+    def _accept_later(self) -> None:
+        """Danger: polled while there is no room, a door with somebody before it would spin the loop."""
+        self._unpoll()
+        self._later = self.deadlines.after(LOOK_AGAIN, self._accept)
+
+    def _unpoll(self) -> None:
+        if self._polled and self._sock:
+            self._polled = False
+            self.loop.remove_reader(self._sock.fileno())
 
     def _take(self, client: socket.socket, peer: Any) -> None:
         client.setblocking(False)
@@ -348,7 +390,8 @@
             if not link.closed and link.idle_but_reading:
                 kind = spent if link.ending else owing if link.owes_a_request else idle
                 kind.append(link)
-        for links, most in (spent, ACCEPT_AT_ONCE), (owing, ACCEPT_AT_ONCE), (idle, 1):
+        some = max(2, min(ACCEPT_AT_ONCE, self.most // 8))
+        for links, most in (spent, some), (owing, some), (idle, 1):
             if links:  # several at once where they are cheap to lose: each look is a walk over all
                 links = [link for link in sorted(links, key=lambda link: link.since)[:most] if not link.unread]
                 for link in links:
@@ -362,33 +405,37 @@
         """Nothing is being read, answered or written."""
         return all(link.closed or link.idle for link in self.links)
 
-    def drain(self) -> None:
-        """From now on each answer ends its connection."""
-        self.draining = True
+    def last_answers(self, on: bool = True) -> None:
+        """From now on each answer ends its connection, or no longer does."""
+        self.draining = on
+        self.closing = self.closing and on
 
     def close_idle(self) -> None:
         """From now on no connection outlives its answer, even one that was begun before the drain."""
         self.closing = True
         for link in list(self.links):
             if link.idle:
-                link.close("drained")
-
-    async def stop_accepting(self) -> None:
-        """Shut the door. Danger: whoever waits behind it unaccepted is reset, and what it has sent is lost."""
-        if self._sock and self._accepting:
-            self._accepting.cancel()
-            await asyncio.gather(self._accepting, return_exceptions=True)
-            while True:
-                try:
-                    client, peer = self._sock.accept()
-                except OSError:
-                    break
-                self._take(client, peer)
-            self._sock.close()
-            self._sock = None
+                link.close_unless_asked("drained")
+
+    def stop_accepting(self, leave: bool = False) -> None:
+        """Shut the door. `leave` whoever waits behind it to another process that accepts from the same socket.
+        Danger: with nobody else there they are reset, and what they have sent is lost."""
+        if not self._sock:
+            return
+        self._unpoll()
+        self.deadlines.cancel(self._later)
+        self._later = None
+        while not leave:
+            try:
+                client, peer = self._sock.accept()
+            except OSError:
+                break
+            self._take(client, peer)
+        self._sock.close()
+        self._sock = None
 
     async def close(self) -> None:
-        await self.stop_accepting()
+        self.stop_accepting()
         for link in list(self.links):
             link.close("shutdown")
         await self._tasks.all_ended()
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -12,9 +12,9 @@
 
 from pearhill import interface as i
 from pearhill.config import ConfigError
-from pearhill.core.deadlines import Deadlines
+from pearhill.core.deadlines import Deadlines, Key
 from pearhill.core.dispatcher import Dispatcher
-from pearhill.counters import Counters
+from pearhill.counters import Counters, Figures
 from pearhill.http1.handler import Handler
 from pearhill.http1.server import MAX_BODY
 from pearhill.net.address import Address
@@ -23,14 +23,18 @@
 from pearhill.net.listener import Listener
 from pearhill.net.pool import Pool
 from pearhill.net.turns import Turns, pause
+from pearhill.service.drain import NO_IDLE, OPEN, Drain
+from pearhill.service.roster import Roster
+from pearhill.service.wishes import Wishes
 from pearhill.settings import Deployment
 
 SPARE = 48  # descriptors for the log, the loop, the listener, and
 FOR_BOOKS = 24  # of them for releases and the list of servers
-KEEP_OPEN = 500_000  # after SIGTERM clients still use the connections they have, and new ones still come
-ACCEPT_FOR = 1_000_000
+DOOR = 16  # and for operators' calls, where there is a door for them
+ACCEPT_FOR = 1_000_000  # after SIGTERM new connections still come
 RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried
 LOOK_AGAIN = 20_000
+DOOR_BODY = 4096  # bytes of a call that has no use for any
 
 
 def _keep_idle(deployment: Deployment) -> int:
@@ -44,6 +48,7 @@
     seed: int
     max_body: int = MAX_BODY  # bytes of a request
     send_buffer: int = 0  # bytes that the system may hold for one client; 0: as it likes
+    door: bool = False  # operators have an address of their own
 
 
 class Node:
@@ -56,20 +61,72 @@
         self.deadlines = Deadlines(start_clock())
         self.turns = Turns(loop, self.deadlines)
         self.limits = limits
-        self.room = (limits.sockets - SPARE) // 2  # for clients, and as many for requests at servers
+        # For clients, and as many for requests at servers.
+        self.room = (limits.sockets - SPARE - DOOR * limits.door) // 2
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
                          keep_idle=_keep_idle(deployment), most=self.room, spare=FOR_BOOKS)
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.backend = HttpBackend(self.pool, dialect)
         self.dispatcher.backend = self.backend
-        self.draining = False
+        self.wishes = Wishes()
+        self.roster = Roster(self.wishes)
+        self.drain = Drain()
+        self.listener: Listener | None = None
+        self._drain_key: Key | None = None
         self.on_report: Callable[[], None] = lambda: None  # told when the counters are logged
 
+    @property
+    def draining(self) -> bool:
+        return self.drain.on
+
     def listed(self, full: bool, entries: tuple[i.Entry, ...], addresses: dict[int, Address]) -> None:
         """A list of servers, to be in force before the next send."""
         self.counters.lists += 1
         self.backend.locate(addresses, [entry.engine for entry in entries if entry.phase == i.GONE], full)
-        self.dispatcher.listed(full, entries)
+        self.dispatcher.listed(full, self.roster.listed(full, entries))
+
+    # Operators' calls.
+
+    def figures(self) -> Figures:
+        core = self.dispatcher
+        return Figures(dict(zip(core.deployment.class_names, core.calls, strict=True)), core.inflight,
+                       self.counters.written, len(core.engines), core.router.avoided(self.deadlines.clock()))
+
+    def take_out(self, engine: int, out: bool) -> bool:
+        """Take a server out, or use it again, until the other is asked for. False: nobody has this number."""
+        if not self.roster.knows(engine):
+            return False
+        self.wishes.set_out(engine, self.deadlines.clock(), out)
+        self._wished({engine})
+        return True
+
+    def ask_drain(self, on: bool) -> None:
+        now = self.deadlines.clock()
+        self.wishes.set_drain(now, on)
+        self.drain.ask(now, on)
+        self._drained()
+
+    def _wished(self, engines: set[int]) -> None:
+        for engine in engines:
+            # Danger: it is restarted while it is out. A request on a connection from before ends as a reset.
+            if address := self.backend.addresses.get(engine):
+                self.pool.drop_idle(address)
+        if told := self.roster.again(engines):
+            self.dispatcher.listed(False, told)
+
+    def _drained(self) -> None:
+        """Do what the drain's stage asks for."""
+        listener, now = self.listener, self.deadlines.clock()
+        self.deadlines.cancel(self._drain_key)
+        self._drain_key = None
+        if listener is None:
+            return
+        stage = self.drain.stage(now)
+        listener.last_answers(stage != OPEN)
+        if stage == NO_IDLE:
+            listener.close_idle()
+        if (due := self.drain.tick(now)) is not None:
+            self._drain_key = self.deadlines.at(due, self._drained)
 
     def reconfigure(self, deployment: Deployment) -> None:
         """Other settings for a running dispatcher. ConfigError: they ask for what only a start can do."""
@@ -79,6 +136,16 @@
         self.dispatcher.reconfigure(deployment)
         self.pool.reconfigure(deployment.connect_timeout, _keep_idle(deployment))
 
+    def _open_door(self, address: Address, handler: Handler) -> Listener:
+        operators = Listener(self.loop, self.deadlines, self.counters, handler, DOOR, DOOR_BODY, side="operator")
+        operators.last_answers()  # one call a connection
+        try:
+            host, port = operators.listen(address)
+        except OSError as e:
+            raise OSError(f"admin_addr: {address[0]}:{address[1]}: {e.strerror or e}") from None
+        logger.info("operators are heard on {host}:{port}", host=host, port=port)
+        return operators
+
     def _reload(self, reload: Callable[[], str]) -> None:
         """Danger: whatever a file holds, and whenever it is read, the process and all that it has taken live on."""
         try:
@@ -88,32 +155,35 @@
 
     async def serve(self, address: Address, handler: Handler, name: str, reload: Callable[[], str],
                     opened: Callable[[Address], None] = lambda address: None,
-                    leaving: Callable[[], Awaitable[None]] | None = None) -> None:
+                    leaving: Callable[[], Awaitable[None]] | None = None,
+                    door: tuple[Address, Handler] | None = None) -> None:
         """Take requests until SIGTERM or SIGINT, then see through all that was taken. `reload` reads the
-        configuration anew at each SIGHUP and tells in words what came of it."""
+        configuration anew at each SIGHUP and tells in words what came of it. `door`: where operators call, and what
+        answers them."""
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stopped.set)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload, reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room,
-                            self.limits.max_body, self.limits.send_buffer)
+        operators = self._open_door(*door) if door else None
+        listener = self.listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room,
+                                            self.limits.max_body, self.limits.send_buffer)
         host, port = listener.listen(address)
         logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
         opened((host, port))
         await stopped.wait()
         logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
-        self.draining = True
-        listener.drain()
+        self.drain.end_process(self.deadlines.clock())
+        self._drained()
         if leaving:
             await leaving()
-        await pause(self.deadlines, KEEP_OPEN)
-        listener.close_idle()
-        await pause(self.deadlines, ACCEPT_FOR - KEEP_OPEN)
-        await listener.stop_accepting()
+        await pause(self.deadlines, ACCEPT_FOR)
+        listener.stop_accepting()
         await self.until(lambda: listener.quiet, listener.close_idle)
         await listener.close()
+        if operators:
+            await operators.close()
         # Danger: as the loop closes, the system's own handling comes back, and a late SIGHUP would end the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
--- /dev/null
+++ b/pearhill/operations.py
@@ -0,0 +1,31 @@
+"""What operators' calls work on, whatever fronts and servers the dispatcher has."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from pearhill.core.engines import engine_of
+from pearhill.counters import Figures
+from pearhill.node import Node
+
+
+class Operations:
+    def __init__(self, node: Node, can_serve: Callable[[], bool]) -> None:
+        self.node, self.can_serve = node, can_serve
+
+    def figures(self) -> Figures:
+        return self.node.figures()
+
+    def take_out(self, uid: str, out: bool) -> bool:
+        known = self.node.take_out(engine_of(uid), out)
+        if known:
+            logger.info("operators: replica {uid} is {what}", uid=uid, what="out" if out else "in use again")
+        else:
+            logger.warning("operators: no replica has the id {uid}", uid=uid)
+        return known
+
+    def drain(self, on: bool) -> None:
+        logger.info("operators: the drain {what}", what="begins" if on else "is over")
+        self.node.ask_drain(on)
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -5,8 +5,10 @@
 import random
 from collections.abc import Callable
 
+from pearhill.admin.door import Door
 from pearhill.config import Config, for_next_start
 from pearhill.node import Limits, Node
+from pearhill.operations import Operations
 from pearhill.platform.asking import Asking
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFront
@@ -19,17 +21,20 @@
 
 async def serve(config: Config, read_anew: Callable[[Config], Config]) -> None:
     """`read_anew` gives the configuration that follows the one in force."""
-    node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed))
+    node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed, door=config.admin is not None))
     deployment = config.deployment
     # The seed is this start's own. Danger: drawn from one that all share, what is spread would be in step.
     asking = Asking(deployment.shared_discovery, deployment.router.instances, random.Random(config.seed ^ ASKING))
     watch = Watch(node.pool, config.discovery, deployment, node.listed, asking, config.known)
     known_until = node.deadlines.clock() + KNOWN_AFTER
 
-    def is_ready() -> bool:
+    def can_serve() -> bool:
         # Danger: the list known at the start is stale; only a silent discovery makes it good enough.
         told = watch.heard or node.deadlines.clock() > known_until
-        return told and not node.draining and node.dispatcher.can_answer
+        return told and node.dispatcher.can_answer
+
+    def is_ready() -> bool:
+        return can_serve() and not node.draining
 
     def reload() -> str:
         nonlocal config
@@ -40,10 +45,12 @@
         if fresh.discovery != before.discovery:
             watch.move(fresh.discovery)
         later = for_next_start(("name", before.name, fresh.name), ("listen", before.listen, fresh.listen),
-                               ("limits.sockets", before.sockets, fresh.sockets))
+                               ("limits.sockets", before.sockets, fresh.sockets),
+                               ("admin_addr", before.admin, fresh.admin))
         return f"discovery at {fresh.discovery[0]}:{fresh.discovery[1]}{later}"
 
     watch.start()
-    await node.serve(config.listen, PlatformFront(node.dispatcher, is_ready), config.name, reload)
+    door = (config.admin, Door(Operations(node, can_serve))) if config.admin else None
+    await node.serve(config.listen, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door)
     watch.stop()
     node.close()
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -140,7 +140,7 @@
             reply.turn_away(409, TEXT, b"a request with this Request-Id is open\n")
             return None
         if len(dispatcher.requests) >= dispatcher.deployment.most_held:
-            dispatcher.counters.refused += 1
+            dispatcher.turned_away(ask.cls)
             reply.answer(503, (*TEXT, *retry_after(dispatcher.deployment.router.max_retry_after)), b"too many open\n")
             return None
         self.open.add(id)
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -201,6 +201,12 @@
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
 
+    def avoided(self, now: int) -> int:
+        """How many listed engines get nothing new for now, by the list's word or by mine."""
+        line = min((fails.over(now, 0.0) for fails in self.zones.values()), default=0.0) + OUTLIER
+        return sum(e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line
+                   for e in self.engines.values())
+
     def _legal(self, job: Job, e: Engine) -> bool:
         """Danger: an effect that happens twice. Once it may have run, a keyed request stays in its group."""
         spec = self.s.classes[job.req.cls]
--- /dev/null
+++ b/pearhill/service/roster.py
@@ -0,0 +1,46 @@
+"""Discovery's list and the operators' wishes, as the one list that the Router is told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from pearhill import interface as i
+from pearhill.service.wishes import Wishes
+
+
+class Roster:
+    """The list as it came, apart from what is told of it: an engine that is put back is what the list then says."""
+
+    def __init__(self, wishes: Wishes) -> None:
+        self.wishes = wishes
+        self.entries: dict[int, i.Entry] = {}
+
+    def listed(self, full: bool, entries: tuple[i.Entry, ...]) -> tuple[i.Entry, ...]:
+        """A list as discovery gives it; the same as the Router is told it."""
+        if full:
+            self.entries = {}
+        for entry in entries:
+            if entry.phase == i.GONE:
+                self.entries.pop(entry.engine, None)
+            else:
+                self.entries[entry.engine] = entry
+        return tuple(self._told(entry) for entry in entries)
+
+    def again(self, engines: Iterable[int]) -> tuple[i.Entry, ...]:
+        """What to tell of these engines now that a wish has changed."""
+        return tuple(self._told(self.entries[engine]) for engine in engines if engine in self.entries)
+
+    def knows(self, engine: int) -> bool:
+        """Somebody has this id: it is listed, or out by hand and may come back."""
+        return engine in self.entries or self.wishes.is_out(engine)
+
+    def _told(self, entry: i.Entry) -> i.Entry:
+        if self.wishes.is_out(entry.engine):
+            return replace(entry, phase=i.DRAINING) if entry.phase == i.READY else entry
+        back = self.wishes.back(entry.engine)
+        # Danger: operators restart what is out, and the list tells of it seconds late. Taken for warm, it is pushed
+        # over. A start that the list names, during the absence or later, is the true one.
+        if back and entry.started < back.since:
+            return replace(entry, started=back.at)
+        return entry
--- /dev/null
+++ b/tests/service/test_by_hand.py
@@ -0,0 +1,102 @@
+"""Wishes, the roster and the drain, free of I/O."""
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearhill import interface as i
+from pearhill.service.drain import KEEP_OPEN, LAST_ANSWERS, NO_IDLE, OPEN, Drain
+from pearhill.service.roster import Roster
+from pearhill.service.wishes import FORGOTTEN_AFTER, Wishes
+from tests.driver import S, entry
+
+
+def phases(entries: tuple[i.Entry, ...]) -> dict[int, str]:
+    return {e.engine: e.phase for e in entries}
+
+
+def test_what_is_out_is_told_as_draining_whatever_the_list_says():
+    roster = Roster(wishes := Wishes())
+    assert phases(roster.listed(True, (entry(1, 0), entry(2, 1)))) == {1: i.READY, 2: i.READY}
+    wishes.set_out(1, 10 * S, True)
+    assert phases(roster.again({1})) == {1: i.DRAINING}
+    for full in (False, True):
+        assert phases(roster.listed(full, (entry(1, 0), entry(2, 1)))) == {1: i.DRAINING, 2: i.READY}
+    roster.listed(False, (entry(1, 0, phase=i.GONE),))
+    assert roster.knows(1) and roster.again({1}) == ()  # not listed, and still out
+    moved = replace(entry(1, 0), started=11 * S, cell=5)
+    assert phases(roster.listed(False, (moved,))) == {1: i.DRAINING}
+    wishes.set_out(1, 12 * S, False)
+    assert roster.again({1}) == (moved,)  # the list named its start
+    roster.listed(True, ())
+    assert not roster.knows(1)
+
+
+def test_two_calls_out_need_one_back_and_a_call_back_alone_is_none():
+    wishes = Wishes()
+    wishes.set_out(1, 5 * S, False)
+    assert wishes.out == {}  # or an engine that was never out would be taken for a cold one
+    for at in (10 * S, 11 * S):
+        wishes.set_out(1, at, True)
+    wishes.set_out(1, 12 * S, False)
+    assert not wishes.is_out(1)
+    assert wishes.back(1) and wishes.back(1).since == 10 * S
+
+
+def test_what_is_back_counts_as_cold_until_the_list_tells_its_true_start():
+    roster = Roster(wishes := Wishes())
+    roster.listed(True, (entry(1, 0, started=3 * S),))
+    wishes.set_out(1, 10 * S, True)
+    wishes.set_out(1, 20 * S, False)
+    assert roster.again({1})[0].started == 20 * S  # absence is not warmth
+    for start in (14 * S, 25 * S):
+        assert roster.listed(False, (entry(1, 0, started=start),))[0].started == start
+    wishes.forget(20 * S + FORGOTTEN_AFTER + 1)
+    assert wishes.out == {}
+
+
+def test_wishes_that_stand_are_never_forgotten():
+    wishes = Wishes()
+    wishes.set_out(1, S, True)
+    wishes.forget(100 * FORGOTTEN_AFTER)
+    assert wishes.is_out(1)
+
+
+CALLS = st.lists(st.tuples(st.integers(0, 1), st.integers(1, 3), st.integers(0, 20), st.booleans()), max_size=30)
+
+
+@given(CALLS)
+def test_of_two_processes_both_end_with_the_wish_that_came_last(calls):
+    """Each call reaches one of two; each takes over the other's after it, whatever their clocks say."""
+    both = Wishes(), Wishes()
+    last: dict[int, bool] = {}
+    for who, engine, at, on in calls:
+        both[who].set_out(engine, at, on)
+        last[engine] = on
+        both[1 - who].merge(both[who].out, both[who].drain)
+        both[who].merge(both[1 - who].out, both[1 - who].drain)
+    assert both[0].out == both[1].out
+    assert {engine: both[0].is_out(engine) for engine in last} == last
+
+
+def test_a_drain_goes_through_its_stages_and_back():
+    drain = Drain()
+    assert drain.stage(S) == OPEN and drain.tick(S) is None
+    drain.ask(S, True)
+    assert (drain.stage(S), drain.tick(S)) == (LAST_ANSWERS, S + KEEP_OPEN)
+    drain.ask(S + KEEP_OPEN - 1, True)  # asked for twice, it does not begin anew
+    assert (drain.stage(S + KEEP_OPEN), drain.tick(S + KEEP_OPEN)) == (NO_IDLE, None)
+    drain.ask(9 * S, False)
+    drain.ask(9 * S, False)
+    assert not drain.on and drain.stage(9 * S) == OPEN
+
+
+def test_the_end_of_the_operators_drain_does_not_undo_the_end_of_the_process():
+    drain = Drain()
+    drain.ask(S, True)
+    drain.end_process(2 * S)
+    drain.ask(3 * S, False)
+    assert drain.on and drain.stage(2 * S + KEEP_OPEN) == NO_IDLE
+    drain.end_process(9 * S)
+    assert drain.stage(3 * S) == NO_IDLE  # a second signal does not begin it anew
