Upgrade: the passed socket, notes between two processes, the elder gets time to answer

Change: the clients' socket is taken from the descriptor, checked first; service/handover decides from small notes in TMPDIR (mark, version, checksum, renamed into place), upgrade.py reads and writes them in a thread. The successor takes the clients once it can serve, the elder leaves the queue to it at once. The platform ends the elder 3.7 s after the yes, so the yes waits for what the elder answers, 5.2 s after the start at most (6 are allowed).

--- a/pearhill/config/platform.py
+++ b/pearhill/config/platform.py
@@ -9,6 +9,7 @@
 
 from pearhill import settings
 from pearhill.net.address import Address, parse_address
+from pearhill.net.listener import listening
 
 
 class ConfigError(Exception):
@@ -26,6 +27,8 @@
     known: Mapping[str, Any]
     deployment: settings.Deployment
     admin: Address | None = None  # where operators call
+    passed: int | None = None  # the descriptor of a socket that listens already, for clients
+    notes: str | None = None  # the folder in which processes of one dispatcher leave notes for each other
 
 
 def _address(key: str, text: Any) -> Address:
@@ -35,6 +38,19 @@
         raise ConfigError(f"{key}: {e}") from None
 
 
+def _passed(environ: Mapping[str, str]) -> int | None:
+    """Left as it is, open and ours; whoever takes clients from it asks for it again."""
+    text = environ.get("RELAY_PASSED_SOCKET")
+    if not text:
+        return None
+    if not text.isascii() or not text.isdecimal() or not 3 <= int(text) < 1 << 20:
+        raise ConfigError(f"RELAY_PASSED_SOCKET: found {text!r}; allowed: the number of an open descriptor, 3 or more")
+    try:
+        return listening(int(text)).detach()
+    except ValueError as e:
+        raise ConfigError(f"RELAY_PASSED_SOCKET: {e}") from None
+
+
 def for_next_start(*told: tuple[str, object, object]) -> str:
     """Of (key, in force, told anew): what a reload leaves for the next start, in words."""
     keys = ", ".join(key for key, old, new in told if old != new)
@@ -68,6 +84,7 @@
     if sockets < 64:
         raise ConfigError("limits.sockets: at least 64 are needed")
     admin = environ.get("RELAY_ADMIN_ADDR") or told.get("admin_addr")
+    passed = before.passed if before else _passed(environ)
     discovery = told.get("discovery")
     if before and discovery == before.discovery_in_file:
         found = before.discovery
@@ -79,4 +96,5 @@
         name=environ.get("RELAY_NAME") or str(told.get("name", "pearhill")),
         listen=_address("listen", environ.get("RELAY_LISTEN") or told.get("listen")),
         discovery=found, discovery_in_file=discovery, seed=seed, sockets=sockets, known=told.get("known") or {},
-        deployment=deployment, admin=None if admin is None else _address("admin_addr", admin))
+        deployment=deployment, admin=None if admin is None else _address("admin_addr", admin), passed=passed,
+        notes=environ.get("TMPDIR") or None)
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -33,6 +33,19 @@
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+def listening(number: int) -> socket.socket:
+    """A socket that whoever started this process has left open for it. ValueError: it is none to take clients from."""
+    try:
+        sock = socket.socket(fileno=number)
+    except OSError as e:
+        raise ValueError(f"descriptor {number}: {e.strerror or e}") from None
+    if (sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM
+            or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+        sock.detach()  # it is not ours to close
+        raise ValueError(f"descriptor {number} is no TCP socket that listens")
+    return sock
+
+
 class Link:
     """One client's connection, and the Reply to the request that is being answered on it."""
 
@@ -333,6 +346,26 @@
         host, port = sock.getsockname()[:2]
         return host, port
 
+    @property
+    def accepting(self) -> bool:
+        return self._sock is not None
+
+    def pause(self, on: bool) -> None:
+        """Leave those who come to another process that takes them from the same socket, or take them again."""
+        if on:
+            self._unpoll()
+            self.deadlines.cancel(self._later)
+            self._later = None
+        else:
+            self._accept()
+
+    def bound(self, most: int) -> None:
+        """Another bound on the connections. Those that idle go now, down to it."""
+        self.most = most
+        idle = sorted((link for link in self.links if link.idle and not link.closed), key=lambda link: link.since)
+        for link in idle[:max(0, len(self.links) - most)]:
+            link.close_unless_asked("room-needed")
+
     def _accept(self) -> None:
         """Whoever waits at the door. Danger: an accept that is called off may have taken a connection that then
         nobody holds; so nothing waits in one, and each is taken in the turn that it is seen."""
@@ -422,9 +455,7 @@
         Danger: with nobody else there they are reset, and what they have sent is lost."""
         if not self._sock:
             return
-        self._unpoll()
-        self.deadlines.cancel(self._later)
-        self._later = None
+        self.pause(True)
         while not leave:
             try:
                 client, peer = self._sock.accept()
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -185,6 +185,12 @@
         self.open.add(connection)
         return connection
 
+    def bound(self, most: int) -> None:
+        """Another bound on all connections together. Those that idle longest go now, down to it."""
+        self.most = most
+        while len(self.open) > most and self._drop_oldest():
+            pass
+
     def reconfigure(self, connect_timeout: int, keep_idle: int) -> None:
         """In force for what is connected, or put back, from now on."""
         self.connect_timeout, self.keep_idle = connect_timeout, keep_idle
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import signal
+import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -33,6 +34,7 @@
 DOOR = 16  # and for operators' calls, where there is a door for them
 ACCEPT_FOR = 1_000_000  # after SIGTERM new connections still come
 RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried
+LEAST_ROOM = 8
 LOOK_AGAIN = 20_000
 DOOR_BODY = 4096  # bytes of a call that has no use for any
 
@@ -61,8 +63,8 @@
         self.deadlines = Deadlines(start_clock())
         self.turns = Turns(loop, self.deadlines)
         self.limits = limits
-        # For clients, and as many for requests at servers.
-        self.room = (limits.sockets - SPARE - DOOR * limits.door) // 2
+        self.parts = 1  # processes that share the limits and this dispatcher's part of all else
+        self.settings = deployment
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
                          keep_idle=_keep_idle(deployment), most=self.room, spare=FOR_BOOKS)
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
@@ -73,8 +75,47 @@
         self.drain = Drain()
         self.listener: Listener | None = None
         self._drain_key: Key | None = None
+        self.succeeded: Callable[[], bool] = lambda: False  # another process takes the clients
         self.on_report: Callable[[], None] = lambda: None  # told when the counters are logged
 
+    @property
+    def room(self) -> int:
+        """Descriptors for clients, and as many for requests at servers."""
+        return max(LEAST_ROOM, (self.limits.sockets // self.parts - SPARE - DOOR * self.limits.door) // 2)
+
+    def share(self, parts: int) -> None:
+        """So many processes are this dispatcher now. Danger: each would hold what all of them may hold, and send a
+        cold engine what all of them may send it."""
+        if parts == self.parts:
+            return
+        self.parts = parts
+        self.pool.bound(self.room)
+        if self.listener:
+            self.listener.bound(self.room)
+        self._settle()
+
+    def _settle(self) -> None:
+        router = self.settings.router
+        self.dispatcher.reconfigure(replace(self.settings, router=replace(
+            router, instances=router.instances * self.parts)))
+
+    @property
+    def accepting(self) -> bool:
+        return self.listener is not None and self.listener.accepting
+
+    @property
+    def quiet(self) -> bool:
+        """Nobody is being answered."""
+        return not self.dispatcher.requests and (self.listener is None or self.listener.quiet)
+
+    def give_way(self, on: bool) -> None:
+        """Another process takes this dispatcher's clients, or has gone before this one did."""
+        if on != (self.drain.yielding is not None):
+            self.drain.give_way(self.deadlines.clock(), on)
+            if self.listener:
+                self.listener.pause(on)
+            self._drained()
+
     @property
     def draining(self) -> bool:
         return self.drain.on
@@ -97,16 +138,18 @@
         if not self.roster.knows(engine):
             return False
         self.wishes.set_out(engine, self.deadlines.clock(), out)
-        self._wished({engine})
+        self.wished({engine}, False)
         return True
 
     def ask_drain(self, on: bool) -> None:
-        now = self.deadlines.clock()
-        self.wishes.set_drain(now, on)
-        self.drain.ask(now, on)
-        self._drained()
+        self.wishes.set_drain(self.deadlines.clock(), on)
+        self.wished(set(), True)
 
-    def _wished(self, engines: set[int]) -> None:
+    def wished(self, engines: set[int], drain: bool) -> None:
+        """These wishes have changed, here or at another process."""
+        if drain and (wish := self.wishes.drain):
+            self.drain.ask(self.deadlines.clock(), wish.on)
+            self._drained()
         for engine in engines:
             # Danger: it is restarted while it is out. A request on a connection from before ends as a reset.
             if address := self.backend.addresses.get(engine):
@@ -133,7 +176,8 @@
         old, new = self.dispatcher.deployment.held_fast(), deployment.held_fast()
         if unlike := [key for key in old if old[key] != new[key]]:
             raise ConfigError(f"settings.{unlike[0]}: cannot change while running")
-        self.dispatcher.reconfigure(deployment)
+        self.settings = deployment
+        self._settle()
         self.pool.reconfigure(deployment.connect_timeout, _keep_idle(deployment))
 
     def _open_door(self, address: Address, handler: Handler) -> Listener:
@@ -153,13 +197,15 @@
         except ConfigError as e:
             logger.warning("reload: the old configuration stays: {error}", error=str(e))
 
-    async def serve(self, address: Address, handler: Handler, name: str, reload: Callable[[], str],
+    async def serve(self, address: Address | socket.socket, handler: Handler, name: str, reload: Callable[[], str],
                     opened: Callable[[Address], None] = lambda address: None,
                     leaving: Callable[[], Awaitable[None]] | None = None,
-                    door: tuple[Address, Handler] | None = None) -> None:
+                    door: tuple[Address, Handler] | None = None,
+                    may_accept: Callable[[], bool] = lambda: True) -> None:
         """Take requests until SIGTERM or SIGINT, then see through all that was taken. `reload` reads the
         configuration anew at each SIGHUP and tells in words what came of it. `door`: where operators call, and what
-        answers them."""
+        answers them. `address` may be a socket that listens already: its clients are taken from `may_accept` on, and
+        left to another process that takes them too."""
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stopped.set)
@@ -169,17 +215,22 @@
         operators = self._open_door(*door) if door else None
         listener = self.listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room,
                                             self.limits.max_body, self.limits.send_buffer)
-        host, port = listener.listen(address)
+        while not may_accept() and not stopped.is_set():
+            await pause(self.deadlines, LOOK_AGAIN)
+        host, port = listener.listen(address) if isinstance(address, tuple) else listener.adopt(address)
+        self._drained()  # one that was asked for before, maybe at another process
         logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
         opened((host, port))
         await stopped.wait()
         logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
         self.drain.end_process(self.deadlines.clock())
         self._drained()
+        if self.succeeded():
+            listener.stop_accepting(leave=True)
         if leaving:
             await leaving()
         await pause(self.deadlines, ACCEPT_FOR)
-        listener.stop_accepting()
+        listener.stop_accepting(leave=self.succeeded())
         await self.until(lambda: listener.quiet, listener.close_idle)
         await listener.close()
         if operators:
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -7,12 +7,14 @@
 
 from pearhill.admin.door import Door
 from pearhill.config import Config, for_next_start
+from pearhill.net.listener import listening
 from pearhill.node import Limits, Node
 from pearhill.operations import Operations
 from pearhill.platform.asking import Asking
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFront
 from pearhill.platform.replica import ReplicaDialect
+from pearhill.upgrade import Upgrade
 
 KNOWN_AFTER = 1_000_000  # how long discovery may stay silent before the list known at the start must do
 
@@ -34,7 +36,12 @@
         return told and node.dispatcher.can_answer
 
     def is_ready() -> bool:
-        return can_serve() and not node.draining
+        return can_serve() and not node.drain.away
+
+    upgrade = Upgrade(node, config.notes, config.name) if config.passed is not None and config.notes else None
+
+    def may_accept() -> bool:
+        return upgrade is None or upgrade.may_accept(can_serve())
 
     def reload() -> str:
         nonlocal config
@@ -50,7 +57,14 @@
         return f"discovery at {fresh.discovery[0]}:{fresh.discovery[1]}{later}"
 
     watch.start()
-    door = (config.admin, Door(Operations(node, can_serve))) if config.admin else None
-    await node.serve(config.listen, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door)
+    def says_yes() -> bool:
+        return can_serve() and node.accepting and (upgrade is None or upgrade.says_yes())
+
+    door = (config.admin, Door(Operations(node, says_yes))) if config.admin else None
+    clients = config.listen if config.passed is None else listening(config.passed)
+    await node.serve(clients, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door,
+                     may_accept=may_accept)
+    if upgrade:
+        upgrade.end()
     watch.stop()
     node.close()
--- a/pearhill/service/drain.py
+++ b/pearhill/service/drain.py
@@ -1,4 +1,5 @@
-"""One drain, whoever asked for it: operators, who may end it again, or the signal that ends the process."""
+"""One drain, whoever asked for it: operators, who may end it again, the signal that ends the process, or another
+process that has come to take this one's clients."""
 
 from __future__ import annotations
 
@@ -10,6 +11,7 @@
     def __init__(self) -> None:
         self.by_hand: int | None = None  # since when; microseconds
         self.ending: int | None = None
+        self.yielding: int | None = None
 
     def ask(self, now: int, on: bool) -> None:
         """Operators' call. Asked for twice, it is one drain; ended without a beginning, it is none."""
@@ -23,9 +25,19 @@
         if self.ending is None:
             self.ending = now
 
+    def give_way(self, now: int, on: bool) -> None:
+        """Another process takes the clients, or, having gone, no longer does."""
+        self.yielding = None if not on else now if self.yielding is None else self.yielding
+
+    @property
+    def away(self) -> bool:
+        """Clients are to go to other dispatchers. Danger: the one whose place is taken is still this dispatcher; said
+        of it, the front would leave its successor too."""
+        return self.by_hand is not None or (self.ending is not None and self.yielding is None)
+
     @property
     def since(self) -> int | None:
-        return min((at for at in (self.by_hand, self.ending) if at is not None), default=None)
+        return min((at for at in (self.by_hand, self.ending, self.yielding) if at is not None), default=None)
 
     @property
     def on(self) -> bool:
--- /dev/null
+++ b/pearhill/service/handover.py
@@ -0,0 +1,126 @@
+"""Two processes of one dispatcher, one taking the other's place: what each tells the other, and what follows.
+
+Each keeps a note of its own and reads the other's. Nothing here touches a file; times are microseconds of Unix time."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from pearhill.service.wishes import MOST, Wish, Wishes
+
+VERSION = 1
+MARK = f"pearhill-note {VERSION} ".encode()
+ALIVE = 1_500_000  # a note that was not written anew for so long: its process has gone
+LEFT = 600_000_000  # left behind for longer than this it tells nothing
+BEAT = 300_000  # between two writings of a note that says nothing new
+# A successor has 6 s from its start to its yes, and soon after the yes the elder is ended with all that it still
+# answers. Until this age it takes the clients, but leaves the elder the time.
+YES_BY = 5_200_000
+
+
+class BadNote(ValueError):
+    """Not a note, or none that can be believed; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """`start`: of its process, which tells the two apart; `at`: when it was written; `serving`: it takes clients'
+    connections; `quiet`: it answers nobody any more; `ended`: it will not be written again."""
+
+    name: str
+    start: int
+    at: int
+    serving: bool
+    quiet: bool
+    ended: bool
+    out: dict[int, Wish]
+    drain: Wish | None
+
+    def encode(self) -> bytes:
+        told = {"name": self.name, "start": self.start, "at": self.at, "serving": self.serving, "quiet": self.quiet,
+                "ended": self.ended,
+                "out": {f"{engine:x}": [w.at, w.on, w.since] for engine, w in self.out.items()},
+                "drain": self.drain and [self.drain.at, self.drain.on, self.drain.since]}
+        body = json.dumps(told).encode()
+        return MARK + b"%08x\n" % zlib.crc32(body) + body
+
+
+def _wish(told: object) -> Wish:
+    match told:
+        case [int(at), bool(on), int(since)] if at >= 0 and since >= 0:
+            return Wish(at, on, since)
+    raise BadNote("a wish that is none")
+
+
+def decode(data: bytes, name: str) -> Note:
+    """BadNote: torn, of another version, of another dispatcher, or nonsense. Nothing of it is taken then."""
+    head, newline, body = data.partition(b"\n")
+    if not head.startswith(MARK):
+        raise BadNote("of another version" if head.startswith(b"pearhill-note ") else "no note")
+    if not newline or head[len(MARK):] != b"%08x" % zlib.crc32(body):
+        raise BadNote("torn")
+    try:
+        told = json.loads(body)
+        out = {int(engine, 16): _wish(wish) for engine, wish in told["out"].items()}
+        drain = told["drain"] and _wish(told["drain"])
+        note = Note(str(told["name"]), int(told["start"]), int(told["at"]), told["serving"] is True,
+                    told["quiet"] is True, told["ended"] is True, out, drain or None)
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as e:
+        raise BadNote(f"unreadable: {e!r}") from None
+    if note.name != name:
+        raise BadNote("of another dispatcher")
+    if len(out) > MOST:
+        raise BadNote("too many wishes")
+    return note
+
+
+class Handover:
+    """One process's side. `parts`: how many processes share the limits now; `succeeded`: another one that started
+    later takes clients' connections, so that none need be taken here; `elder`: an earlier one still lives, `awaited`:
+    and still answers."""
+
+    def __init__(self, name: str, start: int, wishes: Wishes) -> None:
+        self.name, self.start, self.wishes = name, start, wishes
+        self.parts, self.succeeded, self.elder, self.awaited = 1, False, False, False
+        self._written: Note | None = None
+
+    def alive(self, note: Note, now: int) -> bool:
+        return not note.ended and abs(now - note.at) < ALIVE
+
+    def over(self, note: Note, now: int) -> bool:
+        """Nobody will need it any more: all that it tells is taken over here, or too old."""
+        return abs(now - note.at) > LEFT or (note.start < self.start and not self.alive(note, now))
+
+    def heard(self, now: int, notes: Iterable[Note]) -> tuple[set[int], bool]:
+        """The others' notes as they stand: the engines whose wishes have changed, and whether the drain's has."""
+        engines, drain = set[int](), False
+        living = [note for note in notes if note.start != self.start and self.alive(note, now)]
+        self.parts = 1 + min(1, len(living))
+        self.elder = any(note.start < self.start for note in living)
+        self.awaited = any(note.start < self.start and not note.quiet for note in living)
+        self.succeeded = any(note.start > self.start and note.serving for note in living)
+        for note in notes:
+            if note.start == self.start or abs(now - note.at) > LEFT:
+                continue
+            # Danger: what is out stays out over any restart, but a drain that outlived its process would keep the
+            # next one from ever being ready, long after whoever asked for it has gone.
+            changed, later = self.wishes.merge(note.out, note.drain if note in living else None)
+            engines, drain = engines | changed, drain or later
+        self.wishes.forget(now)
+        return engines, drain
+
+    def says_yes(self, age: int) -> bool:
+        """Whether a process of this age, which serves, lets the platform go on: that ends the elder."""
+        return not self.awaited or age >= YES_BY
+
+    def note(self, now: int, serving: bool, quiet: bool, ended: bool = False) -> Note | None:
+        """What to write now; None: what was last written will do."""
+        note = Note(self.name, self.start, now, serving, quiet, ended, dict(self.wishes.out), self.wishes.drain)
+        last = self._written
+        if last and now - last.at < BEAT and replace(note, at=last.at) == last:
+            return None
+        self._written = note
+        return note
--- /dev/null
+++ b/pearhill/upgrade.py
@@ -0,0 +1,109 @@
+"""One process of a dispatcher beside the one whose place it takes, or the one that takes its place."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+import time
+
+from loguru import logger
+
+from pearhill.durable.notes import Notes
+from pearhill.net.turns import pause
+from pearhill.node import Node
+from pearhill.service.handover import BadNote, Handover, Note, decode
+
+LOOK_EVERY = 100_000  # a call at either process holds for both within this
+
+
+def _age() -> int:
+    """Microseconds since the platform started this process, which an interpreter on a part of a core takes seconds to
+    load. Where the system does not tell, it is as old as can be."""
+    try:
+        with open("/proc/self/stat", "rb") as file:
+            ticks = int(file.read().rpartition(b")")[2].split()[19])
+        return int((time.clock_gettime(time.CLOCK_BOOTTIME) - ticks / os.sysconf("SC_CLK_TCK")) * 1e6)
+    except (OSError, ValueError, IndexError):
+        return sys.maxsize
+
+
+class Upgrade:
+    """Looks once when it is made, so that what is out is known before the first list. Nothing needs the folder: without
+    it the process serves alone. Danger: a disk may take a second over a small file, and the loop would stand still;
+    once the process serves, a thread reads and writes."""
+
+    def __init__(self, node: Node, folder: str, name: str) -> None:
+        self.node, self.start = node, node.deadlines.clock()
+        self.notes = Notes(folder, name, self.start)
+        self.handover = Handover(name, self.start, node.wishes)
+        self.told_to_serve = False  # others can read by now that this process takes the clients
+        self._complaints = set[str]()
+        node.succeeded = self._succeeded
+        self._heard(self._exchange(self._note()))
+        self._task = node.pool.spawn(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await pause(self.node.deadlines, LOOK_EVERY)
+            note = self._note()
+            self._heard(await self.node.loop.run_in_executor(None, self._exchange, note))
+            self.told_to_serve = self.told_to_serve or (note is not None and note.serving)
+
+    def _note(self, ended: bool = False) -> Note | None:
+        return self.handover.note(self.node.deadlines.clock(), self.node.accepting, self.node.quiet, ended)
+
+    def _exchange(self, note: Note | None) -> list[tuple[pathlib.Path, bytes]]:
+        """Write ours, read theirs. Runs in the thread: it touches files and nothing else."""
+        try:
+            if note:
+                self.notes.write(note.encode())
+        except OSError as e:
+            self._complain(f"the note cannot be written, so another process will not know of this one: {e}")
+        try:
+            return list(self.notes.others())
+        except OSError as e:
+            self._complain(f"the folder for notes cannot be read, so this process serves alone: {e}")
+            return []
+
+    def _complain(self, what: str) -> None:
+        """Once each. Danger: said ten times a second it would bury the rest of the log."""
+        if what not in self._complaints and len(self._complaints) < 100:
+            self._complaints.add(what)
+            logger.warning("upgrade: {what}", what=what)
+
+    def _heard(self, files: list[tuple[pathlib.Path, bytes]]) -> None:
+        handover, now = self.handover, self.node.deadlines.clock()
+        found: list[tuple[pathlib.Path, Note]] = []
+        for path, data in files:
+            try:
+                found.append((path, decode(data, handover.name)))
+            except BadNote as e:
+                self._complain(f"{path.name} is left aside: {e}")
+        before = handover.parts, handover.succeeded
+        engines, drain = handover.heard(now, [note for _, note in found])
+        for path, note in found:
+            if handover.over(note, now):
+                self.notes.remove(path)
+        if (handover.parts, handover.succeeded) != before:
+            logger.info("upgrade: {parts} processes serve, {what}", parts=handover.parts,
+                        what="another takes the clients" if handover.succeeded else "this one takes clients")
+        self.node.share(handover.parts)
+        self.node.give_way(handover.succeeded)
+        self.node.wished(engines, drain)
+
+    def _succeeded(self) -> bool:
+        """Danger: the signal to end may come a moment after the successor's yes, before the next look."""
+        self._heard(self._exchange(None))
+        return self.handover.succeeded
+
+    def may_accept(self, can_serve: bool) -> bool:
+        """Danger: taken before this process can serve, clients would be refused whom the other one serves well."""
+        return can_serve or not self.handover.elder
+
+    def says_yes(self) -> bool:
+        return self.told_to_serve and self.handover.says_yes(_age())
+
+    def end(self) -> None:
+        self._task.cancel()
+        self._exchange(self._note(ended=True))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -160,14 +160,15 @@
     config = pathlib.Path()  # the file that it was started with
     folder: tempfile.TemporaryDirectory[str] | None = None  # where that file was made for it alone
 
-    def __init__(self, *arguments: str, files: int = 0, **environ: str) -> None:
+    def __init__(self, *arguments: str, files: int = 0, passed: tuple[int, ...] = (), **environ: str) -> None:
         def limit() -> None:
             if files:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))
 
+        inherited = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         self.process = subprocess.Popen(
             [sys.executable, *self.LAUNCH, *arguments], stderr=subprocess.PIPE, text=True, cwd=ROOT,
-            preexec_fn=limit, env={**{k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}, **environ})
+            preexec_fn=limit, pass_fds=passed, env={**inherited, **environ})
         self.follow_log()
         self.host, _, port = self.wait_line(r"listens on ([\w.:]+)")[1].rpartition(":")
         self.port = int(port)
