--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -27,6 +27,7 @@
 OUTLIER = 1 / 3  # an engine or zone whose attempts fail this much more often than its peers' is out
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
+CROWD = 1.5  # a writer with so many times the others' work, and one request's, gets no more for now
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
 COLD_MARGIN = 0.8  # of my part of what a cold engine bears: twice its share of the work, of 2.5 times it
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
@@ -309,15 +310,23 @@
     def _quick(self, e: Engine, job: Job) -> bool:
         """A short read, to be done within a quarter of the aim, and no streams that it delays."""
         return (job.req.prompt - self._belief(e, job.req) < SHORT and e.stretch.over(self.now, 1.0) < STRETCH
-                and self._read_time(e, job.req) < job.aim / 4)
+                and self._read_time(e, job.req) < job.aim / 4 and not self._crowded(e, job.req))
+
+    def _crowded(self, e: Engine, req: i.Arrived) -> bool:
+        """Danger: a favourite, or the one writer that a release has left in a cell, gets everything, while others idle.
+        How slow its answers have become shows only as they end; my work there shows at once."""
+        pool = self.ready[i.WRITER] + self.ready[i.MIXED]
+        usual = sum(p.load for p in pool) / max(1, len(pool)) + req.prompt + req.max_out // 2
+        return e.load > CROWD * usual
 
     def _write(self, job: Job) -> None:
         """The state waits at a reader: pick a writer near it."""
         assert job.held is not None
         at, pool = job.held.entry, self._open(self.ready[i.WRITER] + self.ready[i.MIXED], job)
         roomy = [e for e in pool if self._held(e, job.req.prompt) < FULL_MEMORY] or pool  # exception: no room
-        cell = [e for e in roomy if e.entry.cell == at.cell]
-        if near := cell or [e for e in roomy if e.entry.zone == at.zone] or roomy:
+        calm = [e for e in roomy if not self._crowded(e, job.req)]
+        cell = [e for e in calm if e.entry.cell == at.cell]
+        if near := cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy:
             return self._send(job, self._emptier(near))
         self._close(job)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -181,3 +181,31 @@
     usual, giant = (i.Arrived(99, 0, 0, 77, 8, 0, prompt, 100, 4 * S, False, False) for prompt in (5000, 60_000))
     assert d.router._belief(reader, usual, 1) > 3000
     assert d.router._belief(reader, giant, 1) < 12_000
+
+
+def test_the_one_writer_left_in_a_cell_is_not_buried():
+    """A release took its neighbours. Told by the end of its answers alone, it would get all that its cell reads."""
+    fleet = tuple(entry(n, 0, cell=0) for n in range(1, 4)) + (entry(11, 1, cell=0),) + tuple(
+        entry(n, 1, cell=1) for n in range(12, 16))
+    d = Drive(SETTINGS, fleet)
+    at = []
+    for n in range(40):
+        r, _ = d.arrive(prompt=3000, session=n + 1)
+        if d.sent[r].engine < 10:
+            d.end(r, i.READ)
+        d.began(r)  # and goes on streaming
+        at.append(d.sent[r].engine)
+    assert at[0] == 11  # near, while it is no worse than the others
+    assert 8 <= at.count(11) <= 16, at  # of forty, among five
+
+
+def test_a_mixed_server_takes_its_share_whole_and_not_everything():
+    fleet = (*FLEET, entry(21, 2), entry(22, 2, phase=i.DRAINING))
+    d = Drive(SETTINGS, fleet)
+    for n in range(60):
+        r, _ = d.arrive(prompt=1000, session=n + 1)
+        if d.sent[r].engine < 10:
+            d.end(r, i.READ)
+        d.began(r)
+    work = {e.id: e.load for e in d.router.engines.values() if e.role != i.READER}
+    assert work[21] <= 2 * sum(work.values()) / (len(work) - 1) + 1050, work
