--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -7,7 +7,8 @@
 import errno
 import socket
 from collections import deque
-from typing import Any
+from heapq import nsmallest
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -33,6 +34,9 @@
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+NEEDED, SPENT, OWING, IDLE = range(4)  # answered now; had its last answer; never asked, or half a request; between two
+
+
 def listening(number: int) -> socket.socket:
     """A socket that whoever started this process has left open for it. ValueError: it is none to take clients from."""
     try:
@@ -77,6 +81,13 @@
     def idle_but_reading(self) -> bool:
         return not (self.answering or self.waiting or self._out or (self._writer and not self._writer.done()))
 
+    @property
+    def use(self) -> int:
+        """What losing it would cost."""
+        if self.closed or not self.idle_but_reading:
+            return NEEDED
+        return SPENT if self.ending else OWING if self.owes_a_request else IDLE
+
     @property
     def owes_a_request(self) -> bool:
         """Nothing was ever asked on it, or a request has begun and is not whole."""
@@ -310,6 +321,15 @@
             pending.left()
 
 
+class Found(NamedTuple):
+    """One that can go, as it was when it was found; `at_once`: so many of its kind in one go."""
+
+    link: Link
+    use: int
+    since: int
+    at_once: int
+
+
 class Listener:
     """`most` bounds the connections; past it those that are of least use make room. `send_buffer`: bytes that the
     system may hold of an answer to one client, twice over; 0: as it likes. `side` names them in the log."""
@@ -325,6 +345,7 @@
         self._sock: socket.socket | None = None
         self._polled = False  # connections are taken as they come
         self._later: Key | None = None
+        self._spare = deque[Found]()  # who can make room next
 
     def listen(self, address: Address) -> Address:
         """Open a door of our own; the address that it got."""
@@ -418,20 +439,31 @@
     def _make_room(self) -> bool:
         """First go those that have had their last answer, then those that still owe a request: hundreds of them
         would shut everyone out. Then whoever has idled longest. One that is being answered never goes."""
-        spent, owing, idle = list[Link](), list[Link](), list[Link]()
+        # Danger: a crowd that comes and stays costs a walk over all at each accept; most of a core went into it. What
+        # one walk has found serves for some that follow, as long as it still holds of each.
+        closed, fresh = 0, False
+        while not closed and not fresh:
+            if fresh := not self._spare:
+                self._spare.extend(self._least_useful())
+            while self._spare and closed < self._spare[0].at_once:
+                found = self._spare.popleft()
+                if found.link.use == found.use and found.link.since == found.since and not found.link.unread:
+                    found.link.close("room-needed")
+                    closed += 1
+        return closed > 0
+
+    def _least_useful(self) -> list[Found]:
+        """Of one kind, the first of which there are any that can go."""
+        kinds: dict[int, list[Link]] = {SPENT: [], OWING: [], IDLE: []}
         for link in self.links:
-            if not link.closed and link.idle_but_reading:
-                kind = spent if link.ending else owing if link.owes_a_request else idle
-                kind.append(link)
-        some = max(2, min(ACCEPT_AT_ONCE, self.most // 8))
-        for links, most in (spent, some), (owing, some), (idle, 1):
-            if links:  # several at once where they are cheap to lose: each look is a walk over all
-                links = [link for link in sorted(links, key=lambda link: link.since)[:most] if not link.unread]
-                for link in links:
-                    link.close("room-needed")
-                if links:
-                    return True
-        return False
+            if (use := link.use) in kinds:
+                kinds[use].append(link)
+        some = max(2, min(ACCEPT_AT_ONCE, self.most // 8))  # several at once where they are cheap to lose
+        for use, at_once in (SPENT, some), (OWING, some), (IDLE, 1):
+            oldest = nsmallest(4 * some, kinds[use], key=lambda link: link.since)
+            if found := [Found(link, use, link.since, at_once) for link in oldest if not link.unread]:
+                return found
+        return []
 
     @property
     def quiet(self) -> bool:
--- /dev/null
+++ b/tests/net/test_listener.py
@@ -0,0 +1,67 @@
+"""The listener's bound on connections, with real sockets and a handler that answers nothing."""
+
+import asyncio
+import socket
+import unittest
+from typing import Any
+
+from pearhill.core.deadlines import Deadlines
+from pearhill.counters import Counters
+from pearhill.net.clock import start_clock
+from pearhill.net.listener import Listener
+from pearhill.net.turns import Turns
+
+MOST, CROWD = 64, 400
+
+
+class Bound(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.deadlines = Deadlines(start_clock())
+        self.turns = Turns(loop, self.deadlines)
+        self.listener = Listener(loop, self.deadlines, Counters(), handler=None, most=MOST)  # type: ignore[arg-type]
+        self.address = self.listener.listen(("127.0.0.1", 0))
+        self.walks = 0
+        least_useful = self.listener._least_useful
+
+        def counted() -> Any:
+            self.walks += 1
+            return least_useful()
+        self.listener._least_useful = counted  # type: ignore[method-assign]
+
+    async def asyncTearDown(self) -> None:
+        await self.listener.close()
+        self.turns.close()
+
+    async def test_a_crowd_costs_no_walk_over_all_for_each(self):
+        clients = []
+        for _ in range(CROWD):
+            client = socket.create_connection(self.address)
+            client.setblocking(False)
+            self.addCleanup(client.close)
+            clients.append(client)
+            await asyncio.sleep(0)
+        ended = self.listener.counters.connections
+        while ended["client room-needed"] < CROWD - MOST - 16:
+            await asyncio.sleep(0)
+        self.assertLess(self.walks, CROWD / 8)
+        self.assertLessEqual(sum(not link.closed for link in self.listener.links), MOST)
+        first, last = clients[0], clients[-1]
+        self.assertEqual(first.recv(1), b"")  # who came first and said nothing made room
+        with self.assertRaises(BlockingIOError):
+            last.recv(1)
+
+    async def test_one_that_has_become_useful_since_is_not_taken(self):
+        clients = [socket.create_connection(self.address) for _ in range(MOST - 1)]
+        for client in clients:
+            self.addCleanup(client.close)
+        while len(self.listener.links) < MOST - 1:
+            await asyncio.sleep(0)
+        found = self.listener._least_useful()
+        self.listener._spare.extend(found)
+        for each in found:
+            each.link.answering = True
+        self.assertTrue(self.listener._make_room())
+        self.assertFalse(any(each.link.closed for each in found))
+        for each in found:
+            each.link.answering = False
