--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -313,8 +313,8 @@
                 and self._read_time(e, job.req) < job.aim / 4 and not self._crowded(e, job.req))
 
     def _crowded(self, e: Engine, req: i.Arrived) -> bool:
-        """Danger: a favourite, or the one writer that a release left in a cell, gets all, while others idle. How
-        slow its answers have become shows only as they end; my work there shows at once."""
+        """Danger: a favourite, or the one writer that a release left in a cell, gets all, while others idle.
+        How slow its answers have become shows only as they end; my work there shows at once."""
         pool = self.ready[i.WRITER] + self.ready[i.MIXED]
         usual = sum(p.load for p in pool) / max(1, len(pool)) + req.prompt + req.max_out // 2
         return e.load > CROWD * usual
