A new process told to end before it can serve leaves the clients to the old one

Change: told to end while it waits, it takes the socket no more. Without a passed socket nothing changes.

--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -215,12 +215,13 @@
         operators = self._open_door(*door) if door else None
         listener = self.listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room,
                                             self.limits.max_body, self.limits.send_buffer)
-        while not may_accept() and not stopped.is_set():
+        while not (free := may_accept()) and not stopped.is_set():
             await pause(self.deadlines, LOOK_AGAIN)
-        host, port = listener.listen(address) if isinstance(address, tuple) else listener.adopt(address)
-        self._drained()  # one that was asked for before, maybe at another process
-        logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
-        opened((host, port))
+        if free:  # Danger: told to end before it could serve, it would take another's clients to refuse them.
+            host, port = listener.listen(address) if isinstance(address, tuple) else listener.adopt(address)
+            self._drained()  # one that was asked for before, maybe at another process
+            logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
+            opened((host, port))
         await stopped.wait()
         logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
         self.drain.end_process(self.deadlines.clock())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -104,6 +104,23 @@
 
 
 class Upgrades(UpgradeCase):
+    def unable(self) -> "subprocess.Popen[bytes]":
+        """A successor that hears of no server, as far as its signal handlers and its door."""
+        empty = Discovery()
+        self.addCleanup(empty.close)
+        path = self.folder / "empty.json"
+        path.write_text(platform_file(empty.address))
+        fd = self.door.fileno()
+        new = subprocess.Popen([sys.executable, "-m", "pearhill"], cwd=ROOT, stderr=subprocess.PIPE, pass_fds=(fd,),
+                               env={"RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": str(fd),
+                                    "TMPDIR": str(self.notes), "RELAY_ADMIN_ADDR": "127.0.0.1:0"})
+        assert new.stderr
+        self.addCleanup(new.stderr.close)
+        self.addCleanup(new.wait)
+        self.addCleanup(new.kill)
+        self.assertTrue(any(b"operators are heard" in line for line in new.stderr))
+        return new
+
     def test_under_traffic_no_booking_is_lost_run_twice_or_reset(self):
         old = self.process()
         self.wait_for(lambda: self.yes(old))
@@ -151,16 +168,7 @@
     def test_a_successor_that_cannot_serve_takes_nothing_and_its_death_changes_nothing(self):
         old = self.process()
         self.wait_for(lambda: self.yes(old))
-        empty = Discovery()
-        self.addCleanup(empty.close)
-        path = self.folder / "empty.json"
-        path.write_text(platform_file(empty.address))
-        fd = self.door.fileno()
-        new = subprocess.Popen([sys.executable, "-m", "pearhill"], cwd=ROOT, stderr=subprocess.DEVNULL, pass_fds=(fd,),
-                               env={"RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": str(fd),
-                                    "TMPDIR": str(self.notes), "RELAY_ADMIN_ADDR": "127.0.0.1:0"})
-        self.addCleanup(new.wait)
-        self.addCleanup(new.kill)
+        new = self.unable()
         old.wait_line("upgrade: 2 processes serve, this one takes clients")
         self.assertEqual([self.ask(f"a{n}", "job-booking") for n in range(20)], [200] * 20)
         new.kill()
@@ -168,6 +176,18 @@
         self.assertEqual([self.ask(f"b{n}", "job-booking") for n in range(20)], [200] * 20)
         self.assertFalse([line for line in old.lines if "another takes" in line])
 
+    def test_a_successor_told_to_end_before_it_can_serve_takes_nobody_on_its_way_out(self):
+        old = self.process()
+        self.wait_for(lambda: self.yes(old))
+        new = self.unable()
+        old.wait_line("upgrade: 2 processes serve, this one takes clients")
+        new.terminate()
+        answers = []
+        while new.poll() is None:
+            answers.append(self.ask(f"a{len(answers)}", "job-booking"))
+        self.assertEqual((set(answers), new.wait(20)), ({200}, 0))
+        self.assertFalse([line for line in old.lines if "another takes" in line])
+
     def test_a_successor_killed_after_it_took_the_clients_gives_them_back(self):
         old = self.process()
         self.wait_for(lambda: self.yes(old))
