--- a/pearhill/chat/file.py
+++ b/pearhill/chat/file.py
@@ -48,6 +48,7 @@
 
 class ChatTable(Struct, forbid_unknown_fields=True):
     listen: Address = "127.0.0.1:0"
+    admin_addr: str = ""
     sockets: Annotated[int, Meta(ge=64, le=1_000_000)] = 1024
     seed: int = 0
     models: list[Text] = []
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -214,7 +214,7 @@
         answer = self._answer(asked, prompt, model, ask)
         if key:
             return self._once(key, asked, ask, answer)
-        if not self._has_room(asked):
+        if not self._has_room(asked, ask.cls):
             return None
         if answer.repeatable:
             direct = _Direct(self.dispatcher, answer)
@@ -263,12 +263,12 @@
             fields["max_completion_tokens"] = model.max_out or self.reading.max_out
         return ChatPayload(asked.id, msgspec.json.encode(fields), prompt.wants_usage, self.reading.max_answer, meter)
 
-    def _has_room(self, asked: _Asked) -> bool:
+    def _has_room(self, asked: _Asked, cls: int) -> bool:
         """Danger: the core's books are bounded; past that nothing is taken, and the client is told at once."""
         dispatcher = self.dispatcher
         if len(dispatcher.requests) < dispatcher.deployment.most_held:
             return True
-        dispatcher.counters.refused += 1
+        dispatcher.turned_away(cls)
         error = ApiError(429, "Too many requests are open.", "rate_limit_exceeded", type=RATE)
         asked.over(429, error.code)
         asked.reply.answer(429, (*JSON, *asked.headers, *retry_headers(dispatcher.deployment.router.max_retry_after)),
@@ -299,11 +299,11 @@
                               "any more.", code="answer_not_kept", status=409)
             self.dispatcher.counters.replayed += 1
             return record.follow(answer)
-        if not self._has_room(asked):
+        if not self._has_room(asked, ask.cls):
             return None
         record = Record(asked.id, digest, self.spawn)
         if not self.store.add(name, record):
-            self.dispatcher.counters.refused += 1
+            self.dispatcher.turned_away(ask.cls)
             answer.refuse(self.dispatcher.deployment.router.max_retry_after)
             return None
         return self._run(record, asked, ask, answer)
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from pearhill.admin.door import Door
 from pearhill.chat.front import ChatFront
 from pearhill.chat.records import Store
 from pearhill.chat.servers import ChatDialect
@@ -14,6 +15,7 @@
 from pearhill.eureka.client import Eureka
 from pearhill.net.address import Address
 from pearhill.node import Limits, Node
+from pearhill.operations import Operations
 
 SEND_BUFFER = 64 * 1024  # a stream is some KB a second; more than that is a client that does not read
 
@@ -24,7 +26,7 @@
     def __init__(self, setup: ChatSetup) -> None:
         self.setup = setup
         self.dialect = ChatDialect(setup.server_keys, setup.server_key)
-        limits = Limits(setup.sockets, setup.seed, setup.max_body, SEND_BUFFER)
+        limits = Limits(setup.sockets, setup.seed, setup.max_body, SEND_BUFFER, door=setup.admin is not None)
         self.node = node = Node(setup.deployment, self.dialect, limits)
         self.store = Store(node.deadlines, setup.store_bytes, setup.store_keep)
         self.desk = Desk(setup.spending, node.deadlines) if setup.spending else None
@@ -41,7 +43,7 @@
         return Eureka(self.node.pool, setup.eureka, setup.deployment, self.node.listed) if setup.eureka else None
 
     def is_ready(self) -> bool:
-        return not self.node.draining and self.node.dispatcher.can_answer
+        return not self.node.drain.away and self.node.dispatcher.can_answer
 
     async def open(self) -> None:
         """OSError: the journal of the budgets cannot be used."""
@@ -83,7 +85,8 @@
         if not fresh.eureka:
             node.listed(True, fresh.entries, fresh.addresses)
         return f"{len(fresh.reading.rules)} rules, {len(fresh.keyring.tenants)} tenants" + for_next_start(
-            ("chat.listen", before.listen, fresh.listen), ("chat.sockets", before.sockets, fresh.sockets),
+            ("chat.listen", before.listen, fresh.listen), ("chat.admin_addr", before.admin, fresh.admin),
+            ("chat.sockets", before.sockets, fresh.sockets),
             ("chat.seed", before.seed, fresh.seed),
             ("chat.max_body_bytes", before.max_body, fresh.max_body),
             ("budgets", before.spending is None, fresh.spending is None),
@@ -121,6 +124,8 @@
     """The chat front as a daemon. `read_anew` reads the operator's file once more."""
     service = ChatService(setup)
     await service.open()
-    await service.node.serve(setup.listen, service.front, "chat front",
-                             lambda: service.reload(read_anew()), service.register, service.deregister)
+    node = service.node
+    operations = Operations(node, lambda: node.accepting and node.dispatcher.can_answer)
+    await node.serve(setup.listen, service.front, "chat front", lambda: service.reload(read_anew()), service.register,
+                     service.deregister, door=(setup.admin, Door(operations)) if setup.admin else None)
     await service.close()
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -89,6 +89,7 @@
     max_body: int
     eureka: EurekaSetup | None
     spending: SpendingSetup | None = None
+    admin: Address | None = None  # where operators call
 
 
 def _choice(path: str, name: str, names: Sequence[str]) -> int:
@@ -253,7 +254,8 @@
         _reading(chat, models, deployment), _keyring(chat, deployment, models), told.idempotency.max_bytes,
         told.idempotency.keep_s * 1_000_000, tuple(entries), addresses, keys,
         _secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
-        _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None)
+        _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None,
+        _address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None)
 
 
 def load(path: str) -> ChatSetup:
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,77 @@
+"""The figures add up, whatever ends a request: a property over random lives, on the core alone."""
+
+from hypothesis import given
+from hypothesis import settings as rounds
+from hypothesis import strategies as st
+
+from pearhill import interface as i
+from pearhill.core.dispatcher import Ask
+from tests import test_core
+from tests.test_core import ADVICE, BOOKING
+
+ENDS = [i.ANSWERED, i.READ, i.ERROR, i.TIMEOUT, i.BROKEN, i.FULL, i.NO_STATE, i.UNREACHABLE, i.DECLINED]
+STEP = st.one_of(
+    st.tuples(st.just("take"), st.sampled_from((ADVICE, BOOKING)), st.integers(1, 6_000_000)),
+    st.tuples(st.just("end"), st.sampled_from(ENDS), st.integers(0, 30)),
+    st.tuples(st.just("begin"), st.just(""), st.integers(0, 30)),
+    st.tuples(st.just("leave"), st.just(""), st.integers(0, 30)),
+    st.tuples(st.just("away"), st.sampled_from((ADVICE, BOOKING)), st.just(0)),
+    st.tuples(st.just("wait"), st.just(""), st.integers(1, 3_000_000)))
+
+
+class Client:
+    def __init__(self) -> None:
+        self.ends: list[str] = []
+
+    def refuse(self, stay_away: int) -> None:
+        self.ends.append("busy")
+
+    def fail(self) -> None:
+        self.ends.append("failure")
+
+    def decline(self, said: object) -> None:
+        self.ends.append("failure")
+
+    def finish(self) -> None:
+        self.ends.append("success")
+
+    def abort(self) -> None:
+        self.ends.append("failure")
+
+
+@rounds(deadline=None)
+@given(st.lists(STEP, max_size=60))
+def test_each_request_is_counted_once_at_its_end(steps):
+    case = test_core.Core("run")
+    case.setUp()
+    core, clients, away, left = case.core, [], [0, 0], 0
+    for what, which, number in steps:
+        if what == "take":
+            client = Client()
+            clients.append((which, client, core.take(Ask(which, number, prompt=3000, max_out=100), client, None)))
+        elif what == "away":
+            core.turned_away(which)
+            away[which] += 1
+        elif what == "wait":
+            case.wait(number)
+        elif what == "leave" and clients:
+            request = clients[number % len(clients)][2]
+            left += not request.answered
+            core.leave(request)
+        elif case.sent:
+            attempt = case.sent[number % len(case.sent)]
+            if what == "begin":
+                attempt.begin()
+            else:
+                attempt.end(which, said="no" if which == i.DECLINED and not attempt.began else None)
+        ended = 0
+        for cls in (ADVICE, BOOKING):
+            told = core.calls[cls]
+            for name in ("success", "busy", "failure"):
+                seen = sum(client.ends.count(name) for c, client, _ in clients if c == cls)
+                assert getattr(told, name) == seen + (away[cls] if name == "busy" else 0)
+            ended += told.success + told.busy + told.failure - away[cls]
+        assert all(len(client.ends) <= 1 for _, client, _ in clients)
+        assert core.counters.taken == ended + core.inflight + left
+        assert core.inflight == sum(not request.answered for _, _, request in clients)
+
--- a/tests/test_panels.py
+++ b/tests/test_panels.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from benchmarks.panels import read, verdict
+from benchmarks.panels import gate, read, verdict
 
 REPORT = """playing herd+vast ...
 herd+vast                  G 0.385  floor 0.281  top 0.581  memory 17 of 112 MB  descriptors 52 of 768  score 0.35
@@ -23,3 +23,9 @@
     assert [line.split(":")[1] for line in verdict("size", 0.5, {"a": 0.0, "b": 0.4}, 0.5)] == [" a is 0"]
     assert verdict("size", 0.46, {"b": 0.4}, 0.5) == ["size: 0.460 after 0.500: replay its seeds on both versions"]
     assert verdict("size", 0.48, {"b": 0.4}, 0.5) == verdict("size", 0.1, {"b": 0.4}, None) == []
+
+
+def test_only_a_gate_that_says_so_is_passed():
+    assert gate("gate", REPORT + "GATE passed\n") == [] == gate("size", REPORT)
+    assert gate("gate", REPORT + "GATE failed: lost on herd+mass\n") == ["gate: GATE failed: lost on herd+mass"]
+    assert gate("gate", REPORT) == ["gate: GATE said nothing"]
