--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -26,6 +26,7 @@
 STRETCH = 1.4  # mixed servers and writers whose answers take so many times the mean get no reads
 OUTLIER = 1 / 3  # an engine or zone whose attempts fail this much more often than its peers' is out
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
+LATE_FETCH, CUT, REGROW = 0.2, 0.8, 8_000_000  # of the aim: a late fetch; what it leaves; doubles in this time
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
 CROWD = 1.5  # a writer with so many times the others' work, and one request's, gets no more for now
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
@@ -81,6 +82,7 @@
         self.held = Faded(2 * STEP_EVERY, 4)  # share of memory, from its reports
         self.stretch = Faded(2 * STEP_EVERY, 10)  # answers' times against the mean of their class
         self.reported, self.heard, self.credit, self.credit_at = 0, 0, phase, 0
+        self.bound, self.cut_at = 0.0, 0  # my tokens there that it bore when a fetch was last late; 0: never
         self.rest = 0  # until then it wants nothing more
 
 
@@ -220,7 +222,11 @@
         return spec.effect == i.KEYED and near[spec.group] and self.now < at + spec.window
 
     def _held(self, e: Engine, tokens: int) -> float:
-        """The share of its memory held there: as reported, the older the more its kind's, and sent since."""
+        """The share of its memory held there: as reported, the older the more its kind's, and sent since. With
+        no reports, my own work against what it last bore. Danger: a mere memory of a jam outlives the jam."""
+        if not self.helds[e.entry.kind].weight:
+            bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
+            return FULL_MEMORY * (e.load + tokens) / bore if bore and e.load else e.load / e.memory
         usual = self.helds[e.entry.kind].over(self.now, 0.0, 0.2)
         return e.held.over(self.now, usual, 0.2) + (e.since + tokens) / e.memory
 
@@ -354,6 +360,8 @@
     def _began(self, event: i.Began) -> None:
         if (job := self.jobs.get(event.request)) and job.out and job.engine and job.engine.id == event.engine:
             self._answers(job.engine, job, event.rtt)
+            if job.fetches and event.rtt > LATE_FETCH * job.aim:
+                self._filled(job.engine, job)
             job.streaming, job.held = True, None
 
     def _ended(self, event: i.Ended) -> None:
@@ -383,8 +391,8 @@
         elif event.outcome in (i.TIMEOUT, i.ERROR, i.UNREACHABLE, i.BROKEN):
             if event.outcome == i.TIMEOUT:  # Danger: from what answers alone, a jam looks quick.
                 self._paced(e, job, event.rtt)
-                if job.fetches:  # no slot or no memory came free
-                    e.held.add(self.now, 1.0, e.held.most)
+                if job.fetches:
+                    self._filled(e, job)
             if event.outcome != i.TIMEOUT or e.heard <= job.sent_at:
                 self._judged(e, 1.0, event.outcome)
         job.held = None if event.outcome == i.NO_STATE else job.held
@@ -451,6 +459,13 @@
             self._judged(e, 0.0, "")
         self._paced(e, job, rtt)
 
+    def _filled(self, e: Engine, job: Job) -> None:
+        """No slot or no memory came free in time: with less of my work there it may. One jam cuts once."""
+        e.held.add(self.now, 1.0, e.held.most)
+        if job.sent_at >= e.cut_at:
+            there = e.load + (0 if job.out else job.load)
+            e.bound, e.cut_at = max(CUT * there, job.load), self.now
+
     def _paced(self, e: Engine, job: Job, rtt: int) -> None:
         reads, pool = not job.fetches, self.paces[e.entry.kind][not job.fetches]
         pace = min(rtt / job.weight, PATIENCE * pool.value if pool.weight else rtt)  # one giant is not all
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -94,6 +94,7 @@
     assert all(off.sent[off.arrive(prompt=500, session=n)[0]].engine < 11 for n in range(1, 20))
     full = Drive()
     full_writers = [e for e in full.router.engines.values() if e.role == i.WRITER]
+    full.router.helds[1].add(full.now, 0.97)  # a deployment with reports
     for e in full_writers:
         e.held.add(full.now, 0.97, 4)
     _, out = full.arrive(prompt=500, session=99)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -105,10 +105,49 @@
     assert of(i.Send, d.arrive(prompt=5000, session=99)[1])
 
 
-def test_a_fetch_that_does_not_begin_in_time_shows_a_full_writer():
+def in_flight(d: Drive, count: int, prompt: int = 5000) -> list[int]:
+    """So many requests whose states wait to be fetched at a writer."""
+    out = [d.arrive(prompt=prompt, session=d.next)[0] for _ in range(count)]
+    for r in out:
+        d.end(r, i.READ)
+    return out
+
+
+ONE_WRITER = (entry(1, 0), entry(2, 0), entry(11, 1))
+
+
+@pytest.mark.parametrize("late", ["timeout", "slow fetch"])
+def test_a_late_fetch_bounds_my_work_at_its_writer_and_the_bound_goes_with_the_work(late):
+    d = Drive(fleet=ONE_WRITER)
+    out = in_flight(d, 4)
+    if late == "timeout":
+        d.end(out[0], i.TIMEOUT)
+    else:
+        d.began(out[0], rtt=900_000)
+    assert of(i.Refuse, d.arrive(prompt=5000, session=98)[1])
+    for r in out[1:]:  # what was under way there ends, nothing else is heard: the jam is over, at once
+        d.began(r)
+        d.end(r, i.ANSWERED, settled=True)
+    assert of(i.Send, d.arrive(prompt=5000, session=99)[1])
+
+
+def test_a_bound_grows_back_while_nothing_is_heard_and_for_ever():
+    d = Drive(fleet=ONE_WRITER)
+    out = in_flight(d, 4)
+    d.began(out[0], rtt=900_000)
+    e = d.router.engines[11]
+    full = d.router._held(e, 0)
+    d.router.now += 8 * S
+    assert abs(d.router._held(e, 0) - full / 2) < 0.01
+    d.router.now += 30 * 86_400 * S  # a month: no power of two overflows
+    assert d.router._held(e, 0) < 0.01
+
+
+def test_with_reports_a_late_fetch_is_remembered_beside_them():
     d = Drive()
     r, _ = d.arrive(prompt=5000, session=1)
-    d.end(r, i.READ)
+    d.end(r, i.READ, load=(0.2, 0.0))
+    d.router.helds[1].add(d.now, 0.2)
     full = d.router.engines[d.sent[r].engine]
     d.end(r, i.TIMEOUT)
     assert d.router._held(full, 0) > 0.9 and d.sent[r].engine != full.id
@@ -117,6 +156,7 @@
 def test_a_mixed_server_with_room_writes_late():
     fleet = (entry(1, 0), entry(2, 0), entry(11, 1), entry(21, 2))
     d = Drive(settings(local_read=False), fleet)
+    d.router.helds[1].add(d.now, 0.97)
     d.router.engines[11].held.add(d.now, 0.97, 4)
     r, _ = d.arrive(prompt=5000, session=1)
     assert d.sent[r].engine < 3
