--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -30,6 +31,8 @@
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
 CROWD = 1.5  # a writer with so many times the others' work, and one request's, gets no more for now
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
+WIDE = 2  # a prefix with a reader's fair share of the reading has so many homes, and two for any less
+DRAWN_KEEP, DRAWN_LEAST = 0.9, 10  # of that share: kept by each step; from fewer requests it tells little
 COLD_MARGIN = 0.8  # of my part of what a cold engine bears: twice its share of the work, of 2.5 times it
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
 
@@ -113,6 +116,8 @@
         self.timers, self.timer = dict[int, int](), 0
         self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
         self.read_share = Faded(STEP_EVERY, 30)
+        self.drawn: dict[int, float] = {}  # tokens read, by prefix, over the last ten steps or so
+        self.drawn_all = 0.0
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
         least = min(spec.aim for spec in settings.classes) / SHORT  # until seen, reads are just quick enough
         self.guess = [(0.0, least / (16 if kind.role == i.READER else 4)) for kind in settings.kinds]
@@ -273,7 +278,10 @@
             return self._send(job, local)
         if order := self._order(self.ready[i.READER], job):
             line = (min(job.aim_at, job.end) - self.now) * SHED * (1 + self._worth(req) / self.best)
-            pair = order[:2][::-1] if mix(req.session, order[0].id) & 1 else order[:2]
+            # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the further
+            # down its order it goes; by the session's own order, so that most stay when the count changes.
+            homes, session = order[:self._homes(req, len(order))], req.session or req.request
+            pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
             reader = min(pair, key=lambda e: e.load)  # alike: the one that takes this session from all nodes
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
@@ -297,6 +305,13 @@
         key = job.req.prefix or job.req.session or job.req.request
         return sorted(self._open(pool, job), key=lambda e: mix(key, e.id))
 
+    def _homes(self, req: i.Arrived, readers: int) -> int:
+        """How many readers share the prompts that begin alike, out of so many that are open: two, or what the
+        prefix draws of all reading, as far as my few requests tell."""
+        least = DRAWN_LEAST * (PAD + req.prompt - req.prefix_len)
+        share = self.drawn.get(req.prefix, 0.0) / (self.drawn_all + least) if req.prefix else 0.0
+        return max(2, math.ceil(WIDE * share * readers))
+
     def _worth(self, req: i.Arrived) -> float:
         """Worth of a request, less its tenant's part beyond its share, as far as my part of it tells."""
         over, worth = 0.0, self.s.classes[req.cls].worth
@@ -388,6 +403,9 @@
             job.held = e
             self._answers(e, job, event.rtt)
             self.read_share.add(self.now, event.rtt / job.aim)
+            drawn = job.req.prompt - event.kept + PAD
+            self.drawn[job.req.prefix] = self.drawn.get(job.req.prefix, 0.0) + drawn
+            self.drawn_all += drawn
         elif event.outcome in (i.TIMEOUT, i.ERROR, i.UNREACHABLE, i.BROKEN):
             if event.outcome == i.TIMEOUT:  # Danger: from what answers alone, a jam looks quick.
                 self._paced(e, job, event.rtt)
@@ -500,6 +518,8 @@
         share = self.read_share.value if self.read_share.weight else 0.5
         step = RATIO_STEP if share > 0.5 else -RATIO_STEP if share < 0.25 else 0.0
         self.ratio = round(min(RATIO_MAX, max(0.0, self.ratio + step)), 1)
+        self.drawn = {prefix: n * DRAWN_KEEP for prefix, n in self.drawn.items() if n >= PAD / 2}
+        self.drawn_all = sum(self.drawn.values())
         self.asked = {tenant: n * 0.8 for tenant, n in self.asked.items()}
         for role in self.ready:
             self.usual[role] = max(0.95 * self.usual[role], self.served[role])
