No prompt is read by the last attempt allowed; settings drawn over both deployments' ways

Router._place sent to a reader with one attempt left; the send to a writer that has to follow is over max-attempts, so that the read was in vain and its state waited for nothing. Line at fault: the reader's branch did not count attempts.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -276,7 +276,8 @@
         if roomy and self.s.local_read and self.ratio and (local := self._local(job, roomy)):
             self.allowed -= req.prompt - self._belief(local, req)
             return self._send(job, local)
-        if order := self._order(self.ready[i.READER], job):
+        # Danger: a prompt read by the last attempt that is allowed is read for nothing.
+        if (order := self._order(self.ready[i.READER], job)) and job.attempt + 2 < self.s.max_attempts:
             line = (min(job.aim_at, job.end) - self.now) * SHED * (1 + self._worth(req) / self.best)
             # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the further
             # down its order it goes; by the session's own order, so that most stay when the count changes.
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,191 @@
+"""A third deployment must not surprise: settings drawn over every way in which the first two differ (roles, racks,
+zones, reports, cancelling, resuming, members, limits), a day of trouble on each, the rules audited from outside."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, replace
+from typing import Any
+
+from hypothesis import given, seed
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from pearhill import interface as i
+from pearhill.rules import Router
+from tests.driver import CLASS, SETTINGS, S
+
+RUNS = (i.ERROR, i.TIMEOUT, i.BROKEN, i.CANCELLED)  # it may have run
+FINAL = (i.Refuse, i.Fail)
+
+
+@dataclass
+class Seen:
+    """What an auditor knows of one request."""
+
+    cls: int
+    end: int
+    out: i.Send | None = None
+    at: i.Entry | None = None
+    attempts: int = 0
+    began: bool = False
+    answers: int = 0
+    ran: i.Entry | None = None
+    held: bool = False
+
+
+class Day:
+    """One router before engines that do as they like. Checks each action as it comes."""
+
+    def __init__(self, s: i.Settings, zones: int, reports: bool, rng: random.Random) -> None:
+        self.s, self.rng, self.reports = s, rng, reports
+        self.now, self.heap, self.count = 100 * S, [], 0
+        self.router, self.seen = Router(s, rng.randrange(1 << 60)), {}
+        self.listed = {}
+        for n in range(1, rng.randrange(4, 16)):
+            started, heft = 0 if rng.random() < 0.8 else self.now, rng.choice((0.0, 1.0, 2.5))
+            self.listed[n] = i.Entry(n, n % zones, n % len(s.kinds), n % zones * 10 + n % 2, i.READY, heft, started)
+        self.feed(i.Listed(True, tuple(self.listed.values())))
+
+    def later(self, wait: int, event: Any) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + wait, self.count, event))
+
+    def feed(self, event: i.Event) -> None:
+        for action in self.router.handle(self.now, event):
+            self.audit(action)
+
+    def audit(self, a: i.Action) -> None:
+        if isinstance(a, i.SetTimer):
+            return self.later(a.wait, i.Due(a.timer))
+        if isinstance(a, i.Report):
+            return None
+        seen = self.seen[a.request]
+        spec = self.s.classes[seen.cls]
+        if isinstance(a, i.Send):
+            assert not seen.out and not seen.answers, "a second attempt, or one after the final answer"
+            assert seen.attempts < self.s.max_attempts and a.patience > 0
+            e = self.listed.get(a.engine)
+            assert e and e.phase == i.READY, "a send to an engine that the list does not call ready"
+            reads = self.s.kinds[e.kind].role == i.READER
+            if seen.ran:
+                assert spec.effect != i.UNSAFE, "an unsafe request that may have run went out again"
+                same = {"all": True, "zone": e.zone == seen.ran.zone, "cell": e.cell == seen.ran.cell}[spec.group]
+                assert spec.effect == i.SAFE or same or reads
+            if not reads and not seen.held:
+                assert self.s.local_read or self.s.kinds[e.kind].role == i.MIXED, "nothing to fetch, and none may read"
+            seen.out, seen.at, seen.attempts = a, e, seen.attempts + 1
+            self.later(*self.fate(a, e, reads, seen))
+        elif isinstance(a, FINAL):
+            seen.answers += 1
+            assert not seen.began and seen.answers == 1 and self.now <= seen.end
+            if isinstance(a, i.Refuse):
+                assert not (seen.ran and spec.effect == i.UNSAFE), "refused as harmless, and it may have run"
+                assert not (seen.out and spec.effect == i.UNSAFE)
+                assert 0 <= a.stay_away <= (self.s.max_retry_after if self.s.retry_hints else 0)
+        elif isinstance(a, i.CallOff):
+            assert self.s.may_cancel and not seen.began
+        elif isinstance(a, i.Release):
+            seen.held = False
+        else:
+            assert isinstance(a, i.Move) and self.s.may_move
+
+    def fate(self, a: i.Send, e: i.Entry, reads: bool, seen: Seen) -> tuple[int, Any]:
+        """What becomes of an attempt, and when: it may also never be heard of again until its patience ends."""
+        took = int(self.rng.lognormvariate(11.5, 1.2))
+        if took >= a.patience or self.rng.random() < 0.05:
+            return a.patience, (a, i.TIMEOUT)
+        usual = i.READ if reads else "began"
+        odd = (i.ERROR, i.BROKEN, i.FULL, i.UNREACHABLE) + (() if reads else (i.NO_STATE,))
+        return took, (a, usual if self.rng.random() < 0.8 else self.rng.choice(odd))
+
+    def ended(self, a: i.Send, outcome: str) -> None:
+        seen = self.seen[a.request]
+        took = self.now - (seen.end - 4 * S)
+        e = seen.at
+        if outcome == "began":
+            if seen.answers:  # too late: the client has its answer
+                outcome = i.CANCELLED
+            else:
+                seen.began, seen.held = True, False
+                self.feed(i.Began(a.request, seen.attempts - 1, a.engine, max(1, took)))
+                end = i.ANSWERED if self.rng.random() < 0.9 else i.BROKEN
+                return self.later(self.rng.randrange(1, 3 * S), (a, end))
+        seen.out = None
+        reads = self.s.kinds[e.kind].role == i.READER
+        if outcome in RUNS and not reads:
+            seen.ran = seen.ran or e
+        settled = seen.began or bool(seen.answers)
+        seen.held = outcome == i.READ or (seen.held and outcome != i.NO_STATE)
+        load = (self.rng.random(), 5.0) if self.reports and self.rng.random() < 0.7 else None
+        self.feed(i.Ended(a.request, seen.attempts - 1, a.engine, outcome, settled,
+                          self.rng.randrange(3000) if outcome in (i.READ, i.ANSWERED) else 0, max(1, took), load,
+                          self.rng.choice((0, 0, 0, S))))
+        assert settled or seen.out or seen.answers, "an attempt ended, and the request is neither out nor answered"
+        assert seen.out or not seen.held, "a state stays pinned"
+
+    def disturb(self) -> None:
+        """The list changes, a client leaves, or the settings are read anew."""
+        n = self.rng.choice(list(self.listed))
+        kind = self.rng.randrange(4)
+        if kind == 0 and len(self.listed) > 3:
+            gone = replace(self.listed.pop(n), phase=i.GONE)
+            self.feed(i.Listed(False, (gone,)))
+        elif kind == 1:
+            self.listed[n] = replace(self.listed[n], phase=self.rng.choice((i.READY, i.DRAINING)), started=self.now)
+            self.feed(i.Listed(False, (self.listed[n],)))
+        elif kind == 2 and self.seen:
+            number = self.rng.choice(list(self.seen))
+            if not self.seen[number].answers and not self.seen[number].began:
+                self.seen[number].answers = 1  # nothing is owed to it any more
+                self.feed(i.Left(number))
+        else:
+            self.router.reconfigure(self.s)
+
+    def play(self, arrivals: int) -> None:
+        at = self.now
+        for n in range(1, arrivals + 1):
+            at += int(self.rng.expovariate(1) * 40_000)
+            heapq.heappush(self.heap, (at, -n, "arrival"))
+        while self.heap and self.now < at + 40 * S:
+            self.now, order, event = heapq.heappop(self.heap)
+            if event == "arrival":
+                cls, prompt = self.rng.randrange(len(self.s.classes)), self.rng.choice((40, 900, 5000, 60_000))
+                self.seen[-order] = Seen(cls, self.now + 4 * S)
+                self.feed(i.Arrived(-order, cls, self.rng.randrange(3), self.rng.randrange(9), self.rng.randrange(4),
+                                    prompt // 2, prompt, self.rng.choice((0, 300)), 4 * S, self.rng.random() < 0.1,
+                                    self.s.may_move and self.rng.random() < 0.1))
+                if self.rng.random() < 0.08:
+                    self.disturb()
+            elif isinstance(event, i.Due):
+                self.feed(event)
+            elif self.seen[event[0].request].out is event[0]:
+                self.ended(*event)
+        assert all(s.answers or s.began for s in self.seen.values()), "a request without its final answer"
+        assert not self.router.jobs, "books that do not close"
+        assert all(e.load == e.queue == 0 for e in self.router.engines.values())
+
+
+ROLES = st.lists(st.sampled_from((i.READER, i.WRITER, i.MIXED)), min_size=1, max_size=4)
+CLASSES = st.lists(st.tuples(
+    st.sampled_from((i.SAFE, i.KEYED, i.UNSAFE)), st.sampled_from(("all", "zone", "cell")),
+    st.sampled_from((300_000, S, 3 * S)), st.sampled_from((0.0, 1.0, 5.0))), min_size=1, max_size=3)
+COLD = st.tuples(st.sampled_from((S, 13 * S)), st.sampled_from((0.05, 0.27, 1.0)), st.sampled_from((S, 1_500_000)))
+
+
+@seed(1)
+@examples(max_examples=120, deadline=None, database=None)
+@given(roles=ROLES, classes=CLASSES, zones=st.integers(1, 3), instances=st.sampled_from((1, 2, 3, 40, 200)),
+       reports=st.booleans(), local=st.booleans(), cancel=st.booleans(), resume=st.booleans(), hints=st.booleans(),
+       attempts=st.integers(1, 6), quotas=st.sampled_from(((), (5.0,), (3.0, 0.0, 40.0))),
+       cold=COLD, day=st.integers(0, 1 << 30))
+def test_a_day_of_trouble_keeps_the_rules_on_any_deployment(
+        roles, classes, zones, instances, reports, local, cancel, resume, hints, attempts, quotas, cold, day):
+    kinds = tuple(i.KindSpec(role, 150_000) for role in roles)
+    s = replace(SETTINGS, instances=instances, kinds=kinds, quotas=quotas,
+                classes=tuple(replace(CLASS, effect=effect, group=group, aim=aim, worth=worth)
+                              for effect, group, aim, worth in classes),
+                local_read=local, may_cancel=cancel, may_move=resume, retry_hints=hints, max_attempts=attempts,
+                cold=cold[0], cold_from=cold[1], fall=cold[2])
+    Day(s, zones, reports, random.Random(day)).play(120)
