--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -1,4 +1,4 @@
-"""Each of the five rules, against the router alone."""
+"""The five rules, against the router alone: what the drawn days of `test_deployments` do not look at."""
 
 import pytest
 
@@ -27,23 +27,6 @@
     assert not final(d.wait(5 * S))
 
 
-def test_a_failed_attempt_after_first_token_still_gets_a_final_answer():
-    d = Drive(settings(max_attempts=2))
-    r, _ = d.arrive()
-    d.end(r, i.READ)
-    d.began(r)
-    assert len(final(d.end(r, i.TIMEOUT))) == 1
-
-
-def test_never_two_attempts_out():
-    d = Drive()
-    r, first = d.arrive()
-    assert len(of(i.Send, first)) == 1
-    again = d.wait(S)
-    assert not [a for a in of(i.Send, again) if a.request == r]
-    assert len(of(i.Send, d.end(r, i.TIMEOUT))) == 1
-
-
 @pytest.mark.parametrize("effect,group,answer", [
     (i.UNSAFE, "all", i.Fail), (i.KEYED, "cell", i.Fail), (i.KEYED, "all", i.Refuse), (i.SAFE, "all", i.Refuse)])
 def test_refused_only_where_trying_again_is_harmless(effect, group, answer):
@@ -54,37 +37,6 @@
     assert [type(a) for a in final(out)] == [answer]
 
 
-def test_unsafe_is_sent_again_only_if_it_never_ran():
-    d = Drive(settings(i.UNSAFE))
-    r, _ = d.arrive()
-    d.end(r, i.READ)
-    assert of(i.Send, d.end(r, i.FULL))
-    assert not of(i.Send, d.end(r, i.TIMEOUT))
-
-
-def test_keyed_stays_in_its_cell_once_it_may_have_run():
-    d = Drive(settings(i.KEYED, "cell"))
-    r, _ = d.arrive()
-    d.end(r, i.READ)
-    first = d.sent[r].engine
-    sends = of(i.Send, d.end(r, i.ERROR))
-    assert sends and all(a.engine % 2 == first % 2 for a in sends)
-
-
-def test_nothing_goes_to_a_draining_or_gone_engine():
-    d = Drive()
-    gone = entry(1, 0, cell=1, phase=i.GONE)
-    d.feed(i.Listed(False, (gone, entry(11, 1, cell=1, phase=i.DRAINING))))
-    for n in range(60):
-        r, _ = d.arrive(session=n + 1)
-        assert d.sent[r].engine not in (1, 11)
-        if d.sent[r].engine < 11:
-            d.end(r, i.READ)
-            assert d.sent[r].engine != 11
-    d.feed(i.Listed(True, FLEET[1:]))
-    assert all(d.sent[d.arrive(session=n)[0]].engine != 1 for n in range(1, 30))
-
-
 def test_waiting_work_at_a_lost_engine_is_called_off():
     d = Drive()
     r, _ = d.arrive()
