--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -27,7 +27,7 @@
 STRETCH = 1.4  # mixed servers and writers whose answers take so many times the mean get no reads
 OUTLIER = 1 / 3  # an engine or zone whose attempts fail this much more often than its peers' is out
 FULL_MEMORY = 0.92  # share of a writer's memory above which nothing is read or placed there
-LATE_FETCH, CUT, REGROW = 0.2, 0.8, 8_000_000  # of the aim: a late fetch; what it leaves; doubles in this time
+LATE_FETCH, CUT, REGROW = 0.2, 0.8, 8_000_000  # a late fetch, of the aim; what it leaves; doubles in this
 RETRY_SHARE, RETRY_BURST = 0.2, 2  # further attempts for each arrival, and how many may be saved up
 CROWD = 1.5  # a writer with so many times the others' work, and one request's, gets no more for now
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
@@ -227,8 +227,8 @@
         return spec.effect == i.KEYED and near[spec.group] and self.now < at + spec.window
 
     def _held(self, e: Engine, tokens: int) -> float:
-        """The share of its memory held there: as reported, the older the more its kind's, and sent since. With
-        no reports, my own work against what it last bore. Danger: a mere memory of a jam outlives the jam."""
+        """The share of its memory held there: as reported, the older the more its kind's, and sent since.
+        With no reports, my own work against what it last bore. Danger: a mere memory of a jam outlives the jam."""
         if not self.helds[e.entry.kind].weight:
             bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
             return FULL_MEMORY * (e.load + tokens) / bore if bore and e.load else e.load / e.memory
@@ -279,8 +279,8 @@
         # Danger: a prompt read by the last attempt that is allowed is read for nothing.
         if (order := self._order(self.ready[i.READER], job)) and job.attempt + 2 < self.s.max_attempts:
             line = (min(job.aim_at, job.end) - self.now) * SHED * (1 + self._worth(req) / self.best)
-            # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the further
-            # down its order it goes; by the session's own order, so that most stay when the count changes.
+            # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the
+            # more homes; the pair among them is the session's own, so that most stay as the count changes.
             homes, session = order[:self._homes(req, len(order))], req.session or req.request
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
             reader = min(pair, key=lambda e: e.load)  # alike: the one that takes this session from all nodes
