--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -228,7 +228,7 @@
 
     def _held(self, e: Engine, tokens: int) -> float:
         """The share of its memory held there: as reported, the older the more its kind's, and sent since.
-        With no reports, my work against what it last bore. Danger: a mere memory of a jam outlives the jam."""
+        With no reports, my work against what it last bore. Danger: memory of a jam outlives the jam."""
         if not self.helds[e.entry.kind].weight:
             bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
             return FULL_MEMORY * (e.load + tokens) / bore if bore and e.load else e.load / e.memory
