--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -231,7 +231,8 @@
         With no reports, my work against what it last bore. Danger: memory of a jam outlives the jam."""
         if not self.helds[e.entry.kind].weight:
             bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
-            return FULL_MEMORY * (e.load + tokens) / bore if bore and e.load else e.load / e.memory
+            if bore:
+                return FULL_MEMORY * (e.load + tokens) / bore if e.load else 0.0
         usual = self.helds[e.entry.kind].over(self.now, 0.0, 0.2)
         return e.held.over(self.now, usual, 0.2) + (e.since + tokens) / e.memory
 
