A prefix said to be longer than its prompt divides nothing by zero; late is not full by report

Seen on reading the change again: Router._homes divided by what is drawn plus 10 x (500 + prompt - prefix_len), which a client's prefix_len can make 0 or less; the Router would have failed on that arrival. Lengths below zero count as none now. And _filled marked a writer's memory as full for any late fetch where reports come inline; only time-outs do, as before. Neither deployment reports inline, so decisions on legal input are as they were. The test fails without the first.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -310,7 +310,7 @@
     def _homes(self, req: i.Arrived, readers: int) -> int:
         """How many readers share the prompts that begin alike, out of so many that are open: two, or what the
         prefix draws of all reading, as far as my few requests tell."""
-        least = DRAWN_LEAST * (PAD + req.prompt - req.prefix_len)
+        least = DRAWN_LEAST * (PAD + max(0, req.prompt - req.prefix_len))  # a client may say any
         share = self.drawn.get(req.prefix, 0.0) / (self.drawn_all + least) if req.prefix else 0.0
         return max(2, math.ceil(WIDE * share * readers))
 
@@ -405,13 +405,14 @@
             job.held = e
             self._answers(e, job, event.rtt)
             self.read_share.add(self.now, event.rtt / job.aim)
-            drawn = job.req.prompt - event.kept + PAD
+            drawn = max(0, job.req.prompt - event.kept) + PAD
             self.drawn[job.req.prefix] = self.drawn.get(job.req.prefix, 0.0) + drawn
             self.drawn_all += drawn
         elif event.outcome in (i.TIMEOUT, i.ERROR, i.UNREACHABLE, i.BROKEN):
             if event.outcome == i.TIMEOUT:  # Danger: from what answers alone, a jam looks quick.
                 self._paced(e, job, event.rtt)
                 if job.fetches:
+                    e.held.add(self.now, 1.0, e.held.most)
                     self._filled(e, job)
             if event.outcome != i.TIMEOUT or e.heard <= job.sent_at:
                 self._judged(e, 1.0, event.outcome)
@@ -481,7 +482,6 @@
 
     def _filled(self, e: Engine, job: Job) -> None:
         """No slot or no memory came free in time: with less of my work there it may. One jam cuts once."""
-        e.held.add(self.now, 1.0, e.held.most)
         if job.sent_at >= e.cut_at:
             there = e.load + (0 if job.out else job.load)
             e.bound, e.cut_at = max(CUT * there, job.load), self.now
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -125,6 +125,14 @@
     assert sum(same) / len(same) > 0.8  # they count a little differently: most of a session's homes stay
 
 
+def test_a_prefix_said_to_be_longer_than_its_prompt_ends_nothing():
+    d = Drive()
+    for said in (1_000, 2**31):
+        ask = i.Arrived(0, 0, 0, 1, 5, said, 500, 100, S, False, False)
+        d.router.drawn_all = 10.0 * (said - 1_000)
+        assert d.router._homes(ask, 10) == 2
+
+
 def test_a_prefix_that_is_no_favourite_any_more_goes_back_to_its_pair():
     seen, rng = crowd(0.4, count=2)
     for d in seen:
