--- a/tests/test_panels.py
+++ b/tests/test_panels.py
@@ -1,8 +1,11 @@
 """The regression check reads what the bench prints and says what speaks against landing."""
 
+import json
+import pathlib
+
 import pytest
 
-from benchmarks.panels import gate, read, verdict
+from benchmarks.panels import due, gate, read, verdict
 
 REPORT = """playing herd+vast ...
 herd+vast                  G 0.385  floor 0.281  top 0.581  memory 17 of 112 MB  descriptors 52 of 768  score 0.35
@@ -29,3 +32,13 @@
     assert gate("gate", REPORT + "GATE passed\n") == [] == gate("size", REPORT)
     assert gate("gate", REPORT + "GATE failed: lost on herd+mass\n") == ["gate: GATE failed: lost on herd+mass"]
     assert gate("gate", REPORT) == ["gate: GATE said nothing"]
+
+
+@pytest.mark.parametrize("played, next_one", [
+    ([], "a"), ([("a", "calm+mass", "2")], "b"), ([("a", "calm+mass", "2"), ("b", "calm+mass", "1")], "b"),
+    ([("a", "calm+mass", "1"), ("b", "calm+mass", "2")], "a"), ([("a", "herd+vast", "1")], "a")])
+def test_the_site_that_was_not_played_for_longest_is_due(tmp_path, played, next_one):
+    for n, (site, days, at) in enumerate(played):
+        entry = {"cmd": "real-score", "site": site, "panel": f"real:{site}:1:{days}", "at": [at, at]}
+        (tmp_path / f"{n}.json").write_text(json.dumps(entry))
+    assert due("gate", [pathlib.Path("x/a.toml"), pathlib.Path("y/b.toml")], tmp_path).stem == next_one
