Ask the two engines of a choice for their load, where many dispatchers are blind

Its engines tell their load to whoever asks, and nobody asked (wire `_skip` dropped PROBE_DONE, no action SOUND_OUT existed, `Ended.load` was None on the node).

Change: the Router names the engines of a choice (Look); `spread/scout` decides whom to ask and for how long the request waits, `spread/reports` how far a word can still be believed, `spread/worth` whether it pays by the count of dispatchers and the price; the Router gets facts (Looked). `net/probes` is the driver, over kept connections. An engine that answers no probe is left out until it answers one: no request is its scout.

--- a/pearhill/adapter.py
+++ b/pearhill/adapter.py
@@ -8,7 +8,7 @@
 
 from pearhill import interface as i
 from pearhill import settings, wire
-from pearhill.rules import Router
+from pearhill.spread.scout import Scout
 
 
 def settings_of(raw: bytes) -> tuple[i.Settings, tuple[int, int]]:
@@ -24,7 +24,7 @@
     """The routers of one process."""
 
     def __init__(self) -> None:
-        self.routers: dict[int, Router] = {}
+        self.routers: dict[int, Scout] = {}
         self.load_at: dict[int, tuple[int, int]] = {}
 
     def _columns(self, instance: int) -> tuple[int, int]:
@@ -35,7 +35,7 @@
         for who, event in frame.events:
             if isinstance(event, wire.Start):
                 told, self.load_at[who] = settings_of(event.settings)
-                self.routers[who] = Router(told, event.seed)
+                self.routers[who] = Scout(told, event.seed)
             elif isinstance(event, wire.Halt):
                 self.routers.pop(who, None)
             elif who not in self.routers:
--- a/pearhill/chat/servers.py
+++ b/pearhill/chat/servers.py
@@ -131,6 +131,13 @@
                    *self._authorization(engine)]
         return messages.request("POST", PATH, HOST, headers, payload.body)
 
+    def probe(self) -> bytes:
+        """Nothing of the API tells a server's load: settings for it never ask (`Settings.probing`)."""
+        return messages.request("GET", "/health", HOST)
+
+    def load(self, status: int, body: bytes) -> None:
+        return None
+
     def release(self, payload: ChatPayload, engine: int) -> bytes:
         return messages.request("DELETE", f"/state/{payload.id}", HOST, self._authorization(engine))
 
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -16,8 +16,8 @@
 from pearhill.core.deadlines import Deadlines, Key
 from pearhill.core.ports import Backend, Client
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
-from pearhill.rules import Router
 from pearhill.settings import Deployment
+from pearhill.spread.scout import Scout
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,12 +89,13 @@
     def __init__(self, deployment: Deployment, seed: int, deadlines: Deadlines, counters: Counters) -> None:
         self.deployment, self.deadlines, self.counters = deployment, deadlines, counters
         self.clock = deadlines.clock
-        self.router = Router(deployment.router, seed)
+        self.router = Scout(deployment.router, seed)
         self.backend: Backend | None = None
         self.requests: dict[int, Request] = {}
         self.engines: dict[int, i.Entry] = {}
         self.calls = [Calls() for _ in deployment.class_names]
         self.inflight = 0  # requests taken that have not ended
+        self._probing: dict[int, int] = {}  # engines with a probe out, and since when
         self._next, self._events, self._busy = 1, deque[i.Event](), False
 
     # From a front.
@@ -195,6 +196,12 @@
         self._feed(i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept,
                            rtt, None, rest))
 
+    def probed(self, engine: int, outcome: str, load: tuple[float, float] | None) -> None:
+        """A probe has ended. The Router hears of it before this returns, unless it is busy: then after that."""
+        self.counters.probes[outcome] += 1
+        since = self._probing.pop(engine, self.clock())
+        self._feed(i.Probed(engine, outcome, self.clock() - since, load))
+
     def expire(self, attempt: Attempt) -> None:
         """Its time is over. Danger: the connection goes first, or the next send would be a second copy."""
         self._stop(attempt, i.TIMEOUT)
@@ -254,7 +261,7 @@
                     continue
                 for action in actions:
                     self._act(action)
-                if not isinstance(event, i.Listed | i.Due):
+                if not isinstance(event, i.Listed | i.Due | i.Probed):
                     self._forget(event.request)
         finally:
             self._busy = False
@@ -274,6 +281,11 @@
             case i.Report(text):
                 logger.info("router: {text}", text=text)
                 return
+            case i.Probe(engine):
+                assert self.backend is not None
+                self._probing[engine] = self.clock()
+                self.backend.probe(engine)
+                return
         request = self.requests.get(action.request)
         if request is None:
             return
--- a/pearhill/core/ports.py
+++ b/pearhill/core/ports.py
@@ -39,5 +39,8 @@
     def cancel(self, attempt: Attempt) -> bool:
         """Close the attempt's connection before returning. False: the engine surely never had the whole request."""
 
+    def probe(self, engine: int) -> None:
+        """Ask an engine for its load; `Dispatcher.probed` is called once with what came of it."""
+
     def release(self, request: Request, engines: Collection[int]) -> None:
         """Let go of what the engines may hold for the request, trying again as need be."""
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -53,6 +53,7 @@
     faults: int = 0  # exceptions out of the router
     replayed: int = 0  # answers repeated from the idempotency store
     outcomes: Counter[str] = field(default_factory=Counter)  # of attempts
+    probes: Counter[str] = field(default_factory=Counter)  # by outcome
     connections: Counter[str] = field(default_factory=Counter)  # ended, by side and reason code
 
     def as_dict(self) -> dict[str, Any]:
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -70,6 +70,8 @@
     fall: int
     fall_multiple: float
     tick: int
+    probing: bool = False  # engines tell their load to whoever asks
+    probe_price: float = 0.0  # of the worth asked for, for one probe a request
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -175,7 +177,39 @@
     timer: int
 
 
-Event = Listed | Arrived | Began | Ended | Left | Due
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """How a probe has ended: ANSWERED, whatever was said; MOOT, where it was never sent; else no answer came. `load` is
+    the engine's report as (memory share, thousands of tokens to read or fetch), None where it told none."""
+
+    engine: int
+    outcome: str
+    rtt: int
+    load: tuple[float, float] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What is known of one engine from its own word: its memory share and the tokens it has yet to read or fetch,
+    both faded with `sure` (1: as fresh as it can be, 0: nothing is known). `mute`: it answers no
+    probe, and is left alone until then, in microseconds of the clock; 0 where it answers."""
+
+    engine: int
+    held: float
+    waiting: float
+    sure: float
+    mute: int
+
+
+@dataclass(frozen=True, slots=True)
+class Looked:
+    """The answer to a Look: one Told for each engine it named, in its order."""
+
+    request: int
+    told: tuple[Told, ...]
+
+
+Event = Listed | Arrived | Began | Ended | Left | Due | Probed | Looked
 
 
 # Actions: what the router asks of the node.
@@ -242,4 +276,19 @@
     text: str
 
 
-Action = Send | CallOff | Refuse | Fail | Release | Move | SetTimer | Report
+@dataclass(frozen=True, slots=True)
+class Look:
+    """The choice for this request lies between these engines. A Looked follows, at once or soon."""
+
+    request: int
+    engines: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask an engine for its load; a Probed follows."""
+
+    engine: int
+
+
+Action = Send | CallOff | Refuse | Fail | Release | Move | SetTimer | Report | Look | Probe
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -18,6 +18,7 @@
 from pearhill.http1.client import Data, End, Event, Head, Lost
 from pearhill.net.address import Address
 from pearhill.net.pool import CannotConnect, Connection, NoRoom, Pool, call
+from pearhill.net.probes import ProbeDialect, Probes, Told
 from pearhill.net.turns import pause
 
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
@@ -62,7 +63,7 @@
     said: Any = None
 
 
-class Dialect(Protocol):
+class Dialect(ProbeDialect, Protocol):
     def request(self, payload: Any, engine: int, wait_ms: int) -> bytes: ...
 
     def release(self, payload: Any, engine: int) -> bytes:
@@ -216,9 +217,10 @@
 
 
 class HttpBackend:
-    def __init__(self, pool: Pool, dialect: Dialect) -> None:
+    def __init__(self, pool: Pool, dialect: Dialect, probed: Told = lambda engine, outcome, load: None) -> None:
         self.pool, self.dialect = pool, dialect
         self.addresses: dict[int, Address] = {}
+        self.probe = Probes(pool, dialect, self.addresses, probed).send
         self.leaving: dict[int, Key] = {}  # engines off the list, whose addresses go when their time is over
         self.calls: dict[Attempt, Call] = {}
         self.releasing = 0
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -252,9 +252,10 @@
             self.done.set_result(error)
 
 
-async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = MAX_ANSWER) -> tuple[int, bytes]:
+async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = MAX_ANSWER, *,
+               urgent: bool = True) -> tuple[int, bytes]:
     """One request and its whole answer. OSError, TimeoutError, ValueError or CannotConnect where there is none."""
-    connection = await pool.acquire(address, urgent=True)
+    connection = await pool.acquire(address, urgent)
     gathered = Gathered(pool.loop, most)
     try:
         async with time_limit(pool.deadlines, timeout):
--- /dev/null
+++ b/pearhill/net/probes.py
@@ -0,0 +1,66 @@
+"""Probes of engines' load, over the same kept connections as requests. Whom to ask, and when, is decided elsewhere."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from pearhill import interface as i
+from pearhill.net.address import Address
+from pearhill.net.pool import CannotConnect, NoRoom, Pool, call
+
+PROBE_WAIT = 250_000  # for an answer, in microseconds
+MOST_OUT = 64  # at once: probes must not take the descriptors that requests need
+MAX_REPORT = 4 * 1024  # bytes of an answer
+TRIES = 2  # Danger: a kept connection that the server has closed is reset at its next use. That is no silence.
+
+Told = Callable[[int, str, "tuple[float, float] | None"], None]
+
+
+class ProbeDialect(Protocol):
+    def probe(self) -> bytes:
+        """The call that asks for the load."""
+
+    def load(self, status: int, body: bytes) -> tuple[float, float] | None:
+        """What the answer tells: memory share, thousands of tokens waiting. None: nothing that can be used."""
+
+
+class Probes:
+    """`told` gets each probe's end once: the engine, the outcome and the load it reported."""
+
+    def __init__(self, pool: Pool, dialect: ProbeDialect, addresses: Mapping[int, Address], told: Told) -> None:
+        self.pool, self.dialect, self.addresses, self.told = pool, dialect, addresses, told
+        self.out = 0
+
+    def send(self, engine: int) -> None:
+        address = self.addresses.get(engine)
+        if address is None or self.out >= MOST_OUT:
+            return self.told(engine, i.MOOT, None)  # never asked: that says nothing of the engine
+        self.out += 1
+        self.pool.spawn(self._probe(engine, address))
+
+    async def _probe(self, engine: int, address: Address) -> None:
+        outcome, load = i.UNREACHABLE, None
+        try:
+            for _ in range(TRIES):
+                try:
+                    ask = self.dialect.probe()
+                    status, body = await call(self.pool, address, ask, PROBE_WAIT, MAX_REPORT, urgent=False)
+                    outcome, load = i.ANSWERED, self.dialect.load(status, body)
+                    break
+                except TimeoutError:
+                    outcome = i.TIMEOUT
+                    break
+                except NoRoom:
+                    outcome = i.MOOT
+                    break
+                except CannotConnect:
+                    break
+                except ValueError:  # it talks, though not to the point
+                    outcome = i.ANSWERED
+                    break
+                except OSError:
+                    outcome = i.UNREACHABLE
+        finally:
+            self.out -= 1
+        self.told(engine, outcome, load)
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -68,7 +68,7 @@
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
                          keep_idle=_keep_idle(deployment), most=self.room, spare=FOR_BOOKS)
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
-        self.backend = HttpBackend(self.pool, dialect)
+        self.backend = HttpBackend(self.pool, dialect, self.dispatcher.probed)
         self.dispatcher.backend = self.backend
         self.wishes = Wishes()
         self.roster = Roster(self.wishes)
--- a/pearhill/platform/replica.py
+++ b/pearhill/platform/replica.py
@@ -12,9 +12,22 @@
 
 HOST = "app.svc"
 TAIL = 512  # bytes at the end of a stream in which its usage stands
+_NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?([eE][+-]?\d{1,2})?")
 _KEPT = re.compile(rb'"cached_tokens"\s*:\s*(\d+)')
 
 
+def load_of(report: str) -> tuple[float, float] | None:
+    """The memory share and the thousands of tokens waiting, out of a load report. None: it lacks one, or is torn, or
+    says something twice, and may be wrong throughout."""
+    values: dict[str, float] = {}
+    for part in report.strip().split(","):
+        name, equals, value = part.strip().partition("=")
+        if not equals or name in values or not _NUMBER.fullmatch(value):
+            return None
+        values[name] = float(value)
+    return (values["x0"], values["x1"]) if "x0" in values and "x1" in values else None
+
+
 class ReplicaStream:
     """Its events are passed on as they come, byte for byte; only the usage near its end is read."""
 
@@ -53,6 +66,12 @@
     def release(self, payload: Payload, engine: int) -> bytes:
         return messages.request("DELETE", f"/state/{payload.id}", HOST)
 
+    def probe(self) -> bytes:
+        return messages.request("GET", "/status/load", HOST)
+
+    def load(self, status: int, body: bytes) -> tuple[float, float] | None:
+        return load_of(body.decode("latin-1")) if status in (200, 503) else None
+
     def stream(self, payload: Payload) -> ReplicaStream:
         return ReplicaStream()
 
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -87,6 +87,7 @@
         self.reported, self.heard, self.credit, self.credit_at = 0, 0, phase, 0
         self.bound, self.cut_at = 0.0, 0  # my tokens there that it bore when a fetch was last late; 0: never
         self.rest = 0  # until then it wants nothing more
+        self.mute, self.told, self.told_at = 0, 0.0, 0  # it answers no probe until then; tokens it said wait
 
 
 class Job:
@@ -101,6 +102,7 @@
         self.held: Engine | None = None
         self.ran: tuple[Engine, int] | None = None
         self.tried: list[int] = []
+        self.looked, self.among = (-2, False), list[Engine]()  # the choice asked for, and between whom
 
 
 class Router:
@@ -116,6 +118,7 @@
         self.timers, self.timer = dict[int, int](), 0
         self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
         self.read_share = Faded(STEP_EVERY, 30)
+        self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
         self.drawn: dict[int, float] = {}  # tokens read, by prefix, over the last ten steps or so
         self.drawn_all = 0.0
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
@@ -130,7 +133,7 @@
         self.lasts: dict[int, Faded] = {}  # time from sending to the end of an answer, by class
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Listed: self._listed, i.Arrived: self._arrived, i.Began: self._began, i.Ended: self._ended,
-            i.Left: self._left, i.Due: self._due}
+            i.Left: self._left, i.Due: self._due, i.Looked: self._looked}
 
     def reconfigure(self, settings: i.Settings) -> None:
         """Other figures for the same classes, kinds and zones."""
@@ -204,7 +207,8 @@
         fails = {zone: fails.over(self.now, 0.0) for zone, fails in self.zones.items()}
         line = min(fails.values(), default=0.0) + OUTLIER
         near = [e for e in fit if fails.get(e.entry.zone, 0.0) < line] or fit
-        well = [e for e in near if e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line]
+        well = [e for e in near
+                if e.mute <= self.now and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line]
         # Panic threshold. Danger: when most look bad the judgement is at fault; to shun them buries the rest.
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
@@ -238,7 +242,9 @@
 
     def _emptier(self, pool: list[Engine]) -> Engine:
         two = self.rng.sample(pool, min(2, len(pool)))
-        return min(two, key=lambda e: (e.load / (e.entry.heft or 1), self._held(e, 0)))
+        told = i.WRITER in self.looks  # then its own word of its memory says more than my part
+        return min(two, key=lambda e: (e.mute > self.now, self._held(e, 0) if told else 0.0,
+                                       e.load / (e.entry.heft or 1), self._held(e, 0)))
 
     def _takes(self, e: Engine, weight: float, reads: bool = True) -> float:
         """How long reading a prompt, or fetching its state, should take until the first token."""
@@ -284,7 +290,11 @@
             # more homes; the pair among them is the session's own, so that most stay as the count changes.
             homes, session = order[:self._homes(req, len(order))], req.session or req.request
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
-            reader = min(pair, key=lambda e: e.load)  # alike: the one that takes this session from all nodes
+            if self._look(job, pair):
+                return None
+            # Alike: the one that takes this session from all nodes.
+            reader = min(pair, key=lambda e: (e.mute > self.now,
+                                              max(e.queue, e.told) if e.told_at == self.now else e.load))
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
             # Danger: a long prompt or a favourite prefix jams its pair while others idle. Past a pair over
@@ -302,6 +312,28 @@
             return self._send(job, self._emptier(rest))
         self._close(job)
 
+    def _look(self, job: Job, pool: list[Engine]) -> bool:
+        """Ask what the engines of a choice tell of themselves, once before each that is worth it."""
+        if len(pool) < 2 or pool[0].role not in self.looks or job.looked == (job.attempt, bool(job.held)):
+            return False
+        job.looked, job.among = (job.attempt, bool(job.held)), pool
+        self.actions.append(i.Look(job.req.request, tuple(e.id for e in pool)))
+        return True
+
+    def _looked(self, event: i.Looked) -> None:
+        for told in event.told:
+            if e := self.engines.get(told.engine):
+                e.mute, e.told, e.told_at = told.mute, told.waiting, self.now
+                if told.sure > 0.5 and e.role != i.READER:
+                    self._reported(e, told.held)
+        if (job := self.jobs.get(event.request)) and not job.closed and not job.out:
+            (self._write if job.held else self._place)(job)
+
+    def _reported(self, e: Engine, held: float) -> None:
+        e.held.add(self.now, held, e.held.most)
+        self.helds[e.entry.kind].add(self.now, held)
+        e.since, e.reported = 0, self.now
+
     def _order(self, pool: list[Engine], job: Job) -> list[Engine]:
         """The open engines of a pool in the hash order of the prefix, else the session."""
         key = job.req.prefix or job.req.session or job.req.request
@@ -350,7 +382,9 @@
         calm = [e for e in roomy if not self._crowded(e, job.req)]
         cell = [e for e in calm if e.entry.cell == at.cell]
         if near := cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy:
-            return self._send(job, self._emptier(near))
+            if i.WRITER in self.looks:
+                near = [e for e in job.among if e in near] or self.rng.sample(near, min(2, len(near)))
+            return None if self._look(job, near) else self._send(job, self._emptier(near))
         self._close(job)
 
     def _send(self, job: Job, e: Engine) -> None:
@@ -391,9 +425,7 @@
         e.rest = max(e.rest, self.now + event.rest if event.rest else 0)
         e.since -= job.req.prompt if not job.reading and job.sent_at >= e.reported else 0
         if event.load:
-            e.held.add(self.now, event.load[0], e.held.most)
-            self.helds[e.entry.kind].add(self.now, event.load[0])
-            e.since, e.reported = 0, self.now
+            self._reported(e, event.load[0])
         if event.outcome in (i.READ, i.ANSWERED):
             if event.kept * 2 < job.known - PAD:
                 e.kept.clear()  # Danger: it has lost what it kept, and I would read long prompts there.
--- a/pearhill/settings.py
+++ b/pearhill/settings.py
@@ -67,7 +67,10 @@
             max_retry_after=int(allowed.get("max-retry-after", 0)),
             max_attempts=int(allowed["max-attempts"]), cold=int(rules["cold"]),
             cold_from=float(rules["cold-from"]), fall=int(rules["fall"]),
-            fall_multiple=float(rules["fall-multiple"]), tick=int(s["tick"]))
+            fall_multiple=float(rules["fall-multiple"]), tick=int(s["tick"]),
+            probing=bool(allowed.get("probing", False)) and min(load_at) >= 0
+            and s["report"].get("via", "off") != "off",
+            probe_price=float(s.get("prices", {}).get("probe", 0)))
         return Deployment(
             router, (load_at[0], load_at[1]),
             class_names=tuple(str(c.get("name", k)) for k, c in enumerate(s["classes"])),
--- /dev/null
+++ b/pearhill/spread/scout.py
@@ -0,0 +1,140 @@
+"""A Router that sees: before a choice it looks at what the engines in question tell of themselves.
+
+The Router says between whom it is to choose (`Look`). Here it is decided whom to ask, and for how long the request
+may wait for that; the Router gets what is known as facts (`Looked`) and chooses. One probe of an engine serves all
+requests that wait for it. An engine that answers no probe is mute: the Router is told so, and asks elsewhere, without
+a request having been lost there; and it is a probe, never a request, that finds out when it is back.
+"""
+
+from __future__ import annotations
+
+import random
+
+from pearhill import interface as i
+from pearhill.rules import Router
+from pearhill.spread.reports import Reports
+from pearhill.spread.worth import looks
+
+WAIT_SHARE = 1 / 40  # of the shortest aim: so long a request waits for what it asked
+FIRST_TIMER = 1 << 31  # the Router counts its own up from 1
+MUTE, MOST_MUTE = 400_000, 3_200_000  # after the first probe without an answer; doubled with each further one
+GIVEN_UP = 2_000_000  # a probe whose end nobody told; the driver ends each much sooner
+
+
+class Looking:
+    """One request that waits for what was asked on its behalf."""
+
+    def __init__(self, engines: tuple[int, ...], missing: set[int], timer: int) -> None:
+        self.engines, self.missing, self.timer = engines, missing, timer
+
+
+class Silence:
+    """How long an engine has answered nobody here."""
+
+    def __init__(self) -> None:
+        self.times, self.until = 0, 0
+
+
+class Scout:
+    """Feed it every event with its time, as one would a Router; do what it returns, in order."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.router = Router(settings, seed)
+        # Danger: dispatchers that found an engine mute at the same moment would all ask again at the same moment.
+        self.rng = random.Random(seed ^ 0x5C007)
+        self.reports = Reports()
+        self.asked: dict[int, int] = {}  # engines with a probe out, and since when
+        self.looking: dict[int, Looking] = {}
+        self.silences: dict[int, Silence] = {}
+        self.timers: dict[int, int] = {}  # the request that each is for
+        self.timer = FIRST_TIMER
+        self.reconfigure(settings)
+
+    def reconfigure(self, settings: i.Settings) -> None:
+        """Other figures for the same classes, kinds and zones."""
+        self.router.reconfigure(settings)
+        self.router.looks = looks(settings)
+        # Danger: a state that waits at a reader meanwhile must be taken or let go of in time.
+        self.wait = max(settings.tick, min(int(min(spec.aim for spec in settings.classes) * WAIT_SHARE),
+                                           settings.release_within // 4))
+
+    def avoided(self, now: int) -> int:
+        return self.router.avoided(now)
+
+    def handle(self, now: int, event: i.Event) -> list[i.Action]:
+        """One event in, the actions it asks for out."""
+        match event:
+            case i.Probed():
+                return self._probed(now, event)
+            case i.Due() if event.timer >= FIRST_TIMER:
+                request = self.timers.pop(event.timer, 0)
+                return self._seen(now, request) if request in self.looking else []
+            case i.Ended() if event.load:
+                self.reports.heard(now, event.engine, event.load)
+            case i.Left():
+                self.looking.pop(event.request, None)
+        actions = self._answered(now, self.router.handle(now, event))
+        if isinstance(event, i.Listed):
+            self._listed()
+        return actions
+
+    def _listed(self) -> None:
+        there = self.router.engines.keys()
+        self.reports.keep(there)
+        for gone in self.silences.keys() - there:
+            del self.silences[gone]
+        for gone in self.asked.keys() - there:  # its Probed may still come, and then finds nobody waiting
+            del self.asked[gone]
+
+    def _answered(self, now: int, actions: list[i.Action]) -> list[i.Action]:
+        """The Router's actions, its looks replaced by what they ask for, or by what it does when told at once."""
+        if not any(isinstance(action, i.Look) for action in actions):
+            return actions
+        out: list[i.Action] = []
+        for action in actions:
+            out += self._look(now, action) if isinstance(action, i.Look) else [action]
+        return out
+
+    def _look(self, now: int, look: i.Look) -> list[i.Action]:
+        missing = {e for e in look.engines if not self.reports.fresh(now, e) and not self._mute(now, e)}
+        if not missing:
+            return self._facts(now, look.request, look.engines)
+        probes: list[i.Action] = [i.Probe(e) for e in sorted(missing) if now - self.asked.get(e, -GIVEN_UP) >= GIVEN_UP]
+        for probe in probes:
+            assert isinstance(probe, i.Probe)
+            self.asked[probe.engine] = now
+        self.timer += 1
+        self.timers[self.timer] = look.request
+        self.looking[look.request] = Looking(look.engines, missing, self.timer)
+        return [*probes, i.SetTimer(self.timer, self.wait)]
+
+    def _mute(self, now: int, engine: int) -> int:
+        silence = self.silences.get(engine)
+        return silence.until if silence and silence.until > now else 0
+
+    def _probed(self, now: int, event: i.Probed) -> list[i.Action]:
+        self.asked.pop(event.engine, None)
+        if event.outcome == i.ANSWERED:
+            self.silences.pop(event.engine, None)
+            self.reports.heard(now, event.engine, event.load)
+        elif event.outcome != i.MOOT and event.engine in self.router.engines:
+            silence = self.silences.setdefault(event.engine, Silence())
+            wait = min(MOST_MUTE, MUTE << min(8, silence.times))
+            silence.times, silence.until = silence.times + 1, now + int(wait * self.rng.uniform(0.75, 1.25))
+        out: list[i.Action] = []
+        waiting = [r for r, looking in self.looking.items() if event.engine in looking.missing]
+        for request in waiting:
+            looking = self.looking[request]
+            looking.missing.discard(event.engine)
+            if not looking.missing:
+                out += self._seen(now, request)
+        return out
+
+    def _seen(self, now: int, request: int) -> list[i.Action]:
+        looking = self.looking.pop(request)
+        self.timers.pop(looking.timer, None)
+        return self._facts(now, request, looking.engines)
+
+    def _facts(self, now: int, request: int, engines: tuple[int, ...]) -> list[i.Action]:
+        told = tuple(self.reports.told(now, e, self._mute(now, e)) for e in engines)
+        return self._answered(now, self.router.handle(now, i.Looked(request, told)))
--- a/pearhill/wire.py
+++ b/pearhill/wire.py
@@ -12,6 +12,7 @@
 PHASES = {0: i.GONE, 1: i.READY, 2: i.DRAINING}
 OUTCOMES = {200: i.ANSWERED, 102: i.READ, 500: i.ERROR, 503: i.FULL, 504: i.TIMEOUT, 502: i.UNREACHABLE,
             598: i.BROKEN, 499: i.CANCELLED, 410: i.MOOT}
+TURNED_AWAY = 503  # of a probe: the engine lives
 FULL_LIST, CACHED_LIST, FAILED_CALL = 0, 3, 4
 
 _HEAD = struct.Struct("<IQII")
@@ -19,6 +20,7 @@
 _ENTRY = struct.Struct("<IBHHBfQ")
 _SUBMIT = struct.Struct("<IIfQfBQIHfB")
 _ENDED = struct.Struct("<IIHBIIHB")
+_PROBED = struct.Struct("<IIHB")
 _FIRST = struct.Struct("<IHII")
 _U32 = struct.Struct("<I")
 
@@ -76,15 +78,25 @@
                      ttl, bool(opts & 2), bool(opts & 16))
 
 
+def _load(b: bytes, at: int, values: int, load_at: tuple[int, int]) -> tuple[float, float] | None:
+    report = struct.unpack_from(f"<{values}f", b, at)
+    x0, x1 = load_at
+    return (report[x0], report[x1]) if min(load_at) >= 0 and max(load_at) < values else None
+
+
+def _probed(b: bytes, load_at: tuple[int, int]) -> i.Probed:
+    rtt, engine, verdict, values = _PROBED.unpack_from(b)
+    outcome = i.ANSWERED if verdict == TURNED_AWAY else OUTCOMES.get(verdict, i.UNREACHABLE)
+    return i.Probed(engine, outcome, rtt, _load(b, _PROBED.size, values, load_at))
+
+
 def _ended(b: bytes, load_at: tuple[int, int]) -> i.Ended:
     txn, detail, verdict, settled, rtt, engine, n, values = _ENDED.unpack_from(b)
-    report = struct.unpack_from(f"<{values}f", b, _ENDED.size)
+    load = _load(b, _ENDED.size, values, load_at)
     if verdict not in OUTCOMES:
         raise WireError(f"ENDED has the unknown verdict {verdict}")
     outcome = i.NO_STATE if verdict == 503 and detail == 1 else OUTCOMES[verdict]
     kept = detail if verdict in (102, 200) else 0
-    x0, x1 = load_at
-    load = (report[x0], report[x1]) if min(load_at) >= 0 and max(load_at) < values else None
     return i.Ended(txn, n, engine, outcome, bool(settled), kept, rtt, load)
 
 
@@ -101,13 +113,15 @@
 
 
 def _skip(b: bytes) -> None:
-    """NOTE, PROBE_DONE and DATAGRAM answer what is never asked for here."""
+    """NOTE and DATAGRAM answer what is never asked for here."""
 
 
 _EVENTS: dict[int, Callable[[bytes], i.Event | Start | Halt | None]] = {
-    0: _skip, 6: _skip, 11: _skip, 3: _listed, 4: _start, 10: _submit, 7: _began, 9: lambda b: Halt(),
+    6: _skip, 11: _skip, 3: _listed, 4: _start, 10: _submit, 7: _began, 9: lambda b: Halt(),
     1: lambda b: i.Due(_U32.unpack_from(b)[0]), 2: lambda b: i.Left(_U32.unpack_from(b)[0])}
 
+_REPORTING: dict[int, Callable[[bytes, tuple[int, int]], i.Event]] = {0: _probed, 8: _ended}  # may hold a report
+
 
 def read_frame(stream: BinaryIO, load_at: Callable[[int], tuple[int, int]]) -> Frame | None:
     """The next frame, or None at the end of input. `load_at` tells where an instance's load values stand."""
@@ -144,9 +158,10 @@
                 continue
             if instance < 0:
                 raise WireError("no instance was named before it")
-            if code != 8 and code not in _EVENTS:
+            if code not in _REPORTING and code not in _EVENTS:
                 raise WireError(f"unknown event code {code}")
-            event = _ended(fields, load_at(instance)) if code == 8 else _EVENTS[code](fields)
+            reporting = _REPORTING.get(code)
+            event = reporting(fields, load_at(instance)) if reporting else _EVENTS[code](fields)
         except (WireError, struct.error) as e:
             raise WireError(f"{where}: {e}") from None
         if event is not None:
@@ -173,12 +188,16 @@
             return struct.pack("<BIII", 65, 8, a.request, a.stay_away)
         case i.Fail():
             return struct.pack("<BII", 66, 4, a.request)
+        case i.Probe():
+            return struct.pack("<BII", 69, 4, a.engine)
         case i.Release():
             return struct.pack("<BII", 78, 4, a.request)
         case i.Move():
             return struct.pack("<BII", 76, 4, a.request)
         case i.Report():
             return _text(72, a.text)
+        case i.Look():
+            raise WireError("a Look is answered inside, and has no record")
         case Fault():
             return _text(73, a.text)
 
--- /dev/null
+++ b/tests/spread/test_process.py
@@ -0,0 +1,125 @@
+"""The real program on a deployment unlike the first: no mixed kind, one zone, loads told to probes alone, nothing that
+a cancel stops, streams that can be resumed, members with shares; and engines that answer probes as they like."""
+
+from __future__ import annotations
+
+import copy
+import json
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tests.standins import LAST, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform
+
+UNLIKE: dict[str, Any] = copy.deepcopy(SETTINGS)
+UNLIKE["allowed"].update({"may-cancel": False, "probing": True, "max-attempts": 6, "max-retry-after": 2000000})
+UNLIKE["classes"] = [
+    {"name": "question", "aim": 1000000, "deadline": 4000000, "effect": "read_like", "worth": 3.0},
+    {"name": "order", "aim": 3000000, "deadline": 15000000, "effect": "non_idempotent", "worth": 5.0}]
+UNLIKE["extra"].update({"local-read": True, "release-within": 1000000, "resume": True,
+                        "role-by-kind": ["read", "write", "write"]})
+UNLIKE.update({"models": ["reads", "writes-a", "writes-b"], "n-instances": 200, "zones": ["north"],
+               "over-share-worth": 0.1, "prices": {"probe": 0.0039},
+               "report": {"via": "on_probe", "columns": ["active", "waiting", "x0", "x1"]},
+               "tenants": [{"name": "east", "quota-rps": 9.0}, {"name": "west", "quota-rps": 0.0}]})
+BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
+Answer = Callable[[Any], None]
+
+
+def report(x0: object, x1: object) -> Answer:
+    return lambda h: h.plain(200, f"active=3,waiting=1,x0={x0},x1={x1}".encode())
+
+
+class Fleet(unittest.TestCase):
+    def start(self, settings: dict[str, Any] = UNLIKE, dead_reader: bool = False) -> None:
+        """Two readers and two writers; `told` is what each answers to a probe."""
+        self.servers = [Standin() for _ in range(4)]
+        self.told: list[Answer] = [report(0.1, 0)] * 4
+        for n, server in enumerate(self.servers):
+            server.respond = lambda h, body, n=n: self.respond(n, h)
+        addresses = [s.address for s in self.servers]
+        if dead_reader:
+            addresses[0] = dead_address()
+        kinds = ("reads", "reads", "writes-a", "writes-b")
+        targets = ((f"s-{n}", a, kind) for n, (a, kind) in enumerate(zip(addresses, kinds, strict=True)))
+        self.discovery = Discovery(*targets)
+        self.program = platform(self.discovery.address, settings=settings)
+        for thing in (*self.servers, self.discovery):
+            self.addCleanup(thing.close)
+        self.addCleanup(self.program.kill)
+        self.program.wait_ready()
+
+    def respond(self, n: int, h: Any) -> None:
+        if h.path == "/status/load":
+            self.told[n](h)
+        elif h.command == "DELETE":
+            h.plain(204)
+        elif n < 2:
+            h.plain(202, b'{"cached_tokens":0}')
+        else:
+            h.chunks(*TOKENS, LAST)
+
+    def ask(self, id: str, cls: str = "order", **more: str) -> int:
+        head = {"Request-Id": id, "Request-Class": cls, "Request-Timeout-Ms": "4000", "Tenant": "east",
+                "Affinity-Key": f"{hash(id) & 0xffff:x}", "Request-Info": "prompt_len=3000,max_out=100", **more}
+        status, _, body = self.program.ask("POST", "/v1/chat/completions", BODY, head)
+        assert status != 200 or body == b"".join(TOKENS) + LAST
+        return status
+
+    def runs(self) -> list[int]:
+        return [s.runs for s in self.servers]
+
+    def test_a_choice_follows_what_engines_tell_and_costs_two_probes(self):
+        self.start()
+        self.told = [report(0.1, 60), report(0.1, 0.4), report(0.3, 0), report(0.8, 0)]
+        self.assertEqual([self.ask(f"a{n}") for n in range(6)], [200] * 6)
+        self.assertEqual(self.runs(), [0, 6, 6, 0])
+        self.assertLessEqual(self.program.counters()["probes"]["answered"], 6 * 4)
+
+    def test_whatever_a_probe_brings_every_request_is_answered_once(self):
+        def late(h: Any) -> None:
+            self.servers[0].go.wait(20)
+
+        def torn(h: Any) -> None:
+            h.send_response(200)
+            h.send_header("Content-Length", "40")
+            h.end_headers()
+            h.wfile.write(b"x0=0.1,")
+            h.close_connection = True
+
+        odd: list[Answer] = [
+            lambda h: h.plain(404), lambda h: h.plain(503), lambda h: h.plain(200),
+            lambda h: h.plain(500, b"x0=0,x1=0"),
+            report("nan", 1), report(-1, 2), report(0.5, "1,x1=9"), lambda h: h.plain(200, b"z" * 65536)]
+        words: tuple[dict[str, str], ...] = ({}, {"Client-Retry": "again"}, {"Client-Retry": "perhaps"})
+        for answers in (odd, [torn], [lambda h: h.connection.close()], [late]):  # the last three make engines mute
+            self.start()
+            for n, answer in enumerate(answers):
+                with self.subTest(n):
+                    self.told, before = [answer] * 4, sum(self.runs())
+                    for k, word in enumerate(words):
+                        self.assertEqual(self.ask(f"{n}-{k}", **word), 200)
+                    self.assertEqual(sum(self.runs()) - before, 6)  # a read and an answer each, and nothing twice
+                    self.assertIn(("GET", "/status/load"), self.servers[0].calls)
+            counters = self.program.counters()
+            self.assertEqual((counters["faults"], counters["failed"], counters["refused"]), (0, 0, 0))
+
+    def test_a_dead_reader_is_found_by_a_probe_and_costs_no_attempt(self):
+        self.start(dead_reader=True)
+        self.assertEqual([self.ask(f"d{n}") for n in range(8)], [200] * 8)
+        counters = self.program.counters()
+        self.assertEqual(self.runs(), [0, 8] + self.runs()[2:])
+        self.assertEqual((counters["sent"], counters["probes"]["unreachable"] >= 1), (16, True))
+
+    def test_a_member_that_nobody_knows_and_one_without_a_share_are_served(self):
+        self.start()
+        self.assertEqual([self.ask(f"m{n}", Tenant=name) for n, name in enumerate(("east", "west", "nobody"))],
+                         [200] * 3)
+
+    def test_few_dispatchers_or_no_reports_send_no_probe(self):
+        for changes in ({"n-instances": 3}, {"report": {"via": "off", "columns": []}},
+                        {"allowed": {**UNLIKE["allowed"], "probing": False}}):
+            with self.subTest(changes):
+                self.start({**UNLIKE, **changes})
+                self.assertEqual([self.ask(f"f{n}") for n in range(3)], [200] * 3)
+                self.assertFalse([path for s in self.servers for _, path in s.calls if path == "/status/load"])
--- /dev/null
+++ b/tests/spread/test_scout.py
@@ -0,0 +1,180 @@
+"""What a dispatcher that sees little asks of engines, and what it does with the answers."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from pearhill import interface as i
+from pearhill.platform.replica import load_of
+from pearhill.spread.reports import FADE, FRESH, Reports
+from pearhill.spread.scout import MOST_MUTE, MUTE, Scout
+from pearhill.spread.worth import looks
+from tests.driver import SETTINGS, Drive, S, entry
+
+BLIND = replace(SETTINGS, instances=60, probing=True, probe_price=0.0039)
+FLEET = tuple(entry(n, 0) for n in (1, 2)) + tuple(entry(n, 1) for n in (11, 12))
+MS = 1000
+
+
+class Asking(Drive):
+    """A scout before two readers and two writers, and the probes that it has out."""
+
+    def __init__(self, s: i.Settings = BLIND, seed: int = 1) -> None:
+        self.out: list[int] = []
+        super().__init__(s, FLEET, seed)
+        # The same driver, before the Router's own decisions: drop the one that it made, list the fleet anew.
+        self.router: Any = Scout(s, seed)
+        self.timers.clear()
+        self.feed(i.Listed(True, FLEET))
+
+    def feed(self, event: i.Event) -> list[i.Action]:
+        actions = super().feed(event)
+        self.out += [a.engine for a in actions if isinstance(a, i.Probe)]
+        return actions
+
+    def tell(self, engine: int, held: float = 0.1, waiting: float = 0.0, outcome: str = i.ANSWERED) -> list[i.Action]:
+        self.out.remove(engine)
+        return self.feed(i.Probed(engine, outcome, MS, (held, waiting) if outcome == i.ANSWERED else None))
+
+    def read(self, told: dict[int, float], session: int = 5) -> int:
+        """The reader that a request goes to, when those that are asked tell so many thousands of tokens."""
+        r, _ = self.arrive(session=session)
+        for engine in list(self.out):
+            self.tell(engine, waiting=told[engine])
+        return self.gone(r)
+
+    def gone(self, r: int) -> int:
+        """The client leaves, and its work goes with it; where it had been sent."""
+        self.feed(i.Left(r))
+        self.end(r, i.CANCELLED, settled=True)
+        return self.sent[r].engine
+
+
+@pytest.mark.parametrize(("instances", "price", "probing", "roles"), [
+    (1, 0.0, True, ()), (3, 0.0039, True, ()), (5, 0.0, True, ()), (8, 0.0039, True, (i.READER,)),
+    (12, 0.0039, True, (i.READER,)), (60, 0.0039, True, (i.READER, i.WRITER)), (60, 0.2, True, ()),
+    (200, 0.0039, False, ()), (8, 0.0, True, (i.READER, i.WRITER))])
+def test_a_look_is_taken_only_where_it_pays(instances, price, probing, roles):
+    assert looks(replace(SETTINGS, instances=instances, probe_price=price, probing=probing)) == set(roles)
+
+
+def test_the_emptier_of_the_pair_by_its_own_word_reads_whatever_i_have_there():
+    for empty, full in ((1, 2), (2, 1)):
+        assert Asking().read({empty: 0.0, full: 40.0}) == empty
+
+
+def test_the_writer_with_memory_to_spare_by_its_own_word_gets_the_state():
+    for roomy, full in ((11, 12), (12, 11)):
+        d = Asking()
+        d.arrive()
+        d.tell(1), d.tell(2)
+        d.end(1, i.READ)
+        d.tell(roomy, held=0.2)
+        d.tell(full, held=0.9)
+        assert d.sent[1].engine == roomy
+
+
+def test_one_probe_serves_all_that_wait_and_a_fresh_word_is_not_asked_for_again():
+    d = Asking()
+    first, _ = d.arrive(session=5)
+    second, _ = d.arrive(session=6)
+    assert sorted(d.out) == [1, 2]
+    d.tell(1), d.tell(2)
+    assert {first, second} <= d.sent.keys() and not d.out
+    d.arrive(session=7)
+    assert not d.out  # both have told just now
+    d.wait(FRESH + 1)
+    d.arrive(session=8)
+    assert sorted(d.out) == [1, 2]
+
+
+def test_nobody_waits_long_for_an_answer_and_the_one_that_gave_it_is_preferred():
+    for silent, well in ((1, 2), (2, 1)):
+        d = Asking()
+        r, _ = d.arrive()
+        d.tell(well, waiting=3.0)
+        assert r not in d.sent
+        d.wait(30 * MS)
+        assert r in d.sent  # the other one's silence may still be short
+        d.tell(silent, outcome=i.TIMEOUT)
+        for n in range(8):
+            assert d.read({1: 9.0, 2: 9.0}, session=20 + n) == well
+
+
+def test_a_mute_engine_is_tried_by_a_probe_and_never_by_a_request_until_it_answers():
+    d, asked, period = Asking(), 0, 0
+    d.arrive()
+    d.tell(2), d.tell(1, outcome=i.UNREACHABLE)
+    for n in range(200):  # ten seconds of sessions, each at its own home
+        d.wait(50 * MS)
+        r, _ = d.arrive(session=100 + n)
+        if 2 in d.out:
+            d.tell(2)
+        if 1 in d.out:
+            asked += 1
+            d.tell(1, outcome=i.TIMEOUT)
+        assert d.gone(r) == 2
+    assert 4 <= asked <= 2 + math.log2(MOST_MUTE / MUTE) + 10 * S / (0.75 * MOST_MUTE)
+    for n in range(200):
+        d.wait(50 * MS)
+        r, _ = d.arrive(session=400 + n)
+        period += 1
+        for engine in list(d.out):
+            d.tell(engine)
+        if d.gone(r) == 1:
+            break
+    assert period * 50 * MS < 1.3 * MOST_MUTE
+
+
+def test_a_probe_that_was_never_sent_says_nothing_and_one_that_is_lost_is_not_waited_for():
+    d = Asking()
+    r, _ = d.arrive()
+    d.tell(1, outcome=i.MOOT), d.tell(2, outcome=i.MOOT)
+    d.gone(r)
+    assert {d.read({1: 0.0, 2: 0.0}, session=n) for n in range(30)} == {1, 2}
+    d.wait(S)
+    d.arrive(session=50)
+    assert sorted(d.out) == [1, 2]  # and nobody ever tells how they end
+    d.wait(3 * S)
+    d.arrive(session=51)
+    assert sorted(d.out) == [1, 1, 2, 2]
+
+
+def test_an_engine_that_leaves_while_it_is_asked_and_a_client_that_does():
+    d = Asking()
+    r, _ = d.arrive()
+    d.feed(i.Listed(False, (replace(FLEET[0], phase=i.GONE),)))
+    d.tell(1), d.tell(2)
+    assert d.sent[r].engine == 2
+    d.wait(FRESH + 1)
+    d.feed(i.Listed(False, (FLEET[0],)))
+    gone, _ = d.arrive(session=9)
+    d.feed(i.Left(gone))
+    for engine in list(d.out):
+        d.tell(engine)
+    d.wait(S)
+    assert gone not in d.sent and not d.router.looking
+
+
+def test_a_word_fades_and_one_that_cannot_be_so_changes_nothing():
+    reports = Reports()
+    assert reports.heard(0, 1, (0.5, 8.0))
+    for load in (None, (math.nan, 1.0), (0.1, math.inf), (-0.1, 1.0), (0.1, 1e9)):
+        assert not reports.heard(FADE // 4, 1, load)
+    fresh, old, gone = (reports.told(at, 1) for at in (0, FADE, 6 * FADE))
+    assert (fresh.waiting, fresh.sure, old.waiting, old.sure, gone.waiting, gone.sure) == (8000, 1, 4000, 0.5, 0, 0)
+    reports.keep([2])
+    assert len(reports) == 0
+
+
+@pytest.mark.parametrize(("text", "load"), [
+    ("inflight=7,queue=2,x0=0.61,x1=3.5", (0.61, 3.5)), (" x1=0 , x0=1e-3\r\n", (0.001, 0.0)),
+    ("", None), ("x0=0.5", None), ("x0=0.5,x1=nan", None), ("x0=0.5,x1=-1", None), ("x0=0.5,x1=3,x1=4", None),
+    ("x0=0.5,x1=3,", None), ("x0=0.5,x1", None), ("x0=0.5,x1=3.", None), ("x0=1e999,x1=1", None),
+    ("<html>" * 900, None)])
+def test_a_report_is_believed_whole_or_not_at_all(text, load):
+    assert load_of(text) == load
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -54,6 +54,17 @@
     assert (due, left) == (i.Due(77), i.Left(0x0E6F2B19))
 
 
+def test_a_probe_and_its_answer():
+    (who, done), = read(frame(bytes.fromhex("05 04000000 03000000 00 0b000000 78050000 f211902c c800 00"), 2)).events
+    assert (who, done) == (3, i.Probed(0x2C9011F2, i.ANSWERED, 1400, None))
+    report = record(0, struct.pack("<IIHB2f", 9, 7, 503, 2, 0.25, 3.5))
+    away, = read(frame(record(5, b"\x03\0\0\0") + report, 2)).events
+    assert away[1] == i.Probed(7, i.ANSWERED, 9, (0.25, 3.5))  # turned away: it lives
+    silent = record(0, struct.pack("<IIHB", 9, 7, 504, 0))
+    assert read(frame(record(5, b"\x03\0\0\0") + silent, 2)).events[0][1].outcome == i.TIMEOUT
+    assert wire.encode_action(i.Probe(0x2C9011F2)) == bytes.fromhex("45 04000000 f211902c")
+
+
 def test_worked_outcome_and_list():
     ended = bytes.fromhex("1e000000 c4913a5d 00000000 c800 01 44480000 074a1203 0000 02 cdcccc3e0000a03f")
     listed = bytes.fromhex("39000000 2900000000000000 03 02000000 074a1203 00 0000 0000 01 0000803f 0000000000000000"
