--- a/pearhill/admin/door.py
+++ b/pearhill/admin/door.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
 from pearhill.counters import Figures
@@ -24,6 +24,8 @@
         """False: nobody has this id."""
 
     def drain(self, on: bool) -> None: ...
+    def fleet(self) -> dict[str, Any] | None:
+        """What is known of the other dispatchers and of the work of all. None: this one talks to nobody."""
 
 
 class BadCall(Exception):
@@ -49,6 +51,7 @@
             "/ops/readiness": ("GET", self._readiness), "/ops/stats": ("GET", self._stats),
             "/ops/replicas/down": ("POST", lambda query, reply: self._replica(query, reply, True)),
             "/ops/replicas/up": ("POST", lambda query, reply: self._replica(query, reply, False)),
+            "/ops/fleet": ("GET", self._fleet),
             "/ops/drain/start": ("POST", lambda query, reply: self._drain(reply, True)),
             "/ops/drain/stop": ("POST", lambda query, reply: self._drain(reply, False))}
 
@@ -75,6 +78,12 @@
     def _stats(self, query: str, reply: Reply) -> None:
         reply.answer(200, JSON, json.dumps(self.operated.figures().as_dict()).encode() + b"\n")
 
+    def _fleet(self, query: str, reply: Reply) -> None:
+        told = self.operated.fleet()
+        if told is None:
+            return reply.answer(404, TEXT, b"no such call\n")
+        reply.answer(200, JSON, json.dumps(told).encode() + b"\n")
+
     def _replica(self, query: str, reply: Reply, out: bool) -> None:
         if self.operated.take_out(_target(query), out):
             reply.answer(200, TEXT, b"out\n" if out else b"in use\n")
--- a/pearhill/chat/file.py
+++ b/pearhill/chat/file.py
@@ -210,6 +210,21 @@
     budgets: BudgetsTable
 
 
+class PeerTable(Struct, forbid_unknown_fields=True):
+    name: Text
+    address: Address
+
+
+class FleetTable(Struct, forbid_unknown_fields=True):
+    """Dispatchers that tell one another what work they have. `peer` may name this one too: one list serves all. The
+    first key signs, each of them is accepted."""
+
+    name: Text
+    listen: Address
+    key_files: Annotated[list[Text], Meta(min_length=1)]
+    peer: Annotated[list[PeerTable], Meta(min_length=1, max_length=1000)]
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True):
     settings: SettingsTable
     chat: ChatTable
@@ -217,3 +232,4 @@
     server: list[ServerTable] = []
     eureka: EurekaTable | None = None
     budgets: BudgetsTable | None = None
+    fleet: FleetTable | None = None
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
+from loguru import logger
+
 from pearhill.admin.door import Door
 from pearhill.chat.front import ChatFront
 from pearhill.chat.records import Store
@@ -13,7 +16,11 @@
 from pearhill.chat.spending import Corrupt, Desk
 from pearhill.config import for_next_start
 from pearhill.eureka.client import Eureka
+from pearhill.fleet.council import Council
+from pearhill.fleet.datagram import Codec
+from pearhill.fleet.work import Row
 from pearhill.net.address import Address
+from pearhill.net.talk import Talk
 from pearhill.node import Limits, Node
 from pearhill.operations import Operations
 
@@ -34,11 +41,25 @@
                                self.is_ready, self.desk)
         if self.desk:
             node.on_report = self.desk.report
+        self.talk = self._fleet(setup) if setup.fleet else None
         self._eureka = self._registry(setup)
         self._address: Address | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._registering: asyncio.Task[None] | None = None
 
+    def _fleet(self, setup: ChatSetup) -> Talk:
+        told, node = setup.fleet, self.node
+        assert told
+        # The start's own time is its incarnation; its seed too. Danger: in step, all would ping the same one.
+        started = node.deadlines.clock()
+        council = Council(told.name, told.peers, started, random.Random(started ^ setup.seed), self._work)
+        talk = Talk(council, Codec(list(told.keys)), told.peers, node.deadlines)
+        talk.on_count = node.share_work
+        return talk
+
+    def _work(self) -> list[Row]:
+        return [Row(*row) for row in self.node.dispatcher.router.work()]
+
     def _registry(self, setup: ChatSetup) -> Eureka | None:
         return Eureka(self.node.pool, setup.eureka, setup.deployment, self.node.listed) if setup.eureka else None
 
@@ -52,6 +73,14 @@
                 self.desk.open()
             except (Corrupt, ValueError) as e:
                 raise OSError(f"budgets.folder: {self.setup.spending and self.setup.spending.folder}: {e}") from None
+        if self.talk and self.setup.fleet:
+            address = self.setup.fleet.listen
+            try:
+                host, port = await self.talk.open(address)
+            except OSError as e:
+                raise OSError(f"fleet.listen: {address[0]}:{address[1]}: {e.strerror or e}") from None
+            self.node.dispatcher.router.talk(self.talk.council)
+            logger.info("fleet: {name} talks on {host}:{port}", name=self.setup.fleet.name, host=host, port=port)
         if self.setup.entries:
             self.node.listed(True, self.setup.entries, self.setup.addresses)
         if self._eureka:
@@ -75,6 +104,8 @@
         node.reconfigure(fresh.deployment)
         self.setup, self.front.reading, self.front.keyring = fresh, fresh.reading, fresh.keyring
         self.dialect.keys, self.dialect.key = fresh.server_keys, fresh.server_key
+        if self.talk and fresh.fleet:
+            self.talk.reconfigure(Codec(list(fresh.fleet.keys)), fresh.fleet.peers)
         if self.desk and fresh.spending:
             self.desk.reconfigure(fresh.spending)
         self.store.reconfigure(fresh.store_bytes, fresh.store_keep)
@@ -87,6 +118,9 @@
         return f"{len(fresh.reading.rules)} rules, {len(fresh.keyring.tenants)} tenants" + for_next_start(
             ("chat.listen", before.listen, fresh.listen), ("chat.admin_addr", before.admin, fresh.admin),
             ("chat.sockets", before.sockets, fresh.sockets),
+            ("fleet", before.fleet is None, fresh.fleet is None),
+            ("fleet.name", before.fleet and before.fleet.name, fresh.fleet and fresh.fleet.name),
+            ("fleet.listen", before.fleet and before.fleet.listen, fresh.fleet and fresh.fleet.listen),
             ("chat.seed", before.seed, fresh.seed),
             ("chat.max_body_bytes", before.max_body, fresh.max_body),
             ("budgets", before.spending is None, fresh.spending is None),
@@ -115,6 +149,8 @@
         await self.deregister()
         await self.node.until()
         self._leave_registry()
+        if self.talk:
+            self.talk.close()
         if self.desk:
             self.desk.close()
         self.node.close()
@@ -125,7 +161,8 @@
     service = ChatService(setup)
     await service.open()
     node = service.node
-    operations = Operations(node, lambda: node.accepting and node.dispatcher.can_answer)
+    operations = Operations(node, lambda: node.accepting and node.dispatcher.can_answer,
+                            lambda: service.talk.told(node) if service.talk else None)
     await node.serve(setup.listen, service.front, "chat front", lambda: service.reload(read_anew()), service.register,
                      service.deregister, door=(setup.admin, Door(operations)) if setup.admin else None)
     await service.close()
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -18,6 +18,7 @@
 from pearhill.config import ConfigError, typed
 from pearhill.core.engines import engine_of
 from pearhill.eureka.setup import EurekaSetup
+from pearhill.fleet.datagram import LEAST_KEY
 from pearhill.net.address import Address, parse_address
 
 
@@ -72,6 +73,16 @@
         return self.models.get(name) if self.models else Model(name, name)
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSetup:
+    """The dispatchers that this one talks to."""
+
+    name: str
+    listen: Address
+    keys: tuple[bytes, ...]
+    peers: Mapping[str, Address]
+
+
 @dataclass(frozen=True, slots=True)
 class ChatSetup:
     listen: Address
@@ -90,6 +101,7 @@
     eureka: EurekaSetup | None
     spending: SpendingSetup | None = None
     admin: Address | None = None  # where operators call
+    fleet: FleetSetup | None = None
 
 
 def _choice(path: str, name: str, names: Sequence[str]) -> int:
@@ -179,6 +191,20 @@
                    int(chat.heartbeat_s * 1e6), chat.max_answer_bytes)
 
 
+def _fleet(table: f.FleetTable) -> FleetSetup:
+    peers: dict[str, Address] = {}
+    for k, peer in enumerate(table.peer):
+        if peer.name in peers:
+            raise typed.complaint(f"fleet.peer[{k}].name", peer.name, "a name that no other peer has")
+        peers[peer.name] = _address(f"fleet.peer[{k}].address", peer.address)
+    peers.pop(table.name, None)
+    keys = tuple(_secret(f"fleet.key_files[{k}]", name).encode() for k, name in enumerate(table.key_files))
+    for k, key in enumerate(keys):
+        if len(key) < LEAST_KEY:
+            raise typed.complaint(f"fleet.key_files[{k}]", f"a key of {len(key)} characters", f"{LEAST_KEY} at least")
+    return FleetSetup(table.name, _address("fleet.listen", table.listen), keys, peers)
+
+
 def _eureka(table: f.EurekaTable) -> EurekaSetup:
     return EurekaSetup(_address("eureka.address", table.address), table.base.rstrip("/"), table.servers.upper(),
                        table.register_as.upper(), table.instance, table.lease_s, table.renew_s, table.fetch_s)
@@ -255,7 +281,8 @@
         told.idempotency.keep_s * 1_000_000, tuple(entries), addresses, keys,
         _secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
         _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None,
-        _address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None)
+        _address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None,
+        _fleet(told.fleet) if told.fleet else None)
 
 
 def load(path: str) -> ChatSetup:
--- /dev/null
+++ b/pearhill/cli/fleet.py
@@ -0,0 +1,53 @@
+"""`pearhill fleet`: what many doors tell, summed up."""
+
+from __future__ import annotations
+
+import json
+import urllib.error
+import urllib.request
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from pearhill.spread.evenness import evenness
+
+MOST_BYTES = 4 << 20
+AT_ONCE = 32
+
+
+def ask(door: str, wait_s: float) -> dict[str, Any] | str:
+    """One door's answer, or why there is none."""
+    try:
+        with urllib.request.urlopen(f"http://{door}/ops/fleet", timeout=wait_s) as answer:
+            told = json.loads(answer.read(MOST_BYTES))
+    except urllib.error.HTTPError as e:
+        return f"answers {e.code}: it does not talk" if e.code == 404 else f"answers {e.code}"
+    except (OSError, ValueError) as e:
+        return str(getattr(e, "reason", e)) or type(e).__name__
+    good = isinstance(told, dict) and isinstance(told.get("engines"), list) and isinstance(told.get("members"), dict)
+    return told if good else "answers something else"
+
+
+def summed(answers: Iterable[tuple[str, dict[str, Any] | str]]) -> dict[str, Any]:
+    """Every dispatcher's own work, added up by engine; nobody's word of others counts, so nothing counts twice."""
+    dispatchers, silent, engines = {}, {}, dict[str, dict[str, Any]]()
+    for door, told in sorted(answers, key=lambda pair: pair[0]):
+        if isinstance(told, str):
+            silent[door] = told
+            continue
+        there = sum(m["state"] != "dead" for m in told["members"].values())
+        dispatchers[told["name"]] = {"door": door, "count": told["count"], "there": there}
+        for e in told["engines"]:
+            row = engines.setdefault(e["address"], {"waiting": 0, "load": 0, "dispatchers": 0, "avoided_by": 0})
+            row["waiting"] += e["mine"]["waiting"]
+            row["load"] += e["mine"]["load"]
+            row["dispatchers"] += e["mine"]["load"] > 0
+            row["avoided_by"] += e["avoided"]
+    even = evenness({name: row["load"] for name, row in engines.items()})
+    return {"dispatchers": dispatchers, "silent": silent, "engines": dict(sorted(engines.items())),
+            "evenness": {"peak_over_mean": round(even.peak, 3), "gini": round(even.gini, 3), "idle": list(even.idle)}}
+
+
+def look(doors: list[str], wait_s: float) -> dict[str, Any]:
+    with ThreadPoolExecutor(min(AT_ONCE, max(1, len(doors)))) as pool:
+        return summed(zip(doors, pool.map(lambda door: ask(door, wait_s), doors), strict=True))
--- a/pearhill/cli/main.py
+++ b/pearhill/cli/main.py
@@ -1,8 +1,9 @@
-"""`pearhill`: serve, check, schema, key, conform, bill, lab, version."""
+"""`pearhill`: serve, check, schema, key, conform, bill, lab, fleet, version."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 from enum import Enum
 from pathlib import Path
@@ -141,6 +142,33 @@
     print(f"{len(made.lines)} tenants, {total.requests} requests, {total.milli / 1000:,.3f} tokens charged")
 
 
+@app.command()
+def fleet(
+    doors: Annotated[list[str], typer.Argument(help="operators' addresses of dispatchers, HOST:PORT",
+                                               show_default=False)],
+    as_json: Annotated[bool, typer.Option("--json", help="one JSON object")] = False,
+    wait_s: Annotated[float, typer.Option(help="for each answer, in seconds", min=0.1, max=60)] = 2.0,
+) -> None:
+    """Ask many dispatchers what work they have, and add it up. Exit code 1: some did not answer."""
+    from pearhill.cli.fleet import look
+
+    told = look(doors, wait_s)
+    if as_json:
+        print(json.dumps(told, indent=2))
+    else:
+        print(f"{'engine':24} {'waiting':>10} {'under way':>10} {'dispatchers':>11} {'avoided by':>10}")
+        for name, row in told["engines"].items():
+            print(f"{name:24} {row['waiting']:>10} {row['load']:>10} {row['dispatchers']:>11} {row['avoided_by']:>10}")
+        even = told["evenness"]
+        print(f"peak over mean {even['peak_over_mean']}, gini {even['gini']}, "
+              f"idle: {', '.join(even['idle']) or 'none'}")
+        for name, d in told["dispatchers"].items():
+            print(f"{name:24} counts {d['count']} dispatchers, hears {d['there']} others")
+        for door, why in told["silent"].items():
+            print(f"NO ANSWER from {door}: {why}", file=sys.stderr)
+    raise typer.Exit(1 if told["silent"] else 0)
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/pearhill/fleet/council.py
@@ -0,0 +1,106 @@
+"""One dispatcher's part in a fleet that talks: members and work together, as facts for everybody else here."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from pearhill.fleet.members import DEAD, Members, Rumour, Say
+from pearhill.fleet.work import Row, Work, cut
+
+LOST_AT_ONCE = 1 / 3  # of the fleet: more than that, gone together, is a cut and not so many deaths
+WINDOW = 1024  # messages of one sender; a beat of a large fleet sends some dozens
+BELIEVED = 60_000_000  # after so long even a cut counts as a loss
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What one dispatcher sends another; `sequence` grows with each, whoever it is for."""
+
+    sender: str
+    incarnation: int
+    sequence: int
+    say: Say
+    rumours: tuple[Rumour, ...]
+    rows: tuple[Row, ...]
+
+
+class Council:
+    """`work` tells my own tokens at each engine, as they are now."""
+
+    def __init__(self, me: str, peers: Iterable[str], started: int, rng: random.Random,
+                 work: Callable[[], Iterable[Row]]) -> None:
+        self.members, self.work, self._mine = Members(me, peers, started, started, rng), Work(), work
+        self._sequence = 0
+        self._peers = set(self.members.members)  # counted, as of the last beat
+        self._seen: dict[str, tuple[int, int, int]] = {}  # by sender: incarnation, newest sequence, those before it
+
+    def beat(self, now: int) -> list[Message]:
+        says = self.members.beat(now)
+        self._peers = self.counted(now)
+        return self._messages(says)
+
+    def heard(self, now: int, message: Message) -> list[Message]:
+        """An authentic message, whenever it comes and however often. The answers to it."""
+        # Danger: sent again, the words of a dead dispatcher would be signs of its life.
+        if message.sender not in self.members.members or not self._first_time(message):
+            return []
+        self.work.heard(now, message.sender, (message.incarnation, message.sequence), message.rows)
+        return self._messages(self.members.heard(now, message.sender, message.incarnation, message.say,
+                                                 message.rumours))
+
+    def _first_time(self, m: Message) -> bool:
+        """Whether it surely has not come before; one that others overtook on its way is as good as they (the window
+        of RFC 4303, section 3.4.3)."""
+        incarnation, newest, window = self._seen.get(m.sender, (-1, 0, 0))
+        if m.incarnation > incarnation:
+            incarnation, newest, window = m.incarnation, m.sequence, 1
+        elif m.incarnation < incarnation or m.sequence <= newest - WINDOW:
+            return False
+        elif m.sequence > newest:
+            ahead = min(WINDOW, m.sequence - newest)
+            newest, window = m.sequence, (window << ahead | 1) & ((1 << WINDOW) - 1)
+        else:
+            bit = 1 << (newest - m.sequence)
+            if window & bit:
+                return False
+            window |= bit
+        self._seen[m.sender] = incarnation, newest, window
+        return True
+
+    def _messages(self, says: list[Say]) -> list[Message]:
+        rows = tuple(cut(self._mine())) if says else ()
+        made = []
+        for say in says:
+            self._sequence += 1
+            made.append(Message(self.members.me, self.members.incarnation, self._sequence, say,
+                                tuple(self.members.rumours(say.to)), rows))
+        return made
+
+    def counted(self, now: int) -> set[str]:
+        """The peers that send work, as far as can be told: whoever is there, and whoever is only out of sight.
+        Danger: cut in two, each half would believe the other dead, and both together would give each starting
+        engine, each member's share and each retry budget twice what is right."""
+        members = self.members.members
+        there = {name for name, m in members.items() if m.state != DEAD}
+        lately = {name for name, m in members.items() if m.state == DEAD and now - m.since < BELIEVED}
+        known = len(there) + len(lately) + 1
+        return there | lately if len(lately) > math.floor(LOST_AT_ONCE * known) else there
+
+    def count(self, now: int) -> int:
+        """Dispatchers that share the work, this one among them."""
+        return len(self.counted(now)) + 1
+
+    def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
+        """What the others have at an engine where I have this much: tokens yet to be read, under way in all, and how
+        much of that is fresh word."""
+        told = self.work.others(now, engine, self._peers, Row(engine, waiting, load))
+        return told.waiting, told.load, told.sure
+
+    def reconfigure(self, peers: Iterable[str], now: int) -> None:
+        self.members.reconfigure(peers, now)
+        self.work.keep(self.members.members)
+        self._peers = self.counted(now)
+        self._seen = {name: seen for name, seen in self._seen.items() if name in self.members.members}
--- /dev/null
+++ b/pearhill/fleet/datagram.py
@@ -0,0 +1,90 @@
+"""Messages between dispatchers as datagrams: one byte of version, a keyed checksum, MessagePack. One message is one
+datagram that fits any path without being split."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import msgspec
+
+from pearhill.fleet.council import Message
+from pearhill.fleet.members import RUMOURS, Ack, Ask, Ping, Rumour
+from pearhill.fleet.work import ROWS, Row
+
+VERSION = 1
+MAX_BYTES = 1400
+TAG = 16  # bytes of HMAC-SHA256 (RFC 2104, cut as its section 5 allows)
+LEAST_KEY = 16
+MOST_COUNT = 1 << 62  # an incarnation or sequence; it has to be counted on
+PING, ACK, ASK = 0, 1, 2
+
+
+class Rejected(Exception):
+    """A datagram that is not taken; the text is its reason code."""
+
+
+class _Body(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    sender: str
+    to: str
+    incarnation: int
+    sequence: int
+    kind: int
+    number: int
+    target: str
+    rumours: list[tuple[str, int, str]]
+    rows: list[tuple[int, int, int]]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[_Body] = msgspec.msgpack.Decoder(_Body)
+
+
+class Codec:
+    """`keys`: the first one signs, any of them is accepted, so that a key is changed without a gap."""
+
+    def __init__(self, keys: list[bytes]) -> None:
+        if not keys or min(map(len, keys)) < LEAST_KEY:
+            raise ValueError(f"a key of at least {LEAST_KEY} bytes is needed")
+        self.keys = keys
+
+    def pack(self, m: Message) -> bytes:
+        """Danger: a digest of many engines does not fit. Its smallest rows go, then the last rumours."""
+        kind, target = {Ping: (PING, ""), Ack: (ACK, ""), Ask: (ASK, "")}[type(m.say)]
+        if isinstance(m.say, Ask):
+            target = m.say.target
+        rumours = [(r.name, r.incarnation, r.state) for r in m.rumours]
+        rows = [(r.engine, r.waiting, r.load) for r in m.rows]
+        while True:
+            body = _encoder.encode(_Body(m.sender, m.say.to, m.incarnation, m.sequence, kind, m.say.number, target,
+                                         rumours, rows))
+            if len(body) + 1 + TAG <= MAX_BYTES or not (rows or rumours):
+                break
+            (rows or rumours).pop()
+        return bytes([VERSION]) + self._tag(self.keys[0], body) + body
+
+    def unpack(self, data: bytes, me: str) -> Message:
+        """Rejected: it is foreign, forged, torn, or for somebody else."""
+        if len(data) > MAX_BYTES or len(data) <= 1 + TAG:
+            raise Rejected("size")
+        if data[0] != VERSION:
+            raise Rejected("version")
+        tag, body = data[1:1 + TAG], data[1 + TAG:]
+        if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
+            raise Rejected("forged")
+        try:
+            b = _decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            raise Rejected("malformed") from None
+        if b.to != me:
+            raise Rejected("not-for-me")  # Danger: replayed to another, an ack would clear a ping that it never saw.
+        if len(b.rumours) > RUMOURS or len(b.rows) > ROWS or b.kind not in (PING, ACK, ASK) or any(
+                not 0 <= n <= MOST_COUNT for n in (b.incarnation, b.sequence, *(r[1] for r in b.rumours))):
+            raise Rejected("malformed")
+        say = Ask(me, b.number, b.target) if b.kind == ASK else (Ack if b.kind == ACK else Ping)(me, b.number)
+        return Message(b.sender, b.incarnation, b.sequence, say, tuple(Rumour(*r) for r in b.rumours),
+                       tuple(Row(*r) for r in b.rows))
+
+    @staticmethod
+    def _tag(key: bytes, body: bytes) -> bytes:
+        return hmac.new(key, bytes([VERSION]) + body, hashlib.sha256).digest()[:TAG]
--- /dev/null
+++ b/pearhill/fleet/work.py
@@ -0,0 +1,102 @@
+"""What work each dispatcher says that it has at each engine, and the sum of it over the fleet.
+
+A digest is one dispatcher's gauge: tokens that it has under way at each engine now. A newer one replaces the older one
+whole, so that a digest that comes twice, late, or out of order counts nothing twice. One that grows old fades, not to
+nothing but to what the others have there on the mean: who cannot be heard still sends, as far as anybody knows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+FADE = 750_000  # microseconds after which half of a digest still holds: some beats, and the life of a read
+ROWS = 48  # engines of a digest; those with the most work
+WEIGHED = 20_000  # microseconds for which the weights of digests are good enough
+MOST = 1 << 40  # tokens; a row that says more is not believed
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One dispatcher's tokens at one engine: yet to be read there, and under way there in all."""
+
+    engine: int
+    waiting: int
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class Sum:
+    """Others' tokens at one engine, and how much of it is fresh word (1) or assumption (0)."""
+
+    waiting: float
+    load: float
+    sure: float
+
+
+def cut(rows: Iterable[Row]) -> list[Row]:
+    """The rows of a digest that has room for `ROWS`."""
+    return sorted(rows, key=lambda r: (-r.load, r.engine))[:ROWS]
+
+
+class Work:
+    def __init__(self) -> None:
+        self._last: dict[str, tuple[tuple[int, int], int, dict[int, Row]]] = {}
+        # Danger: a choice that walks through all peers takes the longer the more there are. By engine there are few.
+        self._by_engine: dict[int, dict[str, Row]] = {}
+        self._weights: dict[str, float] = {}
+        self._counted: Collection[str] = ()
+        self._worth, self._weighed_at = 0.0, -1
+
+    def heard(self, now: int, name: str, version: tuple[int, int], rows: Iterable[Row]) -> bool:
+        """A digest of a peer, by incarnation and sequence. False: it is no newer than what is known."""
+        known = self._last.get(name)
+        if known and version <= known[0]:
+            return False
+        good = {r.engine: r for r in rows if 0 <= r.waiting <= MOST and 0 <= r.load <= MOST}
+        self._forget(name)
+        self._last[name] = version, now, good
+        for engine, row in good.items():
+            self._by_engine.setdefault(engine, {})[name] = row
+        if not self._weights.get(name):  # else its newer word has the older one's weight for a moment
+            self._weighed_at = -1
+        return True
+
+    def _forget(self, name: str) -> None:
+        for engine in self._last[name][2] if name in self._last else ():
+            rows = self._by_engine[engine]
+            del rows[name]
+            if not rows:
+                del self._by_engine[engine]
+
+    def _weigh(self, now: int, counted: Collection[str]) -> None:
+        if self._weighed_at == now // WEIGHED and self._counted is counted:
+            return
+        self._counted = counted
+        self._weights = {name: self._sure(now, name) for name in counted}
+        self._worth, self._weighed_at = 1 + sum(self._weights.values()), now // WEIGHED
+
+    def others(self, now: int, engine: int, counted: Collection[str], mine: Row) -> Sum:
+        """The sum over the peers that are `counted`, whether they can be heard or not. The same object as at the last
+        call is taken for the same peers."""
+        self._weigh(now, counted)
+        fresh, worth = self._weights, self._worth  # I am one whose work is known
+        waiting, load = float(mine.waiting), float(mine.load)
+        for name, row in self._by_engine.get(engine, {}).items():
+            if sure := fresh.get(name, 0.0):
+                waiting, load = waiting + sure * row.waiting, load + sure * row.load
+        # Each of whom nothing is known counts as the mean of all of whom something is.
+        missing = len(fresh) + 1 - worth
+        scale = 1 + missing / worth
+        sure = (worth - 1) / len(fresh) if fresh else 1.0
+        return Sum(max(0.0, waiting * scale - mine.waiting), max(0.0, load * scale - mine.load), sure)
+
+    def _sure(self, now: int, name: str) -> float:
+        known = self._last.get(name)
+        age = max(0, now - known[1]) if known else 0
+        return 0.5 ** (age / FADE) if known and age < 8 * FADE else 0.0
+
+    def keep(self, names: Collection[str]) -> None:
+        for gone in self._last.keys() - set(names):
+            self._forget(gone)
+            del self._last[gone]
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -63,6 +63,7 @@
         self.deadlines = Deadlines(start_clock())
         self.turns = Turns(loop, self.deadlines)
         self.limits = limits
+        self.dispatchers = 0  # that share the work, where somebody here counts them; 0: as the settings say
         self.parts = 1  # processes that share the limits and this dispatcher's part of all else
         self.settings = deployment
         self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
@@ -97,7 +98,13 @@
     def _settle(self) -> None:
         router = self.settings.router
         self.dispatcher.reconfigure(replace(self.settings, router=replace(
-            router, instances=router.instances * self.parts)))
+            router, instances=(self.dispatchers or router.instances) * self.parts)))
+
+    def share_work(self, dispatchers: int) -> None:
+        """So many dispatchers are there now, whatever the settings said."""
+        if dispatchers != self.dispatchers:
+            self.dispatchers = dispatchers
+            self._settle()
 
     @property
     def accepting(self) -> bool:
--- a/pearhill/operations.py
+++ b/pearhill/operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 
@@ -12,8 +13,9 @@
 
 
 class Operations:
-    def __init__(self, node: Node, can_serve: Callable[[], bool]) -> None:
-        self.node, self.can_serve = node, can_serve
+    def __init__(self, node: Node, can_serve: Callable[[], bool],
+                 fleet: Callable[[], dict[str, Any] | None] = lambda: None) -> None:
+        self.node, self.can_serve, self.fleet = node, can_serve, fleet
 
     def figures(self) -> Figures:
         return self.node.figures()
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -213,11 +213,11 @@
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
 
-    def avoided(self, now: int) -> int:
-        """How many listed engines get nothing new for now, by the list's word or by mine."""
+    def shunned(self, now: int) -> set[int]:
+        """Listed engines that get nothing new for now, by the list's word or by mine."""
         line = min((fails.over(now, 0.0) for fails in self.zones.values()), default=0.0) + OUTLIER
-        return sum(e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line
-                   for e in self.engines.values())
+        return {e.id for e in self.engines.values()
+                if e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line}
 
     def _legal(self, job: Job, e: Engine) -> bool:
         """Danger: an effect that happens twice. Once it may have run, a keyed request stays in its group."""
@@ -279,7 +279,7 @@
         if job.attempt < 0 and not roomy and not mixed:
             return self._close(job)
         if mixed and self._quick(whole := min(mixed[:2], key=lambda e: self._held(e, 0)), job):
-            return self._send(job, whole)  # Long reads would stall its streams.
+            return None if self._look(job, mixed[:2]) else self._send(job, whole)  # long reads stall streams
         if roomy and self.s.local_read and self.ratio and (local := self._local(job, roomy)):
             self.allowed -= req.prompt - self._belief(local, req)
             return self._send(job, local)
@@ -309,7 +309,7 @@
             return self._send(job, reader)
         # No reader is left: the exception reads at a writer or mixed server, whatever the prompt's length.
         if rest := mixed + (roomy if self.s.local_read else []):
-            return self._send(job, self._emptier(rest))
+            return self._pick(job, rest)
         self._close(job)
 
     def _look(self, job: Job, pool: list[Engine]) -> bool:
@@ -320,6 +320,12 @@
         self.actions.append(i.Look(job.req.request, tuple(e.id for e in pool)))
         return True
 
+    def _pick(self, job: Job, pool: list[Engine]) -> None:
+        if self.looks:
+            pool = [e for e in job.among if e in pool] or self.rng.sample(pool, min(2, len(pool)))
+        if not self._look(job, pool):
+            self._send(job, self._emptier(pool))
+
     def _looked(self, event: i.Looked) -> None:
         for told in event.told:
             if e := self.engines.get(told.engine):
@@ -382,9 +388,7 @@
         calm = [e for e in roomy if not self._crowded(e, job.req)]
         cell = [e for e in calm if e.entry.cell == at.cell]
         if near := cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy:
-            if i.WRITER in self.looks:
-                near = [e for e in job.among if e in near] or self.rng.sample(near, min(2, len(near)))
-            return None if self._look(job, near) else self._send(job, self._emptier(near))
+            return self._pick(job, near)
         self._close(job)
 
     def _send(self, job: Job, e: Engine) -> None:
--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from typing import Protocol
 
 from pearhill import interface as i
 from pearhill.rules import Router
@@ -35,6 +36,13 @@
         self.times, self.until = 0, 0
 
 
+class Peers(Protocol):
+    """Other dispatchers that say what work they have (`pearhill.fleet`)."""
+
+    def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
+        """Their tokens at an engine where I have this much: yet to be read, under way in all; and how sure that is."""
+
+
 class Scout:
     """Feed it every event with its time, as one would a Router; do what it returns, in order."""
 
@@ -43,6 +51,7 @@
         # Danger: dispatchers that found an engine mute at the same moment would all ask again at the same moment.
         self.rng = random.Random(seed ^ 0x5C007)
         self.reports = Reports()
+        self.peers: Peers | None = None
         self.asked: dict[int, int] = {}  # engines with a probe out, and since when
         self.looking: dict[int, Looking] = {}
         self.silences: dict[int, Silence] = {}
@@ -53,13 +62,32 @@
     def reconfigure(self, settings: i.Settings) -> None:
         """Other figures for the same classes, kinds and zones."""
         self.router.reconfigure(settings)
-        self.router.looks = looks(settings)
+        self.probes = looks(settings)
+        self._looks()
         # Danger: a state that waits at a reader meanwhile must be taken or let go of in time.
         self.wait = max(settings.tick, min(int(min(spec.aim for spec in settings.classes) * WAIT_SHARE),
                                            settings.release_within // 4))
 
+    def talk(self, peers: Peers | None) -> None:
+        """From now on these say what they have. What they say costs nothing more, so that every choice is looked at."""
+        self.peers = peers
+        self._looks()
+
+    def work(self) -> list[tuple[int, int, int]]:
+        """My tokens at each engine: its number, yet to be read there, under way there in all."""
+        return [(e.id, e.queue, e.load) for e in self.router.engines.values() if e.queue or e.load]
+
+    def figures(self, now: int) -> dict[int, tuple[int, int, bool]]:
+        """Of each listed engine: my tokens yet to be read there, mine under way there in all, whether I avoid it."""
+        shunned = self.router.shunned(now)
+        return {e.id: (e.queue, e.load, e.id in shunned or self._mute(now, e.id) > 0)
+                for e in self.router.engines.values()}
+
+    def _looks(self) -> None:
+        self.router.looks = frozenset((i.READER, i.WRITER, i.MIXED)) if self.peers else self.probes
+
     def avoided(self, now: int) -> int:
-        return self.router.avoided(now)
+        return sum(avoided for _, _, avoided in self.figures(now).values())
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         """One event in, the actions it asks for out."""
@@ -96,7 +124,9 @@
         return out
 
     def _look(self, now: int, look: i.Look) -> list[i.Action]:
-        missing = {e for e in look.engines if not self.reports.fresh(now, e) and not self._mute(now, e)}
+        roles = {e: self.router.engines[e].role for e in look.engines}
+        missing = {e for e in look.engines if roles[e] in self.probes
+                   and not self.reports.fresh(now, e) and not self._mute(now, e)}
         if not missing:
             return self._facts(now, look.request, look.engines)
         probes: list[i.Action] = [i.Probe(e) for e in sorted(missing) if now - self.asked.get(e, -GIVEN_UP) >= GIVEN_UP]
@@ -135,6 +165,14 @@
         self.timers.pop(looking.timer, None)
         return self._facts(now, request, looking.engines)
 
+    def _told(self, now: int, engine: int) -> i.Told:
+        """Its own word, or, where that says less, the sum of what all dispatchers have there."""
+        told = self.reports.told(now, engine, self._mute(now, engine))
+        if self.peers is None or (e := self.router.engines.get(engine)) is None or told.sure > 0.5:
+            return told
+        waiting, load, sure = self.peers.others(now, engine, e.queue, e.load)
+        return i.Told(engine, min(1.0, (e.load + load) / e.memory), e.queue + waiting, sure, told.mute)
+
     def _facts(self, now: int, request: int, engines: tuple[int, ...]) -> list[i.Action]:
-        told = tuple(self.reports.told(now, e, self._mute(now, e)) for e in engines)
+        told = tuple(self._told(now, e) for e in engines)
         return self._answered(now, self.router.handle(now, i.Looked(request, told)))
--- /dev/null
+++ b/tests/fleet/test_council.py
@@ -0,0 +1,283 @@
+"""Dispatchers that talk, over a network that drops, doubles, delays and cuts; they crash, start anew, stand still."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import pytest
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from pearhill.fleet.council import Council, Message
+from pearhill.fleet.datagram import MAX_BYTES, Codec, Rejected
+from pearhill.fleet.members import ALIVE, BEAT, DEAD, SUSPECT, Ack, Ask, Ping, Rumour
+from pearhill.fleet.work import FADE, ROWS, Row, Work, cut
+
+S = 1_000_000
+KEY = b"k" * 32
+SETTLED = 9 * S  # a round of pings, a ping by way of others, the time to object, and the news of it
+
+
+class Net:
+    """Councils, each with its own beat, and what is on its way between them."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.rng, self.now, self.count = random.Random(seed), 1_000 * S, 0
+        self.names = [f"d{n}" for n in range(count)]
+        self.heap: list[tuple[int, int, str, object]] = []
+        self.drop = self.double = 0.0
+        self.delay, self.cuts = 2_000, set[tuple[str, str]]()
+        self.up: dict[str, Council] = {}
+        self.stalled: set[str] = set()
+        self.codec = Codec([KEY])
+        self.replayable: list[tuple[str, bytes]] = []
+        for name in self.names:
+            self.start(name)
+
+    def at(self, wait: int, what: str, thing: object = None) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + wait, self.count, what, thing))
+
+    def start(self, name: str) -> None:
+        # Each has so many tokens at engine 1: its own power of ten, so that a sum shows whose it holds.
+        rows = [Row(1, 0, 10 ** self.names.index(name))]
+        self.up[name] = Council(name, self.names, self.now, random.Random(self.rng.random()), lambda: rows)
+        self.at(self.rng.randrange(BEAT), "beat", (name, self.up[name]))
+
+    def send(self, sender: str, messages: list[Message]) -> None:
+        for m in messages:
+            data = self.codec.pack(m)
+            self.replayable = [*self.replayable[-200:], (m.say.to, data)]
+            if (sender, m.say.to) in self.cuts or self.rng.random() < self.drop:
+                continue
+            for _ in range(1 + (self.rng.random() < self.double)):
+                self.at(self.rng.randrange(1, 2 * self.delay), "datagram", (m.say.to, data))
+
+    def take(self, to: str, data: bytes) -> None:
+        if to not in self.up:
+            return
+        if to in self.stalled:
+            return self.at(2 * BEAT, "datagram", (to, data))  # its socket keeps it, past its next beat
+        self.send(to, self.up[to].heard(self.now, self.codec.unpack(data, to)))
+
+    def run(self, micros: int) -> None:
+        end = self.now + micros
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, what, thing = heapq.heappop(self.heap)
+            if what == "beat":
+                name, council = thing
+                if self.up.get(name) is council:
+                    if name not in self.stalled:
+                        self.send(name, council.beat(self.now))
+                    self.at(BEAT, "beat", thing)
+            else:
+                self.take(*thing)
+        self.now = end
+
+    def heal(self) -> None:
+        self.drop, self.double, self.delay = 0.0, 0.0, 2_000
+        self.cuts.clear(), self.stalled.clear()
+
+    def views(self) -> dict[str, dict[str, str]]:
+        return {name: {n: m.state for n, m in c.members.members.items()} for name, c in self.up.items()}
+
+
+class Fleet(RuleBasedStateMachine):
+    @initialize(count=st.integers(3, 9), seed=st.integers(0, 1 << 30))
+    def begin(self, count, seed):
+        self.net = Net(count, seed)
+        self.net.run(2 * S)
+
+    @rule(micros=st.sampled_from((BEAT // 3, BEAT, S, 4 * S)))
+    def time_passes(self, micros):
+        self.net.run(micros)
+
+    @rule(drop=st.sampled_from((0.0, 0.3, 0.9)), double=st.sampled_from((0.0, 0.5)),
+          delay=st.sampled_from((100, 20_000, 400_000)))
+    def the_network_is_bad(self, drop, double, delay):
+        self.net.drop, self.net.double, self.net.delay = drop, double, delay
+
+    @rule(data=st.data())
+    def some_are_cut_off(self, data):
+        side = data.draw(st.sets(st.sampled_from(self.net.names)))
+        one_way = data.draw(st.booleans())
+        self.net.cuts |= {(a, b) for a in side for b in self.net.names if b not in side}
+        if not one_way:
+            self.net.cuts |= {(b, a) for a, b in list(self.net.cuts)}
+
+    @rule()
+    def the_cut_heals(self):
+        self.net.cuts.clear()
+
+    @rule(data=st.data())
+    def one_crashes(self, data):
+        if len(self.net.up) > 1:
+            del self.net.up[data.draw(st.sampled_from(sorted(self.net.up)))]
+
+    @rule(data=st.data())
+    def one_starts(self, data):
+        name = data.draw(st.sampled_from(self.net.names))
+        self.net.start(name)
+
+    @rule(data=st.data())
+    def one_stalls(self, data):
+        if self.net.up:
+            self.net.stalled.add(data.draw(st.sampled_from(sorted(self.net.up))))
+
+    @rule(data=st.data())
+    def an_old_datagram_comes_again(self, data):
+        if self.net.replayable:
+            self.net.take(*data.draw(st.sampled_from(self.net.replayable)))
+
+    @invariant()
+    def no_work_is_counted_twice(self):
+        for name, council in getattr(self, "net", Net(0, 0)).up.items():
+            others = council.work.others(self.net.now, 1, self.net.names, Row(1, 0, 0))
+            known = sum(10 ** self.net.names.index(n) for n in council.work._last if n != name)
+            # Fresh word alone, without what is assumed of those who say nothing: never more than each has said.
+            worth = 1 + sum(council.work._sure(self.net.now, n) for n in self.net.names)
+            assert others.load * worth / (len(self.net.names) + 1) <= known + 1e-6
+
+    def teardown(self):
+        """Whatever has happened: soon after it is over all agree, on the living and on the dead."""
+        if not hasattr(self, "net"):
+            return
+        self.net.heal()
+        self.net.run(SETTLED)
+        for name, view in self.net.views().items():
+            assert view == {n: ALIVE if n in self.net.up else DEAD for n in self.net.names if n != name}, name
+
+
+Fleet.TestCase.settings = examples(max_examples=60, stateful_step_count=20, deadline=None, database=None,
+                                   derandomize=True)
+TestFleet = Fleet.TestCase
+
+
+def test_a_dead_one_is_told_dead_in_bounded_time_and_then_counts_no_more():
+    net = Net(9, 1)
+    net.run(3 * S)
+    assert {c.count(net.now) for c in net.up.values()} == {9}
+    for name in ("d1", "d4", "d7"):  # a third of them
+        del net.up[name]
+    net.run(5 * S)
+    assert {c.count(net.now) for c in net.up.values()} == {6}
+
+
+def test_a_cut_in_two_leaves_all_counted_and_heals():
+    net = Net(8, 2)
+    net.run(3 * S)
+    side = net.names[:4]
+    net.cuts = {(a, b) for a in net.names for b in net.names if (a in side) != (b in side)}
+    net.run(20 * S)
+    assert {len(c.members.there()) for c in net.up.values()} == {4}
+    assert {c.count(net.now) for c in net.up.values()} == {8}  # each half goes on sending for itself
+    net.cuts.clear()
+    net.run(4 * S)
+    assert {len(c.members.there()) for c in net.up.values()} == {8}
+
+
+def test_one_that_stood_still_condemns_nobody_and_is_believed_again():
+    net = Net(5, 3)
+    net.run(3 * S)
+    net.delay = 40_000
+    while not net.up["d2"].members._out:  # it stops with a ping out, whose answer waits unread
+        net.run(10_000)
+    net.stalled = {"d2"}
+    net.run(6 * S)
+    assert net.views()["d0"]["d2"] == DEAD
+    net.stalled.clear()
+    for _ in range(400):
+        net.run(10_000)
+        assert set(net.views()["d2"].values()) == {ALIVE}
+    assert net.views()["d0"]["d2"] == ALIVE
+
+
+def test_a_suspect_has_its_time_to_object_though_the_one_that_suspects_it_stood_still():
+    net = Net(2, 6)
+    net.run(3 * S)
+    del net.up["d1"]
+    while net.views()["d0"]["d1"] == ALIVE:
+        net.run(BEAT)
+    net.stalled = {"d0"}
+    net.run(6 * S)
+    net.stalled.clear()
+    net.run(BEAT)
+    assert net.views()["d0"]["d1"] == SUSPECT
+    net.run(3 * S)
+    assert net.views()["d0"]["d1"] == DEAD
+
+
+def test_what_comes_twice_is_answered_once_and_an_old_ack_answers_no_ping_of_a_later_start():
+    net = Net(2, 5)
+    first, second = net.up["d0"], net.up["d1"]
+    ping = first.beat(net.now)[0]
+    ack, = second.heard(net.now, ping)
+    assert isinstance(ack.say, Ack) and second.heard(net.now, ping) == []
+    anew = Council("d0", net.names, net.now + S, random.Random(8), lambda: [])
+    anew.beat(net.now + S)
+    anew.heard(net.now + S, ack)
+    assert len(anew.members._out) == 1
+
+
+def test_a_path_that_fails_in_one_direction_condemns_nobody():
+    net = Net(6, 4)
+    net.run(3 * S)
+    net.cuts = {("d0", "d1")}
+    for _ in range(40):
+        net.run(BEAT)
+        assert all(DEAD not in view.values() for view in net.views().values())
+
+
+def test_the_silent_still_send_as_far_as_anybody_knows():
+    work, mine = Work(), Row(7, 100, 100)
+    assert work.others(0, 7, ["a", "b", "c"], mine).load == 300  # nothing is known: as much as I have, each
+    for name in "abc":
+        work.heard(0, name, (1, 1), [Row(7, 400, 400)])
+    now = work.others(0, 7, ["a", "b", "c"], mine)
+    assert (now.load, now.sure) == (1200, 1)
+    work.heard(6 * FADE, "a", (1, 2), [Row(7, 0, 0)])
+    later = work.others(8 * FADE, 7, ["a", "b", "c"], mine)
+    assert later.sure < 0.1 and 100 < later.load < 300
+    assert not work.heard(9 * FADE, "a", (1, 2), [Row(7, 9, 9)]) and not work.heard(9 * FADE, "a", (0, 9), [])
+
+
+PLAIN = Ping("d2", 9)
+
+
+def message(rows: int = 3, rumours: int = 2, say: Ping | Ack | Ask = PLAIN) -> Message:
+    return Message("d1", 1 << 50, 77, say, tuple(Rumour(f"d{n}", 1 << 50, ALIVE) for n in range(rumours)),
+                   tuple(cut(Row((1 << 63) + n, 40_000 + n, 1 << 39) for n in range(rows))))
+
+
+def test_a_message_comes_back_as_it_was_and_the_largest_fits_one_datagram():
+    for m in (message(), message(say=Ack("d2", 5)), message(say=Ask("d2", 5, "d3")), message(0, 0)):
+        assert Codec([KEY]).unpack(Codec([KEY]).pack(m), "d2") == m
+    packed = Codec([KEY]).pack(message(ROWS, 12))
+    back = Codec([KEY]).unpack(packed, "d2")
+    assert len(packed) <= MAX_BYTES and len(back.rows) >= 40 and back.rows == message(ROWS).rows[:len(back.rows)]
+
+
+@pytest.mark.parametrize(("spoil", "reason"), [
+    (lambda d: d[:10], "size"), (lambda d: d + b"x" * MAX_BYTES, "size"), (lambda d: b"", "size"),
+    (lambda d: b"\x02" + d[1:], "version"), (lambda d: d[:-1], "forged"), (lambda d: d + b"\0", "forged"),
+    (lambda d: Codec([b"j" * 32]).pack(message()), "forged"),
+    (lambda d: Codec([KEY]).pack(message(say=Ping("d3", 1))), "not-for-me"),
+    (lambda d: b"\x01" + Codec._tag(KEY, b"\x93\x01") + b"\x93\x01", "malformed"),
+    (lambda d: b"\x01" + Codec._tag(KEY, b"\xc1" * 40) + b"\xc1" * 40, "malformed"),
+    (lambda d: Codec([KEY]).pack(Message("d1", 1 << 63, 1, Ping("d2", 1), (), ())), "malformed")])
+def test_what_is_foreign_forged_torn_or_for_another_is_not_taken(spoil, reason):
+    with pytest.raises(Rejected, match=f"^{reason}$"):
+        Codec([KEY]).unpack(spoil(Codec([KEY]).pack(message())), "d2")
+
+
+def test_any_flipped_byte_is_noticed_and_a_key_is_changed_without_a_gap():
+    packed = Codec([KEY]).pack(message())
+    for n in range(len(packed)):
+        with pytest.raises(Rejected):
+            Codec([KEY]).unpack(packed[:n] + bytes([packed[n] ^ 0x20]) + packed[n + 1:], "d2")
+    assert Codec([b"new" * 9, KEY]).unpack(packed, "d2") == message()
+    for keys in ([], [b"short"]):
+        with pytest.raises(ValueError, match="at least 16 bytes"):
+            Codec(keys)
--- /dev/null
+++ b/tests/fleet/test_process.py
@@ -0,0 +1,173 @@
+"""Five real dispatchers that talk through a relay, and real stand-in engines: crashes, stalls, cuts, bad paths."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import signal
+import socket
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tests.admin.test_door import call
+from tests.chat.test_front import PATH, body, operator_file
+from tests.fleet.relay import Relay
+from tests.standins import LAST, TOKENS, Program, Standin
+
+SEED = 20261201
+LOAD = 400  # tokens that one of the test's requests is taken for, roughly: half of the most it may answer
+WAIT_S = 30  # for what must come about; it takes some seconds
+
+
+class Fleet(unittest.TestCase):
+    NAMES = ("d1", "d2", "d3", "d4", "d5")
+
+    def start(self, engines: int = 2) -> None:
+        print(f"seed {SEED}")
+        self.relay = Relay(list(self.NAMES), SEED)
+        self.addCleanup(self.relay.close)
+        self.engines = [Standin() for _ in range(engines)]
+        self.go = threading.Event()
+        for engine in self.engines:
+            engine.respond = self.hold
+            self.addCleanup(engine.close)
+        self.addCleanup(self.go.set)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / "key").write_text("a-key-that-all-five-of-them-hold\n")
+        self.programs: dict[str, Program] = {}
+        self.doors: dict[str, str] = {}
+        for name in self.NAMES:
+            self.run_one(name)
+
+    def hold(self, handler: Any, sent: bytes) -> None:
+        """A stream that has begun and goes on until the test lets it end."""
+        handler.chunks(TOKENS[0], last=False)
+        self.go.wait(60)
+        handler.more(LAST)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def run_one(self, name: str) -> Program:
+        peers = "".join(f'[[fleet.peer]]\nname = "{p}"\naddress = "{self.relay.address(name, p)}"\n'
+                        for p in self.NAMES if p != name)
+        extra = f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = ["{self.folder}/key"]\n{peers}'
+        text = operator_file([e.address for e in self.engines], extra, **{"n-instances": 1})
+        path = self.folder / f"{name}.toml"
+        path.write_text(text.replace("[chat]\n", "[chat]\nadmin_addr = '127.0.0.1:0'\n"))
+        program = self.programs[name] = Program("--chat", str(path))
+        self.addCleanup(program.kill)
+        host, port = program.wait_line(rf"{name} talks on ([\d.]+):(\d+)").groups()
+        self.relay.to[name] = host, int(port)
+        self.doors[name] = program.wait_line(r"operators are heard on ([\w.:]+)")[1]
+        return program
+
+    def told(self, name: str) -> dict[str, Any]:
+        status, _, answer = call(self.doors[name], "GET", "/ops/fleet")
+        self.assertEqual(status, 200)
+        return json.loads(answer)
+
+    def until(self, what: Callable[[], Any], names: str = "") -> None:
+        end = time.monotonic() + WAIT_S
+        while not what():
+            self.assertLess(time.monotonic(), end, [self.told(n) for n in names.split()])
+            time.sleep(0.05)
+
+    def agree(self, count: int, heard: int, *names: str) -> None:
+        """Each of these counts so many dispatchers, and hears so many, itself among them."""
+        def so(name: str) -> bool:
+            t = self.told(name)
+            return (t["count"], 1 + sum(m["state"] == "alive" for m in t["members"].values())) == (count, heard)
+        self.until(lambda: all(so(n) for n in names), " ".join(names))
+
+    def ask(self, name: str) -> None:
+        """A stream through this dispatcher, which stays open."""
+        program, sent = self.programs[name], body(stream=True)
+        client = socket.create_connection((program.host, program.port), 20)
+        self.addCleanup(client.close)
+        client.sendall(b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+                       % (PATH.encode(), len(sent), sent))
+        self.assertIn(b" 200 OK", client.recv(200))
+
+    def load_heard(self, name: str) -> float:
+        return sum(e["mine"]["load"] + e["others"]["load"] for e in self.told(name)["engines"])
+
+    def test_crash_stall_cut_and_restart_are_seen_by_all_and_counted_right(self):
+        self.start()
+        self.agree(5, 5, *self.NAMES)
+        with self.subTest("a bad path condemns nobody"):
+            self.relay.drop, self.relay.double, self.relay.delay_s = 0.2, 0.3, 0.1
+            seen = self.relay.passed
+            self.until(lambda: self.relay.passed > seen + 600)
+            self.assertEqual({self.told(n)["count"] for n in self.NAMES}, {5})
+            self.relay.drop = self.relay.double = self.relay.delay_s = 0.0
+            self.agree(5, 5, *self.NAMES)
+        with self.subTest("a crash"):
+            self.programs["d5"].process.kill()
+            self.agree(4, 4, "d1", "d2", "d3", "d4")
+            self.programs["d1"].wait_line(r"fleet: 4 dispatchers share the work, 4 of them are heard of")
+        with self.subTest("the same name starts anew"):
+            self.run_one("d5")
+            self.agree(5, 5, *self.NAMES)
+        with self.subTest("one stands still, and comes back"):
+            self.programs["d4"].process.send_signal(signal.SIGSTOP)
+            self.agree(4, 4, "d1", "d2", "d3", "d5")
+            self.programs["d4"].process.send_signal(signal.SIGCONT)
+            self.agree(5, 5, *self.NAMES)
+            self.assertFalse(re.search(r"[0-3] of them are heard", "".join(self.programs["d4"].lines[5:])))
+        with self.subTest("a cut in two: nobody believes that two fifths have died, or three"):
+            self.relay.cut(["d1", "d2"], ["d3", "d4", "d5"])
+            self.agree(5, 2, "d1", "d2")
+            self.agree(5, 3, "d3", "d4", "d5")
+            self.relay.cut()
+            self.agree(5, 5, *self.NAMES)
+
+    def test_each_takes_the_engine_that_all_the_others_have_left_alone(self):
+        """One conversation's requests, each at another dispatcher that has nothing open itself: they alternate between
+        its two engines. Without the others' word all would go to the first of its order."""
+        self.start(engines=6)
+        self.agree(5, 5, *self.NAMES)
+        for asked, name in enumerate(self.NAMES, 1):
+            self.ask(name)
+            self.until(lambda asked=asked: min(map(self.load_heard, self.NAMES)) > (asked - 0.5) * LOAD)
+            with self.subTest(asked):
+                runs = sorted(engine.runs for engine in self.engines)
+                self.assertEqual(runs, [0, 0, 0, 0, asked // 2, asked - asked // 2])
+
+    def test_forged_datagrams_change_nothing_and_are_counted(self):
+        self.start()
+        self.agree(5, 5, *self.NAMES)
+        host, port = self.relay.to["d1"]
+        with socket.socket(type=socket.SOCK_DGRAM) as foe:
+            for data in (b"", b"\x01", b"\x01" + b"x" * 200, b"\x02" * 60, b"\x00" * 1400):
+                foe.sendto(data, (host, port))
+        self.until(lambda: sum(n for why, n in self.told("d1")["datagrams"].items() if "rejected" in why) == 5)
+        self.agree(5, 5, *self.NAMES)
+
+
+class Files(unittest.TestCase):
+    def test_bad_settings_of_the_fleet_are_told_by_their_path(self):
+        from pearhill.chat import setup
+        from pearhill.config import ConfigError
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        good, short = pathlib.Path(folder.name) / "good", pathlib.Path(folder.name) / "short"
+        good.write_text("k" * 32), short.write_text("k" * 15)
+        peer = '[[fleet.peer]]\nname = "d2"\naddress = "127.0.0.1:1"\n'
+
+        def fleet(peers: str = peer, key: str = f'["{good}"]', listen: str = "127.0.0.1:0") -> str:
+            return f'[fleet]\nname = "d1"\nlisten = "{listen}"\nkey_files = {key}\n{peers}'
+        self.assertEqual(set(setup.loads(operator_file(["a:1"], fleet())).fleet.peers), {"d2"})
+        for text, why in (
+                (fleet(peers=peer + peer), r"fleet.peer\[1\].name: found 'd2'; allowed: a name that no other peer has"),
+                (fleet(peers=""), "fleet.peer: found nothing; allowed: a list"),
+                (fleet(key="[]"), "fleet.key_files: found"), (fleet(key='["/nowhere"]'), r"fleet.key_files\[0\]: "),
+                (fleet(key=f'["{short}"]'), r"fleet.key_files\[0\]: found .*15 characters.*; allowed: 16 at least"),
+                (fleet(listen="nowhere"), "fleet.listen"), (fleet() + "porto = 1\n", "fleet.peer.*porto")):
+            with self.subTest(why), self.assertRaisesRegex(ConfigError, why):
+                setup.loads(operator_file(["a:1"], text))
