make run answers the README's first request; membership and digests in their rooms

Need: `make run` named two servers that nobody ran, so that a newcomer's first curl got 503. The members' view and the digests of dispatchers that talk stood in a package of their own beside the rooms that the layout gives them.

Change: `pearhill lab up FILE` serves a file with stand-in engines where it says that servers are, on loopback addresses alone; Ctrl-C lets the dispatcher answer what it took, then ends the engines.

--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,10 @@
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 
-# The chat front. The platform's dispatcher is `python -m pearhill`, with the platform's variables set.
+# The chat front before stand-in engines, on this machine alone; Ctrl-C ends all. For engines of your own:
+# `pearhill serve FILE`. The platform's dispatcher is `python -m pearhill`, with the platform's variables set.
 run: build
-	$(PYTHON) -m pearhill --chat $(CHAT)
+	.venv/bin/pearhill lab up $(CHAT)
 
 clean:
 	rm -rf .venv build *.egg-info .mypy_cache .ruff_cache .pytest_cache
--- a/benchmarks/panels.py
+++ b/benchmarks/panels.py
@@ -68,7 +68,7 @@
     last: dict[str, str] = {}
     for path in journal.glob("*.json"):
         entry = json.loads(path.read_text())
-        if entry.get("cmd") == "real-score" and _KIND[panel] in entry.get("panel", ""):
+        if entry.get("cmd") == "real-score" and _KIND[panel] in (entry.get("panel") or ""):
             last[entry["site"]] = max(last.get(entry["site"], ""), entry["at"][0])
     return min(sites, key=lambda site: last.get(site.stem, ""))
 
--- a/benchmarks/talk.py
+++ b/benchmarks/talk.py
@@ -4,10 +4,10 @@
 
 One process plays all councils and all choices on its own clock: requests come at random to dispatchers of uneven
 share (some get ten times the mean), each holds an engine for a drawn while, and each choice is the emptier of two
-engines drawn for it. The same arrivals are dealt five ways: by my own work alone, by mine and what the others have told
-(datagrams of `fleet.datagram`, a tenth of them lost, up to 50 ms late), the same with the fleet cut in two, by one who
-sees those two engines as they are, and by one who sees all (join the shortest queue). Printed: peak over mean of work
-by engine in 1 s windows, mean and spread over the seeds; the datagrams and the time of a choice. Not for CI.
+engines drawn for it. The same arrivals are dealt five ways: by my own work alone, by mine and what the others have
+told (datagrams of `membership.datagram`, a tenth of them lost, up to 50 ms late), the same with the fleet cut in two,
+by one who sees those two engines as they are, and by one who sees all (join the shortest queue). Printed: peak over
+mean of work by engine in 1 s windows, mean and spread over the seeds; datagrams and time of a choice. Not for CI.
 """
 
 from __future__ import annotations
@@ -19,10 +19,10 @@
 import time
 from dataclasses import dataclass, field
 
-from pearhill.fleet.council import Council
-from pearhill.fleet.datagram import Codec
-from pearhill.fleet.members import BEAT
-from pearhill.fleet.work import Row
+from pearhill.membership.council import Council
+from pearhill.membership.datagram import Codec
+from pearhill.membership.members import BEAT
+from pearhill.spread.digests import Row
 
 S = 1_000_000
 TOKENS, HOLD, WARM = 1000, 0.5, 5  # of a request; mean seconds that it holds an engine; seconds not counted
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -16,13 +16,13 @@
 from pearhill.chat.spending import Corrupt, Desk
 from pearhill.config import for_next_start
 from pearhill.eureka.client import Eureka
-from pearhill.fleet.council import Council
-from pearhill.fleet.datagram import Codec
-from pearhill.fleet.work import Row
+from pearhill.membership.council import Council
+from pearhill.membership.datagram import Codec
 from pearhill.net.address import Address
 from pearhill.net.talk import Talk
 from pearhill.node import Limits, Node
 from pearhill.operations import Operations
+from pearhill.spread.digests import Row
 
 SEND_BUFFER = 64 * 1024  # a stream is some KB a second; more than that is a client that does not read
 
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -18,7 +18,7 @@
 from pearhill.config import ConfigError, typed
 from pearhill.core.engines import engine_of
 from pearhill.eureka.setup import EurekaSetup
-from pearhill.fleet.datagram import LEAST_KEY
+from pearhill.membership.datagram import LEAST_KEY
 from pearhill.net.address import Address, parse_address
 
 
--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -51,6 +51,24 @@
     print(f"{target}\n{target.with_suffix('.html')}")
 
 
+@app.command("up")
+def bring_up(
+    file: Annotated[Path, typer.Argument(help="the operator's file (TOML)", show_default=False)],
+) -> None:
+    """Serve an operator's file before stand-in engines, where it says that servers are, until Ctrl-C."""
+    from pearhill.chat import setup
+    from pearhill.config import ConfigError
+
+    _parts()
+    from pearhill.lab import up
+
+    try:
+        code = asyncio.run(up.up(str(file), setup.load(str(file)), lambda line: print(line, file=sys.stderr)))
+    except (ConfigError, up.NotUp) as e:
+        _fail(e)
+    raise typer.Exit(code)
+
+
 @app.command()
 def compare(
     before: Annotated[Path, typer.Argument(help="a run's Parquet file", show_default=False)],
--- a/pearhill/lab/scenario.py
+++ b/pearhill/lab/scenario.py
@@ -33,6 +33,7 @@
     read_tokens_per_s: Positive = 50_000.0
     write_tokens_per_s: Positive = 100.0
     fault: list[FaultTable] = []
+    listen: str = ""  # HOST:PORT of a single one; none: a port that the system picks
 
 
 class TenantTable(Struct, forbid_unknown_fields=True):
--- a/pearhill/lab/servers.py
+++ b/pearhill/lab/servers.py
@@ -98,8 +98,13 @@
     began = time.monotonic()
     every = [table for table in tables for _ in range(table.count)]
     for k, one in enumerate(every):
-        server = await asyncio.start_server(Model(one, seed + k, began).serve, "127.0.0.1", 0, backlog=1024)
-        host, port = server.sockets[0].getsockname()
+        address, _, port = (one.listen or "127.0.0.1:0").rpartition(":")
+        try:
+            server = await asyncio.start_server(Model(one, seed + k, began).serve, address, int(port), backlog=1024)
+        except OSError as e:
+            print(f"cannot listen on {address}:{port}: {e.strerror or e}", flush=True)
+            return
+        host, port = server.sockets[0].getsockname()[:2]
         print(f"{host}:{port}", flush=True)
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
--- a/pearhill/fleet/council.py
+++ b/pearhill/membership/council.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from pearhill.fleet.members import DEAD, Members, Rumour, Say
-from pearhill.fleet.work import Row, Work, cut
+from pearhill.membership.members import DEAD, Members, Rumour, Say
+from pearhill.spread.digests import Row, Work, cut
 
 LOST_AT_ONCE = 1 / 3  # of the fleet: more than that, gone together, is a cut and not so many deaths
 WINDOW = 1024  # messages of one sender; a beat of a large fleet sends some dozens
@@ -40,6 +40,7 @@
     def beat(self, now: int) -> list[Message]:
         says = self.members.beat(now)
         self._peers = self.counted(now)
+        self.work.weigh(now, self._peers)
         return self._messages(says)
 
     def heard(self, now: int, message: Message) -> list[Message]:
--- a/pearhill/fleet/datagram.py
+++ b/pearhill/membership/datagram.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from pearhill.fleet.council import Message
-from pearhill.fleet.members import RUMOURS, Ack, Ask, Ping, Rumour
-from pearhill.fleet.work import ROWS, Row
+from pearhill.membership.council import Message
+from pearhill.membership.members import RUMOURS, Ack, Ask, Ping, Rumour
+from pearhill.spread.digests import ROWS, Row
 
 VERSION = 1
 MAX_BYTES = 1400
--- a/pearhill/net/talk.py
+++ b/pearhill/net/talk.py
@@ -10,9 +10,9 @@
 from loguru import logger
 
 from pearhill.core.deadlines import Deadlines, Key
-from pearhill.fleet.council import Council, Message
-from pearhill.fleet.datagram import Codec, Rejected
-from pearhill.fleet.members import BEAT
+from pearhill.membership.council import Council, Message
+from pearhill.membership.datagram import Codec, Rejected
+from pearhill.membership.members import BEAT
 from pearhill.net.address import Address
 from pearhill.spread.evenness import evenness
 
--- a/pearhill/fleet/work.py
+++ b/pearhill/spread/digests.py
@@ -12,7 +12,6 @@
 
 FADE = 750_000  # microseconds after which half of a digest still holds: some beats, and the life of a read
 ROWS = 48  # engines of a digest; those with the most work
-WEIGHED = 20_000  # microseconds for which the weights of digests are good enough
 MOST = 1 << 40  # tokens; a row that says more is not believed
 
 
@@ -44,9 +43,9 @@
         self._last: dict[str, tuple[tuple[int, int], int, dict[int, Row]]] = {}
         # Danger: a choice that walks through all peers takes the longer the more there are. By engine there are few.
         self._by_engine: dict[int, dict[str, Row]] = {}
-        self._weights: dict[str, float] = {}
         self._counted: Collection[str] = ()
-        self._worth, self._weighed_at = 0.0, -1
+        self._weights: dict[str, float] = {}  # of those counted, as of the last reckoning, and 1 when heard since
+        self._worth = 1.0  # their sum, and 1 for me
 
     def heard(self, now: int, name: str, version: tuple[int, int], rows: Iterable[Row]) -> bool:
         """A digest of a peer, by incarnation and sequence. False: it is no newer than what is known."""
@@ -58,8 +57,9 @@
         self._last[name] = version, now, good
         for engine, row in good.items():
             self._by_engine.setdefault(engine, {})[name] = row
-        if not self._weights.get(name):  # else its newer word has the older one's weight for a moment
-            self._weighed_at = -1
+        if name in self._weights:
+            self._worth += 1 - self._weights[name]
+            self._weights[name] = 1.0
         return True
 
     def _forget(self, name: str) -> None:
@@ -69,21 +69,23 @@
             if not rows:
                 del self._by_engine[engine]
 
-    def _weigh(self, now: int, counted: Collection[str]) -> None:
-        if self._weighed_at == now // WEIGHED and self._counted is counted:
-            return
-        self._counted = counted
-        self._weights = {name: self._sure(now, name) for name in counted}
-        self._worth, self._weighed_at = 1 + sum(self._weights.values()), now // WEIGHED
+    def weigh(self, now: int, counted: Collection[str]) -> None:
+        """Reckon anew who counts, and for how much: at every beat, between which hardly anything fades, and not at a
+        choice, which would take the longer the more peers there are."""
+        if self._counted is not counted:
+            self._counted = counted
+            self._weights = {name: self._sure(now, name) for name in counted}
+            self._worth = 1 + sum(self._weights.values())
 
     def others(self, now: int, engine: int, counted: Collection[str], mine: Row) -> Sum:
         """The sum over the peers that are `counted`, whether they can be heard or not. The same object as at the last
         call is taken for the same peers."""
-        self._weigh(now, counted)
+        self.weigh(now, counted)
         fresh, worth = self._weights, self._worth  # I am one whose work is known
         waiting, load = float(mine.waiting), float(mine.load)
         for name, row in self._by_engine.get(engine, {}).items():
-            if sure := fresh.get(name, 0.0):
+            if name in fresh:
+                sure = self._sure(now, name)
                 waiting, load = waiting + sure * row.waiting, load + sure * row.load
         # Each of whom nothing is known counts as the mean of all of whom something is.
         missing = len(fresh) + 1 - worth
--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -37,7 +37,7 @@
 
 
 class Peers(Protocol):
-    """Other dispatchers that say what work they have (`pearhill.fleet`)."""
+    """Other dispatchers that say what work they have (`pearhill.membership`)."""
 
     def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
         """Their tokens at an engine where I have this much: yet to be read, under way in all; and how sure that is."""
--- a/tests/fleet/test_council.py
+++ b/tests/membership/test_council.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from pearhill.fleet.council import Council, Message
-from pearhill.fleet.datagram import MAX_BYTES, Codec, Rejected
-from pearhill.fleet.members import ALIVE, BEAT, DEAD, SUSPECT, Ack, Ask, Ping, Rumour
-from pearhill.fleet.work import FADE, ROWS, Row, Work, cut
+from pearhill.membership.council import Council, Message
+from pearhill.membership.datagram import MAX_BYTES, Codec, Rejected
+from pearhill.membership.members import ALIVE, BEAT, DEAD, SUSPECT, Ack, Ask, Ping, Rumour
+from pearhill.spread.digests import FADE, ROWS, Row, Work, cut
 
 S = 1_000_000
 KEY = b"k" * 32
@@ -134,7 +134,7 @@
     @invariant()
     def no_work_is_counted_twice(self):
         for name, council in getattr(self, "net", Net(0, 0)).up.items():
-            others = council.work.others(self.net.now, 1, self.net.names, Row(1, 0, 0))
+            others = council.work.others(self.net.now, 1, list(self.net.names), Row(1, 0, 0))
             known = sum(10 ** self.net.names.index(n) for n in council.work._last if n != name)
             # Fresh word alone, without what is assumed of those who say nothing: never more than each has said.
             worth = 1 + sum(council.work._sure(self.net.now, n) for n in self.net.names)
--- a/tests/fleet/test_process.py
+++ b/tests/membership/test_process.py
@@ -16,7 +16,7 @@
 
 from tests.admin.test_door import call
 from tests.chat.test_front import PATH, body, operator_file
-from tests.fleet.relay import Relay
+from tests.membership.relay import Relay
 from tests.standins import LAST, TOKENS, Program, Standin
 
 SEED = 20261201
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -27,6 +27,7 @@
         self.assertLessEqual(ours, {f"pearhill.{name}" for name in (
             "__main__", "admin", "config", "core", "counters", "durable", "http1", "interface", "net", "node",
             "operations", "platform", "process", "rules", "service", "settings", "spread", "upgrade")})
+        self.assertFalse(loaded & {"pearhill.spread.digests", "pearhill.net.talk"})  # there they may not talk
 
     def test_the_deploy_file_names_all_that_the_platforms_daemon_runs_from_and_nothing_else(self):
         told = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
--- a/tests/test_panels.py
+++ b/tests/test_panels.py
@@ -36,9 +36,10 @@
 
 @pytest.mark.parametrize("played, next_one", [
     ([], "a"), ([("a", "calm+mass", "2")], "b"), ([("a", "calm+mass", "2"), ("b", "calm+mass", "1")], "b"),
-    ([("a", "calm+mass", "1"), ("b", "calm+mass", "2")], "a"), ([("a", "herd+vast", "1")], "a")])
+    ([("a", "calm+mass", "1"), ("b", "calm+mass", "2")], "a"), ([("a", "herd+vast", "1")], "a"),
+    ([("a", "calm+mass", "1"), ("b", None, "2")], "b")])
 def test_the_site_that_was_not_played_for_longest_is_due(tmp_path, played, next_one):
     for n, (site, days, at) in enumerate(played):
-        entry = {"cmd": "real-score", "site": site, "panel": f"real:{site}:1:{days}", "at": [at, at]}
+        entry = {"cmd": "real-score", "site": site, "panel": days and f"real:{site}:1:{days}", "at": [at, at]}
         (tmp_path / f"{n}.json").write_text(json.dumps(entry))
     assert due("gate", [pathlib.Path("x/a.toml"), pathlib.Path("y/b.toml")], tmp_path).stem == next_one
