A runner for many real dispatchers with a time line of faults

Need: what concerns many copies was shown by five processes in a test, and free of I/O; the issue asks for hundreds of processes, uneven load, crashes, stalls and cuts, with work by engine over time.

Change: `pearhill lab fleet` starts dispatchers, engines and a relay between them, deals an open-loop load unevenly, and plays `[[fleet.fault]]`: crash and new start, stall, cut, loss, doubles, delay. Figures: peak over mean of work by engine in 1 s, longest idle, served by second; Parquet and a page. A stand-in engine no longer throws when its dispatcher dies in mid-answer. Prompts may have several openings (`prefixes`).

--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -51,6 +51,31 @@
     print(f"{target}\n{target.with_suffix('.html')}")
 
 
+@app.command("fleet")
+def run_fleet(
+    file: Annotated[Path, typer.Argument(help="the scenario (TOML), with [fleet]", show_default=False)],
+    out: Annotated[Path, typer.Option(help="where the results go, as Parquet and HTML")] = Path("."),
+) -> None:
+    """Run many dispatchers before the same engines, with faults, and say how even the work was."""
+    from pearhill.config import ConfigError
+
+    report, run, scenario = _parts()
+    from pearhill.lab import fleet
+
+    try:
+        made = scenario.load(str(file))
+        result = asyncio.run(fleet.run(made, lambda line: print(line, file=sys.stderr)))
+    except (ConfigError, fleet.NotUp, OSError, ValueError) as e:
+        _fail(e)
+    out.mkdir(parents=True, exist_ok=True)
+    target = out / f"{file.stem}.parquet"
+    run.write(result.rows, made, target)
+    again, told = run.read(target)
+    target.with_suffix(".html").write_text(report.page(file.stem, {file.stem: (again, told)}, result), encoding="utf-8")
+    print(result.text(made.lab.warm_s))
+    print(f"{target}\n{target.with_suffix('.html')}")
+
+
 @app.command("up")
 def bring_up(
     file: Annotated[Path, typer.Argument(help="the operator's file (TOML)", show_default=False)],
--- a/pearhill/lab/load.py
+++ b/pearhill/lab/load.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
 WITHIN = 60.0  # seconds for a request
 Progress = Callable[[int, int], None]
+Front = tuple[str, int]
 
 
 @dataclass(slots=True)
@@ -44,10 +46,10 @@
     return [float(t) for t in times[rng.uniform(0, peak, len(times)) < rate]]
 
 
-async def _one(tenant: TenantTable, planned: float, began: float, host: str, port: int, key: str) -> Row:
+async def _one(tenant: TenantTable, planned: float, began: float, front: Front, key: str, opening: int) -> Row:
     late = time.monotonic() - began - planned
     body = {"model": tenant.model, "stream": True, "messages": [
-        {"role": "system", "content": f"You help the members of {tenant.name}."},
+        {"role": "system", "content": f"You help the members of {tenant.name}, group {opening}."},
         {"role": "user", "content": "word " * max(1, tenant.prompt_tokens * 4 // 5 - 8)}],
         "x_prompt_tokens": tenant.prompt_tokens, "x_answer_tokens": tenant.answer_tokens}
     if tenant.max_tokens:
@@ -58,7 +60,7 @@
         first[0] = time.monotonic() - began - planned
         return False
 
-    wire, status, outcome, tokens = Wire(host, port), 0, FAILED, 0
+    wire, status, outcome, tokens = Wire(*front), 0, FAILED, 0
     try:
         await wire.open()
         got = await wire.ask("POST", "/v1/chat/completions", {"Authorization": f"Bearer {key}"},
@@ -76,15 +78,20 @@
     return Row(tenant.name, planned, late, status, outcome, first[0] if outcome == SERVED else 0.0, end, tokens)
 
 
-async def run(scenario: Scenario, host: str, port: int, keys: dict[str, str], progress: Progress) -> list[Row]:
+async def run(scenario: Scenario, fronts: Callable[[], Front], keys: dict[str, str], progress: Progress,
+              on_start: Callable[[float], None] = lambda began: None) -> list[Row]:
+    """`fronts` says where the next request goes; `on_start` is told the load's beginning, of the monotonic clock."""
     seeds = numpy.random.SeedSequence(scenario.lab.seed).spawn(len(scenario.tenant))
+    openings = random.Random(scenario.lab.seed)
     planned = sorted((at, k) for k, tenant in enumerate(scenario.tenant)
                      for at in plan(tenant, scenario.lab.seconds, seeds[k]))
     began, tasks = time.monotonic() + 0.1, list[asyncio.Task[Row]]()
+    on_start(began)
     for done, (at, k) in enumerate(planned):
         if (wait := began + at - time.monotonic()) > 0:
             await asyncio.sleep(wait)
         tenant = scenario.tenant[k]
-        tasks.append(asyncio.create_task(_one(tenant, at, began, host, port, keys[tenant.name])))
+        opening = openings.randrange(tenant.prefixes)
+        tasks.append(asyncio.create_task(_one(tenant, at, began, fronts(), keys[tenant.name], opening)))
         progress(done + 1, len(planned))
     return list(await asyncio.gather(*tasks))
--- a/pearhill/lab/report.py
+++ b/pearhill/lab/report.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import jinja2
 from hdrh.histogram import HdrHistogram
 
 from pearhill.lab.load import FAILED, REFUSED, SERVED, Row
 
+if TYPE_CHECKING:
+    from pearhill.lab.fleet import Result
+
 COLOURS = ("#0b6e99", "#d9730d", "#448361", "#9065b0", "#c14c8a", "#9f6b53", "#787774")
 WIDTH, HEIGHT = 720, 220
 
@@ -76,14 +80,27 @@
     return "".join(parts) + "</svg>"
 
 
-def page(title: str, runs: dict[str, tuple[list[Row], dict[str, float]]]) -> str:
-    """One run, or several side by side."""
+def page(title: str, runs: dict[str, tuple[list[Row], dict[str, float]]], fleet: Result | None = None) -> str:
+    """One run, or several side by side. `fleet`: how even the work of many dispatchers was in it."""
     environment = jinja2.Environment(loader=jinja2.PackageLoader("pearhill.lab", "."), autoescape=True,
                                      undefined=jinja2.StrictUndefined, trim_blocks=True, lstrip_blocks=True)
     shown = [{"name": name, "figures": figures(rows, told), "tenants": sorted({row.tenant for row in rows}),
               "plots": [(of, plot(rows, told["seconds"], of)) for of in (SERVED, REFUSED)]}
              for name, (rows, told) in runs.items()]
-    return environment.get_template("report.html.j2").render(title=title, runs=shown, colours=COLOURS)
+    return environment.get_template("report.html.j2").render(title=title, runs=shown, colours=COLOURS,
+                                                              fleet=fleet and lines(fleet))
+
+
+def lines(fleet: Result) -> list[tuple[str, str]]:
+    """Captions and plots by second, as SVG."""
+    made = []
+    for name, curve, top in (("peak over mean of work by engine", fleet.peaks, max(2.0, *fleet.peaks)),
+                             ("share served", fleet.served, 1.0)):
+        points = " ".join(f"{40 + (WIDTH - 40) * (x + 0.5) / len(curve):.1f},{(HEIGHT - 20) * (1 - y / top):.1f}"
+                          for x, y in enumerate(curve))
+        made.append((f"{name} (0 to {top:.2f})", f'<svg viewBox="0 0 {WIDTH} {HEIGHT}" role="img" aria-label="{name}">'
+                     f'<polyline fill="none" stroke="{COLOURS[0]}" stroke-width="1.8" points="{points}"/></svg>'))
+    return made
 
 
 def text(made: Sequence[Figures]) -> str:
--- a/pearhill/lab/run.py
+++ b/pearhill/lab/run.py
@@ -22,7 +22,8 @@
 
 
 @contextlib.asynccontextmanager
-async def servers(scenario: Scenario) -> AsyncIterator[list[str]]:
+async def servers(scenario: Scenario, work: list[list[tuple[float, float]]] | None = None) -> AsyncIterator[list[str]]:
+    """Their addresses. `work` gets, at the end, when each began and ended each request, of the monotonic clock."""
     process = await asyncio.create_subprocess_exec(sys.executable, "-m", "pearhill.lab.servers",
                                                    stdin=subprocess.PIPE, stdout=subprocess.PIPE)
     assert process.stdin and process.stdout
@@ -32,6 +33,9 @@
         yield [(await process.stdout.readline()).decode().strip() for _ in range(sum(s.count for s in scenario.server))]
     finally:
         process.stdin.close()
+        told_last = await process.stdout.read()
+        if work is not None and told_last:
+            work += json.loads(told_last)
         await process.wait()
 
 
@@ -51,7 +55,7 @@
     keys = {tenant.name: new_key() for tenant in scenario.tenant}
     async with servers(scenario) as addresses, own_daemon(operator_file(scenario, addresses, keys)) as url:
         host, _, port = url.removeprefix("http://").rpartition(":")
-        return await load.run(scenario, host, int(port), keys, progress)
+        return await load.run(scenario, lambda: (host, int(port)), keys, progress)
 
 
 def write(rows: list[load.Row], scenario: Scenario, path: pathlib.Path) -> None:
--- a/pearhill/lab/scenario.py
+++ b/pearhill/lab/scenario.py
@@ -48,6 +48,31 @@
     from_s: Annotated[float, Meta(ge=0)] = 0.0
     to_s: Positive = 1e9
     max_tokens: Annotated[int, Meta(ge=0)] = 0
+    prefixes: Count = 1  # different openings, each drawn as often
+
+
+class FleetFault(Struct, forbid_unknown_fields=True):
+    """What happens to dispatchers, by their numbers from 0. `cut`: these hear nothing of the others, nor they of
+    these; `loss`, `double`: a `share` of all that is told; `delay`: up to `delay_s`; `stall`: SIGSTOP and, at the end,
+    SIGCONT; `crash`: SIGKILL and, at the end, a new start."""
+
+    kind: Literal["cut", "loss", "double", "delay", "stall", "crash"]
+    from_s: Annotated[float, Meta(ge=0)]
+    to_s: Positive
+    who: list[Annotated[int, Meta(ge=0)]] = []
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.2
+    delay_s: Annotated[float, Meta(ge=0, le=5)] = 0.1
+
+
+class FleetTable(Struct, forbid_unknown_fields=True):
+    """Many dispatchers before the same servers. Every `heavy_every`th gets `heavy` times the others' requests."""
+
+    dispatchers: Annotated[int, Meta(ge=1, le=500)]
+    talk: bool = True
+    heavy: Positive = 10.0
+    heavy_every: Count = 20
+    starts_at_once: Count = 8
+    fault: list[FleetFault] = []
 
 
 class LabTable(Struct, forbid_unknown_fields=True):
@@ -61,6 +86,7 @@
     lab: LabTable
     server: Annotated[list[ServerTable], Meta(min_length=1)]
     tenant: Annotated[list[TenantTable], Meta(min_length=1)]
+    fleet: FleetTable | None = None
     base: pathlib.Path = field(default_factory=pathlib.Path)
 
 
@@ -71,4 +97,12 @@
     names = [tenant.name for tenant in made.tenant]
     if len(set(names)) < len(names):
         raise ConfigError(f"{path}: tenant: found a name twice; allowed: each once")
+    for k, fault in enumerate(made.fleet.fault if made.fleet else ()):
+        at = f"{path}: fleet.fault[{k}]"
+        if fault.to_s <= fault.from_s:
+            raise ConfigError(f"{at}.to_s: found {fault.to_s}; allowed: more than from_s, {fault.from_s}")
+        if fault.kind in ("cut", "stall", "crash") and not fault.who:
+            raise ConfigError(f"{at}.who: found nobody; allowed: numbers of dispatchers, from 0")
+        if made.fleet and (far := [n for n in fault.who if n >= made.fleet.dispatchers]):
+            raise ConfigError(f"{at}.who: found {far[0]}; allowed: 0 to {made.fleet.dispatchers - 1}")
     return made
--- a/pearhill/lab/servers.py
+++ b/pearhill/lab/servers.py
@@ -33,6 +33,7 @@
         self.table, self.rng, self.began = table, random.Random(seed), began
         self.slots = asyncio.Semaphore(table.slots)
         self.waiting = self.held = 0
+        self.work: list[tuple[float, float]] = []  # when each request came and went
 
     def _fault(self) -> FaultTable | None:
         now = time.monotonic() - self.began
@@ -63,6 +64,7 @@
             return True
         self.waiting += 1
         self.held += prompt
+        came = time.monotonic()
         try:
             async with self.slots:
                 await asyncio.sleep(prompt / self.table.read_tokens_per_s)
@@ -72,6 +74,7 @@
         finally:
             self.waiting -= 1
             self.held -= prompt
+            self.work.append((came, time.monotonic()))
 
     async def _write(self, asked: dict[str, Any], prompt: int, fault: FaultTable | None, writer: asyncio.StreamWriter,
                      ) -> bool:
@@ -79,6 +82,8 @@
         tokens = min(asked.get("x_answer_tokens", 20), most)
         writer.write(stream_head(200, (("Content-Type", "text/event-stream"),)))
         for k in range(tokens):
+            if writer.is_closing():  # its dispatcher has died: to write on would be an error of this loop's
+                return False
             writer.write(chunk(EVENT))
             await writer.drain()
             if fault and k == 2:
@@ -97,10 +102,12 @@
 async def serve(tables: list[ServerTable], seed: int) -> None:
     began = time.monotonic()
     every = [table for table in tables for _ in range(table.count)]
+    models = []
     for k, one in enumerate(every):
         address, _, port = (one.listen or "127.0.0.1:0").rpartition(":")
+        models.append(Model(one, seed + k, began))
         try:
-            server = await asyncio.start_server(Model(one, seed + k, began).serve, address, int(port), backlog=1024)
+            server = await asyncio.start_server(models[-1].serve, address, int(port), backlog=1024)
         except OSError as e:
             print(f"cannot listen on {address}:{port}: {e.strerror or e}", flush=True)
             return
@@ -109,6 +116,7 @@
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     await reader.read()
+    print(json.dumps([model.work for model in models]), flush=True)
 
 
 def main() -> None:
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -91,7 +91,7 @@
 
     def test_the_scenarios_in_deploy_are_good(self):
         for path in sorted(LAB.glob("*.toml")):
-            if path.name != "front.toml":
+            if not path.name.endswith("front.toml"):
                 scenario.load(str(path))
         twice = self.scenario().read_text().replace('name = "two"', 'name = "one"')
         (self.folder / "twice.toml").write_text(twice)
--- a/tests/membership/test_process.py
+++ b/tests/membership/test_process.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from pearhill.lab.relay import Relay
 from tests.admin.test_door import call
 from tests.chat.test_front import PATH, body, operator_file
-from tests.membership.relay import Relay
 from tests.standins import LAST, TOKENS, Program, Standin
 
 SEED = 20261201
@@ -54,7 +54,7 @@
         handler.wfile.write(b"0\r\n\r\n")
 
     def run_one(self, name: str) -> Program:
-        peers = "".join(f'[[fleet.peer]]\nname = "{p}"\naddress = "{self.relay.address(name, p)}"\n'
+        peers = "".join(f'[[fleet.peer]]\nname = "{p}"\naddress = "{self.relay.address(p)}"\n'
                         for p in self.NAMES if p != name)
         extra = f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = ["{self.folder}/key"]\n{peers}'
         text = operator_file([e.address for e in self.engines], extra, **{"n-instances": 1})
@@ -63,7 +63,7 @@
         program = self.programs[name] = Program("--chat", str(path))
         self.addCleanup(program.kill)
         host, port = program.wait_line(rf"{name} talks on ([\d.]+):(\d+)").groups()
-        self.relay.to[name] = host, int(port)
+        self.relay.place(name, host, int(port))
         self.doors[name] = program.wait_line(r"operators are heard on ([\w.:]+)")[1]
         return program
 
