--- a/pearhill/cli/main.py
+++ b/pearhill/cli/main.py
@@ -60,7 +60,8 @@
     models = {model.name for model in found.reading.models.values()}
     print(f"{file}: good. {len(found.entries)} servers{', eureka' if found.eureka else ''}, {len(models)} models, "
           f"{len(found.keyring.tenants)} tenants, {len(found.reading.rules)} rules, "
-          f"classes {', '.join(found.deployment.class_names)}")
+          f"classes {', '.join(found.deployment.class_names)}"
+          + (f", talks to {len(found.fleet.peers)} dispatchers as {found.fleet.name}" if found.fleet else ""))
     if not found.keyring:
         print("  note: no tenants are declared, so everyone who reaches the port may ask")
     if not models:
