The others' sum is believed when a tenth of it is fresh word, not half

`_looked` takes a memory figure only where `Told.sure` is over 0.5, and in a fleet of hundreds a peer is heard each second or so: the mean freshness stays under it, so that the sum never counted. What is not fresh in it is assumed by the mean of what is, so it is a whole estimate: `Scout._told` gives it as sure from a tenth on, and not at all below.

Nothing changes where nobody talks.

--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -19,6 +19,7 @@
 WAIT_SHARE = 1 / 40  # of the shortest aim: so long a request waits for what it asked
 FIRST_TIMER = 1 << 31  # the Router counts its own up from 1
 MUTE, MOST_MUTE = 400_000, 3_200_000  # after the first probe without an answer; doubled with each further one
+SAMPLE = 0.1  # of what the other dispatchers have, to be believed for all of it
 GIVEN_UP = 2_000_000  # a probe whose end nobody told; the driver ends each much sooner
 
 
@@ -171,7 +172,11 @@
         if self.peers is None or (e := self.router.engines.get(engine)) is None or told.sure > 0.5:
             return told
         waiting, load, sure = self.peers.others(now, engine, e.queue, e.load)
-        return i.Told(engine, min(1.0, (e.load + load) / e.memory), e.queue + waiting, sure, told.mute)
+        # Danger: believed only while most of it is fresh, in a fleet of hundreds the sum would never count. What is not
+        # fresh in it is assumed by the mean of what is, so that a small part tells as much as a sample does.
+        if sure <= SAMPLE:
+            return told
+        return i.Told(engine, min(1.0, (e.load + load) / e.memory), e.queue + waiting, 1.0, told.mute)
 
     def _facts(self, now: int, request: int, engines: tuple[int, ...]) -> list[i.Action]:
         told = tuple(self._told(now, e) for e in engines)
--- a/tests/spread/test_scout.py
+++ b/tests/spread/test_scout.py
@@ -78,6 +78,33 @@
         assert d.sent[1].engine == roomy
 
 
+class Others:
+    """Dispatchers that talk: their tokens at each engine, and how much of that is fresh word."""
+
+    def __init__(self, load: dict[int, float], sure: float) -> None:
+        self.load, self.sure = load, sure
+
+    def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
+        return self.load.get(engine, 0.0), self.load.get(engine, 0.0), self.sure
+
+
+@pytest.mark.parametrize("sure", [1.0, 0.3, 0.05])
+def test_the_others_word_moves_a_choice_at_once_and_no_probe_is_sent_where_engines_tell_nothing(sure):
+    mute = replace(SETTINGS, instances=60)
+    plain = Asking(mute).read({})
+    for busy in (1, 2):
+        d = Asking(mute)
+        d.router.talk(Others({busy: 9000.0, busy + 10: 9000.0}, sure))
+        r, _ = d.arrive(session=5)
+        assert not d.out
+        if sure < 0.1:  # hardly a word of it is fresh: as if nothing was said
+            assert d.sent[r].engine == plain
+            continue
+        assert d.sent[r].engine == 3 - busy
+        d.end(r, i.READ)
+        assert d.sent[r].engine == 23 - (busy + 10)
+
+
 def test_one_probe_serves_all_that_wait_and_a_fresh_word_is_not_asked_for_again():
     d = Asking()
     first, _ = d.arrive(session=5)
