An engine whose answer to a probe is late does not look the emptier of the two

Cause: at the end of a look's wait `Scout._seen` told of an engine that had not answered what is known of it: nothing, so no tokens waiting, and `_place` took it for the emptier one. The test of that name looked only at the requests after it, which the probe's own time-out had put right; it fails now without the cure, at one of its two engines.

--- a/pearhill/membership/members.py
+++ b/pearhill/membership/members.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """To `to`, on behalf of `asker` where that is named. Answered by an Ack of the same number."""
+    """Answered by an Ack of the same number."""
 
     to: str
     number: int
@@ -89,9 +89,6 @@
         self._beat_at = now
         self._news: dict[str, int] = {}  # names of which there is news, and how often it was told
 
-    def state(self, name: str) -> str:
-        return self.members[name].state
-
     def there(self) -> set[str]:
         """Who answers, or may still object to its death. Me too."""
         return {self.me, *(name for name, m in self.members.items() if m.state != DEAD)}
@@ -146,7 +143,7 @@
         return says
 
     def heard(self, now: int, name: str, incarnation: int, said: Say | None, rumours: Iterable[Rumour]) -> list[Say]:
-        """An authentic message of a peer, newer than all before it. What to say to it."""
+        """An authentic message of a peer that has not come before. What to say to it."""
         if name not in self.members:
             return []
         self._rumour(now, Rumour(name, incarnation, ALIVE))
--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -164,6 +164,11 @@
     def _seen(self, now: int, request: int) -> list[i.Action]:
         looking = self.looking.pop(request)
         self.timers.pop(looking.timer, None)
+        # Danger: of an engine that has not answered in time nothing is known, and so it would look the emptier of the
+        # two: the silent one would get the request. Until its probe ends it is mute for as long as was waited.
+        for late in looking.missing:
+            silence = self.silences.setdefault(late, Silence())
+            silence.until = max(silence.until, now + self.wait)
         return self._facts(now, request, looking.engines)
 
     def _told(self, now: int, engine: int) -> i.Told:
--- a/tests/spread/test_scout.py
+++ b/tests/spread/test_scout.py
@@ -126,7 +126,7 @@
         d.tell(well, waiting=3.0)
         assert r not in d.sent
         d.wait(30 * MS)
-        assert r in d.sent  # the other one's silence may still be short
+        assert d.sent[r].engine == well  # who says nothing is not empty
         d.tell(silent, outcome=i.TIMEOUT)
         for n in range(8):
             assert d.read({1: 9.0, 2: 9.0}, session=20 + n) == well
