A registration that is still being answered is taken back at the end, too

Cause: `Eureka.cancel` asked only whether the registry had said yes. Told to end between the registry's taking of the POST and the reading of its answer, the dispatcher left its registration behind for the whole lease.

Change: what counts is whether the registry may have heard of this one, from the POST on.

--- a/pearhill/eureka/client.py
+++ b/pearhill/eureka/client.py
@@ -33,7 +33,7 @@
         self.registry = Registry()
         self._host = f"{setup.address[0]}:{setup.address[1]}"
         self._instance = setup.instance
-        self._registered = False
+        self._registered = self._told = False  # the registry has said yes; it may have heard of this one
 
     async def _call(self, method: str, path: str, body: Any = None, within: int = ANSWER_WITHIN) -> tuple[int, bytes]:
         headers = [("Accept", "application/json")]
@@ -97,6 +97,7 @@
                     elif status != 200:
                         raise BadRegistry(f"renewal: status {status}")
                 else:
+                    self._told = True
                     status, _ = await self._call("POST", f"/apps/{quote(self.setup.app)}", self._own(address))
                     if status not in (200, 204):
                         raise BadRegistry(f"registration: status {status}")
@@ -109,9 +110,10 @@
 
     async def cancel(self) -> None:
         """At the end: no one is to be sent here any more."""
-        if not self._registered:
+        # Danger: told to end before the answer to a registration has come, it would stay registered for its lease.
+        if not self._told:
             return
-        self._registered = False
+        self._registered = self._told = False
         try:
             await self._call("DELETE", self._path, within=CANCEL_WITHIN)
         except FAILURES as e:
