A silent watch is opened anew before what it missed counts as told

Every dispatcher logs "discovery: no answer to /v1/endpoints?after=0&wait_ms=10000: TimeoutError(); again in 243 ms" at 13.35 s: the call began at 0.35 s, could wait 10 s, and was given up 3 s later, while what it missed counts as told 2 s after the wait, at 12.35 s; the pause of 50 to 300 ms came on top. All requests in between went by the list of before the silence. To blame: WAIT_MS, AT_ONCE and the pause in Watch._run. Ruled out for these sends: connections that come up late, which end 250 ms after the choice; the broken sends begin 12.3 s after the start, not where the lists change (7 s and 10 s).

Change: a watch waits 1 s (3 s at a shared service) and is taken for silent 0.5 s after; an agent of one's own that answers nothing is asked every third of drain-grace beside the calls still open; a reset watch goes on at once. Closed beside it, the same rule's other ways: an attempt that waits for its connection is withdrawn when the list takes its server away (no attempt, no retry, no blame); no client is accepted before discovery's first answer; an unreadable entry that says "leaving" counts. A state whose writers cannot be reached is let go within release-within plus one connection's time (it was three connections' time).

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -98,6 +98,11 @@
         self._probing: dict[int, int] = {}  # engines with a probe out, and since when
         self._next, self._events, self._busy = 1, deque[i.Event](), False
 
+    @property
+    def _backend(self) -> Backend:
+        assert self.backend is not None, "a dispatcher needs its backend before its first event"
+        return self.backend
+
     # From a front.
 
     def take(self, ask: Ask, client: Client, payload: Any, arrived: int | None = None) -> Request:
@@ -140,7 +145,17 @@
             self.engines[entry.engine] = entry
             if entry.phase == i.GONE:
                 del self.engines[entry.engine]
+        # Danger: what was chosen before this list and waits for its connection would be sent long after it.
+        withdrawn = [a for r in self.requests.values() if (a := r.current) and not self._wanted(a.engine)
+                     and not self._backend.begun(a)]
         self._feed(i.Listed(full, entries))
+        for attempt in withdrawn:
+            self._stop(attempt, i.WITHDRAWN)
+
+    def _wanted(self, engine: int) -> bool:
+        """Whether the list has this engine as one that takes requests."""
+        entry = self.engines.get(engine)
+        return entry is not None and entry.phase == i.READY
 
     def reconfigure(self, deployment: Deployment) -> None:
         """Other settings for the same classes, kinds and zones; requests, attempts and beliefs stay as they are."""
@@ -174,6 +189,8 @@
         attempt.stop_clock()
         request = attempt.request
         request.current = None
+        if outcome == i.WITHDRAWN:
+            request.sends -= 1  # it was none
         self.counters.outcomes[outcome] += 1
         rtt = self.clock() - attempt.sent_at
         logger.debug("attempt request={request} n={n} engine={engine} outcome={outcome} began={began} rtt_us={rtt_us} "
@@ -214,10 +231,11 @@
     def _stop(self, attempt: Attempt, outcome: str) -> None:
         if attempt.over:
             return
-        assert self.backend is not None
-        sent = self.backend.cancel(attempt)
+        sent = self._backend.cancel(attempt)
+        if not sent:  # Danger: an engine that the list took away is not to blame, though its call was given up.
+            outcome = i.UNREACHABLE if self._wanted(attempt.engine) else i.WITHDRAWN
         # Danger: a read may have ended well at the very moment of its closing, and its state stays pinned.
-        self.end(attempt, outcome if sent else i.UNREACHABLE, may_hold=sent)
+        self.end(attempt, outcome, may_hold=sent)
 
     def _count(self, cls: int, end: str) -> None:
         calls = self.calls[cls]
@@ -282,9 +300,8 @@
                 logger.info("router: {text}", text=text)
                 return
             case i.Probe(engine):
-                assert self.backend is not None
                 self._probing[engine] = self.clock()
-                self.backend.probe(engine)
+                self._backend.probe(engine)
                 return
         request = self.requests.get(action.request)
         if request is None:
@@ -312,15 +329,16 @@
                 logger.warning("request {request}: streams are not moved here", request=request.number)
 
     def _send(self, request: Request, engine: int, patience: int) -> None:
-        assert self.backend is not None
         now = self.clock()
         index, request.sends = request.sends, request.sends + 1
         attempt = Attempt(self, request, index, engine, now, min(now + patience, request.end))
-        if request.answered or request.current or index >= self.deployment.router.max_attempts:
+        # The last word on where nothing new may go; from here on `listed` takes back what is not under way.
+        may = self._wanted(engine) and index < self.deployment.router.max_attempts
+        if request.answered or request.current or not may:
             return self.end_unsent(attempt)
         request.current = attempt
         self.counters.sent += 1
-        self.backend.send(attempt)
+        self._backend.send(attempt)
 
     def end_unsent(self, attempt: Attempt) -> None:
         """Not sent: the request is over, bound to another attempt, or out of attempts."""
@@ -330,8 +348,7 @@
                            0, 0, None))
 
     def _release(self, request: Request) -> None:
-        assert self.backend is not None
         engines, request.holders = request.holders, set()
         if engines:
             self.counters.released += len(engines)
-            self.backend.release(request, engines)
+            self._backend.release(request, engines)
--- a/pearhill/core/ports.py
+++ b/pearhill/core/ports.py
@@ -39,6 +39,9 @@
     def cancel(self, attempt: Attempt) -> bool:
         """Close the attempt's connection before returning. False: the engine surely never had the whole request."""
 
+    def begun(self, attempt: Attempt) -> bool:
+        """Whether any byte of the attempt may have been written."""
+
     def probe(self, engine: int) -> None:
         """Ask an engine for its load; `Dispatcher.probed` is called once with what came of it."""
 
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -20,8 +20,9 @@
 # DECLINED: the server found fault with the request itself; its words are the answer, and tell nothing of its health.
 DECLINED = "declined"
 # These, and READ, prove that the request never ran. NO_STATE: there was no state left to fetch.
-FULL, NO_STATE, UNREACHABLE, MOOT = "full", "no-state", "unreachable", "moot"
-NEVER_RAN = frozenset((READ, FULL, NO_STATE, UNREACHABLE, MOOT))
+# WITHDRAWN: the list took the engine away before the first byte was written; nobody is to blame, nothing is spent.
+FULL, NO_STATE, UNREACHABLE, MOOT, WITHDRAWN = "full", "no-state", "unreachable", "moot", "withdrawn"
+NEVER_RAN = frozenset((READ, FULL, NO_STATE, UNREACHABLE, MOOT, WITHDRAWN))
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -17,7 +17,7 @@
 from pearhill.core.dispatcher import Attempt, Request
 from pearhill.http1.client import Data, End, Event, Head, Lost
 from pearhill.net.address import Address
-from pearhill.net.pool import CannotConnect, Connection, NoRoom, Pool, call
+from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, NoRoom, Pool, call
 from pearhill.net.probes import ProbeDialect, Probes, Told
 from pearhill.net.turns import pause
 
@@ -27,6 +27,8 @@
 RELEASE_WAIT = 250_000  # for the answer to a release before it is tried again
 UNANSWERED = 8  # releases written and never answered, each on a connection that came up
 FIRST_RETRY, LAST_RETRY = 20_000, 500_000  # between tries of a release
+# For a connection while a state is held: the Router begins none after its time, and 350 ms more are allowed.
+HELD_CONNECT = 250_000
 END_WITHIN = 1_000_000  # for the last chunk of an answer that is whole without it
 MAX_BODY = 64 * 1024  # of an answer that is no stream
 
@@ -99,7 +101,8 @@
         try:
             if address is None:
                 raise CannotConnect("the engine has no address")
-            connection = self.connection = await pool.acquire(address)
+            connection = self.connection = await pool.acquire(
+                address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT)
         except NoRoom:  # Danger: taken for the engine's failure, a crowd here would shun every engine in turn.
             return self.over(i.MOOT)
         except CannotConnect:
@@ -245,6 +248,10 @@
     def send(self, attempt: Attempt) -> None:
         self.calls[attempt] = Call(self, attempt)
 
+    def begun(self, attempt: Attempt) -> bool:
+        call = self.calls.get(attempt)
+        return call is not None and call.tried
+
     def cancel(self, attempt: Attempt) -> bool:
         call = self.calls.pop(attempt, None)
         return call.cancel() if call else False
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -19,6 +19,7 @@
 
 BUFFER = 8 * 1024
 MAX_ANSWER = 4 << 20  # of a list of servers
+MAX_CONNECT = 75_000_000  # the system itself gives up before
 
 
 class CannotConnect(Exception):
@@ -150,9 +151,10 @@
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
-    async def acquire(self, address: Address, urgent: bool = False) -> Connection:
-        """A connection that is up: an idle one that still stands, the latest used first, else a new one. `urgent`:
-        a call that keeps the books in order, whatever the requests hold."""
+    async def acquire(self, address: Address, urgent: bool = False, within: int = MAX_CONNECT) -> Connection:
+        """A connection that is up: an idle one that still stands, the latest used first, else a new one, `within` so
+        many microseconds if that is less than the settings allow. `urgent`: a call that keeps the books in order,
+        whatever the requests hold."""
         while address in self.idle:
             connection = self.idle[address][-1]
             self._leave_idle(connection)
@@ -169,7 +171,7 @@
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with time_limit(self.deadlines, self.connect_timeout):
+            async with time_limit(self.deadlines, min(within, self.connect_timeout)):
                 await self.loop.sock_connect(sock, address)
         except (OSError, TimeoutError) as e:
             if sock:
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -26,14 +26,17 @@
     node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed, door=config.admin is not None))
     deployment = config.deployment
     # The seed is this start's own. Danger: drawn from one that all share, what is spread would be in step.
-    asking = Asking(deployment.shared_discovery, deployment.router.instances, random.Random(config.seed ^ ASKING))
+    asking = Asking(deployment.shared_discovery, deployment.router.instances, deployment.drain_grace,
+                    random.Random(config.seed ^ ASKING))
     watch = Watch(node.pool, config.discovery, deployment, node.listed, asking, config.known)
     known_until = node.deadlines.clock() + KNOWN_AFTER
 
-    def can_serve() -> bool:
+    def told() -> bool:
         # Danger: the list known at the start is stale; only a silent discovery makes it good enough.
-        told = watch.heard or node.deadlines.clock() > known_until
-        return told and node.dispatcher.can_answer
+        return watch.heard or node.deadlines.clock() > known_until
+
+    def can_serve() -> bool:
+        return told() and node.dispatcher.can_answer
 
     def is_ready() -> bool:
         return can_serve() and not node.drain.away
@@ -41,13 +44,16 @@
     upgrade = Upgrade(node, config.notes, config.name) if config.passed is not None and config.notes else None
 
     def may_accept() -> bool:
-        return upgrade is None or upgrade.may_accept(can_serve())
+        """Danger: what discovery has counts as told from the process's first moment. A request taken before its
+        first answer would be sent by a list of yesterday."""
+        return told() if upgrade is None else upgrade.may_accept(can_serve())
 
     def reload() -> str:
         nonlocal config
         before, fresh = config, read_anew(config)
         node.reconfigure(fresh.deployment)
-        asking.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances)
+        asking.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances,
+                           fresh.deployment.drain_grace)
         watch.deployment, config = fresh.deployment, fresh
         if fresh.discovery != before.discovery:
             watch.move(fresh.discovery)
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -5,24 +5,23 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
+from dataclasses import replace
+from functools import partial
+from types import MappingProxyType
 from typing import Any
 
 from loguru import logger
 
 from pearhill import interface as i
+from pearhill.core.deadlines import Key
 from pearhill.core.engines import engine_of
 from pearhill.http1 import messages
 from pearhill.net.address import Address, parse_address
 from pearhill.net.pool import CannotConnect, Pool, call
-from pearhill.net.turns import pause
 from pearhill.platform.asking import Asking
 from pearhill.settings import Deployment
 
 PATH = "/v1/endpoints"
-WAIT_MS = 10_000  # of a watch
-# For an answer that need not wait. Danger: discovery lets a call stand in line for 2 s; given up just before its turn,
-# it costs as much as one that is answered.
-AT_ONCE = 3_000_000
 STATES = {"active": i.READY, "leaving": i.DRAINING, "left": i.GONE}
 
 OnList = Callable[[bool, tuple[i.Entry, ...], dict[int, Address]], None]
@@ -40,9 +39,10 @@
     return place
 
 
-def entries_of(targets: Any, deployment: Deployment) -> tuple[tuple[i.Entry, ...], dict[int, Address]]:
-    """The targets of an answer. One that makes no sense is left out: the others still count."""
-    entries, addresses = [], {}
+def entries_of(targets: Any, deployment: Deployment, known: Mapping[int, i.Entry] = MappingProxyType({}),
+               ) -> tuple[tuple[i.Entry, ...], dict[int, Address]]:
+    """The targets of an answer. One that makes no sense is left out: the others still count. `known`: the last list."""
+    entries, addresses, left_out = [], {}, []
     kinds, zones = deployment.router.kinds, max(1, len(deployment.zone_names))
     for target in targets:
         try:
@@ -55,7 +55,14 @@
             addresses[engine] = parse_address(target["endpoint"])
             entries.append(entry)
         except (KeyError, ValueError, TypeError, AttributeError) as e:
-            logger.warning("discovery: a target is left out: {error}: {target}", error=repr(e), target=target)
+            left_out.append((e, target))
+            # Danger: left out of a change that says that it leaves, one would go on getting requests.
+            old = known.get(engine_of(str(target.get("uid")))) if isinstance(target, Mapping) else None
+            if old and target.get("state") in ("leaving", "left"):
+                entries.append(replace(old, phase=STATES[target["state"]]))
+    if left_out:  # Danger: a line for each of a thousand that are all wrong would fill the log
+        logger.warning("discovery: {count} targets of {all} are left out, the first: {error}: {target}",
+                       count=len(left_out), all=len(targets), error=repr(left_out[0][0]), target=left_out[0][1])
     return tuple(entries), addresses
 
 
@@ -68,20 +75,26 @@
         self.asking = asking
         self.heard = False  # discovery has answered since the start
         self.rev = 0
+        self.entries: dict[int, i.Entry] = {}  # as last listed
         if known.get("targets"):
             self.apply(known)
         # Danger: where all ask one service, whole lists by the dozen keep it busy for seconds, and nobody hears more.
         # What has changed since the list that is known costs a line or two.
         self._told = bool(known.get("targets")) and asking.shared  # a list, to which what comes next applies
-        self._task: asyncio.Task[None] | None = None
+        self._out: list[asyncio.Task[None]] = []  # calls, the oldest first
+        self._next: Key | None = None  # when the next goes out, whatever becomes of these
+        self._silent_since, self._why = 0, ""  # of the failures since the last answer
 
     def start(self) -> None:
-        self._task = self.pool.spawn(self._run(self.asking.first()))
+        self._after(self.asking.first())
 
     def stop(self) -> None:
         """Danger: an answer to the old watch would be taken for the new one's. It ends with its connection."""
-        if self._task:
-            self._task.cancel()
+        self.pool.deadlines.cancel(self._next)
+        out, self._out = self._out, []
+        for task in out:
+            if task is not asyncio.current_task():
+                task.cancel()
 
     def move(self, address: Address) -> None:
         """Discovery is elsewhere now. Danger: its versions may be counted otherwise, so the list is asked for whole."""
@@ -92,33 +105,73 @@
 
     def apply(self, answer: Mapping[str, Any]) -> None:
         """KeyError, TypeError or ValueError: it is no list, and nothing of it is taken."""
-        entries, addresses = entries_of(answer["targets"], self.deployment)
         rev, whole = int(answer["rev"]), bool(answer["all"])
+        entries, addresses = entries_of(answer["targets"], self.deployment, self.entries)
         if rev < self.rev and not whole:
             # Danger: a discovery that counts anew would be asked for news of a version that it reaches in days.
             self._told = False
             raise ValueError(f"version {rev} after {self.rev}")
         self.rev = rev
         if entries or whole:
+            self.entries = {} if whole else self.entries
+            self.entries.update((e.engine, e) for e in entries)
+            for entry in entries:
+                if entry.phase == i.GONE:
+                    self.entries.pop(entry.engine, None)
             self.on_list(whole, entries, addresses)
 
-    async def _run(self, wait: int) -> None:
-        """For as long as the process lives. Discovery may stay silent: what was known then stays in force."""
-        host = f"{self.address[0]}:{self.address[1]}"
+    def _after(self, wait: int) -> None:
+        self.pool.deadlines.cancel(self._next)
         if wait:
-            await pause(self.pool.deadlines, wait)
-        while True:
-            target = f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}" if self._told else PATH
-            try:
-                status, body = await call(self.pool, self.address, messages.request("GET", target, host),
-                                          AT_ONCE + (WAIT_MS * 1000 if self._told else 0))
-                if status != 200:
-                    raise ValueError(f"status {status}")
-                self.apply(json.loads(body))
-                self.heard = self._told = True
-                self.asking.answered()
-            except (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect) as e:
-                wait = self.asking.failed()
-                logger.warning("discovery: no answer to {target}: {error}; again in {wait_ms} ms", target=target,
-                               error=repr(e), wait_ms=wait // 1000)
-                await pause(self.pool.deadlines, wait)
+            self._next = self.pool.deadlines.after(wait, self._call)
+        else:
+            self._call()
+
+    def _call(self) -> None:
+        """One more call, for as long as the process lives. Discovery may stay silent: what was known then stays in
+        force."""
+        self.pool.deadlines.cancel(self._next)
+        if len(self._out) >= self.asking.most_out:
+            self._out.pop(0).cancel()
+        wait = self.asking.wait(self._told)
+        self._out.append(self.pool.spawn(self._ask(wait)))
+        if again := self.asking.unanswered(wait):
+            self._next = self.pool.deadlines.after(again, partial(self._unanswered, wait))
+
+    def _unanswered(self, wait: int) -> None:
+        if not self.asking.failures:
+            self._failed(f"silent for {wait // 1000} ms and more")
+            self.asking.failed()
+        self._call()
+
+    async def _ask(self, wait: int) -> None:
+        target = f"{PATH}?after={self.rev}&wait_ms={max(1, wait // 1000)}" if self._told else PATH
+        task, watched = asyncio.current_task(), self._told and self.heard
+        try:
+            status, body = await call(self.pool, self.address, messages.request(
+                "GET", target, f"{self.address[0]}:{self.address[1]}"), self.asking.patience(wait))
+            if status != 200:
+                raise ValueError(f"status {status}")
+            self.apply(json.loads(body))
+        except (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect) as e:
+            if task in self._out:
+                self._out.remove(task)
+                self._failed(f"{target}: {e!r}")
+                self._after(self.asking.failed(watched))
+            return
+        self.stop()
+        self.heard = self._told = True
+        if self._why:
+            logger.info("discovery: answers again after {failures} failures, {ms} ms", failures=self.asking.failures,
+                        ms=(self.pool.deadlines.clock() - self._silent_since) // 1000)
+        self._why = ""
+        self.asking.answered()
+        self._call()
+
+    def _failed(self, why: str) -> None:
+        """Danger: at a dozen calls a second the same line would fill the log."""
+        if not self._why:
+            self._silent_since = self.pool.deadlines.clock()
+        if why != self._why:
+            self._why = why
+            logger.warning("discovery: no answer to {why}", why=why)
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -97,7 +97,7 @@
         self.req, self.end, self.aim_at, self.aim = req, end, aim_at, aim_at - end + req.ttl
         self.engine: Engine | None = None
         self.attempt = self.home = -1
-        self.sent_at = self.weight = self.cost = self.load = self.known = 0
+        self.sent_at = self.weight = self.cost = self.load = self.known = self.held_at = 0
         self.reading = self.fetches = self.streaming = self.closed = self.out = False
         self.held: Engine | None = None
         self.ran: tuple[Engine, int] | None = None
@@ -119,8 +119,7 @@
         self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
         self.read_share = Faded(STEP_EVERY, 30)
         self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
-        self.drawn: dict[int, float] = {}  # tokens read, by prefix, over the last ten steps or so
-        self.drawn_all = 0.0
+        self.drawn, self.drawn_all = dict[int, float](), 0.0  # tokens read, by prefix, over ten steps or so
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
         least = min(spec.aim for spec in settings.classes) / SHORT  # until seen, reads are just quick enough
         self.guess = [(0.0, least / (16 if kind.role == i.READER else 4)) for kind in settings.kinds]
@@ -129,8 +128,7 @@
         self.zones: dict[int, Faded] = {}  # failed attempts, by zone
         self.found = [Faded(2 * STEP_EVERY, 30), Faded(2 * STEP_EVERY, 30)]  # kept share of prompts, by home
         self.usual, self.served, self.sends = (dict.fromkeys(self.ready, 0.0) for _ in range(3))
-        self.lengths: dict[int, Faded] = {}  # of prompts, by class
-        self.lasts: dict[int, Faded] = {}  # time from sending to the end of an answer, by class
+        self.lengths, self.lasts = dict[int, Faded](), dict[int, Faded]()  # by class: prompts', answers'
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Listed: self._listed, i.Arrived: self._arrived, i.Began: self._began, i.Ended: self._ended,
             i.Left: self._left, i.Due: self._due, i.Looked: self._looked}
@@ -258,8 +256,7 @@
 
     def _arrived(self, req: i.Arrived) -> None:
         if req.standing in (i.OVER, i.DEBT):
-            away = req.away if self.s.retry_hints else 0
-            return self.actions.append(i.Refuse(req.request, away))
+            return self.actions.append(i.Refuse(req.request, req.away if self.s.retry_hints else 0))
         aim = self.s.classes[req.cls].aim + self.s.classes[req.cls].aim_per_1000 * req.prompt / 1000
         job = self.jobs[req.request] = Job(req, self.now + req.ttl, int(self.now + aim))
         self.lengths.setdefault(req.cls, Faded(2 * STEP_EVERY, 30)).add(self.now, req.prompt)
@@ -401,8 +398,7 @@
         job.attempt, job.sent_at, job.out = job.attempt + 1, self.now, True
         job.tried.append(e.id)
         e.queue += job.cost
-        e.since += 0 if job.reading else req.prompt
-        e.load += job.load
+        e.load, e.since = e.load + job.load, e.since + (0 if job.reading else req.prompt)
         self.sends[e.role] += job.cost * self.s.instances / max(1, len(self.ready[e.role])) * 0.2 / STEP_EVERY
         e.waiting[req.request] = job
         e.credit -= 1
@@ -453,6 +449,8 @@
             if event.outcome != i.TIMEOUT or e.heard <= job.sent_at:
                 self._judged(e, 1.0, event.outcome)
         job.held = None if event.outcome == i.NO_STATE else job.held
+        if event.outcome not in (i.UNREACHABLE, i.WITHDRAWN, i.MOOT):  # else the time of what is held runs on
+            job.held_at = self.now
         if event.outcome not in i.NEVER_RAN and not job.reading:
             job.ran = job.ran or (e, job.sent_at)
         if event.outcome == i.ANSWERED:
@@ -466,6 +464,8 @@
         elif event.outcome == i.READ:
             self._write(job)
         else:
+            if event.outcome == i.WITHDRAWN:  # never begun: no attempt is spent, and no retry
+                job.attempt, self.retries = job.attempt - 1, self.retries + 1
             self._again(job)
 
     def _again(self, job: Job) -> None:
@@ -474,9 +474,10 @@
         if job.attempt + 1 >= self.s.max_attempts or self.retries < 1:
             return self._close(job)
         self.retries -= 1
-        if job.held:
+        if job.held and self.now < job.held_at + self.s.release_within:
             return self._write(job)
-        # Danger: a state may wait at a reader that was cut off when the attempt ended: it stays pinned.
+        job.held = None
+        # Danger: a state may wait at a reader that was cut off, or while no writer's connection comes up.
         self.actions.append(i.Release(job.req.request))
         self._place(job)
 
@@ -519,8 +520,7 @@
     def _filled(self, e: Engine, job: Job) -> None:
         """No slot or no memory came free in time: with less of my work there it may. One jam cuts once."""
         if job.sent_at >= e.cut_at:
-            there = e.load + (0 if job.out else job.load)
-            e.bound, e.cut_at = max(CUT * there, job.load), self.now
+            e.bound, e.cut_at = max(CUT * (e.load + (0 if job.out else job.load)), job.load), self.now
 
     def _paced(self, e: Engine, job: Job, rtt: int) -> None:
         reads, pool = not job.fetches, self.paces[e.entry.kind][not job.fetches]
--- a/pearhill/settings.py
+++ b/pearhill/settings.py
@@ -30,6 +30,7 @@
     conn_idle: int
     most_held: int
     shared_discovery: bool  # it is one service that all dispatchers ask; else what it has is pushed to each
+    drain_grace: int  # after it was told of one that leaves, a dispatcher has so long to stop sending there
 
     def held_fast(self) -> dict[str, tuple[object, ...]]:
         """What a running process has numbered or sized its books by, under the keys of the settings."""
@@ -78,7 +79,8 @@
             tenant_names=_names(s.get("tenants", [])),
             connect_timeout=int(allowed.get("connect-timeout", 250_000)),
             conn_idle=int(allowed.get("conn-idle", 15_000_000)), most_held=int(allowed.get("most-held", 10_000)),
-            shared_discovery=s.get("discovery") == "on_request")
+            shared_discovery=s.get("discovery") == "on_request",
+            drain_grace=int(rules.get("drain-grace", 250_000)))
     except KeyError as e:
         raise SettingsError(f"{e.args[0]} is missing") from None
     except (ValueError, TypeError, IndexError, AttributeError) as e:
--- a/tests/platform/test_asking.py
+++ b/tests/platform/test_asking.py
@@ -3,14 +3,17 @@
 import heapq
 import random
 
-from pearhill.platform.asking import LEAST, LONGEST_OWN, SHARE, Asking
+import pytest
+
+from pearhill.platform.asking import LATE, LEAST, SHARE, WAIT, Asking
 from tests.standins import SETTINGS, Discovery, Standin, platform
 
 S = 1_000_000
+GRACE = 250_000
 
 
 def fleet(count: int, seed: int) -> list[Asking]:
-    return [Asking(True, count, random.Random(seed * 1000 + n)) for n in range(count)]
+    return [Asking(True, count, GRACE, random.Random(seed * 1000 + n)) for n in range(count)]
 
 
 def test_a_service_that_answers_nobody_for_twenty_seconds_is_not_buried_and_not_asked_in_step():
@@ -29,25 +32,44 @@
 def test_calls_are_not_in_step_and_never_further_apart_than_the_bound():
     firsts = sorted(a.first() for a in fleet(40, 1))
     assert max(sum(at <= other < at + S for other in firsts) for at in firsts) <= 16
-    one = Asking(True, 40, random.Random(4))
+    one = Asking(True, 40, GRACE, random.Random(4))
     waits = [one.failed() for _ in range(60)]
     assert min(waits) >= LEAST and 10 * S < max(waits) <= 20 * S + LEAST
     one.answered()
     assert one.failed() <= 2 * 40 * SHARE + LEAST
 
 
-def test_an_agent_of_ones_own_is_asked_at_once_and_soon_again():
-    one = Asking(False, 40, random.Random(5))
-    assert one.first() == 0
-    waits = [one.failed() for _ in range(100)]
-    assert min(waits) >= LEAST / 2 and max(waits) <= LONGEST_OWN and len(set(waits)) > 50
+@pytest.mark.parametrize("grace", [1_000, 250_000, 500_000, 1_000_000])
+@pytest.mark.parametrize("shared", [False, True])
+def test_what_a_silent_watch_misses_is_asked_for_before_it_counts_as_told(shared: bool, grace: int):
+    """FLEET.md: told 6 s after the silence began, or 2 s after the call's wait is over, whichever is later. At a shared
+    service the new call may stand 2 s in line."""
+    one = Asking(shared, 200, grace, random.Random(5))
+    wait = one.wait(True)
+    told = max(6 * S, wait + 2 * S)  # silent from the call's first moment on
+    noticed = one.unanswered(wait) or one.patience(wait)
+    assert wait + LATE <= noticed <= wait + S
+    answered = noticed + (one.failed(watched=True) + 2 * S if shared else S // 10)
+    assert answered < told
+
+
+@pytest.mark.parametrize("grace", [250_000, 500_000, 1_000_000])
+def test_a_silent_agent_that_comes_back_with_news_is_heard_well_within_the_grace(grace: int):
+    """Whether it answers what it was asked while it was silent, or only what it is asked from then on."""
+    one = Asking(False, 200, grace, random.Random(5))
+    assert one.wait(True) == WAIT and one.first() == 0
+    assert one.failed(watched=True) == 0  # a connection that was reset: at once, for the agent has news all the while
+    for _ in range(200):
+        assert one.wait(True) == 0  # one that may wait would not show that it is back
+        assert one.unanswered(0) <= grace // 3 and one.failed() <= grace // 3
+        assert one.patience(0) > 2 * grace  # a slow answer is not given up for the next call
     one.answered()
-    assert one.failed() <= 3 * LEAST  # the first one again: a watch goes on only within 200 ms, mostly
+    assert one.wait(True) == WAIT
 
 
 def test_a_reload_that_makes_discovery_shared_spreads_the_calls_from_then_on():
-    one = Asking(False, 1, random.Random(7))
-    one.reconfigure(True, 40)
+    one = Asking(False, 1, GRACE, random.Random(7))
+    one.reconfigure(True, 40, GRACE)
     assert max(one.first() for _ in range(50)) > 20 * SHARE
     assert max(one.failed() for _ in range(20)) > 10 * S
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -146,10 +146,10 @@
             self.changed.notify_all()
 
     def respond(self, handler: Any, body: bytes) -> None:
-        after = re.search(r"after=(\d+)", handler.path)
+        after = re.search(r"after=(\d+)(?:&wait_ms=(\d+))?", handler.path)
         if after:
             with self.changed:
-                self.changed.wait_for(lambda: self.rev > int(after[1]), 5)
+                self.changed.wait_for(lambda: self.rev > int(after[1]), int(after[2] or 0) / 1000)
         handler.plain(200, json.dumps(self.answer()).encode())
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,7 @@
 import sys
 import unittest
 import weakref
+from dataclasses import replace
 from typing import Any
 from unittest.mock import Mock
 
@@ -63,6 +64,9 @@
         self.on_cancel(attempt)
         return self.reached
 
+    def begun(self, attempt: Attempt) -> bool:
+        return self.reached
+
     def release(self, request: Any, engines: set[int]) -> None:
         self.released.append(set(engines))
 
@@ -87,6 +91,34 @@
         self.sent[1].end(i.BROKEN)  # one end counts
         self.assertEqual((client.told, self.released, self.core.requests), (["finish"], [], {}))
 
+    def test_what_waits_for_its_connection_goes_elsewhere_when_the_list_takes_its_engine_away(self):
+        """Not when bytes of it are out: then it may run, and two would be out. Nothing is spent on it: with as many
+        attempts as are allowed, more engines go than that."""
+        most = SETTINGS["allowed"]["max-attempts"]
+        for phase, reached in ((i.DRAINING, False), (i.GONE, False), (i.DRAINING, True)):
+            with self.subTest(phase=phase, reached=reached):
+                self.setUp()
+                self.reached = reached
+                self.core.listed(True, tuple(i.Entry(n, 0, 2, 0, i.READY, 1.0, 0) for n in range(10, most + 13)))
+                client = self.take(BOOKING)
+                for _ in range(most + 2):
+                    at = self.sent[-1].engine
+                    self.core.listed(False, (i.Entry(at, 0, 2, 0, phase, 1.0, 0),))
+                self.assertEqual(client.told, [])
+                self.assertEqual(len({a.engine for a in self.sent}), 1 if reached else most + 3)
+                self.assertEqual(self.core.counters.outcomes[i.WITHDRAWN], 0 if reached else most + 2)
+                self.assertFalse([e.id for e in self.core.router.router.engines.values() if e.fails.weight])
+                self.sent[-1].begin()
+                self.sent[-1].end(i.ANSWERED)
+                self.assertEqual((client.told, self.released, self.core.requests), (["finish"], [], {}))
+
+    def test_an_engine_that_the_list_does_not_name_as_ready_gets_nothing_whatever_the_router_wants(self):
+        for phase in (i.DRAINING, i.GONE):
+            self.setUp()
+            self.core.engines = {n: replace(e, phase=phase) for n, e in self.core.engines.items()}
+            client = self.take()
+            self.assertEqual((self.sent, client.told), ([], ["refuse"]))
+
     def test_every_request_has_one_answer_by_its_deadline_whatever_the_backend_does(self):
         for cls in (ADVICE, BOOKING):
             client, at = self.take(cls), self.now
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,12 +3,17 @@
 import contextlib
 import http.client
 import json
+import pathlib
 import resource
 import socket
 import subprocess
 import sys
+import tempfile
+import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 from typing import Any
 
 from pearhill import interface as i
@@ -16,7 +21,18 @@
 from pearhill.core.engines import engine_of
 from pearhill.net.clock import start_clock
 from pearhill.platform.discovery import entries_of
-from tests.standins import LAST, ROOT, SETTINGS, TOKENS, Discovery, Standin, dead_address, platform, platform_file
+from tests.standins import (
+    LAST,
+    ROOT,
+    SETTINGS,
+    TOKENS,
+    Discovery,
+    Program,
+    Standin,
+    dead_address,
+    platform,
+    platform_file,
+)
 
 PATH = "/v1/chat/completions"
 BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
@@ -386,6 +402,82 @@
             self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"e{n}"))[0], 200)
         self.assertEqual((first.runs, second.runs), (0, 6))
 
+    def test_what_waits_for_a_connection_goes_elsewhere_when_the_list_takes_its_replica_away(self):
+        """The first replica's connections come up late: its queue of them is full until the list has taken it away."""
+        second = Standin()
+        self.addCleanup(second.close)
+        with socket.socket() as late, socket.socket() as before:
+            late.bind(("127.0.0.1", 0))
+            late.listen(0)
+            before.connect(late.getsockname())
+            self.start(settings={**SETTINGS, "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}})
+            self.discovery.update(("s-0", "{}:{}".format(*late.getsockname()), "all-in-one"))
+            self.program.wait_ready()
+            with ThreadPoolExecutor() as pool:
+                asked = pool.submit(self.program.ask, "POST", PATH, BODY, headers(cls="job-booking", wait_ms=8000))
+                while not self.program.counters()["sent"]:
+                    self.assertFalse(asked.done())
+                known = self.discovery.rev
+                self.discovery.update(("s-1", second.address, "all-in-one"))
+                self.discovery.wait_for("GET", f"/v1/endpoints?after={known + 1}")
+                late.settimeout(20)
+                with late.accept()[0]:  # room: from here on its connection comes up at the next try
+                    status, _, body = asked.result(20)
+        self.assertEqual((status, body), (200, b"".join(TOKENS) + LAST))
+        counters = self.program.counters()
+        self.assertEqual((second.runs, counters["sent"], counters["outcomes"]),
+                         (1, 2, {"withdrawn": 1, "answered": 1}))
+
+    def test_a_watch_that_has_fallen_silent_is_opened_anew_and_news_of_its_return_is_heard_at_once(self):
+        """Its calls hang for good, those on new connections too for a while; then one is answered."""
+        first, second = self.start("all-in-one", "all-in-one")
+        silent, whole = threading.Event(), self.discovery.respond
+        silent.set()
+        self.discovery.respond = lambda h, b: self.discovery.go.wait(30) if silent.is_set() else whole(h, b)
+        self.discovery.update(("s-1", second.address, "all-in-one"))  # ends the watch that is open
+        calls = len(self.discovery.calls)
+        self.program.wait_line("discovery: no answer to silent")
+        self.discovery.wait_for("GET", "/v1/endpoints?", calls + 10)
+        silent.clear()
+        known = len(self.discovery.calls)
+        self.program.wait_line("discovery: answers again")
+        self.discovery.update(("s-0", first.address, "all-in-one"))
+        self.discovery.wait_for("GET", "/v1/endpoints?after=3")
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers())[0], 200)
+        self.assertEqual((first.runs, second.runs), (1, 0))
+        self.assertLess(len(self.discovery.calls) - known, 20)  # watches again, and not a call every few milliseconds
+
+    def test_a_request_that_comes_before_the_first_list_is_not_sent_by_the_list_of_yesterday(self):
+        gone, server = Standin(), Standin()
+        discovery = Discovery(("s-1", server.address, "all-in-one"))
+        for thing in (gone, server, discovery):
+            self.addCleanup(thing.close)
+        whole, asked = discovery.respond, threading.Event()
+        discovery.respond = lambda h, b: (asked.set(), discovery.go.wait(0.3), whole(h, b))
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            address = "{}:{}".format(*free.getsockname())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "config.json"
+        path.write_text(platform_file(discovery.address, Discovery.answer(
+            SimpleNamespace(rev=1, targets=[("s-0", gone.address, "all-in-one")]))["targets"], listen=address))
+        with ThreadPoolExecutor() as pool:
+            program = pool.submit(Program, RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address)
+            status = 0
+            while not status:  # as clients do that come again at once
+                try:
+                    connection = http.client.HTTPConnection(address, timeout=20)
+                    connection.request("POST", PATH, BODY, headers())
+                    status = connection.getresponse().status
+                except ConnectionRefusedError:
+                    pass
+                finally:
+                    connection.close()
+            self.program = program.result(20)
+            self.addCleanup(self.program.kill)
+        self.assertEqual((status, gone.runs, server.runs), (200, 0, 1))
+
     def test_a_list_known_at_the_start_must_do_while_discovery_is_silent(self):
         server, silent = Standin(), Standin()
         silent.respond = lambda h, b: silent.go.wait(20)
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -149,3 +149,32 @@
     out = d.wait(4 * S)
     assert r in d.sent and d.sent[r].engine < 11
     assert of(i.Fail, out) and not of(i.Refuse, out)
+
+
+def test_a_state_is_let_go_in_time_while_one_writer_after_another_cannot_be_reached():
+    """Each try takes a connection's whole time. A writer that was reached, though it had no room, starts it anew."""
+    for outcome, least in ((i.UNREACHABLE, 0), (i.FULL, 3)):
+        d = Drive(settings(local_read=False))
+        r, _ = d.arrive(prompt=5000)
+        d.end(r, i.READ)
+        held, writers = d.now, 0
+        while d.sent[r].engine > 10 and writers < 3:
+            writers += 1
+            d.now += 250_000
+            actions = d.end(r, outcome, rtt=250_000)
+        if outcome == i.UNREACHABLE:
+            assert of(i.Release, actions) and d.now <= held + d.router.s.release_within + 300_000
+        assert writers >= least
+
+
+@pytest.mark.parametrize("effect", [i.SAFE, i.KEYED, i.UNSAFE])
+def test_what_was_withdrawn_spends_no_attempt_no_retry_and_blames_nobody(effect):
+    d = Drive(settings(effect))
+    r, _ = d.arrive()
+    for _ in range(d.router.s.max_attempts + 1):
+        at, retries = d.sent[r].engine, d.router.retries
+        actions = d.end(r, i.WITHDRAWN)
+        d.attempt[r] -= 1  # the next one has its number
+        assert [a.engine for a in of(i.Send, actions)] == [d.sent[r].engine] and d.sent[r].engine != at
+        assert d.router.retries == retries and not d.router.engines[at].fails.weight
+        assert d.router.jobs[r].ran is None and d.router.jobs[r].attempt == 0
