--- a/tests/standins.py
+++ b/tests/standins.py
@@ -129,16 +129,18 @@
 
 
 class Discovery(Standin):
-    """Lists (uid, address, kind) as ready; silent when told to be."""
+    """Lists (uid, address, kind) as ready, or as leaving."""
 
     def __init__(self, *targets: tuple[str, str, str]) -> None:
         self.targets, self.rev, self.changed = list(targets), 1, threading.Condition()
+        self.leaving: set[str] = set()
         super().__init__()
 
     def answer(self) -> dict[str, Any]:
         return {"rev": self.rev, "all": True, "targets": [
-            {"uid": uid, "endpoint": address, "az": "north", "model": kind, "pod_group": 1, "state": "active",
-             "capacity_hint": 1.0, "boot_ms": 0} for uid, address, kind in self.targets]}
+            {"uid": uid, "endpoint": address, "az": "north", "model": kind, "pod_group": 1,
+             "state": "leaving" if uid in self.leaving else "active", "capacity_hint": 1.0, "boot_ms": 0}
+            for uid, address, kind in self.targets]}
 
     def update(self, *targets: tuple[str, str, str]) -> None:
         with self.changed:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -360,6 +361,16 @@
             bad = {k: v for k, v in {**self.TARGET, **change}.items() if v is not None}
             self.assertEqual(entries_of([bad, 7, self.TARGET], deployment)[0][0].zone, 1)
 
+    def test_an_unreadable_entry_that_says_that_a_known_replica_leaves_counts_for_that(self):
+        deployment = settings.parse(SETTINGS)
+        (entry,), _ = entries_of([self.TARGET], deployment)
+        known = {entry.engine: entry}
+        for state, phase in (("leaving", i.DRAINING), ("left", i.GONE)):
+            for change in ({"az": "z"}, {"endpoint": "nowhere"}, {"pod_group": None}, {"boot_ms": "late"}):
+                target = {**self.TARGET, "state": state, **change}
+                self.assertEqual(entries_of([target], deployment, known)[0], (replace(entry, phase=phase),))
+                self.assertEqual(entries_of([target], deployment)[0], ())  # never heard of, there is nothing to end
+
 
 class Ending(PlatformCase):
     def test_sigterm_answers_what_was_taken_then_exits_well(self):
@@ -418,7 +429,8 @@
                 while not self.program.counters()["sent"]:
                     self.assertFalse(asked.done())
                 known = self.discovery.rev
-                self.discovery.update(("s-1", second.address, "all-in-one"))
+                self.discovery.leaving = {"s-0"}
+                self.discovery.update(*self.discovery.targets, ("s-1", second.address, "all-in-one"))
                 self.discovery.wait_for("GET", f"/v1/endpoints?after={known + 1}")
                 late.settimeout(20)
                 with late.accept()[0]:  # room: from here on its connection comes up at the next try
@@ -460,8 +472,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name) / "config.json"
-        path.write_text(platform_file(discovery.address, Discovery.answer(
-            SimpleNamespace(rev=1, targets=[("s-0", gone.address, "all-in-one")]))["targets"], listen=address))
+        yesterday = SimpleNamespace(rev=1, leaving=set(), targets=[("s-0", gone.address, "all-in-one")])
+        path.write_text(platform_file(discovery.address, Discovery.answer(yesterday)["targets"], listen=address))
         with ThreadPoolExecutor() as pool:
             program = pool.submit(Program, RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address)
             status = 0
