--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -15,7 +15,7 @@
 from pearhill import interface as i
 from pearhill.core.deadlines import Key
 from pearhill.core.dispatcher import Attempt, Request
-from pearhill.http1.client import Data, End, Event, Head, Lost
+from pearhill.http1.client import MAX_CHUNK, Data, End, Event, Head, Lost
 from pearhill.net.address import Address
 from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, NoRoom, Pool, call
 from pearhill.net.probes import ProbeDialect, Probes, Told
@@ -83,6 +83,8 @@
 class Call:
     """One attempt on its connection."""
 
+    most_chunk = MAX_CHUNK
+
     def __init__(self, backend: HttpBackend, attempt: Attempt) -> None:
         self.backend, self.attempt = backend, attempt
         self.connection: Connection | None = None
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -147,6 +147,8 @@
     async def _ask(self, wait: int) -> None:
         target = f"{PATH}?after={self.rev}&wait_ms={max(1, wait // 1000)}" if self._told else PATH
         task, watched = asyncio.current_task(), self._told and self.heard
+        clock, rev = self.pool.deadlines.clock, self.rev
+        began = clock()
         try:
             status, body = await call(self.pool, self.address, messages.request(
                 "GET", target, f"{self.address[0]}:{self.address[1]}"), self.asking.patience(wait))
@@ -163,10 +165,11 @@
         self.heard = self._told = True
         if self._why:
             logger.info("discovery: answers again after {failures} failures, {ms} ms", failures=self.asking.failures,
-                        ms=(self.pool.deadlines.clock() - self._silent_since) // 1000)
+                        ms=(clock() - self._silent_since) // 1000)
         self._why = ""
         self.asking.answered()
-        self._call()
+        # Danger: one that lets no call wait would be asked as fast as it answers.
+        self._after(self.asking.every if wait and self.rev == rev and clock() - began < wait // 2 else 0)
 
     def _failed(self, why: str) -> None:
         """Danger: at a dozen calls a second the same line would fill the log."""
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -368,21 +368,21 @@
     def _quick(self, e: Engine, job: Job) -> bool:
         """A short read, to be done within a quarter of the aim, and no streams that it delays."""
         return (job.req.prompt - self._belief(e, job.req) < SHORT and e.stretch.over(self.now, 1.0) < STRETCH
-                and self._read_time(e, job.req) < job.aim / 4 and not self._crowded(e, job.req))
+                and self._read_time(e, job.req) < job.aim / 4 and e.load <= self._crowd(job.req))
 
-    def _crowded(self, e: Engine, req: i.Arrived) -> bool:
-        """Danger: a favourite, or the one writer that a release left in a cell, gets all, while others idle.
-        How slow its answers have become shows only as they end; my work there shows at once."""
+    def _crowd(self, req: i.Arrived) -> float:
+        """My work at a writer past which it gets no more. Danger: a favourite, or the one that a release
+        left in a cell, gets all, while others idle. How slow its answers are shows late, my work at once."""
         pool = self.ready[i.WRITER] + self.ready[i.MIXED]
-        usual = sum(p.load for p in pool) / max(1, len(pool)) + req.prompt + req.max_out // 2
-        return e.load > CROWD * usual
+        return CROWD * (sum(p.load for p in pool) / max(1, len(pool)) + req.prompt + req.max_out // 2)
 
     def _write(self, job: Job) -> None:
         """The state waits at a reader: pick a writer near it."""
         assert job.held is not None
         at, pool = job.held.entry, self._open(self.ready[i.WRITER] + self.ready[i.MIXED], job)
         roomy = [e for e in pool if self._held(e, job.req.prompt) < FULL_MEMORY] or pool  # exception: no room
-        calm = [e for e in roomy if not self._crowded(e, job.req)]
+        line = self._crowd(job.req)
+        calm = [e for e in roomy if e.load <= line]
         cell = [e for e in calm if e.entry.cell == at.cell]
         if near := cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy:
             return self._pick(job, near)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -413,6 +413,19 @@
             self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"e{n}"))[0], 200)
         self.assertEqual((first.runs, second.runs), (0, 6))
 
+    def test_an_indented_list_of_a_thousand_servers_in_one_chunk_is_in_force(self):
+        server = Standin()
+        self.addCleanup(server.close)
+        gone = dead_address()
+        self.start(settings={**SETTINGS, "n-instances": 1024})
+        self.discovery.respond = lambda h, b: h.chunks(json.dumps(self.discovery.answer(), indent=4).encode())
+        self.discovery.update(*((f"s-{n:08x}", gone, "writer") for n in range(1023)), ("s-9", server.address, "reader"))
+        self.program.wait_ready()
+        self.assertGreater(len(json.dumps(self.discovery.answer(), indent=4)), 256 * 1024)
+        calls = len(self.discovery.calls)
+        self.discovery.wait_for("GET", "/v1/endpoints?", calls + 3)
+        self.assertLess(self.program.counters()["lists"], 20)  # though none of its calls may wait there
+
     def test_what_waits_for_a_connection_goes_elsewhere_when_the_list_takes_its_replica_away(self):
         """The first replica's connections come up late: its queue of them is full until the list has taken it away."""
         second = Standin()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,6 +3,7 @@
 
 import gc
 import random
+import sys
 import weakref
 from dataclasses import replace
 
@@ -289,3 +290,27 @@
         refused[cls, tenant] += ask(jam, n, cls, tenant, 500_000) * (5 if tenant == 0 else 1)
         jam.wait(20_000)
     assert refused[0, 0] < refused[1, 0] and refused[0, 0] < refused[0, 1]
+
+
+def test_a_choice_among_four_times_the_servers_costs_about_four_times_as_much_and_not_sixteen():
+    """Counted in calls, which are the same every time."""
+    def calls(servers: int) -> int:
+        d = Drive(settings(instances=200), tuple(entry(k, k % 2, cell=k // 8) for k in range(1, servers + 1)))
+        count = 0
+
+        def counted(frame, event, argument):
+            nonlocal count
+            count += event == "call" or event == "c_call"
+        sys.setprofile(counted)
+        try:
+            for n in range(20):
+                r, _ = d.arrive(prompt=3000, session=n + 1)
+                if d.router.engines[d.sent[r].engine].role == i.READER:
+                    d.end(r, i.READ)
+                d.began(r)
+                d.end(r, i.ANSWERED, settled=True)
+        finally:
+            sys.setprofile(None)
+        return count
+
+    assert calls(1024) < 6 * calls(256)
