Tests: several dispatchers, a late server that leaves, a silent agent and a killed process

Three real processes, each with an agent of its own, at three values of the grace: one plainly, one whose agent is silent while the list changes, one that is killed and starts by yesterday's list. Order is proven, not time: the connections come up only after each agent was asked for what follows the change.

--- /dev/null
+++ b/tests/platform/test_leaving.py
@@ -0,0 +1,112 @@
+"""Several real dispatchers, each with an agent of its own, while a list takes away a server whose connections come up
+late. What is proven is order, not time: a byte on any of its connections has left after the change was in force."""
+
+import http.client
+import json
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.standins import LAST, SETTINGS, TOKENS, Discovery, Program, Standin, platform
+
+PATH = "/v1/chat/completions"
+BODY = json.dumps({"model": "chat", "stream": True, "messages": []}).encode()
+
+
+class Late:
+    """A server whose connections come up only from `up` on: till then its queue of them is full, and the system's own
+    tries wait 1 s and more. It counts the bytes that it gets, and answers none."""
+
+    def __init__(self) -> None:
+        self.sock, self.first, self.got, self.ends = socket.socket(), socket.socket(), 0, False
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.first.connect(self.sock.getsockname())
+        self.address = "{}:{}".format(*self.sock.getsockname())
+
+    def up(self) -> None:
+        threading.Thread(target=self._accept, daemon=True).start()
+        self.first.sendall(b"!")  # one that is not a dispatcher's, to see that it is up
+        assert self.first.recv(1) == b"!"
+
+    def _accept(self) -> None:
+        while not self.ends:
+            try:
+                connection, peer = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._read, args=(connection, peer), daemon=True).start()
+
+    def _read(self, connection: socket.socket, peer: object) -> None:
+        with connection:
+            ours = peer == self.first.getsockname()
+            while data := connection.recv(4096):
+                if ours:
+                    connection.sendall(data)
+                else:
+                    self.got += len(data)
+
+    def close(self) -> None:
+        self.ends = True
+        self.sock.close()
+        self.first.close()
+
+
+def ask(program: Program, id: str) -> tuple[int, bytes]:
+    """A booking; 0 where its dispatcher has died."""
+    try:
+        status, _, body = program.ask("POST", PATH, BODY, {
+            "Request-Id": id, "Request-Class": "job-booking", "Request-Timeout-Ms": "9000",
+            "Request-Info": "prompt_len=3000,max_out=100"})
+        return status, body
+    except (OSError, http.client.HTTPException):
+        return 0, b""
+
+
+@pytest.mark.parametrize("grace", [250_000, 500_000, 1_000_000])
+def test_no_dispatcher_sends_to_a_server_that_leaves_whatever_befalls_dispatcher_and_agent(grace: int):
+    """One plainly, one whose agent is silent while the list changes, one that is killed and starts by yesterday's list.
+    Each booking waits for its connection when the list changes, and runs once, elsewhere."""
+    late, good = Late(), Standin()
+    agents = [Discovery(("s-0", late.address, "all-in-one")) for _ in range(3)]
+    changes = {"settings": {**SETTINGS, "rules": {**SETTINGS["rules"], "drain-grace": grace},
+                            "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}}}
+    programs = [platform(agent.address, **changes) for agent in agents]
+    things = [late, good, *agents]
+    silent, whole = threading.Event(), agents[1].respond
+    agents[1].respond = lambda h, b: agents[1].go.wait(30) if silent.is_set() else whole(h, b)
+    try:
+        with ThreadPoolExecutor() as pool:
+            for program in programs:
+                program.wait_ready()
+            silent.set()
+            programs[1].wait_line("discovery: no answer to anything: silent")
+            asked = [pool.submit(ask, program, f"b{n}") for n, program in enumerate(programs)]
+            for program in programs:
+                while not program.counters()["sent"]:
+                    assert not any(a.done() for a in asked)
+            yesterday = agents[2].answer()["targets"]
+            programs[2].process.kill()
+            for agent in agents:
+                agent.leaving = {"s-0"}
+                agent.update(*agent.targets, ("s-1", good.address, "all-in-one"))
+            programs.append(platform(agents[2].address, yesterday, **changes))
+            asked.append(pool.submit(ask, programs[3], "b3"))
+            silent.clear()
+            for agent in agents:
+                agent.wait_for("GET", "/v1/endpoints?after=2")  # its dispatcher has the change
+            late.up()
+            answers = [a.result(20) for a in asked]
+        served = (200, b"".join(TOKENS) + LAST)
+        assert answers == [served, served, (0, b""), served]
+        assert (late.got, good.runs) == (0, 3)
+        for program in programs[:2]:
+            outcomes = program.counters()["outcomes"]
+            assert outcomes["withdrawn"] and outcomes["answered"] == 1
+    finally:
+        for thing in things:
+            thing.close()
+        for program in programs:
+            program.kill()
