A fetch that is given up stays out until what it was to fetch is let go

At 4.801 s the client's time is over, the attempt's connection is closed, and every release fails: "RELEASE failed ('127.11.0.3', 8080) CannotConnect" from 5.038 s on, "done" at 7.520 s, while the rule allows 0.65 s. Ruled out: the order of tries of a release (eleven in 2.7 s, none could get through).

Change: the connection of a fetch that was given up stays open, unread, until each of its releases was answered or the request is sent on: as long as it is open the attempt is out, and nothing is held for nobody. The client is told at once as before. Not for reads: with those open too, bookings were refused while a read was still out ("duplicate, 7 times"). A full process closes these connections, the oldest first, before it turns a request away.

A test with the real program fails with the connection closed at once, and with it never closed.

--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import json
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Any, Protocol
@@ -80,6 +80,15 @@
         """What an answer other than 200 and 202 means. None: as the platform's protocol has it."""
 
 
+class Unread:
+    """The exchange of an attempt that was given up and whose connection stays open for now: nobody reads what comes."""
+
+    most_chunk = MAX_CHUNK
+
+    async def handle(self, event: Event) -> None:
+        pass
+
+
 class Call:
     """One attempt on its connection."""
 
@@ -216,8 +225,15 @@
         if self.task:
             self.task.cancel()
             self.task = None  # Danger: cancelled, it holds this call and its request's body till the collector comes
-        if self.connection:
-            self.connection.close("called-off")
+        if (connection := self.connection) and not connection.closed:
+            # Danger: what is held for the request counts from here on, and the engines that hold it may be cut off: no
+            # release would reach them in time. While the connection is open the attempt is out. A read, before which
+            # nothing is held, has to be over: its request may be refused, and nothing that may run may be out then.
+            if self.attempt.request.holders and connection.sent and connection.exchange is self \
+                    and not self.attempt.began:
+                self.backend.keep_open(self.attempt.request, connection)
+            else:
+                connection.close("called-off")
         return self.tried
 
 
@@ -228,6 +244,7 @@
         self.probe = Probes(pool, dialect, self.addresses, probed).send
         self.leaving: dict[int, Key] = {}  # engines off the list, whose addresses go when their time is over
         self.calls: dict[Attempt, Call] = {}
+        self.unread: dict[Request, list[tuple[Connection, Unread]]] = {}
         self.releasing = 0
 
     def locate(self, addresses: dict[int, Address], gone: Collection[int], full: bool) -> None:
@@ -248,8 +265,24 @@
         del self.addresses[engine], self.leaving[engine]
 
     def send(self, attempt: Attempt) -> None:
+        self._give_up(attempt.request, self.unread.get(attempt.request, ()))  # Danger: or it were a second copy
         self.calls[attempt] = Call(self, attempt)
 
+    def keep_open(self, request: Request, connection: Connection) -> None:
+        """Until the request is sent on, or everything that is held for it is let go: one of these always follows."""
+        connection.exchange = exchange = Unread()
+        self.unread.setdefault(request, []).append((connection, exchange))
+        self.pool.unread[connection] = None
+
+    def _give_up(self, request: Request, unread: Iterable[tuple[Connection, Unread]]) -> None:
+        for connection, exchange in list(unread):
+            self.pool.unread.pop(connection, None)
+            if connection.exchange is exchange:  # else it has been answered, and may serve another request
+                connection.close("called-off")
+            self.unread[request].remove((connection, exchange))
+        if not self.unread.get(request, True):
+            del self.unread[request]
+
     def begun(self, attempt: Attempt) -> bool:
         call = self.calls.get(attempt)
         return call is not None and call.tried
@@ -259,10 +292,15 @@
         return call.cancel() if call else False
 
     def release(self, request: Request, engines: Collection[int]) -> None:
-        for engine in engines:
-            if address := self.addresses.get(engine):
-                self.releasing += 1
-                self.pool.spawn(self._release(address, self.dialect.release(request.payload, engine)))
+        calls = [(address, self.dialect.release(request.payload, engine)) for engine in engines
+                 if (address := self.addresses.get(engine))]
+        self.releasing += len(calls)
+        self.pool.spawn(self._release_all(request, calls))
+
+    async def _release_all(self, request: Request, calls: list[tuple[Address, bytes]]) -> None:
+        unread = tuple(self.unread.get(request, ()))
+        await asyncio.gather(*(self.pool.spawn(self._release(*call)) for call in calls), return_exceptions=True)
+        self._give_up(request, [kept for kept in unread if kept in self.unread.get(request, ())])
 
     async def _release(self, address: Address, data: bytes) -> None:
         """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -152,6 +152,7 @@
         self.spare = spare
         self.idle: dict[Address, list[Connection]] = {}  # no empty lists: servers come and go, their keys too
         self.open: set[Connection] = set()
+        self.unread: dict[Connection, None] = {}  # given up, but still open; they go before a request is turned away
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
@@ -208,6 +209,7 @@
 
     def forget(self, connection: Connection) -> None:
         self.open.discard(connection)
+        self.unread.pop(connection, None)
         self._leave_idle(connection)
 
     def _leave_idle(self, connection: Connection) -> None:
@@ -223,7 +225,8 @@
             connection.close("server-left")
 
     def _drop_oldest(self) -> bool:
-        oldest = min((c for idle in self.idle.values() for c in idle), key=lambda c: c.idle_key or (0, 0), default=None)
+        oldest = min((c for idle in self.idle.values() for c in idle), key=lambda c: c.idle_key or (0, 0),
+                     default=next(iter(self.unread), None))
         if oldest:
             oldest.close("room-needed")
         return oldest is not None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -393,6 +393,37 @@
         self.assertEqual(self.program.process.wait(20), 0)
         self.program.wait_line(r'counters .*"served": 1')
 
+    def test_a_fetch_that_was_given_up_stays_out_until_what_it_was_to_fetch_is_let_go(self):
+        """Else a reader that is cut off holds a state for nobody, past its time. Its client is told at once."""
+        reader, writer = self.start("reader", "writer")
+        released, closed, held = threading.Event(), threading.Event(), list[socket.socket]()
+
+        def read(handler, body):
+            if handler.command == "DELETE":
+                released.wait(20)
+                return handler.plain(204)
+            return handler.plain(202, b'{"cached_tokens":0}')
+
+        def write(handler, body):
+            if handler.command == "DELETE":
+                return handler.plain(204)
+            held.append(handler.connection)
+            handler.connection.recv(1)
+            closed.set()
+        reader.respond, writer.respond = read, write
+        self.addCleanup(released.set)
+        for cls in ("advice", "job-booking"):
+            released.clear()
+            closed.clear()
+            deletes = sum(method == "DELETE" for method, _ in reader.calls)
+            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"g-{cls}", cls, wait_ms=900))[0],
+                             503 if cls == "advice" else 500)
+            reader.wait_for("DELETE", count=deletes + 1)
+            with self.assertRaises(BlockingIOError):
+                held[-1].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            released.set()
+            self.assertTrue(closed.wait(20))
+
     def test_an_idle_connection_that_the_replica_closed_is_not_used_again(self):
         (server,) = self.start("all-in-one")
 
