--- a/tests/test_panels.py
+++ b/tests/test_panels.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from benchmarks.panels import due, gate, read, verdict
+from benchmarks.panels import FAILED, Failed, again_verdict, due, gate, oldest, read, table, verdict
+from pearhill.config.typed import load
 
 REPORT = """playing herd+vast ...
 herd+vast                  G 0.385  floor 0.281  top 0.581  memory 17 of 112 MB  descriptors 52 of 768  score 0.35
@@ -16,7 +17,8 @@
 
 
 def test_a_report_is_read_day_by_day():
-    assert read(REPORT) == (0.424, {"herd+vast": 0.35, "join+vast": 0.42, "join+vast-2": 0.0})
+    days = {"herd+vast": 0.35, "join+vast": 0.42, "join+vast-2": 0.0}
+    assert read(REPORT) == read(REPORT.replace("score 0.00", "score 0.00  BROKEN: drain")) == (0.424, days)
     for nothing in ("", "score of the real nodes 0.4 (..)\n"):
         with pytest.raises(ValueError, match="in what the bench printed"):
             read(nothing)
@@ -42,4 +44,39 @@
     for n, (site, days, at) in enumerate(played):
         entry = {"cmd": "real-score", "site": site, "panel": days and f"real:{site}:1:{days}", "at": [at, at]}
         (tmp_path / f"{n}.json").write_text(json.dumps(entry))
+    brink = {"cmd": "real-score", "site": "a", "panel": "real:a:1:roll+brink+mass-1", "at": ["9", "9"]}
+    (tmp_path / "brink.json").write_text(json.dumps(brink))  # another panel's days are no play of this one
     assert due("gate", [pathlib.Path("x/a.toml"), pathlib.Path("y/b.toml")], tmp_path).stem == next_one
+
+
+def entry(site: str, at: str, *rough: str, ok: bool = True) -> str:
+    return json.dumps({"id": f"{site}{at}", "ok": ok, "site": site, "at": [at, at], "days": [
+        {"rough": list(rough), "seed": 7, "score": 0.0, "served": 0.5, "served_least": 0.25, "gate": "drain",
+         "fault": None, "memory_mb": 19, "caps": [112, 928, 0.86], "files": 88}] if ok else []})
+
+
+def test_kinds_never_played_are_due_first_then_the_longest_ago(tmp_path):
+    for n, told in enumerate((entry("a", "2", "join", "mass", "vast"), entry("a", "1", "join", "mass", "vast"),
+                              entry("a", "3", "join", "brink", "mass", "vast"), entry("b", "4", "herd", "vast"),
+                              entry("b", "5", "herd", "mass", ok=False))):
+        (tmp_path / f"{n}.json").write_text(told)
+    rows = oldest(tmp_path, ["a", "b"])
+    assert rows[-2:] == [("2", "a", "join+mass"), ("3", "a", "join+brink")] and {at for at, _, _ in rows[:-2]} == {""}
+    assert ("", "b", "herd+mass") in rows and len(rows) == 24
+    assert table(tmp_path, "2")[2:] == [
+        "| a | join+mass | 7 | 0.00 | 0.500 (0.250) | drain | 19 of 112 MB, 88 of 928 | a2 |",
+        "| a | join+brink | 7 | 0.00 | 0.500 (0.250) | drain | 19 of 112 MB, 88 of 928 | a3 |"]
+
+
+def test_a_day_played_again_speaks_against_landing_if_it_breaks_a_rule_or_tells_nothing():
+    kept = REPORT
+    assert again_verdict("a", kept) == []
+    for line in ("RULE BROKEN (zero): pinned, 1 times", "FAULT (zero): node n1 crashed"):
+        assert again_verdict("a", f"{line}\n{kept}") == [f"a: {line}"]
+    assert again_verdict("a", "killed\n")
+
+
+def test_the_days_on_which_a_rule_was_ever_broken_are_kept_with_their_cause():
+    failed, _ = load(str(FAILED), Failed)
+    assert {day.rule for day in failed.day} >= {"drain", "pinned"}
+    assert all(day.cause and day.seen for day in failed.day)
