--- a/benchmarks/panels.py
+++ b/benchmarks/panels.py
@@ -5,8 +5,8 @@
 
 KIT is the folder of the bench, where each panel has its own program; SITE a site file. Of several sites each panel is
 played on the one that is due: the one whose last score of it in `journal/` is the oldest. `--due` only says which, and
-what each kind of day's last play was on each site, the oldest first; `--again` plays the days of `failed_seeds.toml`, on
-which a rule was ever broken; `--table` tells all days played since a time, as the journal has them.
+what each kind of day's last play was on each site, the oldest first; `--again` plays the days of `failed_seeds.toml`,
+on which a rule was ever broken; `--table` tells all days played since a time, as the journal has them.
 `service` is the service days, `later` and `real` the earlier days on real sockets by the two programs that know them,
 `size` the days at size, `gate` the standing test of every version (quick: three of its kinds), `brink` its narrow
 moments with few dispatchers.
