A connection that stays open for a release holds no prompt

Kept under the request itself, each of the hundreds that a cut leaves would have held its request's body, up to 256 KiB, for as long as the cut lasts, on a process of 32 MB and more. They are kept under its number now; the release's own task had the same. Tests as before.

--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -244,7 +244,8 @@
         self.probe = Probes(pool, dialect, self.addresses, probed).send
         self.leaving: dict[int, Key] = {}  # engines off the list, whose addresses go when their time is over
         self.calls: dict[Attempt, Call] = {}
-        self.unread: dict[Request, list[tuple[Connection, Unread]]] = {}
+        # By the request's number. Danger: the request itself holds its prompt, and through a cut there are hundreds.
+        self.unread: dict[int, list[tuple[Connection, Unread]]] = {}
         self.releasing = 0
 
     def locate(self, addresses: dict[int, Address], gone: Collection[int], full: bool) -> None:
@@ -265,23 +266,24 @@
         del self.addresses[engine], self.leaving[engine]
 
     def send(self, attempt: Attempt) -> None:
-        self._give_up(attempt.request, self.unread.get(attempt.request, ()))  # Danger: or it were a second copy
+        number = attempt.request.number
+        self._give_up(number, self.unread.get(number, ()))  # Danger: or it were a second copy
         self.calls[attempt] = Call(self, attempt)
 
     def keep_open(self, request: Request, connection: Connection) -> None:
         """Until the request is sent on, or everything that is held for it is let go: one of these always follows."""
         connection.exchange = exchange = Unread()
-        self.unread.setdefault(request, []).append((connection, exchange))
+        self.unread.setdefault(request.number, []).append((connection, exchange))
         self.pool.unread[connection] = None
 
-    def _give_up(self, request: Request, unread: Iterable[tuple[Connection, Unread]]) -> None:
+    def _give_up(self, number: int, unread: Iterable[tuple[Connection, Unread]]) -> None:
         for connection, exchange in list(unread):
             self.pool.unread.pop(connection, None)
             if connection.exchange is exchange:  # else it has been answered, and may serve another request
                 connection.close("called-off")
-            self.unread[request].remove((connection, exchange))
-        if not self.unread.get(request, True):
-            del self.unread[request]
+            self.unread[number].remove((connection, exchange))
+        if not self.unread.get(number, True):
+            del self.unread[number]
 
     def begun(self, attempt: Attempt) -> bool:
         call = self.calls.get(attempt)
@@ -295,12 +297,12 @@
         calls = [(address, self.dialect.release(request.payload, engine)) for engine in engines
                  if (address := self.addresses.get(engine))]
         self.releasing += len(calls)
-        self.pool.spawn(self._release_all(request, calls))
+        self.pool.spawn(self._release_all(request.number, calls))
 
-    async def _release_all(self, request: Request, calls: list[tuple[Address, bytes]]) -> None:
-        unread = tuple(self.unread.get(request, ()))
+    async def _release_all(self, number: int, calls: list[tuple[Address, bytes]]) -> None:
+        unread = tuple(self.unread.get(number, ()))
         await asyncio.gather(*(self.pool.spawn(self._release(*call)) for call in calls), return_exceptions=True)
-        self._give_up(request, [kept for kept in unread if kept in self.unread.get(request, ())])
+        self._give_up(number, [kept for kept in unread if kept in self.unread.get(number, ())])
 
     async def _release(self, address: Address, data: bytes) -> None:
         """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
