--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -112,6 +112,14 @@
                 self.sent[-1].end(i.ANSWERED)
                 self.assertEqual((client.told, self.released, self.core.requests), (["finish"], [], {}))
 
+    def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_wants(self):
+        handle = self.core.router.handle
+        self.core.router.handle = lambda now, event: [  # type: ignore[method-assign]
+            action for sent in handle(now, event)
+            for action in ([sent, replace(sent, engine=3)] if isinstance(sent, i.Send) else [sent])]
+        self.take(BOOKING)
+        self.assertEqual(len(self.sent), 1)
+
     def test_an_engine_that_the_list_does_not_name_as_ready_gets_nothing_whatever_the_router_wants(self):
         for phase in (i.DRAINING, i.GONE):
             self.setUp()
