A release is said again once the fetch that was kept open for it is closed

Cause: a release lets go of what no attempt waits for (WIRE, GIVE_UP_HOLD). Said while the fetch was still open it was answered and let go of nothing; then the fetch was closed, and nobody spoke again.

Change: the first round of calls only shows that every engine can be reached; then the fetch is closed and the calls are said once more. The process test asks for the second call at the reader, and fails without it.

--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -296,31 +296,34 @@
     def release(self, request: Request, engines: Collection[int]) -> None:
         calls = [(address, self.dialect.release(request.payload, engine)) for engine in engines
                  if (address := self.addresses.get(engine))]
-        self.releasing += len(calls)
+        self.releasing += 1
         self.pool.spawn(self._release_all(request.number, calls))
 
     async def _release_all(self, number: int, calls: list[tuple[Address, bytes]]) -> None:
-        unread = tuple(self.unread.get(number, ()))
-        await asyncio.gather(*(self.pool.spawn(self._release(*call)) for call in calls), return_exceptions=True)
-        self._give_up(number, [kept for kept in unread if kept in self.unread.get(number, ())])
+        try:
+            unread = tuple(self.unread.get(number, ()))
+            await asyncio.gather(*(self._release(*call) for call in calls))
+            if unread:
+                # Danger: what an attempt waits for is not let go of. These calls only showed that all can be reached.
+                self._give_up(number, [kept for kept in unread if kept in self.unread.get(number, ())])
+                await asyncio.gather(*(self._release(*call) for call in calls))
+        finally:
+            self.releasing -= 1
 
     async def _release(self, address: Address, data: bytes) -> None:
         """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
         it may be on its way to a machine that is cut off, or to one that is slow, so it is said again."""
         pool, wait, unanswered = self.pool, FIRST_RETRY, 0
         until = pool.deadlines.clock() + RELEASE_FOR
-        try:
-            while unanswered < UNANSWERED and pool.deadlines.clock() < until:
-                try:
-                    await call(pool, address, data, RELEASE_WAIT)
-                    return
-                except TimeoutError:
-                    unanswered += 1
-                except (OSError, ValueError, CannotConnect):
-                    pass
-                pool.counters.release_retries += 1
-                await pause(pool.deadlines, wait)
-                wait = min(2 * wait, LAST_RETRY)
-            logger.warning("a release at {peer} is given up", peer="{}:{}".format(*address))
-        finally:
-            self.releasing -= 1
+        while unanswered < UNANSWERED and pool.deadlines.clock() < until:
+            try:
+                await call(pool, address, data, RELEASE_WAIT)
+                return
+            except TimeoutError:
+                unanswered += 1
+            except (OSError, ValueError, CannotConnect):
+                pass
+            pool.counters.release_retries += 1
+            await pause(pool.deadlines, wait)
+            wait = min(2 * wait, LAST_RETRY)
+        logger.warning("a release at {peer} is given up", peer="{}:{}".format(*address))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -423,6 +423,7 @@
                 held[-1].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             released.set()
             self.assertTrue(closed.wait(20))
+            reader.wait_for("DELETE", count=deletes + 2)  # said before, it lets go of nothing that an attempt waits for
 
     def test_an_idle_connection_that_the_replica_closed_is_not_used_again(self):
         (server,) = self.start("all-in-one")
