Cold servers: tokens that nobody asked for lapse, and go where fewer share the work

`Router._bears` let each process's credit grow without an end up to one request, so that nearly all of 200 had one when all requests came there.

Change: `_admits`, a token bucket for each process's part. Where that is less than a request, a token stands four windows and lapses; and as a list leaves fewer servers to a role, that part of the processes lose what they had saved, for what the others got comes in one step then. The rate is 0.9 (0.8). What warm peers have answered is a mean that rises by three tenths a step, no longer the highest that chance has brought.

--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -103,7 +103,7 @@
     kind: int
     cell: int
     phase: str
-    heft: float
+    weight: float
     started: int
 
 
@@ -192,14 +192,14 @@
 @dataclass(frozen=True, slots=True)
 class Told:
     """What is known of one engine from its own word: its memory share and the tokens it has yet to read or fetch,
-    both faded with `sure` (1: as fresh as it can be, 0: nothing is known). `mute`: it answers no
+    both faded with `sure` (1: as fresh as it can be, 0: nothing is known). `ejected_until`: it answers no
     probe, and is left alone until then, in microseconds of the clock; 0 where it answers."""
 
     engine: int
     held: float
     waiting: float
     sure: float
-    mute: int
+    ejected_until: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,11 +218,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request to an engine; the attempt ends as TIMEOUT after `patience`."""
+    """Send the request to an engine; the attempt ends as TIMEOUT after `patience`. Where the whole of it has not been
+    written by the time `by`, it is WITHDRAWN; 0: whenever."""
 
     request: int
     engine: int
     patience: int
+    by: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -33,7 +33,7 @@
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
 WIDE = 2  # a prefix with a reader's fair share of the reading has so many homes, and two for any less
 DRAWN_KEEP, DRAWN_LEAST = 0.9, 10  # of that share: kept by each step; from fewer requests it tells little
-COLD_MARGIN = 0.8  # of my part of what a cold engine bears: twice its share of the work, of 2.5 times it
+COLD_RATE, COLD_KEEP = 0.9, 4  # of my part of what a cold engine bears; windows until a token lapses
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
 
 
@@ -84,10 +84,10 @@
         self.fails = Faded(2 * STEP_EVERY, 2)
         self.held = Faded(2 * STEP_EVERY, 4)  # share of memory, from its reports
         self.stretch = Faded(2 * STEP_EVERY, 10)  # answers' times against the mean of their class
-        self.reported, self.heard, self.credit, self.credit_at = 0, 0, phase, 0
+        self.reported, self.heard, self.tokens, self.tokens_at = 0, 0, phase, 0
         self.bound, self.cut_at = 0.0, 0  # my tokens there that it bore when a fetch was last late; 0: never
         self.rest = 0  # until then it wants nothing more
-        self.mute, self.told, self.told_at = 0, 0.0, 0  # it answers no probe until then; tokens it said wait
+        self.ejected_until, self.told, self.told_at = 0, 0.0, 0  # it answers no probe; tokens it said wait
 
 
 class Job:
@@ -159,8 +159,11 @@
                 if self.s.may_cancel:  # Danger: work at a lost engine would wait for its whole time-out.
                     self.actions += [i.CallOff(job.req.request, job.attempt) for job in e.waiting.values()]
         for role in self.ready:
-            self.ready[role] = sorted((e for e in self.engines.values()
-                                       if e.role == role and e.entry.phase == i.READY), key=lambda e: e.id)
+            ready = [e for e in self.engines.values() if e.role == role and e.entry.phase == i.READY]
+            before, self.ready[role] = len(self.ready[role]), sorted(ready, key=lambda e: e.id)
+            # Danger: what fewer engines share comes in one step, and finds tokens that nobody had asked for.
+            for e in self.ready[role] if self.rng.random() * before > len(self.ready[role]) else []:
+                e.tokens = min(e.tokens, self.rng.random())
 
     def _belief(self, e: Engine, req: i.Arrived, home: int = -1) -> int:
         """Prompt tokens an engine should still keep: entries that its memory's worth of new tokens has not
@@ -186,37 +189,32 @@
         age = max(0, self.now - e.entry.started) / self.s.cold if e.entry.started else 1.0
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
 
-    def _bears(self, e: Engine) -> bool:
-        """Danger: all nodes together push a cold engine over. My credit, in requests (a giant's tokens would
-        let in a flood), grows at my part of what it bears, by what warm peers have answered me, or at one a
-        window for all nodes. It starts at a random part: of many with too little, as many send as all may."""
+    def _admits(self, e: Engine) -> bool:
+        """Danger: all nodes together push a cold engine over. My part of what it bears, by what warm peers
+        have answered me (or one a window for all nodes), fills a token bucket from a random part on: of many
+        with too little, as many send as all may. Tokens lapse: hundreds saved up would go in one moment."""
         if (part := self._cold_part(e)) >= 1:
             return True
-        bound = max(self.s.fall_multiple * part * self.usual[e.role] * (e.entry.heft or 1) * COLD_MARGIN,
-                    1 / self.s.fall / self.s.instances)
-        age = max(0, self.now - max(e.credit_at, e.entry.started))
-        e.credit, e.credit_at = min(max(bound * self.s.fall / 2, 1), e.credit + bound * age), self.now
-        return e.credit >= 1
+        rate = max(self.s.fall_multiple * part * self.usual[e.role] * (e.entry.weight or 1) * COLD_RATE,
+                   COLD_RATE / self.s.fall / self.s.instances)
+        e.tokens += rate * max(0, self.now - max(e.tokens_at, e.entry.started))
+        part, e.tokens_at = e.tokens % 1, self.now
+        e.tokens = min(e.tokens, max(rate * self.s.fall / 2, part + (part < rate * self.s.fall * COLD_KEEP)))
+        return e.tokens >= 1
 
     def _open(self, pool: list[Engine], job: Job) -> list[Engine]:
         """The engines of a pool that may get this request, without those that fail more than their peers."""
-        fit = [e for e in pool if e.rest <= self.now and self._legal(job, e) and self._bears(e)]
+        fit = [e for e in pool if e.rest <= self.now and self._legal(job, e) and self._admits(e)]
         # A cut zone: each of its engines was tried too seldom to tell, all of them together were not.
         fails = {zone: fails.over(self.now, 0.0) for zone, fails in self.zones.items()}
         line = min(fails.values(), default=0.0) + OUTLIER
         near = [e for e in fit if fails.get(e.entry.zone, 0.0) < line] or fit
-        well = [e for e in near
-                if e.mute <= self.now and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line]
-        # Panic threshold. Danger: when most look bad the judgement is at fault; to shun them buries the rest.
+        well = [e for e in near if e.ejected_until <= self.now
+                and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line]
+        # Panic threshold. Danger: where most look bad the judgement is at fault; ejected, they bury the rest.
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
 
-    def shunned(self, now: int) -> set[int]:
-        """Listed engines that get nothing new for now, by the list's word or by mine."""
-        line = min((fails.over(now, 0.0) for fails in self.zones.values()), default=0.0) + OUTLIER
-        return {e.id for e in self.engines.values()
-                if e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line}
-
     def _legal(self, job: Job, e: Engine) -> bool:
         """Danger: an effect that happens twice. Once it may have run, a keyed request stays in its group."""
         spec = self.s.classes[job.req.cls]
@@ -241,8 +239,8 @@
     def _emptier(self, pool: list[Engine]) -> Engine:
         two = self.rng.sample(pool, min(2, len(pool)))
         told = i.WRITER in self.looks  # then its own word of its memory says more than my part
-        return min(two, key=lambda e: (e.mute > self.now, self._held(e, 0) if told else 0.0,
-                                       e.load / (e.entry.heft or 1), self._held(e, 0)))
+        return min(two, key=lambda e: (e.ejected_until > self.now, self._held(e, 0) if told else 0.0,
+                                       e.load / (e.entry.weight or 1), self._held(e, 0)))
 
     def _takes(self, e: Engine, weight: float, reads: bool = True) -> float:
         """How long reading a prompt, or fetching its state, should take until the first token."""
@@ -290,7 +288,7 @@
             if self._look(job, pair):
                 return None
             # Alike: the one that takes this session from all nodes.
-            reader = min(pair, key=lambda e: (e.mute > self.now,
+            reader = min(pair, key=lambda e: (e.ejected_until > self.now,
                                               max(e.queue, e.told) if e.told_at == self.now else e.load))
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
@@ -326,7 +324,7 @@
     def _looked(self, event: i.Looked) -> None:
         for told in event.told:
             if e := self.engines.get(told.engine):
-                e.mute, e.told, e.told_at = told.mute, told.waiting, self.now
+                e.ejected_until, e.told, e.told_at = told.ejected_until, told.waiting, self.now
                 if told.sure > 0.5 and e.role != i.READER:
                     self._reported(e, told.held)
         if (job := self.jobs.get(event.request)) and not job.closed and not job.out:
@@ -384,12 +382,11 @@
         line = self._crowd(job.req)
         calm = [e for e in roomy if e.load <= line]
         cell = [e for e in calm if e.entry.cell == at.cell]
-        if near := cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy:
-            return self._pick(job, near)
-        self._close(job)
+        near = cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy
+        self._pick(job, near) if near else self._close(job)
 
     def _send(self, job: Job, e: Engine) -> None:
-        req, left = job.req, job.end - self.now
+        req, left, spec = job.req, job.end - self.now, self.s.classes[job.req.cls]
         job.reading, job.fetches, job.engine = e.role == i.READER, job.held is not None, e
         job.known = 0 if job.fetches else self._belief(e, req)
         job.cost = 0 if job.fetches else req.prompt - self._belief(e, req, job.home if job.reading else -1)
@@ -401,12 +398,15 @@
         e.load, e.since = e.load + job.load, e.since + (0 if job.reading else req.prompt)
         self.sends[e.role] += job.cost * self.s.instances / max(1, len(self.ready[e.role])) * 0.2 / STEP_EVERY
         e.waiting[req.request] = job
-        e.credit -= 1
+        e.tokens -= 1
         # Danger: a silent engine eats the client's whole time. Leave time for another attempt, unless a hasty
         # client's time is too short: many short attempts would all be in vain.
         wait = max(PATIENCE * self._takes(e, job.weight, not job.fetches), job.aim / (2 - job.fetches))
         last = job.attempt + 1 >= self.s.max_attempts or wait > left
-        self.actions.append(i.Send(req.request, e.id, max(1, int(left if last else min(wait, left / 2)))))
+        by = [job.held_at + self.s.release_within] if job.held else []  # its connection may come up late
+        by += [job.ran[1] + spec.window] if job.ran and spec.effect == i.KEYED and not job.reading else []
+        patience = max(1, int(left if last else min(wait, left / 2)))
+        self.actions.append(i.Send(req.request, e.id, patience, min(by, default=0)))
 
     def _began(self, event: i.Began) -> None:
         if (job := self.jobs.get(event.request)) and job.out and job.engine and job.engine.id == event.engine:
@@ -419,7 +419,7 @@
         job = self.jobs.get(event.request)
         if not job or not job.out or not (e := job.engine) or e.id != event.engine:
             return
-        streamed, job.out, job.streaming = job.streaming, False, False
+        job.out = job.streaming = False
         e.queue -= job.cost if e.waiting.pop(event.request, None) else 0
         e.load -= job.load
         e.rest = max(e.rest, self.now + event.rest if event.rest else 0)
@@ -458,8 +458,7 @@
             mean.add(self.now, event.rtt)
             e.stretch.add(self.now, event.rtt / max(1, mean.value))
         if event.settled or job.closed:
-            if not streamed:
-                self.actions.append(i.Release(event.request))
+            self.actions.append(i.Release(event.request))
             del self.jobs[event.request]
         elif event.outcome == i.READ:
             self._write(job)
@@ -511,7 +510,7 @@
         e.heard = self.now
         # Danger: shared out later, over the few that a deploy leaves warm, past answers would overrate each.
         if self._cold_part(e) >= 1:
-            warm = sum(p.entry.heft or 1 for p in self.ready[e.role] if self._cold_part(p) >= 1)
+            warm = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._cold_part(p) >= 1)
             self.served[e.role] += 0.2 / STEP_EVERY / max(1, warm)
         if not e.fails.value or job.sent_at > e.fails.at:  # an older answer is no sign of recovery
             self._judged(e, 0.0, "")
@@ -560,6 +559,6 @@
         self.drawn_all = sum(self.drawn.values())
         self.asked = {tenant: n * 0.8 for tenant, n in self.asked.items()}
         for role in self.ready:
-            self.usual[role] = max(0.95 * self.usual[role], self.served[role])
+            self.usual[role] = max(0.95 * self.usual[role], 0.7 * self.usual[role] + 0.3 * self.served[role])
             self.served[role] *= 0.8
             self.sends[role] *= 0.8
--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -2,8 +2,8 @@
 
 The Router says between whom it is to choose (`Look`). Here it is decided whom to ask, and for how long the request
 may wait for that; the Router gets what is known as facts (`Looked`) and chooses. One probe of an engine serves all
-requests that wait for it. An engine that answers no probe is mute: the Router is told so, and asks elsewhere, without
-a request having been lost there; and it is a probe, never a request, that finds out when it is back.
+requests that wait for it. An engine that answers no probe is ejected: the Router is told so, and asks elsewhere,
+without a request having been lost there; and it is a probe, never a request, that finds out when it is back.
 """
 
 from __future__ import annotations
@@ -12,13 +12,14 @@
 from typing import Protocol
 
 from pearhill import interface as i
-from pearhill.rules import Router
+from pearhill.rules import OUTLIER, Router
 from pearhill.spread.reports import Reports
 from pearhill.spread.worth import looks
 
 WAIT_SHARE = 1 / 40  # of the shortest aim: so long a request waits for what it asked
 FIRST_TIMER = 1 << 31  # the Router counts its own up from 1
-MUTE, MOST_MUTE = 400_000, 3_200_000  # after the first probe without an answer; doubled with each further one
+# After the first probe without an answer; doubled with each further one.
+FIRST_EJECTED, MOST_EJECTED = 400_000, 3_200_000
 SAMPLE = 0.1  # of what the other dispatchers have, to be believed for all of it
 GIVEN_UP = 2_000_000  # a probe whose end nobody told; the driver ends each much sooner
 
@@ -49,7 +50,7 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.router = Router(settings, seed)
-        # Danger: dispatchers that found an engine mute at the same moment would all ask again at the same moment.
+        # Danger: dispatchers that found an engine silent at the same moment would all ask again at the same moment.
         self.rng = random.Random(seed ^ 0x5C007)
         self.reports = Reports()
         self.peers: Peers | None = None
@@ -80,10 +81,17 @@
 
     def figures(self, now: int) -> dict[int, tuple[int, int, bool]]:
         """Of each listed engine: my tokens yet to be read there, mine under way there in all, whether I avoid it."""
-        shunned = self.router.shunned(now)
-        return {e.id: (e.queue, e.load, e.id in shunned or self._mute(now, e.id) > 0)
+        ejected = self._ejected(now)
+        return {e.id: (e.queue, e.load, e.id in ejected or self._ejected_until(now, e.id) > 0)
                 for e in self.router.engines.values()}
 
+    def _ejected(self, now: int) -> set[int]:
+        """Listed engines that get nothing new for now, by the list's word or by the Router's outlier ejection."""
+        router = self.router
+        line = min((fails.over(now, 0.0) for fails in router.zones.values()), default=0.0) + OUTLIER
+        return {e.id for e in router.engines.values()
+                if e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line}
+
     def _looks(self) -> None:
         self.router.looks = frozenset((i.READER, i.WRITER, i.MIXED)) if self.peers else self.probes
 
@@ -127,7 +135,7 @@
     def _look(self, now: int, look: i.Look) -> list[i.Action]:
         roles = {e: self.router.engines[e].role for e in look.engines}
         missing = {e for e in look.engines if roles[e] in self.probes
-                   and not self.reports.fresh(now, e) and not self._mute(now, e)}
+                   and not self.reports.fresh(now, e) and not self._ejected_until(now, e)}
         if not missing:
             return self._facts(now, look.request, look.engines)
         probes: list[i.Action] = [i.Probe(e) for e in sorted(missing) if now - self.asked.get(e, -GIVEN_UP) >= GIVEN_UP]
@@ -139,7 +147,7 @@
         self.looking[look.request] = Looking(look.engines, missing, self.timer)
         return [*probes, i.SetTimer(self.timer, self.wait)]
 
-    def _mute(self, now: int, engine: int) -> int:
+    def _ejected_until(self, now: int, engine: int) -> int:
         silence = self.silences.get(engine)
         return silence.until if silence and silence.until > now else 0
 
@@ -150,7 +158,7 @@
             self.reports.heard(now, event.engine, event.load)
         elif event.outcome != i.MOOT and event.engine in self.router.engines:
             silence = self.silences.setdefault(event.engine, Silence())
-            wait = min(MOST_MUTE, MUTE << min(8, silence.times))
+            wait = min(MOST_EJECTED, FIRST_EJECTED << min(8, silence.times))
             silence.times, silence.until = silence.times + 1, now + int(wait * self.rng.uniform(0.75, 1.25))
         out: list[i.Action] = []
         waiting = [r for r, looking in self.looking.items() if event.engine in looking.missing]
@@ -165,7 +173,7 @@
         looking = self.looking.pop(request)
         self.timers.pop(looking.timer, None)
         # Danger: of an engine that has not answered in time nothing is known, and so it would look the emptier of the
-        # two: the silent one would get the request. Until its probe ends it is mute for as long as was waited.
+        # two: the silent one would get the request. Until its probe ends it is ejected for as long as was waited.
         for late in looking.missing:
             silence = self.silences.setdefault(late, Silence())
             silence.until = max(silence.until, now + self.wait)
@@ -173,7 +181,7 @@
 
     def _told(self, now: int, engine: int) -> i.Told:
         """Its own word, or, where that says less, the sum of what all dispatchers have there."""
-        told = self.reports.told(now, engine, self._mute(now, engine))
+        told = self.reports.told(now, engine, self._ejected_until(now, engine))
         if self.peers is None or (e := self.router.engines.get(engine)) is None or told.sure > 0.5:
             return told
         waiting, load, sure = self.peers.others(now, engine, e.queue, e.load)
@@ -181,7 +189,7 @@
         # fresh in it is assumed by the mean of what is, so that a small part tells as much as a sample does.
         if sure <= SAMPLE:
             return told
-        return i.Told(engine, min(1.0, (e.load + load) / e.memory), e.queue + waiting, 1.0, told.mute)
+        return i.Told(engine, min(1.0, (e.load + load) / e.memory), e.queue + waiting, 1.0, told.ejected_until)
 
     def _facts(self, now: int, request: int, engines: tuple[int, ...]) -> list[i.Action]:
         told = tuple(self._told(now, e) for e in engines)
--- a/pearhill/wire.py
+++ b/pearhill/wire.py
@@ -65,10 +65,10 @@
         return None
     entries = []
     for k in range(n):
-        engine, zone, kind, cell, phase, heft, started = _ENTRY.unpack_from(b, 13 + 22 * k)
+        engine, zone, kind, cell, phase, weight, started = _ENTRY.unpack_from(b, 13 + 22 * k)
         if phase not in PHASES:
             raise WireError(f"list entry {k} has the unknown phase {phase}")
-        entries.append(i.Entry(engine, zone, kind, cell, PHASES[phase], heft, started))
+        entries.append(i.Entry(engine, zone, kind, cell, PHASES[phase], weight, started))
     return i.Listed(mode in (FULL_LIST, CACHED_LIST), tuple(entries))
 
 
--- a/tests/spread/test_process.py
+++ b/tests/spread/test_process.py
@@ -92,7 +92,7 @@
             lambda h: h.plain(500, b"x0=0,x1=0"),
             report("nan", 1), report(-1, 2), report(0.5, "1,x1=9"), lambda h: h.plain(200, b"z" * 65536)]
         words: tuple[dict[str, str], ...] = ({}, {"Client-Retry": "again"}, {"Client-Retry": "perhaps"})
-        for answers in (odd, [torn], [lambda h: h.connection.close()], [late]):  # the last three make engines mute
+        for answers in (odd, [torn], [lambda h: h.connection.close()], [late]):  # the last three eject engines
             self.start()
             for n, answer in enumerate(answers):
                 with self.subTest(n):
--- a/tests/spread/test_scout.py
+++ b/tests/spread/test_scout.py
@@ -11,7 +11,7 @@
 from pearhill import interface as i
 from pearhill.platform.replica import load_of
 from pearhill.spread.reports import FADE, FRESH, Reports
-from pearhill.spread.scout import MOST_MUTE, MUTE, Scout
+from pearhill.spread.scout import FIRST_EJECTED, MOST_EJECTED, Scout
 from pearhill.spread.worth import looks
 from tests.driver import SETTINGS, Drive, S, entry
 
@@ -145,7 +145,7 @@
             asked += 1
             d.tell(1, outcome=i.TIMEOUT)
         assert d.gone(r) == 2
-    assert 4 <= asked <= 2 + math.log2(MOST_MUTE / MUTE) + 10 * S / (0.75 * MOST_MUTE)
+    assert 4 <= asked <= 2 + math.log2(MOST_EJECTED / FIRST_EJECTED) + 10 * S / (0.75 * MOST_EJECTED)
     for n in range(200):
         d.wait(50 * MS)
         r, _ = d.arrive(session=400 + n)
@@ -154,7 +154,7 @@
             d.tell(engine)
         if d.gone(r) == 1:
             break
-    assert period * 50 * MS < 1.3 * MOST_MUTE
+    assert period * 50 * MS < 1.3 * MOST_EJECTED
 
 
 def test_a_probe_that_was_never_sent_says_nothing_and_one_that_is_lost_is_not_waited_for():
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -45,8 +45,8 @@
         self.router, self.seen, self.probed = Scout(s, rng.randrange(1 << 60)), {}, set()
         self.listed = {}
         for n in range(1, rng.randrange(4, 16)):
-            started, heft = 0 if rng.random() < 0.8 else self.now, rng.choice((0.0, 1.0, 2.5))
-            self.listed[n] = i.Entry(n, n % zones, n % len(s.kinds), n % zones * 10 + n % 2, i.READY, heft, started)
+            started, weight = 0 if rng.random() < 0.8 else self.now, rng.choice((0.0, 1.0, 2.5))
+            self.listed[n] = i.Entry(n, n % zones, n % len(s.kinds), n % zones * 10 + n % 2, i.READY, weight, started)
         self.feed(i.Listed(True, tuple(self.listed.values())))
 
     def later(self, wait: int, event: Any) -> None:
