What is owed when a connection, a client or the process ends: nine crossings that failed

Seen with the program untouched: each test of tests/platform/test_owed.py failed. They order events by stopping the program, not by sleeping. Causes and lines stand in docs/design/owed.md; in short: - `Link._read` used `loop.sock_recv_into`, which reads in the loop's own turn: a connection closed before its reader's turn took a request with it. Bytes are now read in the reader's turn alone (`net/incoming.py`). - A client's end was looked for in the books. `Dispatcher._send` and `Attempt.may_begin`, right before the first byte, now read its socket (`Client.gone`). `HttpBackend.may_replace` asks the reader first. - `Node.until` left idle connections open while it waited for releases, read what came, and ended. - Releases waited 250 ms on a connection that had fallen silent, and took the next idle one; releases by the hundred took the descriptors of the list of servers; a refusal that more bytes followed was believed; a connection carried its next request at once, whose answer a late second one would have been.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.messages: asyncio.Queue[Message | Exception | None] = asyncio.Queue()
+        self.left = False
         self._room = asyncio.Semaphore(ROOM)
 
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
@@ -55,6 +56,9 @@
         self.messages.put_nowait({"type": "http.response.body", "body": data, "more_body": True})
         await self._room.acquire()
 
+    def gone(self) -> bool:
+        return self.left
+
     def sent(self) -> None:
         self._room.release()
 
@@ -153,6 +157,7 @@
     async def _watch(receive: Receive, pending: Pending | None, reply: _Reply) -> None:
         while (await receive())["type"] != "http.disconnect":
             pass
+        reply.left = True
         if pending:
             pending.left()
         reply.messages.put_nowait(None)  # nobody is there to write to
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -134,6 +134,9 @@
         if self._end(502, BROKEN.code):
             self.reply.abort(self.words.broken(BROKEN))
 
+    def gone(self) -> bool:
+        return self.reply.gone()
+
     def left(self) -> None:
         """The client has gone."""
         self._end(499, "client_left")
--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -64,6 +64,9 @@
     def abort(self) -> None:
         self._end(BROKEN)
 
+    def gone(self) -> bool:
+        return False  # it is seen through for whoever asks for it again
+
     # Inside.
 
     def _end(self, state: str) -> None:
--- a/pearhill/chat/spending.py
+++ b/pearhill/chat/spending.py
@@ -79,6 +79,9 @@
         self.settle(c.BROKEN)
         self.inner.abort()
 
+    def gone(self) -> bool:
+        return self.inner.gone()
+
     def left(self) -> None:
         """Its client has gone, and nobody sees it through."""
         self.settle(c.LEFT)
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -42,7 +42,8 @@
 class Request:
     """One request from its arrival to its final answer and the end of its last attempt."""
 
-    __slots__ = ("number", "cls", "client", "payload", "end", "sends", "current", "answered", "holders", "backstop")
+    __slots__ = ("number", "cls", "client", "payload", "end", "sends", "current", "answered", "holders", "reader",
+                 "backstop")
 
     def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int) -> None:
         self.number, self.cls, self.client, self.payload, self.end = number, cls, client, payload, end
@@ -50,18 +51,20 @@
         self.current: Attempt | None = None
         self.answered = False  # nothing more is owed: answered, broken after its start, or the client has gone
         self.holders: set[int] = set()  # engines that may hold a state for it
+        self.reader = 0  # the one that has read it last
         self.backstop: Key | None = None
 
 
 class Attempt:
     """One send of a request to one engine. The backend reports through `begin` and `end`."""
 
-    __slots__ = ("request", "index", "engine", "sent_at", "deadline", "began", "over", "_owner", "_expiry")
+    __slots__ = ("request", "index", "engine", "sent_at", "deadline", "by", "began", "over", "_owner", "_expiry")
 
     def __init__(self, owner: Dispatcher, request: Request, index: int, engine: int, sent_at: int, deadline: int,
-                 ) -> None:
+                 by: int = 0) -> None:
         self.request, self.index, self.engine = request, index, engine
         self.sent_at, self.deadline = sent_at, deadline
+        self.by = by  # its last byte has to be written by then; 0: whenever
         self.began = self.over = False
         self._owner = owner
         self._expiry: Key | None = owner.deadlines.at(deadline, lambda: owner.expire(self))
@@ -70,6 +73,14 @@
     def patience(self) -> int:
         return self.deadline - self.sent_at
 
+    def may_begin(self) -> bool:
+        """The last look, right before the first byte. False: the attempt is over, and nothing of it goes out."""
+        return self._owner.may_begin(self)
+
+    def withdraw(self) -> None:
+        """It has not been written whole, and no longer may be."""
+        self._owner.withdraw(self)
+
     def begin(self) -> bool:
         """The first event of the answer is here. False: the attempt is over, the event must not be passed on."""
         return self._owner.begin(self)
@@ -170,6 +181,21 @@
 
     # From a backend.
 
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Danger: between a choice and the first byte a connection comes up. Meanwhile the client goes, or the window
+        ends in which the effect may be repeated; and a busy loop has read neither the one nor the other's deadline.
+        (What the list takes away meanwhile is withdrawn by `listed`.)"""
+        if not attempt.over and attempt.request.client.gone():
+            self.leave(attempt.request)
+        if attempt.by and self.clock() >= attempt.by:
+            self.withdraw(attempt)
+        return not attempt.over
+
+    def withdraw(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            self._backend.cancel(attempt)
+            self.end(attempt, i.WITHDRAWN)
+
     def begin(self, attempt: Attempt) -> bool:
         if attempt.over or attempt.request.answered:
             return False
@@ -198,6 +224,8 @@
                      outcome=outcome, began=attempt.began, rtt_us=rtt, patience_us=attempt.patience)
         if may_hold and not attempt.began:
             request.holders.add(attempt.engine)
+        if outcome == i.READ:
+            request.reader = attempt.engine
         if not request.answered and (attempt.began or outcome == i.ANSWERED):
             self._settle(request, SUCCESS if outcome == i.ANSWERED else FAILURE)
             if outcome == i.ANSWERED:
@@ -307,8 +335,8 @@
         if request is None:
             return
         match action:
-            case i.Send(_, engine, patience):
-                self._send(request, engine, patience)
+            case i.Send(_, engine, patience, by):
+                self._send(request, engine, patience, by)
             case i.CallOff(_, index):
                 attempt = request.current
                 if attempt and attempt.index == index and not attempt.began:
@@ -328,10 +356,12 @@
             case i.Move():
                 logger.warning("request {request}: streams are not moved here", request=request.number)
 
-    def _send(self, request: Request, engine: int, patience: int) -> None:
+    def _send(self, request: Request, engine: int, patience: int, by: int) -> None:
         now = self.clock()
+        if not request.answered and request.client.gone():  # before a connection is opened for nobody
+            self.leave(request)
         index, request.sends = request.sends, request.sends + 1
-        attempt = Attempt(self, request, index, engine, now, min(now + patience, request.end))
+        attempt = Attempt(self, request, index, engine, now, min(now + patience, request.end), by)
         # The last word on where nothing new may go; from here on `listed` takes back what is not under way.
         may = self._wanted(engine) and index < self.deployment.router.max_attempts
         if request.answered or request.current or not may:
--- a/pearhill/core/ports.py
+++ b/pearhill/core/ports.py
@@ -30,11 +30,15 @@
     def abort(self) -> None:
         """The answer has begun and will not be whole."""
 
+    def gone(self) -> bool:
+        """Whether it has gone, seen now: nothing more is begun for it."""
+
 
 class Backend(Protocol):
     """The way to the engines. For each attempt it calls `Attempt.end` once, whatever happens, except after `cancel`."""
 
-    def send(self, attempt: Attempt) -> None: ...
+    def send(self, attempt: Attempt) -> None:
+        """Write the attempt's request, if `Attempt.may_begin` says so right before its first byte."""
 
     def cancel(self, attempt: Attempt) -> bool:
         """Close the attempt's connection before returning. False: the engine surely never had the whole request."""
--- a/pearhill/http1/handler.py
+++ b/pearhill/http1/handler.py
@@ -33,6 +33,9 @@
     def abort(self, last: bytes = b"") -> None:
         """The answer ends without its end, after these last bytes."""
 
+    def gone(self) -> bool:
+        """Whether the client has gone, seen now; its `Pending` has been told then, or is as soon as there is one."""
+
 
 class Handler(Protocol):
     def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -24,7 +24,9 @@
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
 RELEASE_FOR = 20_000_000  # how long a release is tried again
 KEEP_LEFT = 60_000_000  # the address of an engine that has left the list: attempts and releases may still need it
-RELEASE_WAIT = 250_000  # for the answer to a release before it is tried again
+# For the answer to a release, and for its connection, before it is tried again on a new one: the first waits least. One
+# that stood idle may have fallen silent, and the time in which the state has to be let go runs on.
+FIRST_RELEASE_WAIT, RELEASE_WAIT = 50_000, 250_000
 UNANSWERED = 8  # releases written and never answered, each on a connection that came up
 FIRST_RETRY, LAST_RETRY = 20_000, 500_000  # between tries of a release
 # For a connection while a state is held: the Router begins none after its time, and 350 ms more are allowed.
@@ -104,6 +106,7 @@
         self.body = bytearray()
         self.stream = backend.dialect.stream(attempt.request.payload)
         self.stall: Key | None = None
+        self.window = backend.pool.deadlines.at(attempt.by, self._too_late) if attempt.by else None
         self.task: asyncio.Task[None] | None = backend.pool.spawn(self._open())
 
     async def _open(self) -> None:
@@ -112,12 +115,17 @@
         try:
             if address is None:
                 raise CannotConnect("the engine has no address")
+            if not await self.backend.may_replace(attempt.request):
+                return self.over(i.MOOT)
             connection = self.connection = await pool.acquire(
                 address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT)
-        except NoRoom:  # Danger: taken for the engine's failure, a crowd here would shun every engine in turn.
+        except NoRoom:  # Danger: taken for the engine's failure, a crowd here would eject every engine in turn.
             return self.over(i.MOOT)
         except CannotConnect:
             return self.over(i.UNREACHABLE)
+        if not attempt.may_begin():
+            return
+        self.backend.give_up_unread(attempt.request)  # Danger: or it were a second copy
         wait = max(1, (attempt.deadline - pool.deadlines.clock()) // 1000)
         data = self.backend.dialect.request(attempt.request.payload, attempt.engine, wait)
         self.tried = True
@@ -130,6 +138,12 @@
         if connection.closed:
             self.over(i.BROKEN, may_hold=True)
 
+    def _too_late(self) -> None:
+        """Danger: its connection may come up long after the choice, and a server that reads slowly has the last byte
+        long after the first, and runs it only then."""
+        if not (self.connection and self.connection.sent):
+            self.attempt.withdraw()
+
     async def handle(self, event: Event) -> None:
         if type(event) is Data and self.status == 200:  # nearly all there is
             return await self._stream(event.data)
@@ -202,9 +216,9 @@
             self.over(i.ANSWERED if well else i.BROKEN if self.attempt.began else i.ERROR, self.stream.kept)
         elif self.status == 202:
             self.over(i.READ, self._kept_read(), may_hold=True)
-        elif self.status in (503, 504) and self.never_ran:
+        elif clean and self.status in (503, 504) and self.never_ran:
             self.over(i.FULL)
-        elif self.status == 410 and self.never_ran:
+        elif clean and self.status == 410 and self.never_ran:
             self.over(i.NO_STATE)
         else:
             self.over(i.ERROR, may_hold=True)
@@ -216,12 +230,16 @@
             return 0
 
     def over(self, outcome: str, kept: int = 0, may_hold: bool = False, rest: int = 0, said: Any = None) -> None:
-        self.backend.pool.deadlines.cancel(self.stall)
+        self._forget_deadlines()
         self.backend.calls.pop(self.attempt, None)
         self.attempt.end(outcome, kept, may_hold, rest, said)
 
+    def _forget_deadlines(self) -> None:
+        for key in (self.stall, self.window):
+            self.backend.pool.deadlines.cancel(key)
+
     def cancel(self) -> bool:
-        self.backend.pool.deadlines.cancel(self.stall)
+        self._forget_deadlines()
         if self.task:
             self.task.cancel()
             self.task = None  # Danger: cancelled, it holds this call and its request's body till the collector comes
@@ -247,6 +265,7 @@
         # By the request's number. Danger: the request itself holds its prompt, and through a cut there are hundreds.
         self.unread: dict[int, list[tuple[Connection, Unread]]] = {}
         self.releasing = 0
+        self.owed: dict[int, Collection[int]] = {}  # by the request's number: engines that have yet to let go for it
 
     def locate(self, addresses: dict[int, Address], gone: Collection[int], full: bool) -> None:
         """Where engines listen; those that are gone, or missing from a full list, have left. No connections are
@@ -266,8 +285,6 @@
         del self.addresses[engine], self.leaving[engine]
 
     def send(self, attempt: Attempt) -> None:
-        number = attempt.request.number
-        self._give_up(number, self.unread.get(number, ()))  # Danger: or it were a second copy
         self.calls[attempt] = Call(self, attempt)
 
     def keep_open(self, request: Request, connection: Connection) -> None:
@@ -276,6 +293,35 @@
         self.unread.setdefault(request.number, []).append((connection, exchange))
         self.pool.unread[connection] = None
 
+    async def may_replace(self, request: Request) -> bool:
+        """Whether another fetch may take the place of one that was given up and is still out. Danger: if that one finds
+        no state, what is held is held for nobody, and where it is held may be cut off, or silent. So the reader has to
+        answer now; a writer that was asked hangs, as a rule, and answers nothing, but it has to be there."""
+        if not self.unread.get(request.number):
+            return True
+        holders = {*request.holders, *self.owed.get(request.number, ())}
+        found = await asyncio.gather(*(self._reaches(request, engine) for engine in holders))
+        return all(found)
+
+    async def _reaches(self, request: Request, engine: int) -> bool:
+        """A release shows it; while an attempt is out for what is held it lets go of nothing."""
+        address = self.addresses.get(engine)
+        if address is None:
+            return False
+        for within, fresh in ((FIRST_RELEASE_WAIT, False), (2 * FIRST_RELEASE_WAIT, True)):
+            try:
+                await call(self.pool, address, self.dialect.release(request.payload, engine), within, fresh=fresh)
+                return True
+            except TimeoutError:  # a connection was there, and nothing came on it
+                if fresh and engine != request.reader:
+                    return True
+            except (OSError, ValueError, CannotConnect):
+                pass
+        return False
+
+    def give_up_unread(self, request: Request) -> None:
+        self._give_up(request.number, self.unread.get(request.number, ()))
+
     def _give_up(self, number: int, unread: Iterable[tuple[Connection, Unread]]) -> None:
         for connection, exchange in list(unread):
             self.pool.unread.pop(connection, None)
@@ -297,6 +343,7 @@
         calls = [(address, self.dialect.release(request.payload, engine)) for engine in engines
                  if (address := self.addresses.get(engine))]
         self.releasing += 1
+        self.owed[request.number] = engines
         self.pool.spawn(self._release_all(request.number, calls))
 
     async def _release_all(self, number: int, calls: list[tuple[Address, bytes]]) -> None:
@@ -309,15 +356,16 @@
                 await asyncio.gather(*(self._release(*call) for call in calls))
         finally:
             self.releasing -= 1
+            self.owed.pop(number, None)
 
     async def _release(self, address: Address, data: bytes) -> None:
         """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
         it may be on its way to a machine that is cut off, or to one that is slow, so it is said again."""
-        pool, wait, unanswered = self.pool, FIRST_RETRY, 0
+        pool, wait, unanswered, answer_within = self.pool, FIRST_RETRY, 0, FIRST_RELEASE_WAIT
         until = pool.deadlines.clock() + RELEASE_FOR
         while unanswered < UNANSWERED and pool.deadlines.clock() < until:
             try:
-                await call(pool, address, data, RELEASE_WAIT)
+                await call(pool, address, data, answer_within, fresh=answer_within > FIRST_RELEASE_WAIT)
                 return
             except TimeoutError:
                 unanswered += 1
@@ -325,5 +373,5 @@
                 pass
             pool.counters.release_retries += 1
             await pause(pool.deadlines, wait)
-            wait = min(2 * wait, LAST_RETRY)
+            wait, answer_within = min(2 * wait, LAST_RETRY), min(2 * answer_within, RELEASE_WAIT)
         logger.warning("a release at {peer} is given up", peer="{}:{}".format(*address))
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -19,18 +19,19 @@
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import MAX_BODY, ContinueWanted, Rejected, ServerConnection
 from pearhill.net.address import Address
+from pearhill.net.incoming import Incoming
 from pearhill.net.tasks import Tasks
 
 FIRST_READ, READ = 2 * 1024, 64 * 1024  # at once, of what may begin a request, and of what goes on with one
 ROOM = 64 * 1024  # bytes of an answer that may wait for a slow client before its server is held back
-PIPELINED = 4  # requests that may wait on one connection behind the one being answered
+PIPELINED = 4  # requests that may wait on one connection behind the one being answered, and no more bytes than one
 MESSAGE_WITHIN = 2_000_000  # a request is whole by then, from its first byte; the first one from its accept
 IDLE_WITHIN = 5_000_000
 LINGER, LINGER_BYTES = 1_000_000, 256 * 1024  # how long, and how much, is read past the last answer
+LOOK_BYTES = 4 << 20  # read at once to see whether a client that has sent so much is still there
 WRITE_WITHIN = 20_000_000  # a client that takes no byte for so long is gone
 ACCEPT_AT_ONCE = 16  # connections taken in one turn
 LOOK_AGAIN = 20_000  # at the door, once there was no room
-TURN = 250_000  # a connection that young may have bytes that no turn has come to read
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -56,6 +57,7 @@
     def __init__(self, listener: Listener, sock: socket.socket, peer: Any) -> None:
         self.listener, self.sock, self.peer = listener, sock, peer
         self.machine = ServerConnection(listener.max_body)
+        self.incoming = Incoming(listener.loop, sock)
         self.waiting: deque[RequestMessage | Rejected] = deque()
         self.pending: Pending | None = None
         self.answering = self.closed = self.ending = False
@@ -64,7 +66,8 @@
         self._keep = True
         self._last = False  # the next answer ends it, whatever its request says
         self._out = bytearray()
-        self._room, self._next = asyncio.Event(), asyncio.Event()
+        self._past = 0  # bytes read behind its last answer
+        self._room = asyncio.Event()
         self._room.set()
         self._timer: Key | None = None
         self._reason = "answered"
@@ -95,11 +98,8 @@
 
     @property
     def unread(self) -> bool:
-        """It has only just come, and bytes with it, or its next request waits. Danger: a request among hundreds that
-        only connect would go too."""
-        if self.requests:
-            return self.idle and not self.ending and self.has_bytes
-        return self.listener.deadlines.clock() - self.since <= TURN and self.has_bytes
+        """Its next request waits, or the rest of one. Danger: closed now, it would be lost on its way."""
+        return not self.ending and self.has_bytes
 
     @property
     def has_bytes(self) -> bool:
@@ -111,6 +111,24 @@
 
     # Reply.
 
+    def gone(self) -> bool:
+        """Whether the client has closed, half-closed or reset its connection, by the socket itself. Danger: a busy loop
+        has not come to read it, or its end stands behind more that it has sent, and its request would be sent on."""
+        looked = 0
+        while not self.closed and looked < LOOK_BYTES:
+            try:
+                if self.sock.recv(1, socket.MSG_PEEK):
+                    data = self.sock.recv(READ)
+                    looked += len(data)
+                    self._took(memoryview(data))
+                    continue
+                self.close("client-closed")
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as e:
+                self.close(f"client-{type(e).__name__}")
+        return self.closed
+
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         self._put(messages.answer(status, headers, body, close=not self._keeps()))
         self._done()
@@ -177,7 +195,6 @@
         """Take up the next request, unless one is being answered."""
         while self.waiting and not (self.answering or self.ending or self.closed):
             message = self.waiting.popleft()
-            self._next.set()
             self.answering = True
             if isinstance(message, Rejected):
                 self._reject(message)
@@ -194,7 +211,9 @@
                     self._keep = False
                     self.answer(500)
                 continue
-            if self.answering and self.requests == turn:
+            if self.closed and pending:  # its end was seen while it was handled
+                pending.left()
+            elif self.answering and self.requests == turn:
                 self.pending = pending
         if not self.answering:
             self.since = self.listener.deadlines.clock()
@@ -223,38 +242,47 @@
         self._advance()
 
     async def _read(self) -> None:
-        loop, reason, past = self.listener.loop, "client-closed", 0
+        """Danger: a read that the loop does ahead of this task's turn is lost with the task when the connection is
+        closed in between: a request read, and dropped. So bytes are taken off the socket only here and in `gone`."""
+        reason = "client-closed"
         try:
             while not self.closed:
                 # Danger: clients by the hundred that ask once and stay would each hold a large buffer.
                 buffer = bytearray(READ if self.machine.in_message else FIRST_READ)
                 try:
-                    size = await loop.sock_recv_into(self.sock, buffer)
+                    size = await self.incoming.recv_into(buffer)
                 except OSError as e:
                     size, reason = 0, f"client-{type(e).__name__}"
-                if not size:
+                if not size or not self._took(memoryview(buffer)[:size]):
                     break
-                if self.ending:
-                    past += size
-                    if past > LINGER_BYTES:  # Danger: whoever sends megabytes after its answer is read to the end.
-                        break
-                    continue
-                self._feed(memoryview(buffer)[:size])
-                while len(self.waiting) > PIPELINED and not self.closed:
-                    self._next.clear()
-                    await self._next.wait()
         finally:
+            self.incoming.close()
             self.close(self._reason if self.ending else reason)
             self.machine.close()
 
+    def _took(self, data: memoryview) -> bool:
+        """What was read. False: enough of it, behind the last answer."""
+        if self.ending:
+            self._past += len(data)
+            return self._past <= LINGER_BYTES  # Danger: whoever sends megabytes after its answer is read to the end.
+        self._feed(data)
+        return True
+
     def _feed(self, data: memoryview) -> None:
         """Danger: a name in the reader's own frame would keep the last request for as long as its client stays."""
         began = self.machine.in_message
         for event in self.machine.feed(data):
-            if not isinstance(event, ContinueWanted):
-                self.waiting.append(event)
-            elif not (self.answering or self.waiting):  # Danger: it would land inside another's answer.
-                self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if isinstance(event, ContinueWanted):
+                if not (self.answering or self.waiting):  # Danger: it would land inside another's answer.
+                    self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
+                continue
+            if self._floods:
+                # Danger: left unread, a flood hides its client's end, and the requests of one that has gone would be
+                # sent on. So reading goes on: nothing more of it is kept, and the answers to the first of it end it.
+                self.waiting.append(Rejected(429, "too many requests at once on one connection"))
+                self.machine.close()
+                break
+            self.waiting.append(event)
         if self.waiting:
             self._advance()
         elif self.machine.in_message != began:
@@ -262,6 +290,11 @@
                 self.since = self.listener.deadlines.clock()
             self._watch()
 
+    @property
+    def _floods(self) -> bool:
+        return len(self.waiting) >= PIPELINED + (not self.answering) or sum(
+            len(m.body) for m in self.waiting if isinstance(m, RequestMessage)) > self.machine.max_body
+
     def _task_over(self, task: asyncio.Task[None]) -> None:
         """Danger: a socket that is closed while the loop still polls it may hand its number to another. A task that
         was cancelled holds its frame, and that this link: they go when the collector comes, unless let go of here."""
@@ -296,7 +329,8 @@
     def close_unless_asked(self, reason: str) -> None:
         """End an idle connection, unless a request has come that no turn has read yet: its answer ends it then."""
         if self.has_bytes:
-            self._last = True
+            self._last, self.since = True, self.listener.deadlines.clock()
+            self._watch()  # Danger: what came may be no request
         else:
             self.close(reason)
 
@@ -307,7 +341,6 @@
         self.closed = True
         self.listener.deadlines.cancel(self._timer)
         self._room.set()
-        self._next.set()
         with contextlib.suppress(OSError):  # the client was first
             self.sock.shutdown(socket.SHUT_RDWR)
         for task in (self._reader, self._writer):
@@ -465,10 +498,15 @@
                 return found
         return []
 
+    @property
+    def open(self) -> bool:
+        """Somebody is connected. Danger: whoever only rests may send in the last moment."""
+        return any(not link.closed for link in self.links)
+
     @property
     def quiet(self) -> bool:
-        """Nothing is being read, answered or written."""
-        return all(link.closed or link.idle for link in self.links)
+        """Nothing is being read, answered or written, and nobody's last answer is still on its way."""
+        return all(link.closed or (link.idle and not link.ending) for link in self.links)
 
     def last_answers(self, on: bool = True) -> None:
         """From now on each answer ends its connection, or no longer does."""
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -20,6 +20,11 @@
 BUFFER = 8 * 1024
 MAX_ANSWER = 4 << 20  # of a list of servers
 MAX_CONNECT = 75_000_000  # the system itself gives up before
+FOR_LISTS = 8  # of the descriptors kept back for the books: for the list of servers alone
+# An answer that another one follows is followed by it some milliseconds later. Danger: by then the connection may carry
+# another request, whose answer it would be taken for.
+REST = 20_000
+REQUESTS, BOOKS, LISTS = range(3)  # what a connection is for; each may take what those before it may, and more
 
 
 class CannotConnect(Exception):
@@ -51,6 +56,7 @@
         self.exchanges = 0
         self.closed = False
         self.idle_key: Key | None = None
+        self.rests_until = 0
         self._reader: asyncio.Task[None] | None = pool.spawn(self._read())
         self._reader.add_done_callback(self._reader_over)
 
@@ -113,7 +119,7 @@
             self.exchange = None
             # Danger: an answer that comes before the whole request was sent leaves the rest on the wire.
             if event.reusable and self.sent and not self.closed:
-                self.pool.put_back(self)
+                self.pool.put_back(self, rests=not isinstance(exchange, Gathered))
             else:
                 self.close("server-asked")
         if exchange is None:
@@ -143,7 +149,8 @@
 
 
 class Pool:
-    """All connections to servers. `most` bounds them all together; `spare` more are for those of `acquire(urgent)`."""
+    """All connections to servers. `most` bounds them all together; `spare` more keep the books in order, `FOR_LISTS` of
+    them for the list of servers alone: requests hold none of them, nor releases by the hundred, through a cut, all."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, *,
                  connect_timeout: int, keep_idle: int, most: int, spare: int) -> None:
@@ -156,18 +163,20 @@
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
-    async def acquire(self, address: Address, urgent: bool = False, within: int = MAX_CONNECT) -> Connection:
+    async def acquire(self, address: Address, use: int = REQUESTS, within: int = MAX_CONNECT,
+                      fresh: bool = False) -> Connection:
         """A connection that is up: an idle one that still stands, the latest used first, else a new one, `within` so
-        many microseconds if that is less than the settings allow. `urgent`: a call that keeps the books in order,
-        whatever the requests hold."""
-        while address in self.idle:
-            connection = self.idle[address][-1]
+        many microseconds if that is less than the settings allow. `use`: what for. `fresh`: a new one in any case."""
+        now = self.deadlines.clock()
+        for connection in [] if fresh else reversed(self.idle.get(address, []).copy()):
+            if use == REQUESTS and connection.rests_until > now:
+                continue
             self._leave_idle(connection)
             if connection.usable:
                 return connection
             connection.close("stale")
         # Danger: requests by the hundred would leave no descriptor for releases and for the list of servers.
-        most = self.most + self.spare * urgent
+        most = self.most + (0, self.spare - FOR_LISTS, self.spare)[use]
         if len(self.open) + self._connecting >= most and not self._drop_oldest():
             raise NoRoom("every descriptor set aside for servers is in use")
         self._connecting += 1
@@ -202,8 +211,9 @@
         """In force for what is connected, or put back, from now on."""
         self.connect_timeout, self.keep_idle = connect_timeout, keep_idle
 
-    def put_back(self, connection: Connection) -> None:
+    def put_back(self, connection: Connection, rests: bool = False) -> None:
         self.idle.setdefault(connection.address, []).append(connection)
+        connection.rests_until = self.deadlines.clock() + REST if rests else 0
         # Danger: a server closes an idle connection without a word, and what is then sent may have run.
         connection.idle_key = self.deadlines.after(self.keep_idle, lambda: connection.close("idle"))
 
@@ -263,9 +273,10 @@
 
 
 async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = MAX_ANSWER, *,
-               urgent: bool = True) -> tuple[int, bytes]:
-    """One request and its whole answer. OSError, TimeoutError, ValueError or CannotConnect where there is none."""
-    connection = await pool.acquire(address, urgent)
+               use: int = BOOKS, fresh: bool = False) -> tuple[int, bytes]:
+    """One request and its whole answer; `timeout` is for its connection, and again for its answer. OSError,
+    TimeoutError, ValueError or CannotConnect where there is none."""
+    connection = await pool.acquire(address, use, timeout, fresh)
     gathered = Gathered(pool.loop, most)
     try:
         async with time_limit(pool.deadlines, timeout):
--- a/pearhill/net/probes.py
+++ b/pearhill/net/probes.py
@@ -7,7 +7,7 @@
 
 from pearhill import interface as i
 from pearhill.net.address import Address
-from pearhill.net.pool import CannotConnect, NoRoom, Pool, call
+from pearhill.net.pool import REQUESTS, CannotConnect, NoRoom, Pool, call
 
 PROBE_WAIT = 250_000  # for an answer, in microseconds
 MOST_OUT = 64  # at once: probes must not take the descriptors that requests need
@@ -45,7 +45,7 @@
             for _ in range(TRIES):
                 try:
                     ask = self.dialect.probe()
-                    status, body = await call(self.pool, address, ask, PROBE_WAIT, MAX_REPORT, urgent=False)
+                    status, body = await call(self.pool, address, ask, PROBE_WAIT, MAX_REPORT, use=REQUESTS)
                     outcome, load = i.ANSWERED, self.dialect.load(status, body)
                     break
                 except TimeoutError:
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -33,7 +33,8 @@
 FOR_BOOKS = 24  # of them for releases and the list of servers
 DOOR = 16  # and for operators' calls, where there is a door for them
 ACCEPT_FOR = 1_000_000  # after SIGTERM new connections still come
-RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried
+RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried; and all through the time to end in
+LEAST_TERM = 3_000_000
 LEAST_ROOM = 8
 LOOK_AGAIN = 20_000
 DOOR_BODY = 4096  # bytes of a call that has no use for any
@@ -239,7 +240,7 @@
             await leaving()
         await pause(self.deadlines, ACCEPT_FOR)
         listener.stop_accepting(leave=self.succeeded())
-        await self.until(lambda: listener.quiet, listener.close_idle)
+        await self.until(lambda: not listener.open, listener.close_idle)
         await listener.close()
         if operators:
             await operators.close()
@@ -248,15 +249,24 @@
 
     async def until(self, quiet: Callable[[], bool] = lambda: True, meanwhile: Callable[[], None] = lambda: None,
                     ) -> None:
-        """Wait for the end of every request and whatever else is to be quiet, then a while for the last releases.
-        Danger: the system ends a process that takes long, and a replica that is gone never answers a release."""
-        while self.dispatcher.requests or not quiet():
-            await pause(self.deadlines, LOOK_AGAIN)
+        """Wait for the end of every request and whatever else is to be quiet, and for the releases, as long as the
+        system surely lets this process live. Danger: a replica that is gone never answers one; and what is looked at
+        before a wait may be owed after it, so that all of it holds in the same turn of the loop."""
+        last = self.deadlines.clock()
+        while True:
             meanwhile()
-        last = self.deadlines.clock() + RELEASES_FOR
-        while self.backend.releasing and self.deadlines.clock() < last:
+            if self.dispatcher.requests or not quiet():
+                last = self.deadlines.clock() + RELEASES_FOR
+            elif not self.backend.releasing or self.deadlines.clock() >= max(last, self._release_until):
+                return
             await pause(self.deadlines, LOOK_AGAIN)
 
+    @property
+    def _release_until(self) -> int:
+        """After SIGTERM the platform waits for its longest deadline, and 3 s at least, before it kills."""
+        longest = max((spec.deadline for spec in self.settings.router.classes), default=0)
+        return (self.drain.ending or 0) + max(LEAST_TERM, longest)
+
     def close(self) -> None:
         self.pool.close()
         self.turns.close()
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -94,6 +94,9 @@
         self._over()
         self.reply.abort()
 
+    def gone(self) -> bool:
+        return self.reply.gone()
+
     def left(self) -> None:
         request = self.request
         self._over()
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
 import uvloop
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
+from pearhill.net.backend import FIRST_RELEASE_WAIT, FIRST_RETRY, HttpBackend
 from pearhill.net.clock import start_clock
-from pearhill.net.pool import Pool
+from pearhill.net.pool import BOOKS, REQUESTS, REST, Pool
+from pearhill.platform.front import Payload
+from pearhill.platform.replica import ReplicaDialect
 
 
 def test_a_connection_that_the_server_has_closed_is_not_used_though_its_reader_had_no_turn_to_see_it():
@@ -30,3 +34,75 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(day())
+
+
+def test_a_connection_rests_after_an_answer_before_it_carries_another_request():
+    """A second answer, some milliseconds behind the first, would be taken for that request's. What keeps the books is
+    sent at once: the answer to it is of another kind, and nothing runs twice by it."""
+    async def day() -> None:
+        now, loop = 0, asyncio.get_running_loop()
+        pool = Pool(loop, Deadlines(lambda: now), Counters(), connect_timeout=5_000_000, keep_idle=5_000_000, most=4,
+                    spare=9)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            first = await pool.acquire(server.getsockname())
+            pool.put_back(first, rests=True)
+            assert await pool.acquire(server.getsockname(), BOOKS) is first
+            pool.put_back(first, rests=True)
+            second = await pool.acquire(server.getsockname(), REQUESTS)
+            assert second is not first
+            pool.put_back(second)  # it has carried none
+            assert await pool.acquire(server.getsockname()) is second
+            now += REST
+            assert await pool.acquire(server.getsockname()) is first
+        pool.close()
+        await asyncio.sleep(0)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(day())
+
+
+def test_a_release_on_a_connection_that_has_fallen_silent_is_said_on_a_new_one_well_within_the_time_to_let_go():
+    """300 ms are the least that a deployment gives, and 300 more are allowed. Two idle ones have fallen silent here."""
+    async def day() -> None:
+        now, loop = 0, asyncio.get_running_loop()
+        deadlines = Deadlines(lambda: now)
+        pool = Pool(loop, deadlines, Counters(), connect_timeout=250_000, keep_idle=60_000_000, most=4, spare=9)
+        heard: list[bytes] = []
+        connections = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal connections
+            connections += 1
+            silent = connections <= 2
+            while data := await reader.read(4096):
+                heard.append(data)
+                if not silent:
+                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        idle = [await pool.acquire(address) for _ in range(2)]
+        while connections < 2:
+            await asyncio.sleep(0)
+        for connection in idle:
+            pool.put_back(connection)
+        backend = HttpBackend(pool, ReplicaDialect())
+        backend.locate({1: address}, [], full=True)
+        backend.release(SimpleNamespace(number=7, payload=Payload("r7", "POST", "/", b"", "")), {1})
+        for wait in (FIRST_RELEASE_WAIT, FIRST_RETRY):
+            pending = len(deadlines)
+            while not heard or deadlines.earliest != now + wait:
+                await asyncio.sleep(0)
+            assert pending
+            now += wait
+            deadlines.sweep()
+        while backend.releasing:
+            await asyncio.sleep(0)
+        assert (len(heard), connections) == (2, 3) and now <= 100_000
+        pool.close()
+        server.close()
+        await asyncio.sleep(0)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(day())
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -25,6 +25,7 @@
         self.sock.listen(0)
         self.first.connect(self.sock.getsockname())
         self.address = "{}:{}".format(*self.sock.getsockname())
+        self.accepted = threading.Semaphore(0)  # dispatchers' connections that are up
 
     def up(self) -> None:
         threading.Thread(target=self._accept, daemon=True).start()
@@ -37,6 +38,8 @@
                 connection, peer = self.sock.accept()
             except OSError:
                 return
+            if peer != self.first.getsockname():
+                self.accepted.release()
             threading.Thread(target=self._read, args=(connection, peer), daemon=True).start()
 
     def _read(self, connection: socket.socket, peer: object) -> None:
--- /dev/null
+++ b/tests/platform/test_owed.py
@@ -0,0 +1,297 @@
+"""What is owed at the instant in which something ends or is handed on (docs/design/owed.md), by the real program on
+loopback. Each crossing is forced by the order of events: while the program is stopped (SIGSTOP) the system takes what
+comes, in that order, and all of it waits for the program when it goes on."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.platform.test_leaving import Late
+from tests.standins import LAST, SETTINGS, TOKENS, Discovery, Program, Standin, platform
+
+PATH = "/v1/chat/completions"
+BODY = json.dumps({"model": "chat", "stream": True, "messages": []}).encode()
+SERVED = b"".join(TOKENS) + LAST
+SLOW_CONNECT = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}}
+
+
+def request(id: str, cls: str = "job-booking", wait_ms: int = 9000) -> bytes:
+    return (f"POST {PATH} HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\nRequest-Class: {cls}\r\n"
+            f"Request-Timeout-Ms: {wait_ms}\r\nRequest-Info: prompt_len=3000,max_out=100\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n").encode() + BODY
+
+
+def answer(sock: socket.socket) -> tuple[int, bytes]:
+    """One answer; (0, b"") where the connection ends without one. The end of a broken body is not taken for one."""
+    response = http.client.HTTPResponse(sock)
+    try:
+        response.begin()
+        return response.status, response.read()
+    except (OSError, http.client.HTTPException):
+        return 0, b""
+
+
+def stands(sock: socket.socket) -> bool:
+    """Nothing has come on it, not even its end."""
+    sock.setblocking(False)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    finally:
+        sock.settimeout(20)
+    return False
+
+
+class Stopped:
+    """The program stands still inside: whatever comes waits for it, in the order in which it came."""
+
+    def __init__(self, program: Program) -> None:
+        self.pid = program.process.pid
+
+    def __enter__(self) -> None:
+        os.kill(self.pid, signal.SIGSTOP)
+        end = time.monotonic() + 20
+        while open(f"/proc/{self.pid}/stat").read().rpartition(")")[2].split()[0] != "T":
+            assert time.monotonic() < end
+
+    def __exit__(self, *error: object) -> None:
+        os.kill(self.pid, signal.SIGCONT)
+
+
+class Day:
+    """One dispatcher, its agent, and the servers that it names; all of it ends with the test."""
+
+    def __init__(self) -> None:
+        self.things: list[Any] = []
+
+    def start(self, *servers: tuple[Any, str], **changes: Any) -> Program:
+        self.discovery = Discovery(*((f"s-{n}", server.address, kind) for n, (server, kind) in enumerate(servers)))
+        self.program = platform(self.discovery.address, **changes)
+        self.things += [self.discovery, *(server for server, _ in servers)]
+        self.program.wait_ready()
+        return self.program
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection((self.program.host, self.program.port), timeout=20)
+        self.things.append(sock)
+        return sock
+
+    def until(self, what: Callable[[dict[str, Any]], Any]) -> None:
+        """The program's own counters say so. Asked on one connection that stays."""
+        connection = self.program.connect()
+        end = time.monotonic() + 20
+        while True:
+            connection.request("GET", "/counters")
+            counters = json.loads(connection.getresponse().read())
+            if what(counters):
+                # A turn more: what was counted has been begun.
+                connection.request("GET", "/counters")
+                connection.getresponse().read()
+                return connection.close()
+            assert time.monotonic() < end, counters
+
+    def end(self) -> None:
+        self.program.kill()
+        for thing in self.things:
+            thing.close()
+
+
+@pytest.fixture
+def day():
+    made = Day()
+    yield made
+    made.end()
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+ENDS = [close, half_close, reset]
+FLOOD = b"".join(request(f"f{n}") for n in range(40))
+HALF = request("big").partition(b"Content-Length")[0] + b"Content-Length: 200000\r\n\r\n" + b" " * 150_000
+
+
+def test_nothing_is_begun_for_a_client_whose_end_stands_behind_its_request(day):
+    """The program comes to read the one when the other is there, and has an idle connection to send it on. All that a
+    flood has sent stands between the two."""
+    server = Standin()
+    program = day.start((server, "all-in-one"))
+    before = day.connect()
+    for n, (more, end) in enumerate((more, end) for more in (b"", request("p1"), FLOOD, HALF) for end in ENDS):
+        before.sendall(request(f"b{n}"))
+        assert answer(before) == (200, SERVED)
+        rested = time.monotonic() + 0.1  # its connection may carry another request by then
+        client = day.connect()
+        with Stopped(program):
+            client.sendall(request(f"a{n}") + more)
+            end(client)
+            while time.monotonic() < rested:
+                pass
+        day.until(lambda counters, n=n: counters["left"] > n)
+        assert server.runs == n + 1, (end, more[:200])
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_nothing_is_begun_for_a_client_that_has_gone_when_its_connection_to_the_server_comes_up(day, end):
+    """That is up first, so that the loop comes to it first."""
+    late = Late()
+    program = day.start((late, "all-in-one"), settings=SLOW_CONNECT)
+    client = day.connect()
+    client.sendall(request("a1"))
+    day.until(lambda counters: counters["sent"])
+    with Stopped(program):
+        late.up()
+        assert late.accepted.acquire(timeout=20)
+        end(client)
+    day.until(lambda counters: counters["left"])
+    assert (late.got, program.counters()["sent"]) == (0, 1)
+
+
+def test_a_client_that_goes_is_seen_though_it_has_sent_more_than_is_read_of_it(day):
+    """Its request waits for its answer meanwhile; a flood used to stop the reading of its own end."""
+    server = Standin()
+    server.respond = lambda handler, body: handler.connection.recv(1)
+    program = day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("a1") + FLOOD)
+    server.wait_for("POST")
+    client.close()
+    day.until(lambda counters: counters["outcomes"].get("cancelled") or counters["outcomes"].get("timeout"))
+    counters = program.counters()
+    assert (counters["outcomes"], counters["left"], server.runs) == ({"cancelled": 1}, 1, 1)
+
+
+def test_a_request_on_the_connection_that_just_then_makes_room_is_answered(day):
+    """It was read off the socket in the very turn in which another came, for whom the longest idle one had to go; and
+    went with it."""
+    server = Standin()
+    program = day.start((server, "all-in-one"), limits={"sockets": 64})
+    idle = list[socket.socket]()
+    for n in range(16):  # twice as many as there is room for
+        idle.append(day.connect())
+        idle[-1].sendall(request(f"i{n}"))
+        assert answer(idle[-1]) == (200, SERVED)
+    oldest = next(sock for sock in idle if stands(sock))
+    with Stopped(program):
+        oldest.sendall(request("last"))
+        others = [day.connect() for _ in range(2)]
+    assert answer(oldest) == (200, SERVED)
+    for n, other in enumerate(others):
+        other.sendall(request(f"o{n}"))
+        assert answer(other) == (200, SERVED)
+    assert server.runs == 19
+    assert sum(map(stands, idle)) < 8  # somebody else has made room
+
+
+def test_a_keyed_request_is_not_begun_again_once_its_window_is_over(day):
+    """The choice came in time, and the connection after it. A refusal is harmless: all servers discard repeats."""
+    window = 2_500_000
+    keyed = {**SLOW_CONNECT, "classes": [{**SETTINGS["classes"][1], "effect": "idempotency_key", "group": "all",
+                                          "window": window}]}
+    first, late = Standin(), Late()
+    first.respond = lambda handler, body: (first.go.wait(20), handler.plain(500))
+    program = day.start((first, "all-in-one"), settings=keyed)
+    client = day.connect()
+    client.sendall(request("k1"))
+    first.wait_for("POST")
+    since = time.monotonic()
+    day.discovery.update(("s-0", first.address, "all-in-one"), ("s-1", late.address, "all-in-one"))
+    day.discovery.wait_for("GET", "/v1/endpoints?after=2")
+    first.go.set()
+    day.until(lambda counters: counters["sent"] == 2)
+    with Stopped(program):
+        late.up()
+        assert late.accepted.acquire(timeout=20)
+        while time.monotonic() < since + window / 1e6:
+            pass
+    assert answer(client)[0] == 503
+    assert late.got == 0
+
+
+def test_another_fetch_is_not_begun_while_the_reader_that_holds_the_state_answers_nothing(day):
+    """Found no state there, nothing would be out, and what is held could not be let go of."""
+    silent, given_up = threading.Event(), threading.Event()
+    reader, writers = Standin(), [Standin(), Standin()]
+    asked: list[Standin] = []
+
+    def read(handler: Any, body: bytes) -> None:
+        if handler.command == "DELETE":
+            silent.wait(20)
+            return handler.plain(204)
+        handler.plain(202, b'{"cached_tokens":0}')
+
+    def write(handler: Any, body: bytes) -> None:
+        if handler.command == "DELETE":
+            return handler.plain(204)
+        asked.append(handler.standin)
+        if len(asked) > 1:
+            return handler.plain(410, Not_Started="1")
+        handler.connection.recv(1)
+        given_up.set()
+    reader.respond = read
+    for writer in writers:
+        writer.respond = write
+    day.start((reader, "reader"), (writers[0], "writer"), (writers[1], "writer"))
+    client = day.connect()
+    client.sendall(request("h1", "advice", 4000))
+    day.until(lambda counters: counters["outcomes"].get("timeout"))
+    assert answer(client)[0] == 503
+    assert len(asked) == 1 and not given_up.is_set()
+    silent.set()
+    assert given_up.wait(20)  # all that holds something answers: it is let go of
+
+
+def test_the_end_waits_for_releases_and_ends_whoever_rests_before_it_can_take_a_request_more(day):
+    """The client came while connections were still taken, and said nothing. What it sends once the door is shut was
+    read, and lost as the process ended; the releases went on for a second."""
+    answering, reader = threading.Event(), Standin()
+
+    def read(handler: Any, body: bytes) -> None:
+        if handler.command == "DELETE":
+            answering.wait(30)
+            return handler.plain(204)
+        handler.rfile.read(1)  # until its dispatcher gives it up
+    reader.respond = read
+    program = day.start((reader, "all-in-one"))
+    gone = day.connect()
+    gone.sendall(request("g1"))
+    reader.wait_for("POST")
+    gone.close()
+    reader.wait_for("DELETE")
+    program.process.terminate()
+    program.wait_line("draining")
+    first = day.connect()
+    assert first.recv(1) == b""  # from here on idle connections end
+    rests = day.connect()
+    while True:
+        try:
+            socket.create_connection((program.host, program.port)).close()
+        except ConnectionRefusedError:
+            break
+    assert rests.recv(1) == b""
+    said = sum(method == "DELETE" for method, _ in reader.calls)
+    reader.wait_for("DELETE", count=said + 2)
+    answering.set()
+    assert program.process.wait(20) == 0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -19,7 +19,7 @@
 from pearhill.http1.server import Rejected, ServerConnection
 from pearhill.http1.sse import BadEvents, EventParser
 from pearhill.net.backend import HttpBackend
-from pearhill.net.pool import NoRoom, Pool
+from pearhill.net.pool import BOOKS, FOR_LISTS, LISTS, REQUESTS, NoRoom, Pool
 from pearhill.platform.replica import ReplicaDialect
 from tests.standins import SETTINGS
 
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.told: list[str] = []
+        self.closed = False  # unseen until somebody looks
 
     def refuse(self, stay_away: int) -> None:
         self.told.append("refuse")
@@ -47,6 +48,9 @@
     def abort(self) -> None:
         self.told.append("abort")
 
+    def gone(self) -> bool:
+        return self.closed
+
 
 class Core(unittest.TestCase):
     def setUp(self) -> None:
@@ -112,6 +116,33 @@
                 self.sent[-1].end(i.ANSWERED)
                 self.assertEqual((client.told, self.released, self.core.requests), (["finish"], [], {}))
 
+    def test_nothing_is_begun_for_a_client_that_is_seen_to_have_gone(self):
+        """Neither at the choice nor at the first byte; what was held for it is let go of."""
+        client = self.take()
+        self.sent[0].end(i.READ, may_hold=True)
+        self.assertTrue(self.sent[1].may_begin())
+        client.closed, self.reached = True, False
+        self.assertFalse(self.sent[1].may_begin())
+        self.assertEqual((client.told, self.released, self.core.requests, self.core.counters.left), ([], [{1}], {}, 1))
+        client = self.take()
+        client.closed = True
+        self.sent[2].end(i.READ, may_hold=True)
+        self.assertEqual((len(self.sent), client.told, self.released, self.core.counters.left), (3, [], [{1}, {1}], 2))
+        self.assertEqual(self.core.requests, {})
+
+    def test_an_attempt_whose_time_to_be_written_is_over_never_ran_and_blames_nobody(self):
+        """A state is fetched within `release-within` or let go; it waits for a connection until then."""
+        client = self.take(BOOKING)
+        self.sent[0].end(i.READ, may_hold=True)
+        within = SETTINGS["extra"]["release-within"]
+        self.assertEqual(self.sent[1].by, self.now + within)
+        self.reached = False
+        self.now += within
+        self.assertFalse(self.sent[1].may_begin())
+        self.assertEqual((self.core.counters.outcomes[i.WITHDRAWN], self.released, client.told), (1, [{1}], []))
+        self.assertFalse([e.id for e in self.core.router.router.engines.values() if e.fails.value])
+        self.assertEqual(self.sent[2].engine, 1)  # read anew: it has run nowhere
+
     def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_wants(self):
         handle = self.core.router.handle
         self.core.router.handle = lambda now, event: [  # type: ignore[method-assign]
@@ -334,22 +365,23 @@
         self.addCleanup(server.close)
         self.address = server.sockets[0].getsockname()
         self.pool = Pool(asyncio.get_running_loop(), self.deadlines, Counters(), connect_timeout=10**6,
-                         keep_idle=10**6, most=1, spare=1)
+                         keep_idle=10**6, most=1, spare=FOR_LISTS + 2)
         self.addCleanup(self.pool.close)
 
     async def test_calls_that_keep_the_books_get_through_a_crowd(self):
-        await self.pool.acquire(self.address)
-        with self.assertRaises(NoRoom):
-            await self.pool.acquire(self.address)
-        await self.pool.acquire(self.address, urgent=True)
-        with self.assertRaises(NoRoom):
-            await self.pool.acquire(self.address, urgent=True)
+        """And a crowd of those that get through a crowd still leaves room for the list of servers."""
+        for use, room in ((REQUESTS, 1), (BOOKS, 2), (LISTS, FOR_LISTS)):
+            for _ in range(room):
+                await self.pool.acquire(self.address, use)
+            for no_more in range(use + 1):
+                with self.assertRaises(NoRoom):
+                    await self.pool.acquire(self.address, no_more)
 
     async def test_a_shortage_of_descriptors_here_is_no_fault_of_the_engines(self):
         backend = HttpBackend(self.pool, ReplicaDialect())
         backend.locate({1: self.address}, [], full=True)
         await self.pool.acquire(self.address)
-        attempt = Mock(engine=1, deadline=10**6)
+        attempt = Mock(engine=1, deadline=10**6, by=0)
         backend.send(attempt)
         await backend.calls[attempt].task
         attempt.end.assert_called_once_with(i.MOOT, 0, False, 0, None)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -38,6 +38,9 @@
     def abort(self) -> None:
         self.ends.append("failure")
 
+    def gone(self) -> bool:
+        return False
+
 
 @rounds(deadline=None)
 @given(st.lists(STEP, max_size=60))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -292,6 +292,15 @@
         self.assertEqual(server.runs, 3)
 
 
+    def test_a_refusal_that_more_follows_proves_nothing_and_a_booking_is_not_sent_again(self):
+        """Of two answers neither can be believed; the one may be another request's."""
+        servers = self.start("all-in-one", "all-in-one")
+        for server in servers:
+            server.respond = self.raw(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n" + self.HEAD)
+        self.assertEqual(self.program.ask("POST", PATH, BODY, headers("d1", "job-booking"))[0], 500)
+        self.assertEqual(sum(server.runs for server in servers), 1)
+
+
 class Reload(PlatformCase):
     def test_a_new_discovery_is_asked_for_the_whole_list_and_what_is_open_lives_on(self):
         old, new = self.start("all-in-one")[0], Standin()
