A shared discovery is called again within 3.5 s of the last call, so that no news is 6 s old

Cause (platform/asking.py, read, and simulated): after failures the pause grew to 20 s, the first call of a fleet of 200 was drawn over 30 s, a watch that fell silent left nothing of the 6 s to spare, and one that was answered early was called for again every 100 ms by everybody. The operators' term, told 6 s after discovery had a change and could be reached, goes before the older spread.

Change: `CallSchedule` (was `Asking`; the field's word) begins a call 3.5 s after the last one at most, whatever became of that, with backoff and jitter up to there; a call may stand in line for 2 s.

--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -10,15 +10,15 @@
 from pearhill.net.listener import listening
 from pearhill.node import Limits, Node
 from pearhill.operations import Operations
-from pearhill.platform.asking import Asking
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFront
 from pearhill.platform.replica import ReplicaDialect
+from pearhill.platform.schedule import CallSchedule
 from pearhill.upgrade import Upgrade
 
 KNOWN_AFTER = 1_000_000  # how long discovery may stay silent before the list known at the start must do
 
-ASKING = 0x51  # the Router draws from the same seed: two streams that must not be one
+SCHEDULE = 0x51  # the Router draws from the same seed: two streams that must not be one
 
 
 async def serve(config: Config, read_anew: Callable[[Config], Config]) -> None:
@@ -26,9 +26,9 @@
     node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed, door=config.admin is not None))
     deployment = config.deployment
     # The seed is this start's own. Danger: drawn from one that all share, what is spread would be in step.
-    asking = Asking(deployment.shared_discovery, deployment.router.instances, deployment.drain_grace,
-                    random.Random(config.seed ^ ASKING))
-    watch = Watch(node.pool, config.discovery, deployment, node.listed, asking, config.known)
+    schedule = CallSchedule(deployment.shared_discovery, deployment.router.instances, deployment.drain_grace,
+                            random.Random(config.seed ^ SCHEDULE))
+    watch = Watch(node.pool, config.discovery, deployment, node.listed, schedule, config.known)
     known_until = node.deadlines.clock() + KNOWN_AFTER
 
     def told() -> bool:
@@ -52,8 +52,8 @@
         nonlocal config
         before, fresh = config, read_anew(config)
         node.reconfigure(fresh.deployment)
-        asking.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances,
-                           fresh.deployment.drain_grace)
+        schedule.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances,
+                             fresh.deployment.drain_grace)
         watch.deployment, config = fresh.deployment, fresh
         if fresh.discovery != before.discovery:
             watch.move(fresh.discovery)
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -17,8 +17,8 @@
 from pearhill.core.engines import engine_of
 from pearhill.http1 import messages
 from pearhill.net.address import Address, parse_address
-from pearhill.net.pool import CannotConnect, Pool, call
-from pearhill.platform.asking import Asking
+from pearhill.net.pool import LISTS, CannotConnect, Pool, call
+from pearhill.platform.schedule import CallSchedule
 from pearhill.settings import Deployment
 
 PATH = "/v1/endpoints"
@@ -69,10 +69,10 @@
 class Watch:
     """`known`: a list in discovery's form that the dispatcher starts with."""
 
-    def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList, asking: Asking,
+    def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList, schedule: CallSchedule,
                  known: Mapping[str, Any]) -> None:
         self.pool, self.address, self.deployment, self.on_list = pool, address, deployment, on_list
-        self.asking = asking
+        self.schedule = schedule
         self.heard = False  # discovery has answered since the start
         self.rev = 0
         self.entries: dict[int, i.Entry] = {}  # as last listed
@@ -80,13 +80,13 @@
             self.apply(known)
         # Danger: where all ask one service, whole lists by the dozen keep it busy for seconds, and nobody hears more.
         # What has changed since the list that is known costs a line or two.
-        self._told = bool(known.get("targets")) and asking.shared  # a list, to which what comes next applies
+        self._told = bool(known.get("targets")) and schedule.shared  # a list, to which what comes next applies
         self._out: list[asyncio.Task[None]] = []  # calls, the oldest first
         self._next: Key | None = None  # when the next goes out, whatever becomes of these
         self._silent_since, self._why = 0, ""  # of the failures since the last answer
 
     def start(self) -> None:
-        self._after(self.asking.first())
+        self._after(self.schedule.first())
 
     def stop(self) -> None:
         """Danger: an answer to the old watch would be taken for the new one's. It ends with its connection."""
@@ -131,27 +131,27 @@
         """One more call, for as long as the process lives. Discovery may stay silent: what was known then stays in
         force."""
         self.pool.deadlines.cancel(self._next)
-        if len(self._out) >= self.asking.most_out:
+        if len(self._out) >= self.schedule.most_out:
             self._out.pop(0).cancel()
-        wait = self.asking.wait(self._told)
+        wait = self.schedule.wait(self._told)
         self._out.append(self.pool.spawn(self._ask(wait)))
-        if again := self.asking.unanswered(wait):
+        if again := self.schedule.unanswered(wait):
             self._next = self.pool.deadlines.after(again, partial(self._unanswered, again))
 
     def _unanswered(self, waited: int) -> None:
-        if not self.asking.failures:
+        if not self.schedule.failures:
             self._failed(f"anything: silent for {waited // 1000} ms")
-            self.asking.failed()
+            self.schedule.failed(waited)
         self._call()
 
     async def _ask(self, wait: int) -> None:
         target = f"{PATH}?after={self.rev}&wait_ms={max(1, wait // 1000)}" if self._told else PATH
-        task, watched = asyncio.current_task(), self._told and self.heard
+        task = asyncio.current_task()
         clock, rev = self.pool.deadlines.clock, self.rev
         began = clock()
         try:
             status, body = await call(self.pool, self.address, messages.request(
-                "GET", target, f"{self.address[0]}:{self.address[1]}"), self.asking.patience(wait))
+                "GET", target, f"{self.address[0]}:{self.address[1]}"), self.schedule.patience(wait), use=LISTS)
             if status != 200:
                 raise ValueError(f"status {status}")
             self.apply(json.loads(body))
@@ -159,17 +159,15 @@
             if task in self._out:
                 self._out.remove(task)
                 self._failed(f"{target}: {e!r}")
-                self._after(self.asking.failed(watched))
+                self._after(self.schedule.failed(clock() - began))
             return
         self.stop()
         self.heard = self._told = True
         if self._why:
-            logger.info("discovery: answers again after {failures} failures, {ms} ms", failures=self.asking.failures,
+            logger.info("discovery: answers again after {failures} failures, {ms} ms", failures=self.schedule.failures,
                         ms=(clock() - self._silent_since) // 1000)
         self._why = ""
-        self.asking.answered()
-        # Danger: one that lets no call wait would be asked as fast as it answers.
-        self._after(self.asking.every if wait and self.rev == rev and clock() - began < wait // 2 else 0)
+        self._after(self.schedule.answered(bool(wait) and self.rev == rev and clock() - began < wait // 2))
 
     def _failed(self, why: str) -> None:
         """Danger: at a dozen calls a second the same line would fill the log."""
--- a/pearhill/platform/asking.py
+++ b/pearhill/platform/schedule.py
@@ -1,34 +1,31 @@
-"""When discovery is asked: for what, and how soon again. Free of I/O; times are microseconds."""
+"""When discovery is called: for what, and how soon again. Free of I/O; times are microseconds."""
 
 from __future__ import annotations
 
 import random
 
 SHARE = 150_000  # of one service's time for each dispatcher: by so much are their calls spread
-LEAST, LONGEST = 100_000, 20_000_000  # between a failed call and the next, where all ask one service
-# Of a watch. What a silent one misses counts as told 6 s after it fell silent, or 2 s after its wait is over if that
-# is later (FLEET.md): by then it has to be noticed, opened anew and answered, at a shared service after 2 s in line.
-WAIT, SHARED_WAIT = 1_000_000, 3_000_000
-LATE = 500_000  # an answer may come so long after its wait before the watch is taken for silent
-# For an answer that need not wait. Danger: discovery lets a call stand in line for 2 s; given up just before its turn,
-# it costs as much as one that is answered.
-AT_ONCE = 3_000_000
+# Where all call one service. What it has and can be had from it counts as told 6 s later, whatever became of the calls
+# before; and a call may stand in line for 2 s. So the next call begins so long after the last one at most.
+BETWEEN, IN_LINE = 3_500_000, 2_000_000
+WAIT, SHARED_WAIT = 1_000_000, 3_000_000  # of a watch
+LATE, SHARED_LATE = 500_000, 300_000  # an answer may come so long after its wait, or its turn, before it is given up
 MOST_OUT = 8  # calls at a silent agent, each on a connection of its own; the oldest goes for the next
 # Of the time in which a change must be heeded one part goes by until the next call. Danger: an answer or two may be
 # nonsense, and there is the parse, the books and whatever the loop is busy with.
 PARTS, LONGEST_OWN = 5, 100_000
 
 
-class Asking:
-    """`shared`: discovery is one service that all dispatchers ask in turn (`on_request`), not a push to each.
+class CallSchedule:
+    """`shared`: discovery is one service that all dispatchers call in turn (`on_request`), not a push to each.
 
-    Danger: asked at once after every failure, such a service answers nobody. Forty dispatchers that started together
+    Danger: called at once after every failure, such a service answers nobody. Forty dispatchers that started together
     and came back every 100 ms kept it full, and none of them heard of a change for as long as the day lasted. So each
-    draws its first call and every further one at random from a span that all have room in (full jitter), twice as
-    long after each failure.
+    draws its first call from a span that all have room in, and after failures backs off with jitter, twice as far each
+    time, up to what the age of its news allows.
 
     An agent of one's own costs nobody anything, and what it has counts as told from the moment it has it. Danger: it
-    falls silent and comes back with news that must be heeded within `grace`. So while it answers nothing it is asked
+    falls silent and comes back with news that must be heeded within `grace`. So while it answers nothing it is called
     again several times in that, whatever became of the calls before."""
 
     def __init__(self, shared: bool, instances: int, grace: int, rng: random.Random) -> None:
@@ -46,8 +43,8 @@
         return 1 if self.shared else MOST_OUT
 
     def first(self) -> int:
-        """How long after the start the first call is made."""
-        return int(self.rng.uniform(0, self.span)) if self.shared else 0
+        """How long after the start, or after discovery has moved, the first call is made."""
+        return int(self.rng.uniform(0, min(self.span, BETWEEN))) if self.shared else 0
 
     def wait(self, listed: bool) -> int:
         """How long the next call lets discovery wait for news. `listed`: there is a list to which news applies."""
@@ -57,21 +54,27 @@
     def patience(self, wait: int) -> int:
         """How long the answer to a call that may wait so long can take before it is given up."""
         if self.shared:
-            return wait + LATE if wait else AT_ONCE
+            # Danger: one that is given up just before its turn costs as much as one that is answered.
+            return max(wait, IN_LINE) + SHARED_LATE
         return wait + LATE + MOST_OUT * self.every
 
     def unanswered(self, wait: int) -> int:
         """After how long the next call goes out although this one is not answered; 0: not before it has failed."""
         return 0 if self.shared else wait + LATE if wait else self.every
 
-    def answered(self) -> None:
+    def answered(self, early: bool = False) -> int:
+        """How long to wait after a call that was answered. `early`: without news, and long before its wait was over.
+        Danger: a discovery that lets no call wait would be called as fast as it answers."""
         self.failures = 0
+        return 0 if not early else self._spread(BETWEEN) if self.shared else self.every
 
-    def failed(self, watched: bool = False) -> int:
-        """How long to wait after a call that failed. `watched`: it was a watch that had been answered before."""
+    def _spread(self, longest: int) -> int:
+        most = max(0, min(longest, self.span * 2 ** min(self.failures, 16)))
+        return int(self.rng.uniform(most / 2, most))
+
+    def failed(self, took: int) -> int:
+        """How long to wait after a call that failed, so long after it began."""
         self.failures += 1
         if not self.shared:
             return 0 if self.failures == 1 else self.every
-        # Danger: one watch that broke has to go on before what it missed counts as told.
-        most = LATE if watched and self.failures == 1 else min(LONGEST, self.span * 2 ** min(self.failures, 16))
-        return (0 if most == LATE else LEAST) + int(self.rng.uniform(0, most))
+        return self._spread(BETWEEN - took)
