Long prompts are taken where usual ones are; saved tokens go with a shorter list; no room for nobody

`Router._place` refused by the time of the prompt's own reading and by its own tokens at a writer's bound, so that what is long was refused by idle servers. Beyond its class's usual length it no longer counts there.

--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -432,8 +432,10 @@
             self._polled = True
             self.loop.add_reader(self._sock.fileno(), self._accept)
         # Danger: one a turn, those who ask would stand in line behind hundreds who only connect.
-        for _ in range(ACCEPT_AT_ONCE):
+        for taken in range(ACCEPT_AT_ONCE):
             full = len(self.links) >= self.most
+            if full and taken:  # Danger: room would be made, maybe by the last one in, for nobody at the door.
+                return
             if full and not self._make_room():
                 return self._accept_later()
             try:
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -2,9 +2,8 @@
 
 The ordinary path: a capped share of the prompt tokens, only short or kept prompts, is read directly at
 writers; all other prompts go to the emptier of two readers hashed from their prefix, and a nearby writer is
-picked after the read. Mixed servers take their share whole. Everything else guards that path. A node may see
-most of the traffic or one request in two hundred: what it knows of one engine is evidence with an age
-(`Faded`) and fades to what it knows of the engine's kind or zone.
+picked after the read. Mixed servers take their share whole. All else guards that path. A node may see one
+request in two hundred: what it knows of an engine (`Faded`) fades to what it knows of its kind or zone.
 """
 
 from __future__ import annotations
@@ -33,7 +32,7 @@
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
 WIDE = 2  # a prefix with a reader's fair share of the reading has so many homes, and two for any less
 DRAWN_KEEP, DRAWN_LEAST = 0.9, 10  # of that share: kept by each step; from fewer requests it tells little
-COLD_RATE, COLD_KEEP = 0.9, 4  # of my part of what a cold engine bears; windows until a token lapses
+COLD_RATE = 0.9  # of my part of what a cold engine bears, which is 2.5 times its share of the work
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
 
 
@@ -116,7 +115,7 @@
         self.ready: dict[str, list[Engine]] = {i.READER: [], i.WRITER: [], i.MIXED: []}
         self.jobs: dict[int, Job] = {}
         self.timers, self.timer = dict[int, int](), 0
-        self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
+        self.ratio, self.allowed, self.retries, self.steps = RATIO_START, 0.0, float(RETRY_BURST), 0
         self.read_share = Faded(STEP_EVERY, 30)
         self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
         self.drawn, self.drawn_all = dict[int, float](), 0.0  # tokens read, by prefix, over ten steps or so
@@ -192,14 +191,13 @@
     def _admits(self, e: Engine) -> bool:
         """Danger: all nodes together push a cold engine over. My part of what it bears, by what warm peers
         have answered me (or one a window for all nodes), fills a token bucket from a random part on: of many
-        with too little, as many send as all may. Tokens lapse: hundreds saved up would go in one moment."""
+        with too little, as many send as all may."""
         if (part := self._cold_part(e)) >= 1:
             return True
         rate = max(self.s.fall_multiple * part * self.usual[e.role] * (e.entry.weight or 1) * COLD_RATE,
                    COLD_RATE / self.s.fall / self.s.instances)
-        e.tokens += rate * max(0, self.now - max(e.tokens_at, e.entry.started))
-        part, e.tokens_at = e.tokens % 1, self.now
-        e.tokens = min(e.tokens, max(rate * self.s.fall / 2, part + (part < rate * self.s.fall * COLD_KEEP)))
+        age = max(0, self.now - max(e.tokens_at, e.entry.started))
+        e.tokens, e.tokens_at = min(max(rate * self.s.fall / 2, 1), e.tokens + rate * age), self.now
         return e.tokens >= 1
 
     def _open(self, pool: list[Engine], job: Job) -> list[Engine]:
@@ -266,11 +264,11 @@
 
     def _place(self, job: Job) -> None:
         """The ordinary path of a prompt that is not read yet."""
-        req = job.req
-        roomy = [e for e in self._open(self.ready[i.WRITER], job) if self._held(e, req.prompt) < FULL_MEMORY]
-        mixed = [e for e in self._order(self.ready[i.MIXED], job) if self._held(e, req.prompt) < FULL_MEMORY]
-        # Load shedding. Danger: beyond its memory an engine throws out what it began, and a prompt that is
-        # read with no writer in sight is read for nothing.
+        req, usual = job.req, self.lengths[job.req.cls].value
+        fair = int(min(req.prompt, usual))  # Danger: by its length what is long is refused by idle ones, too
+        roomy = [e for e in self._open(self.ready[i.WRITER], job) if self._held(e, fair) < FULL_MEMORY]
+        mixed = [e for e in self._order(self.ready[i.MIXED], job) if self._held(e, fair) < FULL_MEMORY]
+        # Load shedding. Danger: a prompt that is read with no writer in sight is read for nothing.
         if job.attempt < 0 and not roomy and not mixed:
             return self._close(job)
         if mixed and self._quick(whole := min(mixed[:2], key=lambda e: self._held(e, 0)), job):
@@ -292,9 +290,9 @@
                                               max(e.queue, e.told) if e.told_at == self.now else e.load))
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
-            # Danger: a long prompt or a favourite prefix jams its pair while others idle. Past a pair over
-            # the line the exception goes down the same order, where the next one finds it kept; last come
-            # mixed servers, for what delays their streams half as long.
+            line += self._takes(reader, max(0.0, req.prompt - self._belief(reader, req, job.home) - usual))
+            # Danger: a long prompt or a favourite jams its pair while others idle. Past a pair over the line
+            # the next in order finds it kept; last come mixed servers, that it delays for half as long.
             quick = (e for e in order + mixed[:2] if self._read_time(e, req) <= line / (1 + (e in mixed)))
             if takes > line and (other := next(quick, None)):
                 reader, job.home = other, -1
@@ -549,6 +547,7 @@
     def _step(self) -> None:
         """The ratio's step. Reads still out count with their age. Danger: a hung reader looks fast."""
         self._timer(-1, STEP_EVERY)
+        self.steps += 1
         for e in self.ready[i.READER]:
             if oldest := next(iter(e.waiting.values()), None):
                 self.read_share.add(self.now, (self.now - oldest.sent_at) / oldest.aim)
@@ -559,6 +558,7 @@
         self.drawn_all = sum(self.drawn.values())
         self.asked = {tenant: n * 0.8 for tenant, n in self.asked.items()}
         for role in self.ready:
-            self.usual[role] = max(0.95 * self.usual[role], 0.7 * self.usual[role] + 0.3 * self.served[role])
+            seen, new = self.served[role] / (1 - 0.8 ** self.steps), max(0.3, 1 / self.steps)
+            self.usual[role] = max(0.95 * self.usual[role], (1 - new) * self.usual[role] + new * seen)
             self.served[role] *= 0.8
             self.sends[role] *= 0.8
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -51,6 +51,18 @@
         with self.assertRaises(BlockingIOError):
             last.recv(1)
 
+    async def test_nobody_makes_room_while_nobody_waits_at_the_door(self):
+        """The last one in, whose request was on its way, had to go as soon as all places were taken."""
+        for some in (3, MOST - 3):
+            before = len(self.listener.links)
+            for _ in range(some):
+                self.addCleanup(socket.create_connection(self.address).close)
+            while len(self.listener.links) < before + some:
+                await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual(self.listener.counters.connections["client room-needed"], 0)
+
     async def test_one_that_has_become_useful_since_is_not_taken(self):
         clients = [socket.create_connection(self.address) for _ in range(MOST - 1)]
         for client in clients:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -105,4 +105,4 @@
         await asyncio.sleep(0)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(day())
+        runner.run(asyncio.wait_for(day(), 20))
--- a/tests/platform/test_owed.py
+++ b/tests/platform/test_owed.py
@@ -151,6 +151,8 @@
                 pass
         day.until(lambda counters, n=n: counters["left"] > n)
         assert server.runs == n + 1, (end, more[:200])
+    before.sendall(request("a0"))  # nothing is left of it, not even its name
+    assert answer(before) == (200, SERVED)
 
 
 @pytest.mark.parametrize("end", ENDS)
@@ -183,6 +185,19 @@
     assert (counters["outcomes"], counters["left"], server.runs) == ({"cancelled": 1}, 1, 1)
 
 
+def test_of_a_flood_on_one_connection_the_first_are_answered_and_then_it_ends(day):
+    """What is kept of it is bounded; the rest is read and thrown away, so that it hides no end."""
+    server = Standin()
+    server.respond = lambda handler, body: (server.go.wait(20), handler.chunks(*TOKENS, LAST))
+    day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(FLOOD)
+    server.go.set()
+    got = b"".join(iter(lambda: client.recv(65_536), b""))
+    assert [part[:3] for part in got.split(b"HTTP/1.1 ")[1:]] == [b"200"] * 5 + [b"429"]
+    assert server.runs == 5
+
+
 def test_a_request_on_the_connection_that_just_then_makes_room_is_answered(day):
     """It was read off the socket in the very turn in which another came, for whom the longest idle one had to go; and
     went with it."""
@@ -197,10 +212,10 @@
     with Stopped(program):
         oldest.sendall(request("last"))
         others = [day.connect() for _ in range(2)]
-    assert answer(oldest) == (200, SERVED)
-    for n, other in enumerate(others):
-        other.sendall(request(f"o{n}"))
-        assert answer(other) == (200, SERVED)
+        for n, other in enumerate(others):  # else one that has asked for nothing yet makes room
+            other.sendall(request(f"o{n}"))
+    for sock in (oldest, *others):
+        assert answer(sock) == (200, SERVED)
     assert server.runs == 19
     assert sum(map(stands, idle)) < 8  # somebody else has made room
 
@@ -295,3 +310,83 @@
     reader.wait_for("DELETE", count=said + 2)
     answering.set()
     assert program.process.wait(20) == 0
+
+
+def test_idle_clients_that_fill_the_descriptors_take_none_from_the_list_the_servers_or_new_requests(day):
+    """Discovery is silent meanwhile, and is called again and again. Whoever has a request open keeps its connection."""
+    server, over = Standin(), threading.Event()
+    known = [{"uid": "s-0", "endpoint": server.address, "az": "north", "model": "all-in-one", "pod_group": 1,
+              "state": "active", "capacity_hint": 1.0, "boot_ms": 0}]
+    agent = Discovery(("s-0", server.address, "all-in-one"))
+    whole = agent.respond
+    agent.respond = lambda handler, body: (over.wait(20), whole(handler, body))
+    day.program = program = platform(agent.address, known, files=256)
+    day.things += [agent, server]
+    program.wait_ready()
+    server.respond = lambda handler, body: (server.go.wait(20), handler.chunks(*TOKENS, LAST))
+    owed = day.connect()
+    owed.sendall(request("o1"))
+    server.wait_for("POST")
+    crowd = [day.connect() for _ in range(400)]
+    server.respond = lambda handler, body: handler.chunks(*TOKENS, LAST)
+    client = day.connect()
+    client.sendall(request("n1"))
+    assert answer(client) == (200, SERVED)
+    assert any(map(stands, crowd)) and not all(map(stands, crowd))
+    lists = program.counters()["lists"]
+    agent.update(*agent.targets)
+    over.set()
+    day.until(lambda counters: counters["lists"] > lists)
+    server.go.set()
+    assert answer(owed) == (200, SERVED)
+
+
+def test_events_go_on_one_by_one_while_neighbours_flood_trickle_and_read_nothing(day):
+    """The server writes an event when its client has the last one: none waits for another, or for a neighbour."""
+    server, seen = Standin(), threading.Semaphore(0)
+    events = [b'data: {"n":%d}\n\n' % n for n in range(20)]
+
+    def respond(handler: Any, body: bytes) -> None:
+        if handler.headers["Request-Id"] == "deaf":
+            handler.chunks(last=False)
+            while not over.is_set():
+                handler.more(b"data: " + b"x" * 60_000 + b"\n\n")
+            return
+        if handler.headers["Request-Id"] != "s1":
+            return handler.chunks(*TOKENS, LAST)
+        handler.chunks(last=False)
+        for event in events:
+            handler.more(event)
+            assert seen.acquire(timeout=20)
+        handler.wfile.write(b"0\r\n\r\n")
+    server.respond, over = respond, threading.Event()
+    day.start((server, "all-in-one"))
+
+    def neighbour(sock: socket.socket, parts: Callable[[], bytes]) -> None:
+        try:
+            while not over.is_set():
+                sock.sendall(parts())
+        except OSError:
+            over.wait(20)  # a flood is ended; another begins
+            return
+
+    floods = [threading.Thread(target=neighbour, args=(day.connect(), lambda: request("f") * 50), daemon=True),
+              threading.Thread(target=neighbour, args=(day.connect(), lambda: b"x" * 60_000), daemon=True),
+              threading.Thread(target=neighbour, args=(day.connect(), lambda: b"P"), daemon=True)]
+    deaf = day.connect()
+    deaf.sendall(request("deaf"))
+    for flood in floods:
+        flood.start()
+    client = day.connect()
+    client.sendall(request("s1"))
+    response = http.client.HTTPResponse(client)
+    try:
+        response.begin()
+        for event in events:
+            assert response.read(len(event)) == event
+            seen.release()
+        assert response.read() == b""
+    finally:
+        over.set()
+    for flood in floods:
+        flood.join(20)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pearhill import interface as i
-from tests.driver import Drive, S, entry, settings
+from tests.driver import Drive, S, entry, of, settings
 
 READERS, WRITERS, RATE = 8, 6, 80  # requests a second at the fleet
 WARM, RAMP = 30 * S, 14 * S
@@ -24,6 +24,7 @@
         self.shares = [4.0 if n % 4 == 0 else 1.0 for n in range(count)]
         self.nodes = [self.fresh() for _ in range(count)]
         self.sent: dict[int, list[int]] = {}
+        self.cut: set[int] = set()  # no connection to these comes up
 
     def fresh(self) -> Drive:
         self.next += 1
@@ -43,8 +44,10 @@
             self.now += int(self.rng.expovariate(RATE) * S)
             node = self.rng.choices(self.nodes, self.shares)[0]
             node.wait(self.now - node.now)
-            r, _ = node.arrive(prompt=3000, session=self.rng.randrange(1, 1 << 60))
-            if r in node.sent:
+            r, out = node.arrive(prompt=3000, session=self.rng.randrange(1, 1 << 60))
+            while of(i.Send, out) and node.sent[r].engine in self.cut:
+                out = node.end(r, i.UNREACHABLE)
+            if of(i.Send, out):
                 self.sent.setdefault(node.sent[r].engine, []).append(self.now)
                 node.serve(r)
 
@@ -65,10 +68,11 @@
 
 
 @pytest.mark.parametrize("count", [3, 20, 30, 200])
-@pytest.mark.parametrize("day, least", [("one", 0.1), ("release", 0.1), ("restarts", 0.02), ("late", 0.3)])
+@pytest.mark.parametrize("day, least", [("one", 0.1), ("release", 0.1), ("restarts", 0.02), ("late", 0.3),
+                                        ("cut", 0.3)])
 def test_a_cold_server_stays_under_what_it_bears_in_every_window_and_gets_work(count: int, day: str, least: float):
     """One of eight starts anew; or five of them within 5 s; or one, and every other process is started anew; or all
-    warm ones leave when it has hardly been used."""
+    warm ones leave when it has hardly been used, or are cut off, which no list tells."""
     seed = count * 1000 + len(day)
     print(f"seed {seed}")
     fleet = Fleet(count, seed)
@@ -89,6 +93,9 @@
     if day == "late":
         fleet.run(start + 5 * S)
         fleet.change(*(entry(n, 0, cell=n % 2, phase=i.DRAINING) for n in range(2, READERS + 1)))
+    if day == "cut":
+        fleet.run(start + 5 * S)
+        fleet.cut = set(range(2, READERS + 1))
     fleet.run(start + RAMP)
     found = {n: breaches(fleet, n, at, capacity) for n, at in cold.items()}
     assert not any(over for over, _ in found.values()), found
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -20,6 +20,7 @@
 from pearhill.http1.sse import BadEvents, EventParser
 from pearhill.net.backend import HttpBackend
 from pearhill.net.pool import BOOKS, FOR_LISTS, LISTS, REQUESTS, NoRoom, Pool
+from pearhill.platform.front import Payload
 from pearhill.platform.replica import ReplicaDialect
 from tests.standins import SETTINGS
 
@@ -386,6 +387,24 @@
         await backend.calls[attempt].task
         attempt.end.assert_called_once_with(i.MOOT, 0, False, 0, None)
 
+    async def test_an_attempt_whose_last_byte_is_not_written_when_its_time_is_over_is_taken_back(self):
+        """A server that reads slowly would run it only then."""
+        backend = HttpBackend(self.pool, ReplicaDialect())
+        backend.locate({1: self.address}, [], full=True)
+        request = Mock(number=1, holders=(), payload=Payload("r1", "POST", "/", bytes(64 << 20), ""))
+        attempt = Mock(engine=1, deadline=10**9, by=500_000, request=request)
+        backend.send(attempt)
+        while not backend.calls[attempt].tried:
+            await asyncio.sleep(0)
+        self.now = attempt.by - 1
+        self.deadlines.sweep()
+        attempt.withdraw.assert_not_called()
+        self.now = attempt.by
+        self.deadlines.sweep()
+        attempt.withdraw.assert_called_once_with()
+        self.assertTrue(backend.begun(attempt))
+        self.assertTrue(backend.cancel(attempt))
+
     async def test_servers_that_have_left_are_forgotten_once_nothing_is_owed_to_them(self):
         backend = HttpBackend(self.pool, ReplicaDialect())
         for n in range(1000):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -314,3 +314,30 @@
         return count
 
     assert calls(1024) < 6 * calls(256)
+
+
+@pytest.mark.parametrize("count", [2, 200])
+def test_a_long_prompt_is_taken_where_a_usual_one_is(count):
+    """By the time of its own reading it was refused by idle readers."""
+    d = Drive(settings(instances=count))
+    for n in range(40):  # a usual prompt is read in 0.4 s, of an aim of 1.12 s
+        r, out = d.arrive(prompt=3000, session=n + 1)
+        if r in d.sent:
+            d.serve(r, rtt=400_000)
+        d.wait(500_000)
+    for prompt in (3000, 12_000):
+        r, out = d.arrive(prompt=prompt, session=100 + prompt)
+        assert not of(i.Refuse, out) and r in d.sent
+        d.serve(r, rtt=400_000)
+
+
+@pytest.mark.parametrize("count", [2, 200])
+def test_a_long_prompt_has_room_at_a_bounded_writer_where_a_usual_one_has(count):
+    d = Drive(settings(instances=count), ONE_WRITER)
+    out = in_flight(d, 6, prompt=3000)
+    d.began(out[0], rtt=900_000)  # late: what is under way there is what it bears, and four fifths of it
+    for r in out[1:4]:
+        d.began(r)
+        d.end(r, i.ANSWERED, settled=True)
+    taken = [not of(i.Refuse, d.arrive(prompt=prompt, session=prompt)[1]) for prompt in (3000, 9000)]
+    assert taken == [True, True]
