--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -34,6 +34,7 @@
     target: str
     body: bytes
     content_type: str
+    idempotency_key: str = ""  # by it the replicas discard a repeat
 
 
 def retry_after(micros: int) -> Headers:
@@ -149,7 +150,8 @@
         self.open.add(id)
         client = PlatformClient(dispatcher, reply, lambda: self.open.discard(id))
         payload = Payload(id, message.method, message.target, message.body,
-                          message.headers.get("content-type", "application/json"))
+                          message.headers.get("content-type", "application/json"),
+                          message.headers.get("idempotency-key", ""))
         request = dispatcher.take(ask, client, payload)
         client.request = None if request.answered else request
         return client
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -71,6 +71,18 @@
         counters = self.program.counters()
         self.assertEqual((counters["taken"], counters["sent"], counters["served"]), (1, 2, 1))
 
+    def test_a_keyed_requests_key_goes_to_every_server_that_it_is_sent_to(self):
+        """The replicas discard repeats by it; who has none sends none on."""
+        keyed = [{**SETTINGS["classes"][0], "effect": "idempotency_key", "group": "all", "window": 5_000_000}]
+        servers = self.start("all-in-one", "all-in-one", settings={**SETTINGS, "classes": keyed})
+        for server in servers:
+            server.respond = lambda h, b: h.plain(500)
+        self.program.ask("POST", PATH, BODY, headers("k1", **{"Idempotency-Key": "f882f41b"}))
+        self.program.ask("POST", PATH, BODY, headers("k2"))
+        for server in servers:
+            got = {(h["Request-Id"], h.get("Idempotency-Key")) for h in server.headers if "Request-Id" in h}
+            self.assertEqual(got, {("k1", "f882f41b"), ("k2", None)})
+
     def test_a_booking_that_may_have_run_is_not_sent_again(self):
         servers = self.start("all-in-one", "all-in-one")
         for server in servers:
