A send that is being written when its time is over may have run

Cause as read in the code, new with `Send.by`: `Dispatcher.withdraw` took a fetch whose time was over for one that never ran even where bytes of it were written; the last of them may leave in the loop's own turn, before whoever waits for that hears of it. Change: only what has no byte out is WITHDRAWN, all else ends as TIMEOUT, which may have run.

The test fails without it.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -192,9 +192,11 @@
         return not attempt.over
 
     def withdraw(self, attempt: Attempt) -> None:
+        """Danger: its last byte may have gone out in the loop's own turn, before whoever waits for that hears of it. Of
+        one that has begun to be written nobody can say that it never ran."""
         if not attempt.over:
-            self._backend.cancel(attempt)
-            self.end(attempt, i.WITHDRAWN)
+            sent = self._backend.cancel(attempt)
+            self.end(attempt, i.TIMEOUT if sent else i.WITHDRAWN, may_hold=sent)
 
     def begin(self, attempt: Attempt) -> bool:
         if attempt.over or attempt.request.answered:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -144,6 +144,15 @@
         self.assertFalse([e.id for e in self.core.router.router.engines.values() if e.fails.value])
         self.assertEqual(self.sent[2].engine, 1)  # read anew: it has run nowhere
 
+    def test_a_booking_that_was_being_written_when_its_time_was_over_may_have_run(self):
+        """Its last byte may have left in the very turn; refused, or sent elsewhere, it would run twice."""
+        client = self.take(BOOKING)
+        self.sent[0].end(i.READ, may_hold=True)
+        self.now = self.sent[1].by
+        self.sent[1].withdraw()
+        self.assertEqual((client.told, len(self.sent), self.released), (["fail"], 2, [{1, self.sent[1].engine}]))
+        self.assertEqual(self.core.counters.outcomes[i.WITHDRAWN], 0)
+
     def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_wants(self):
         handle = self.core.router.handle
         self.core.router.handle = lambda now, event: [  # type: ignore[method-assign]
