What a server tells that waits there counts in a read's time, not as its slowness

Cause: _send divided a read's time by my own tokens there (Job.weight), so that others' queues were learned as slow reading by the one server and by its whole kind; _read_time left out what the servers asked before the choice had told. Router._ahead now counts it in both, and what a role's servers told lately where one was not asked.

The new test fails in both cases without it.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -116,7 +116,8 @@
         self.jobs: dict[int, Job] = {}
         self.timers, self.timer = dict[int, int](), 0
         self.ratio, self.allowed, self.retries, self.steps = RATIO_START, 0.0, float(RETRY_BURST), 0
-        self.read_share = Faded(STEP_EVERY, 30)
+        self.read_share = Faded(STEP_EVERY, 30, 0.5)
+        self.waits = {role: Faded(STEP_EVERY / 2, 6) for role in self.ready}  # tokens, as its engines told lately
         self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
         self.drawn, self.drawn_all = dict[int, float](), 0.0  # tokens read, by prefix, over ten steps or so
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
@@ -227,10 +228,9 @@
     def _held(self, e: Engine, tokens: int) -> float:
         """The share of its memory held there: as reported, the older the more its kind's, and sent since.
         With no reports, my work against what it last bore. Danger: memory of a jam outlives the jam."""
-        if not self.helds[e.entry.kind].weight:
-            bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
-            if bore:
-                return FULL_MEMORY * (e.load + tokens) / bore if e.load else 0.0
+        bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
+        if bore and not self.helds[e.entry.kind].weight:
+            return FULL_MEMORY * (e.load + tokens) / bore if e.load else 0.0
         usual = self.helds[e.entry.kind].over(self.now, 0.0, 0.2)
         return e.held.over(self.now, usual, 0.2) + (e.since + tokens) / e.memory
 
@@ -248,7 +248,12 @@
         return weight * e.pace[reads].over(self.now, usual)
 
     def _read_time(self, e: Engine, req: i.Arrived, home: int = -1) -> float:
-        return self._takes(e, e.queue + req.prompt - self._belief(e, req, home) + PAD)
+        return self._takes(e, self._ahead(e) + req.prompt - self._belief(e, req, home) + PAD)
+
+    def _ahead(self, e: Engine) -> float:
+        """Tokens that all nodes have waiting there, as far as I am told. Danger: taken for slow reading, a queue
+        that others left at one engine has me refuse what the idle ones could read, long after it is gone."""
+        return max(e.queue, e.told if e.told_at == self.now else self.waits[e.role].over(self.now, 0.0))
 
     def _arrived(self, req: i.Arrived) -> None:
         if req.standing in (i.OVER, i.DEBT):
@@ -285,9 +290,7 @@
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
             if self._look(job, pair):
                 return None
-            # Alike: the one that takes this session from all nodes.
-            reader = min(pair, key=lambda e: (e.ejected_until > self.now,
-                                              max(e.queue, e.told) if e.told_at == self.now else e.load))
+            reader = min(pair, key=lambda e: (e.ejected_until > self.now, self._ahead(e)))  # alike: its session's
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
             line += self._takes(reader, max(0.0, req.prompt - self._belief(reader, req, job.home) - usual))
@@ -301,9 +304,8 @@
                 return self._close(job)
             return self._send(job, reader)
         # No reader is left: the exception reads at a writer or mixed server, whatever the prompt's length.
-        if rest := mixed + (roomy if self.s.local_read else []):
-            return self._pick(job, rest)
-        self._close(job)
+        rest = mixed + (roomy if self.s.local_read else [])
+        self._pick(job, rest) if rest else self._close(job)
 
     def _look(self, job: Job, pool: list[Engine]) -> bool:
         """Ask what the engines of a choice tell of themselves, once before each that is worth it."""
@@ -323,7 +325,8 @@
         for told in event.told:
             if e := self.engines.get(told.engine):
                 e.ejected_until, e.told, e.told_at = told.ejected_until, told.waiting, self.now
-                if told.sure > 0.5 and e.role != i.READER:
+                if told.sure > 0.5:
+                    self.waits[e.role].add(self.now, told.waiting)
                     self._reported(e, told.held)
         if (job := self.jobs.get(event.request)) and not job.closed and not job.out:
             (self._write if job.held else self._place)(job)
@@ -347,12 +350,11 @@
 
     def _worth(self, req: i.Arrived) -> float:
         """Worth of a request, less its tenant's part beyond its share, as far as my part of it tells."""
-        over, worth = 0.0, self.s.classes[req.cls].worth
-        if req.tenant < len(self.s.quotas):  # five requests weigh for the share, whatever my few say
+        # Danger: what is lent out must not crowd out a guarantee.
+        over, worth = float(req.standing == i.SPARE), self.s.classes[req.cls].worth
+        if not over and req.tenant < len(self.s.quotas):  # five requests weigh for the share, whatever my few say
             mine = self.s.quotas[req.tenant] / self.s.instances * 5 * STEP_EVERY / 1_000_000
             over = max(0.0, 1 - (mine + 5) / (self.asked.get(req.tenant, 0.0) + 5))
-        # Danger: what is lent out must not crowd out a guarantee.
-        over = 1.0 if req.standing == i.SPARE else over
         return worth * (1 - over * (1 - self.s.over_share_worth))
 
     def _local(self, job: Job, pool: list[Engine]) -> Engine | None:
@@ -389,7 +391,7 @@
         job.known = 0 if job.fetches else self._belief(e, req)
         job.cost = 0 if job.fetches else req.prompt - self._belief(e, req, job.home if job.reading else -1)
         job.load = job.cost if job.reading else req.prompt + req.max_out // 2
-        job.weight = e.queue + job.cost + PAD
+        job.weight = int(self._ahead(e)) + job.cost + PAD
         job.attempt, job.sent_at, job.out = job.attempt + 1, self.now, True
         job.tried.append(e.id)
         e.queue += job.cost
@@ -551,8 +553,7 @@
         for e in self.ready[i.READER]:
             if oldest := next(iter(e.waiting.values()), None):
                 self.read_share.add(self.now, (self.now - oldest.sent_at) / oldest.aim)
-        share = self.read_share.value if self.read_share.weight else 0.5
-        step = RATIO_STEP if share > 0.5 else -RATIO_STEP if share < 0.25 else 0.0
+        step = RATIO_STEP if (share := self.read_share.value) > 0.5 else -RATIO_STEP if share < 0.25 else 0.0
         self.ratio = round(min(RATIO_MAX, max(0.0, self.ratio + step)), 1)
         self.drawn = {prefix: n * DRAWN_KEEP for prefix, n in self.drawn.items() if n >= PAD / 2}
         self.drawn_all = sum(self.drawn.values())
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -178,3 +178,25 @@
         assert [a.engine for a in of(i.Send, actions)] == [d.sent[r].engine] and d.sent[r].engine != at
         assert d.router.retries == retries and not d.router.engines[at].fails.weight
         assert d.router.jobs[r].ran is None and d.router.jobs[r].attempt == 0
+
+
+@pytest.mark.parametrize("waiting, idle", [(0, True), (60_000, False)])
+def test_what_waits_at_a_server_by_its_own_word_is_not_taken_for_slow_reading(waiting, idle):
+    """Others' queues made reads late. Who then tells that nothing waits is idle, and who tells more is not, however
+    quick reads were: between a jam of the few and idle servers that came since, only their word tells."""
+    d = Drive(settings(local_read=False, instances=200, probing=True), seed=3)
+    d.router.looks = frozenset((i.READER,))
+
+    def ask(tokens: float) -> tuple[int, list[i.Action]]:
+        r, out = d.arrive(prompt=3000)
+        look, = of(i.Look, out)
+        return r, d.feed(i.Looked(r, tuple(i.Told(e, 0.1, tokens, 1.0, 0) for e in look.engines)))
+
+    before = 40_000 if idle else 0
+    for _ in range(20):
+        r, _ = ask(before)
+        if r in d.sent:
+            d.wait(100_000)
+            d.serve(r, rtt=(before + 3500) * 50)  # 20,000 tokens a second
+    r, out = ask(waiting)
+    assert bool(of(i.Send, out)) is idle and len(final(out)) == (not idle)
