Aggregators and reporters: sums of all dispatchers' work, as state machines

Cause: the full talk costs tens of KB/s and percents of a core for each dispatcher from a hundred on. Change: wire version 2 (frames, one-byte gauges), Aggregator and Reporter free of I/O; the replay window is a class of its own.

--- a/pearhill/membership/council.py
+++ b/pearhill/membership/council.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 
 from pearhill.membership.members import DEAD, Members, Rumour, Say
+from pearhill.membership.window import ReplayWindow
 from pearhill.spread.digests import Row, Work, cut
 
 LOST_AT_ONCE = 1 / 3  # of the fleet: more than that, gone together, is a cut and not so many deaths
-WINDOW = 1024  # messages of one sender; a beat of a large fleet sends some dozens
 BELIEVED = 60_000_000  # after so long even a cut counts as a loss
 
 
@@ -35,7 +35,7 @@
         self.members, self.work, self._mine = Members(me, peers, started, started, rng), Work(), work
         self._sequence = 0
         self._peers = set(self.members.members)  # counted, as of the last beat
-        self._seen: dict[str, tuple[int, int, int]] = {}  # by sender: incarnation, newest sequence, those before it
+        self._window = ReplayWindow()
 
     def beat(self, now: int) -> list[Message]:
         says = self.members.beat(now)
@@ -46,31 +46,13 @@
     def heard(self, now: int, message: Message) -> list[Message]:
         """An authentic message, whenever it comes and however often. The answers to it."""
         # Danger: sent again, the words of a dead dispatcher would be signs of its life.
-        if message.sender not in self.members.members or not self._first_time(message):
+        if message.sender not in self.members.members or not self._window.first_time(
+                message.sender, message.incarnation, message.sequence):
             return []
         self.work.heard(now, message.sender, (message.incarnation, message.sequence), message.rows)
         return self._messages(self.members.heard(now, message.sender, message.incarnation, message.say,
                                                  message.rumours))
 
-    def _first_time(self, m: Message) -> bool:
-        """Whether it surely has not come before; one that others overtook on its way is as good as they (the window
-        of RFC 4303, section 3.4.3)."""
-        incarnation, newest, window = self._seen.get(m.sender, (-1, 0, 0))
-        if m.incarnation > incarnation:
-            incarnation, newest, window = m.incarnation, m.sequence, 1
-        elif m.incarnation < incarnation or m.sequence <= newest - WINDOW:
-            return False
-        elif m.sequence > newest:
-            ahead = min(WINDOW, m.sequence - newest)
-            newest, window = m.sequence, (window << ahead | 1) & ((1 << WINDOW) - 1)
-        else:
-            bit = 1 << (newest - m.sequence)
-            if window & bit:
-                return False
-            window |= bit
-        self._seen[m.sender] = incarnation, newest, window
-        return True
-
     def _messages(self, says: list[Say]) -> list[Message]:
         rows = tuple(cut(self._mine())) if says else ()
         made = []
@@ -104,4 +86,4 @@
         self.members.reconfigure(peers, now)
         self.work.keep(self.members.members)
         self._peers = self.counted(now)
-        self._seen = {name: seen for name, seen in self._seen.items() if name in self.members.members}
+        self._window.keep(self.members.members)
--- /dev/null
+++ b/pearhill/membership/frames.py
@@ -0,0 +1,175 @@
+"""Messages between dispatchers and aggregators as datagrams: version 2 of what `datagram` writes as version 1. One byte
+of version, a keyed checksum, MessagePack; one message is one datagram that fits any path without being split."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from pearhill.membership import gauges
+from pearhill.membership.datagram import LEAST_KEY, MAX_BYTES, MOST_COUNT, TAG, Rejected
+
+VERSION = 2
+CHUNK = 560  # slots of one part of sums: two gauges each, and the rest of the frame, fit a datagram at the worst
+MOST_SLOTS, MOST_PARTS = 8192, 32
+ENTRIES = 64  # of a table, in one frame
+NEWS = 64  # engines without a slot, in one report
+ROSTER_BYTES = 1100  # of members in one part of a roster
+
+Count = Annotated[int, Meta(ge=0, le=MOST_COUNT)]
+Maybe = Annotated[int, Meta(ge=-1, le=MOST_COUNT)]  # -1: none
+Name = Annotated[str, Meta(min_length=1, max_length=96)]
+PartNumber = Annotated[int, Meta(ge=0, lt=MOST_PARTS)]
+PartCount = Annotated[int, Meta(ge=1, le=MOST_PARTS)]
+Slot = Annotated[int, Meta(ge=0, lt=MOST_SLOTS)]
+SlotCount = Annotated[int, Meta(ge=0, le=MOST_SLOTS)]
+Code = Annotated[int, Meta(ge=0, lt=gauges.CODES)]
+Engine = Annotated[int, Meta(ge=0)]
+Entry = tuple[Slot, Engine, Count]  # slot, engine, version of the table at which it got it
+Entries = Annotated[tuple[Entry, ...], Meta(max_length=ENTRIES)]
+News = Annotated[tuple[tuple[Engine, Code, Code], ...], Meta(max_length=NEWS)]  # engine, waiting, load
+Member = tuple[Name, Count, Count, Maybe]  # name, incarnation, attach, silent_ms (-1: it left)
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """What all have; `sequence` grows with each frame of a sender, whoever it is for."""
+
+    sender: Name
+    to: Name
+    incarnation: Count
+    sequence: Count
+
+
+class Report(Frame, frozen=True, tag=0):
+    """A dispatcher's work, whole: packed gauges of the slots from `first` on, and engines that have none. `echo`: the
+    newest of its reports to which this aggregator's answer has come, by which the aggregator knows how old this is."""
+
+    number: Count
+    part: PartNumber
+    parts: PartCount
+    attach: Count
+    quiet_ms: Maybe
+    leaving: bool
+    known_incarnation: Count
+    known_version: Count
+    first: Slot
+    loads: bytes
+    waits: bytes
+    news: News
+    slots: SlotCount = 0
+    echo: Maybe = -1
+
+
+class Sums(Frame, frozen=True, tag=1):
+    """The answer to a report: the work of `heard` dispatchers of the `counted`. `settled`: that is no fresh start's."""
+
+    answers: Count
+    included: Maybe
+    heard: Count
+    counted: Count
+    version: Count
+    reused: Count
+    part: PartNumber
+    parts: PartCount
+    first: Slot
+    loads: bytes
+    waits: bytes
+    entries: Entries
+    slots: SlotCount = 0
+    settled: bool = True
+
+
+class Part(Frame, frozen=True, tag=2):
+    """The work of an aggregator's own dispatchers, to another aggregator. `echo`: the newest of the addressee's that
+    has come, by the sequence of its first frame."""
+
+    heard: Count
+    counted: Count
+    known_incarnation: Count
+    known_version: Count
+    version: Count
+    reused: Count
+    part: PartNumber
+    parts: PartCount
+    first: Slot
+    loads: bytes
+    waits: bytes
+    entries: Entries
+    slots: SlotCount = 0
+    echo: Maybe = -1
+
+
+class Roster(Frame, frozen=True, tag=3):
+    """Whom an aggregator counts of its own."""
+
+    part: PartNumber
+    parts: PartCount
+    members: tuple[Member, ...]
+
+
+class Hello(Frame, frozen=True, tag=4):
+    """Are you there? Answered by a HelloAck of the same number."""
+
+    number: Count
+
+
+class HelloAck(Frame, frozen=True, tag=5):
+    number: Count
+
+
+class Superseded(Frame, frozen=True, tag=6):
+    """A newer incarnation of the addressee's name is, or was, here."""
+
+    known: Count
+
+
+_Any = Report | Sums | Part | Roster | Hello | HelloAck | Superseded
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[_Any] = msgspec.msgpack.Decoder(_Any)
+
+
+class FrameCodec:
+    """`keys`: the first one signs, any of them is accepted, so that a key is changed without a gap."""
+
+    def __init__(self, keys: list[bytes]) -> None:
+        if not keys or min(map(len, keys)) < LEAST_KEY:
+            raise ValueError(f"a key of at least {LEAST_KEY} bytes is needed")
+        self.keys = keys
+
+    def pack(self, message: Frame) -> bytes:
+        """ValueError: it does not fit a datagram (who makes frames bounds them)."""
+        body = _encoder.encode(message)
+        if len(body) + 1 + TAG > MAX_BYTES:
+            raise ValueError(f"{type(message).__name__} to {message.to}: {len(body)} bytes are too many")
+        return bytes((VERSION,)) + self._tag(self.keys[0], body) + body
+
+    def unpack(self, data: bytes, me: str) -> Frame:
+        """Rejected: it is foreign, forged, torn, or for somebody else."""
+        if len(data) > MAX_BYTES or len(data) <= 1 + TAG:
+            raise Rejected("size")
+        if data[0] != VERSION:
+            raise Rejected("version")
+        tag, body = data[1:1 + TAG], data[1 + TAG:]
+        if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
+            raise Rejected("forged")
+        try:
+            frame = _decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            raise Rejected("malformed") from None
+        if frame.to != me:
+            raise Rejected("not-for-me")  # Danger: replayed to another, a report would be counted twice.
+        if isinstance(frame, Report | Sums | Part) and not (
+                frame.first + frame.slots <= MOST_SLOTS and gauges.fits(frame.loads, frame.slots)
+                and gauges.fits(frame.waits, frame.slots)):
+            raise Rejected("malformed")
+        if isinstance(frame, Report | Sums | Part | Roster) and frame.part >= frame.parts:
+            raise Rejected("malformed")
+        return frame
+
+    @staticmethod
+    def _tag(key: bytes, body: bytes) -> bytes:
+        return hmac.digest(key, bytes((VERSION,)) + body, hashlib.sha256)[:TAG]
--- /dev/null
+++ b/pearhill/membership/reporter.py
@@ -0,0 +1,366 @@
+"""A dispatcher's part: it reports its own work to one aggregator, and makes of the sums in its answers what the
+others have.
+
+Its own region's aggregator comes first, the others in rendezvous order (Thaler and Ravishankar, 1996), so that those
+who lose one share the rest. Sums hold my own work as of some earlier report; it is taken off again. They fade with age,
+not to nothing but to what I have myself, each: who cannot be heard still sends, as far as anybody knows. Times are
+microseconds of the caller's clock.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from pearhill.membership.frames import (
+    CHUNK,
+    NEWS,
+    Entry,
+    Frame,
+    Hello,
+    HelloAck,
+    Report,
+    Sums,
+    Superseded,
+)
+from pearhill.membership.gauges import TOKENS, encode, pack, unpack
+from pearhill.membership.window import ReplayWindow
+from pearhill.spread.digests import Row
+
+PACE, JITTER = 500_000, 0.1  # between two reports, and the share of it that is drawn
+BYTES_PER_S, HEADERS = 6000, 28  # both ways together; IPv4 and UDP headers of a datagram
+UNANSWERED, ANSWER_WAIT = 4, 2_000_000  # reports in a row, or time, after which an aggregator is given up
+GONE = 2_500_000  # older sums are not used at all
+FADE = 2_000_000  # after which half of them still holds
+LEAST_BACKOFF, MOST_BACKOFF = 1_000_000, 8_000_000  # between tries over all
+LEAST_HELLO, MOST_HELLO = 5_000_000, 15_000_000
+HELLOS = 2  # answers in a row, and home it goes
+REMEMBERED = 8  # reports that sums may still hold
+STOOD_STILL = 1_000_000  # a beat that comes later than this: it is I who was away
+PART_ROOM = 1100  # bytes of packed gauges and news in one part of a report
+Codes = dict[int, tuple[int, int]]  # by engine: waiting, load
+
+
+@dataclass(frozen=True, slots=True)
+class AggregatorSite:
+    name: str
+    region: str
+
+
+@dataclass(slots=True)
+class _Table:
+    """An aggregator's slots, as far as they are known here."""
+
+    incarnation: int = 0
+    version: int = 0
+    slot_of: dict[int, int] = field(default_factory=dict)
+    engines: list[int] = field(default_factory=list)  # -1: not known yet
+    since: list[int] = field(default_factory=list)
+
+    def take(self, entries: Iterable[Entry]) -> None:
+        for slot, engine, version in entries:
+            if version <= self.version:
+                continue
+            lacking = slot + 1 - len(self.engines)
+            self.engines.extend([-1] * lacking)
+            self.since.extend([0] * lacking)
+            if self.slot_of.get(self.engines[slot]) == slot:
+                del self.slot_of[self.engines[slot]]
+            self.engines[slot], self.since[slot], self.version = engine, version, version
+            self.slot_of[engine] = slot
+
+
+@dataclass(slots=True)
+class _Told:
+    """A report that was made: when, and what it said."""
+
+    at: int
+    codes: Codes
+
+
+@dataclass(slots=True)
+class _Chunk:
+    """Sums over some slots. `mine`: what of my own is in them."""
+
+    at: int
+    version: int
+    first: int
+    loads: bytes
+    waits: bytes
+    heard: int  # others, without me
+    mine: Codes
+
+
+class Reporter:
+    """`work` tells my own tokens at each engine, as they are now. `started` must grow with each start of the same name:
+    the time of the start does."""
+
+    def __init__(self, me: str, region: str, aggregators: Iterable[AggregatorSite], started: int, rng: random.Random,
+                 work: Callable[[], Iterable[Row]]) -> None:
+        self.me, self.region, self.incarnation, self.rng, self._mine = me, region, started, rng, work
+        self._window, self._sequence = ReplayWindow(), 0
+        # Danger: counted from 1 at each start, an answer to an earlier me would answer a report of mine.
+        self._number = rng.getrandbits(31)
+        self._told: OrderedDict[int, _Told] = OrderedDict()
+        self._tables: dict[str, _Table] = {}
+        self._chunks: dict[int, _Chunk] = {}
+        self._sums_of, self._latest = "", 0  # whose sums these are, and the version of its table as of the last one
+        self._count: int | None = None
+        self._heard = 0
+        self._sums_at = -1
+        self.attach, self.moves = 1, 0
+        self._last_report: dict[str, int] = {}
+        self._started = self._now = started
+        self._unanswered, self._waiting_since, self._echo = 0, -1, -1
+        self._failed = 0  # aggregators in a row that did not answer
+        self._due = started + int(rng.random() * PACE)
+        self._debt = started  # the time by which what was sent and got is paid for
+        self._hello_due, self._hello_number, self._hellos = started, -1, 0
+        self._bytes = {"in": 0, "out": 0}
+        self._order: list[str] = []
+        self.current = ""
+        self.reconfigure(aggregators, started)
+
+    def reconfigure(self, aggregators: Iterable[AggregatorSite], now: int) -> None:
+        """Other aggregators. What is known of those that stay, stays."""
+        def rank(site: AggregatorSite) -> tuple[bool, bytes]:
+            return site.region != self.region, hashlib.sha256(f"{self.me}\0{site.name}".encode()).digest()
+
+        self._order = [site.name for site in sorted(aggregators, key=rank)]
+        self._tables = {name: self._tables.get(name) or _Table() for name in self._order}
+        self._window.keep(self._order)
+        if self.current not in self._tables:
+            moved = bool(self.current)
+            self.current = self._order[0] if self._order else ""
+            if moved:
+                self._attached(now)
+        self._hellos, self._hello_due = 0, now + self._hello_wait()
+
+    def _hello_wait(self) -> int:
+        return int(self.rng.uniform(LEAST_HELLO, MOST_HELLO))
+
+    # Reports.
+
+    def next_beat(self, now: int) -> int:
+        """When `beat` is to be called next; it may change with each frame that is heard."""
+        due = max(self._due, self._debt)
+        return max(now, min(due, self._hello_due) if self._away() else due)
+
+    def _away(self) -> bool:
+        return bool(self._order) and self.current != self._order[0]
+
+    def beat(self, now: int) -> list[Frame]:
+        """What is due by now, be it nothing."""
+        if not self._order:
+            self._due = now + PACE
+            return []
+        if now - max(self._due, self._debt) > STOOD_STILL and self._waiting_since >= 0:
+            self._waiting_since = now  # Danger: the answers wait unread, and a good aggregator would be left
+        self._now = now
+        frames: list[Frame] = []
+        if self._away() and now >= self._hello_due:
+            self._hello_due = now + self._hello_wait()
+            if self._hello_number >= 0:
+                self._hellos = 0  # the last one was not answered
+            self._hello_number = self.rng.getrandbits(31)
+            frames.append(Hello(*self._head(self._order[0]), self._hello_number))
+        if now >= max(self._due, self._debt):
+            most = 1 if self._failed >= len(self._order) else UNANSWERED
+            if self._unanswered >= most or (self._waiting_since >= 0 and now - self._waiting_since >= ANSWER_WAIT):
+                self._give_up(now)
+            if now >= self._due:
+                frames += self._report(now)
+        return frames
+
+    def _give_up(self, now: int) -> None:
+        """The next aggregator, and after all of them a pause."""
+        self._failed += 1
+        at = self._order.index(self.current)
+        self.current = self._order[(at + 1) % len(self._order)]
+        self._attached(now)
+        if self._failed >= len(self._order):
+            wait = min(MOST_BACKOFF, 2 * LEAST_BACKOFF << min(8, self._failed - len(self._order)))
+            # Danger: they all lost it at the same moment, and would all ask again at the same moment.
+            self._due = now + int(self.rng.uniform(0, wait - LEAST_BACKOFF))
+
+    def _attached(self, now: int) -> None:
+        self.attach += 1
+        self.moves += 1
+        self._unanswered, self._waiting_since, self._echo = 0, -1, -1
+        self._hellos, self._hello_number, self._hello_due = 0, -1, now + self._hello_wait()
+
+    def _head(self, to: str) -> tuple[str, str, int, int]:
+        self._sequence += 1
+        return self.me, to, self.incarnation, self._sequence
+
+    def _quiet_ms(self, now: int) -> int:
+        """How long none of the others can have had a report of this name: an earlier me may have sent some, until I
+        started."""
+        last = max((at for name, at in self._last_report.items() if name != self.current), default=self._started)
+        return max(0, now - last) // 1000
+
+    def _report(self, now: int) -> list[Frame]:
+        table = self._tables[self.current]
+        n = len(table.engines)
+        loads, waits, fresh, codes = bytearray(n), bytearray(n), list[tuple[int, int, int]](), Codes()
+        for row in self._mine():
+            load, waiting = encode(row.load), encode(row.waiting)
+            if not load and not waiting:
+                continue
+            if (slot := table.slot_of.get(row.engine)) is not None:
+                loads[slot], waits[slot] = load, waiting
+                codes[row.engine] = waiting, load
+            else:
+                fresh.append((load, waiting, row.engine))
+        fresh.sort(reverse=True)
+        news = tuple((engine, waiting, load) for load, waiting, engine in fresh[:NEWS])
+        codes.update((engine, (waiting, load)) for engine, waiting, load in news)
+        self._number += 1
+        self._told[self._number] = _Told(now, codes)
+        while len(self._told) > REMEMBERED:
+            self._told.popitem(last=False)
+        self._last_report[self.current] = now
+        self._unanswered += 1
+        if self._waiting_since < 0:
+            self._waiting_since = now
+        pace = PACE
+        if self._failed >= len(self._order):
+            pace = LEAST_BACKOFF  # one try each, until one answers
+        self._due = now + int(pace * self.rng.uniform(1 - JITTER, 1 + JITTER))
+        return self._parts(now, table, bytes(loads), bytes(waits), news)
+
+    def _parts(self, now: int, table: _Table, loads: bytes, waits: bytes,
+               news: tuple[tuple[int, int, int], ...]) -> list[Frame]:
+        """One part if it fits; else chunks of slots, and the news by itself."""
+        packed = pack(loads), pack(waits)
+        room = PART_ROOM - sum(16 for _ in news)
+        if len(packed[0]) + len(packed[1]) <= room:
+            pieces = [(0, len(loads), *packed, news)]
+        else:
+            pieces = [(first, len(loads[first:first + CHUNK]), pack(loads[first:first + CHUNK]),
+                       pack(waits[first:first + CHUNK]), ()) for first in range(0, len(loads), CHUNK)]
+            if news:
+                pieces.append((0, 0, b"\0", b"\0", news))
+        return [Report(*self._head(self.current), self._number, k, len(pieces), self.attach, self._quiet_ms(now), False,
+                       table.incarnation, table.version, first, some, waiting, told, slots, self._echo)
+                for k, (first, slots, some, waiting, told) in enumerate(pieces)]
+
+    def leave(self, now: int) -> list[Frame]:
+        """The last word: nobody is to count me any more."""
+        if not self._order:
+            return []
+        self._number += 1
+        return [Report(*self._head(self.current), self._number, 0, 1, self.attach, self._quiet_ms(now), True, 0, 0, 0,
+                       b"\0", b"\0", ())]
+
+    def sent(self, size: int) -> None:
+        """A datagram of so many bytes went out."""
+        self._bytes["out"] += size + HEADERS
+        self._pay(size)
+
+    def _pay(self, size: int) -> None:
+        self._debt = max(self._debt, self._now - PACE) + (size + HEADERS) * 1_000_000 // BYTES_PER_S
+
+    # Answers.
+
+    def heard(self, now: int, frame: Frame, size: int) -> list[Frame]:
+        """An authentic frame, whenever it comes and however often; `size`: bytes of its datagram."""
+        self._now = max(self._now, now)
+        self._bytes["in"] += size + HEADERS
+        self._pay(size)
+        if frame.sender not in self._tables or not self._window.first_time(
+                frame.sender, frame.incarnation, frame.sequence):
+            return []
+        if isinstance(frame, HelloAck):
+            self._acknowledged(now, frame)
+        elif isinstance(frame, Superseded) and frame.sender == self.current and frame.known >= self.incarnation:
+            self.incarnation = frame.known + 1
+            self._answered()
+        elif isinstance(frame, Sums) and frame.sender == self.current:
+            self._sums(now, frame)
+        return []
+
+    def _acknowledged(self, now: int, frame: HelloAck) -> None:
+        if frame.sender != self._order[0] or frame.number != self._hello_number or not self._away():
+            return
+        self._hello_number, self._hellos = -1, self._hellos + 1
+        if self._hellos >= HELLOS:
+            self.current = self._order[0]
+            self._failed = 0
+            self._attached(now)
+
+    def _answered(self) -> None:
+        self._unanswered, self._waiting_since, self._failed = 0, -1, 0
+
+    def _sums(self, now: int, s: Sums) -> None:
+        asked = self._told.get(s.answers)
+        if asked is None or now - asked.at >= GONE:
+            return  # it waited somewhere
+        table = self._tables[s.sender]
+        if table.incarnation != s.incarnation:
+            table = self._tables[s.sender] = _Table(s.incarnation)
+            self._chunks.clear()
+        if self._sums_of != s.sender:
+            self._sums_of = s.sender
+            self._chunks.clear()
+        self._answered()
+        self._echo = max(self._echo, s.answers)
+        table.take(s.entries)
+        self._latest = max(s.version, self._latest if self._chunks else 0)
+        self._count = s.counted if s.settled else max(self._count or 0, s.counted)
+        if asked.at >= self._sums_at:
+            self._heard, self._sums_at = s.heard, asked.at
+        mine = Codes()
+        if s.included >= 0:
+            if s.included not in self._told:
+                return  # Danger: my own work is in it, and I no longer know which.
+            mine = self._told[s.included].codes
+        known = self._chunks.get(s.first)
+        if not s.slots or table.version < s.reused or (known and known.at > asked.at):
+            return
+        self._chunks[s.first] = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
+                                       max(0, s.heard - (s.included >= 0)), mine)
+
+    def count(self, now: int) -> int | None:
+        """Dispatchers that share the work, this one among them, as last told; None: nobody has ever told."""
+        return self._count
+
+    def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
+        """What the others have at an engine where I have this much: tokens yet to be read, under way in all, and how
+        much of that is fresh word."""
+        others = (self._count or 1) - 1
+        if others <= 0:
+            return 0.0, 0.0, 1.0 if self._count else 0.0
+        table = self._tables.get(self._sums_of)
+        slot = table.slot_of.get(engine) if table else None
+        chunk = self._chunks.get(slot // CHUNK * CHUNK if slot is not None else 0)
+        if table is None or chunk is None:
+            return 0.0, 0.0, 0.0
+        age = now - chunk.at
+        if age >= GONE or (slot is None and table.version < self._latest):
+            return 0.0, 0.0, 0.0
+        theirs_waiting = theirs_load = 0.0
+        if slot is not None:
+            at = slot - chunk.first
+            if at >= len(chunk.loads) or table.since[slot] > chunk.version:
+                return 0.0, 0.0, 0.0
+            mine = chunk.mine.get(engine, (0, 0))
+            theirs_waiting = max(0.0, TOKENS[chunk.waits[at]] - TOKENS[mine[0]])
+            theirs_load = max(0.0, TOKENS[chunk.loads[at]] - TOKENS[mine[1]])
+        # Each of whom nothing is known counts as the mean of all of whom something is, me among them.
+        worth = 0.5 ** (max(0, age) / FADE)
+        heard = worth * min(chunk.heard, others)
+        scale = (1 + others) / (1 + heard)
+        return (max(0.0, (waiting + worth * theirs_waiting) * scale - waiting),
+                max(0.0, (load + worth * theirs_load) * scale - load), heard / others)
+
+    def figures(self, now: int) -> dict[str, Any]:
+        """For operators."""
+        return {"aggregator": self.current, "attach": self.attach,
+                "age_s": (now - self._sums_at) / 1e6 if self._sums_at >= 0 else None, "counted": self._count,
+                "heard": self._heard, "moves": self.moves, "bytes_in": self._bytes["in"],
+                "bytes_out": self._bytes["out"]}
