--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -269,14 +269,14 @@
                             loads[slot] = waits[slot] = 0
         for r in whole:
             for engine, waiting, load in r.news:
-                slot = self._slot(now, engine)
-                if slot is None:
+                at = self._slot(now, engine)
+                if at is None:
                     continue
-                if slot >= len(loads):
-                    loads.extend(bytes(slot + 1 - len(loads)))
-                    waits.extend(bytes(slot + 1 - len(waits)))
-                if not loads[slot] and not waits[slot]:
-                    loads[slot], waits[slot] = load, waiting
+                if at >= len(loads):
+                    loads.extend(bytes(at + 1 - len(loads)))
+                    waits.extend(bytes(at + 1 - len(waits)))
+                if not loads[at] and not waits[at]:
+                    loads[at], waits[at] = load, waiting
         new_loads, new_waits = bytes(loads), bytes(waits)
         _shift(self._loads, member.loads, new_loads)
         _shift(self._waits, member.waits, new_waits)
@@ -296,16 +296,15 @@
 
     def _slot(self, now: int, engine: int) -> int | None:
         """The engine's slot, its first one if need be; None: all are taken."""
-        if (slot := self._slot_of.get(engine)) is not None:
-            return slot
+        if engine in self._slot_of:
+            return self._slot_of[engine]
         while self._free and not self._idle(now, self._free[-1]):
             self._free.pop()
-        free = self._free.pop() if self._free else None
-        if free is None and len(self._engines) >= MOST_SLOTS:
+        if not self._free and len(self._engines) >= MOST_SLOTS:
             return None
         self.version += 1
-        new = len(self._engines) if free is None else free
-        if free is None:
+        new = self._free.pop() if self._free else len(self._engines)
+        if new == len(self._engines):
             self._engines.append(engine)
             self._since.append(self.version)
             self._used_at.append(now)
@@ -539,6 +538,6 @@
 
 
 def _chunks(loads: list[float], waits: list[float]) -> list[tuple[int, int, bytes, bytes]]:
-    coded, waiting = bytes(map(encode, loads)), bytes(map(encode, waits))
-    return [(first, min(CHUNK, len(coded) - first), pack(coded[first:first + CHUNK]), pack(waiting[first:first + CHUNK]))
-            for first in range(0, len(coded), CHUNK)]
+    coded, waiting, n = bytes(map(encode, loads)), bytes(map(encode, waits)), len(loads)
+    return [(first, min(CHUNK, n - first), pack(coded[first:first + CHUNK]), pack(waiting[first:first + CHUNK]))
+            for first in range(0, n, CHUNK)]
