Frames: chunks and entries that fit a datagram with the longest names

Cause: 64 entries of 16 bytes and more, or 560 slots raw, beside two names of 96 bytes did not fit 1,400 bytes. Change: 48 entries, 512 slots.

--- a/pearhill/membership/frames.py
+++ b/pearhill/membership/frames.py
@@ -14,9 +14,9 @@
 from pearhill.membership.datagram import LEAST_KEY, MAX_BYTES, MOST_COUNT, TAG, Rejected
 
 VERSION = 2
-CHUNK = 560  # slots of one part of sums: two gauges each, and the rest of the frame, fit a datagram at the worst
+CHUNK = 512  # slots of one part of sums: two gauges each, and the rest of the frame, fit a datagram at the worst
 MOST_SLOTS, MOST_PARTS = 8192, 32
-ENTRIES = 64  # of a table, in one frame
+ENTRIES = 48  # of a table, in one frame
 NEWS = 64  # engines without a slot, in one report
 ROSTER_BYTES = 1100  # of members in one part of a roster
 
