Sums at up to ten reports a second, deflated; a table is used once it is known whole

Change: a report each 0.1 s while 6,000 bytes a second allow it, aggregators' beats 0.1 s, gauges deflated, sums not used before the table was known whole, fewer news till then.

--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -26,6 +26,7 @@
     ENTRIES,
     MOST_PARTS,
     MOST_SLOTS,
+    ROOM,
     ROSTER_BYTES,
     Entry,
     Frame,
@@ -41,8 +42,8 @@
 from pearhill.membership.gauges import TOKENS, encode, pack, unpack
 from pearhill.membership.window import ReplayWindow
 
-BEAT = 250_000  # between two beats
-LATE = 3 * BEAT  # between two beats of mine
+BEAT = 100_000  # between two beats
+LATE = 750_000  # between two beats of mine
 SNAPSHOT = 50_000  # sums are made anew after so long; between, all get the same ones
 LEASE = 2_000_000  # of a dispatcher's work
 PART_LEASE = 1_500_000  # of another aggregator's sums
@@ -53,9 +54,9 @@
 LOST_AT_ONCE = 1 / 3  # more than that of all, or of one aggregator's, silent together: a cut and not so many deaths
 LEAST_LOST = 3  # of one aggregator's, who may be few
 IDLE = 30_000_000  # a slot where nobody had work for so long may get another engine
-ROSTER_EVERY, SWEEP_EVERY = 2_000_000, 1_000_000
+ROSTER_EVERY, ROSTER_NEWS, SWEEP_EVERY = 2_000_000, 250_000, 1_000_000  # at the most, when it changed
 SETTLED = 10_000_000  # after a start: whoever is there has reported by then, backoff and all
-REMEMBERED = 16  # answers, and sums sent to another aggregator, whose times are kept
+REMEMBERED = 32  # answers, and sums sent to another aggregator, whose times are kept
 FORGOTTEN = 60_000_000  # a late word of one that left does not bring it back
 UNFINISHED = 3  # messages of one sender whose parts are waited for
 
@@ -348,12 +349,11 @@
         snap = self._snap(now)
         known_version = r.known_version if r.known_incarnation == self.incarnation else 0
         entries = self._entries(known_version)
-        # It cannot tell whose slots the rest are.
-        known = len(self._engines) if not entries else max(
-            (slot + 1 for version, slot in self._log if version <= known_version), default=0)
-        chunks = [c for c in snap.chunks if c[0] < known]
+        chunks = snap.chunks
+        if len(entries) == ENTRIES:
+            chunks = []  # it cannot tell yet whose most of them are
         if entries or not chunks:
-            chunks.insert(0, (0, 0, b"\0", b"\0"))
+            chunks = [(0, 0, b"\0", b"\0"), *chunks]
         incarnation, number = snap.included.get(r.sender, (-1, -1))
         included, counted, settled = number if incarnation == r.incarnation else -1, self.count(now), self._settled(now)
         return [Sums(*self._head(r.sender), r.number, included, snap.heard, counted, self.version, self.reused, k,
@@ -419,7 +419,8 @@
         for name, peer in self.peers.items():
             frames += self._parts(now, name, peer, chunks, heard)
         told = frozenset((name, k.stay, k.left) for name, k in self.known.items())
-        if now >= self._roster_due or told != self._roster_told:
+        if now >= self._roster_due or (
+                told != self._roster_told and now >= self._roster_due - ROSTER_EVERY + ROSTER_NEWS):
             self._roster_due, self._roster_told = now + ROSTER_EVERY, told
             for name in self.peers:
                 frames += self._rosters(now, name)
@@ -538,6 +539,10 @@
 
 
 def _chunks(loads: list[float], waits: list[float]) -> list[tuple[int, int, bytes, bytes]]:
+    """The gauges of all slots, in as few parts as they may be: first, slots, loads, waits."""
     coded, waiting, n = bytes(map(encode, loads)), bytes(map(encode, waits)), len(loads)
+    whole = pack(coded), pack(waiting)
+    if n and len(whole[0]) + len(whole[1]) <= ROOM:
+        return [(0, n, *whole)]
     return [(first, min(CHUNK, n - first), pack(coded[first:first + CHUNK]), pack(waiting[first:first + CHUNK]))
             for first in range(0, n, CHUNK)]
--- a/pearhill/membership/frames.py
+++ b/pearhill/membership/frames.py
@@ -14,7 +14,8 @@
 from pearhill.membership.datagram import LEAST_KEY, MAX_BYTES, MOST_COUNT, TAG, Rejected
 
 VERSION = 2
-CHUNK = 512  # slots of one part of sums: two gauges each, and the rest of the frame, fit a datagram at the worst
+CHUNK = 512  # slots of one part: two gauges each, and the rest of the frame, fit a datagram at the worst
+ROOM = 1050  # bytes of packed gauges that fit one
 MOST_SLOTS, MOST_PARTS = 8192, 32
 ENTRIES = 48  # of a table, in one frame
 NEWS = 64  # engines without a slot, in one report
@@ -162,12 +163,15 @@
             raise Rejected("malformed") from None
         if frame.to != me:
             raise Rejected("not-for-me")  # Danger: replayed to another, a report would be counted twice.
-        if isinstance(frame, Report | Sums | Part) and not (
-                frame.first + frame.slots <= MOST_SLOTS and gauges.fits(frame.loads, frame.slots)
-                and gauges.fits(frame.waits, frame.slots)):
-            raise Rejected("malformed")
         if isinstance(frame, Report | Sums | Part | Roster) and frame.part >= frame.parts:
             raise Rejected("malformed")
+        if isinstance(frame, Report | Sums | Part):
+            try:
+                gauges.unpack(frame.loads, frame.slots), gauges.unpack(frame.waits, frame.slots)
+            except ValueError:
+                raise Rejected("malformed") from None
+            if frame.first + frame.slots > MOST_SLOTS:
+                raise Rejected("malformed")
         return frame
 
     @staticmethod
--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -19,6 +19,7 @@
 from pearhill.membership.frames import (
     CHUNK,
     NEWS,
+    ROOM,
     Entry,
     Frame,
     Hello,
@@ -31,17 +32,19 @@
 from pearhill.membership.window import ReplayWindow
 from pearhill.spread.digests import Row
 
-PACE, JITTER = 500_000, 0.1  # between two reports, and the share of it that is drawn
+PACE, JITTER = 100_000, 0.1  # between two reports at the least, and the share of it that is drawn
 BYTES_PER_S, HEADERS = 6000, 28  # both ways together; IPv4 and UDP headers of a datagram
-UNANSWERED, ANSWER_WAIT = 4, 2_000_000  # reports in a row, or time, after which an aggregator is given up
+UNANSWERED, ANSWER_WAIT = 4, 2_000_000  # reports in a row, and time, after which an aggregator is given up
 GONE = 2_500_000  # older sums are not used at all
 FADE = 2_000_000  # after which half of them still holds
 LEAST_BACKOFF, MOST_BACKOFF = 1_000_000, 8_000_000  # between tries over all
 LEAST_HELLO, MOST_HELLO = 5_000_000, 15_000_000
 HELLOS = 2  # answers in a row, and home it goes
-REMEMBERED = 8  # reports that sums may still hold
+REMEMBERED = 32  # reports that sums may still hold
+BURST = 500_000  # of the bytes that were saved up
 STOOD_STILL = 1_000_000  # a beat that comes later than this: it is I who was away
-PART_ROOM = 1100  # bytes of packed gauges and news in one part of a report
+NEWS_AT_FIRST = 16  # engines without a slot in a report, until the table is known once
+NEWS_BYTES = 14  # of one engine without a slot, at the most
 Codes = dict[int, tuple[int, int]]  # by engine: waiting, load
 
 
@@ -60,6 +63,8 @@
     slot_of: dict[int, int] = field(default_factory=dict)
     engines: list[int] = field(default_factory=list)  # -1: not known yet
     since: list[int] = field(default_factory=list)
+    latest: int = 0  # version as last told
+    whole: bool = False  # it has been known up to the latest version once
 
     def take(self, entries: Iterable[Entry]) -> None:
         for slot, engine, version in entries:
@@ -72,6 +77,7 @@
                 del self.slot_of[self.engines[slot]]
             self.engines[slot], self.since[slot], self.version = engine, version, version
             self.slot_of[engine] = slot
+        self.whole = self.whole or self.version >= self.latest
 
 
 @dataclass(slots=True)
@@ -94,6 +100,9 @@
     heard: int  # others, without me
     mine: Codes
 
+    def overlaps(self, other: _Chunk) -> bool:
+        return self.first < other.first + len(other.loads) and other.first < self.first + len(self.loads)
+
 
 class Reporter:
     """`work` tells my own tokens at each engine, as they are now. `started` must grow with each start of the same name:
@@ -107,8 +116,8 @@
         self._number = rng.getrandbits(31)
         self._told: OrderedDict[int, _Told] = OrderedDict()
         self._tables: dict[str, _Table] = {}
-        self._chunks: dict[int, _Chunk] = {}
-        self._sums_of, self._latest = "", 0  # whose sums these are, and the version of its table as of the last one
+        self._chunks: list[_Chunk] = []
+        self._sums_of = ""  # whose these are
         self._count: int | None = None
         self._heard = 0
         self._sums_at = -1
@@ -169,8 +178,8 @@
             self._hello_number = self.rng.getrandbits(31)
             frames.append(Hello(*self._head(self._order[0]), self._hello_number))
         if now >= max(self._due, self._debt):
-            most = 1 if self._failed >= len(self._order) else UNANSWERED
-            if self._unanswered >= most or (self._waiting_since >= 0 and now - self._waiting_since >= ANSWER_WAIT):
+            gone = self._failed >= len(self._order)
+            if self._unanswered >= (1 if gone else UNANSWERED) and (gone or now - self._waiting_since >= ANSWER_WAIT):
                 self._give_up(now)
             if now >= self._due:
                 frames += self._report(now)
@@ -217,7 +226,9 @@
             else:
                 fresh.append((load, waiting, row.engine))
         fresh.sort(reverse=True)
-        news = tuple((engine, waiting, load) for load, waiting, engine in fresh[:NEWS])
+        # What has no slot here most likely has one, of which the next answers tell.
+        some = NEWS if table.whole else NEWS_AT_FIRST
+        news = tuple((engine, waiting, load) for load, waiting, engine in fresh[:some])
         codes.update((engine, (waiting, load)) for engine, waiting, load in news)
         self._number += 1
         self._told[self._number] = _Told(now, codes)
@@ -237,8 +248,7 @@
                news: tuple[tuple[int, int, int], ...]) -> list[Frame]:
         """One part if it fits; else chunks of slots, and the news by itself."""
         packed = pack(loads), pack(waits)
-        room = PART_ROOM - sum(16 for _ in news)
-        if len(packed[0]) + len(packed[1]) <= room:
+        if len(packed[0]) + len(packed[1]) + len(news) * NEWS_BYTES <= ROOM:
             pieces = [(0, len(loads), *packed, news)]
         else:
             pieces = [(first, len(loads[first:first + CHUNK]), pack(loads[first:first + CHUNK]),
@@ -263,7 +273,7 @@
         self._pay(size)
 
     def _pay(self, size: int) -> None:
-        self._debt = max(self._debt, self._now - PACE) + (size + HEADERS) * 1_000_000 // BYTES_PER_S
+        self._debt = max(self._debt, self._now - BURST) + (size + HEADERS) * 1_000_000 // BYTES_PER_S
 
     # Answers.
 
@@ -308,9 +318,9 @@
             self._sums_of = s.sender
             self._chunks.clear()
         self._answered()
+        table.latest = max(table.latest, s.version)
         self._echo = max(self._echo, s.answers)
         table.take(s.entries)
-        self._latest = max(s.version, self._latest if self._chunks else 0)
         self._count = s.counted if s.settled else max(self._count or 0, s.counted)
         if asked.at >= self._sums_at:
             self._heard, self._sums_at = s.heard, asked.at
@@ -319,11 +329,14 @@
             if s.included not in self._told:
                 return  # Danger: my own work is in it, and I no longer know which.
             mine = self._told[s.included].codes
-        known = self._chunks.get(s.first)
-        if not s.slots or table.version < s.reused or (known and known.at > asked.at):
+        if not s.slots or table.version < s.reused:
             return
-        self._chunks[s.first] = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
-                                       max(0, s.heard - (s.included >= 0)), mine)
+        new = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
+                     max(0, s.heard - (s.included >= 0)), mine)
+        # Whatever it covers of older ones is over; a newer one stays. Parts of one answer don't overlap.
+        self._chunks = [c for c in self._chunks if c.at > new.at or not c.overlaps(new)]
+        if not any(c.overlaps(new) for c in self._chunks):
+            self._chunks.append(new)
 
     def count(self, now: int) -> int | None:
         """Dispatchers that share the work, this one among them, as last told; None: nobody has ever told."""
@@ -337,17 +350,15 @@
             return 0.0, 0.0, 1.0 if self._count else 0.0
         table = self._tables.get(self._sums_of)
         slot = table.slot_of.get(engine) if table else None
-        chunk = self._chunks.get(slot // CHUNK * CHUNK if slot is not None else 0)
-        if table is None or chunk is None:
-            return 0.0, 0.0, 0.0
-        age = now - chunk.at
-        if age >= GONE or (slot is None and table.version < self._latest):
-            return 0.0, 0.0, 0.0
+        chunk = next((c for c in self._chunks if c.first <= (slot or 0) < c.first + len(c.loads)), None)
+        age = now - chunk.at if chunk else GONE
+        # Danger: with some engines known and some not, those that are not would look empty to everybody.
+        if table is None or chunk is None or age >= GONE or not table.whole or (
+                table.version < table.latest if slot is None else table.since[slot] > chunk.version):
+            return float(others * waiting), float(others * load), 0.0
         theirs_waiting = theirs_load = 0.0
         if slot is not None:
             at = slot - chunk.first
-            if at >= len(chunk.loads) or table.since[slot] > chunk.version:
-                return 0.0, 0.0, 0.0
             mine = chunk.mine.get(engine, (0, 0))
             theirs_waiting = max(0.0, TOKENS[chunk.waits[at]] - TOKENS[mine[0]])
             theirs_load = max(0.0, TOKENS[chunk.loads[at]] - TOKENS[mine[1]])
