Reporter: what of mine may still be in sums by way of an aggregator that I have left is taken off

Cause: for some seconds after a move, the new aggregator's sums hold my work by way of the old one, unnamed. Change: the most that I told the old one is taken off until it cannot be there any more; names that left are not told to and fro for ever.

--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -44,7 +44,7 @@
 
 BEAT = 100_000  # between two beats
 LATE = 750_000  # between two beats of mine
-SNAPSHOT = 50_000  # sums are made anew after so long; between, all get the same ones
+SNAPSHOT, SNAPSHOT_SLOT = 10_000, 50  # sums are made anew after so long, and so long a slot; between, all get the same
 LEASE = 2_000_000  # of a dispatcher's work
 PART_LEASE = 1_500_000  # of another aggregator's sums
 MOVED = LEASE + PART_LEASE
@@ -332,7 +332,7 @@
         return tuple((slot, self._engines[slot], version) for version, slot in self._log[at:at + ENTRIES])
 
     def _snap(self, now: int) -> _Snapshot:
-        if self._snapshot and now - self._snapshot.at < SNAPSHOT:
+        if self._snapshot and now - self._snapshot.at < max(SNAPSHOT, SNAPSHOT_SLOT * len(self._engines)):
             return self._snapshot
         self._expire(now)
         heard, loads, waits = 0, list(self._loads), list(self._waits)
@@ -397,6 +397,8 @@
             cut = silent >= SILENT + HOP
             if name == self.me or name in self.peers or silent >= CUT or (silent >= SILENT and not cut):
                 continue
+            if left and name not in self.known:
+                continue  # Danger: told to and fro, it would never be forgotten
             self._know(now, name, _Known((incarnation, attach), now - silent, frame.sender, left, cut))
 
     # Beats.
--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from pearhill.membership.aggregator import MOVED
 from pearhill.membership.frames import (
     CHUNK,
     NEWS,
@@ -40,7 +41,8 @@
 LEAST_BACKOFF, MOST_BACKOFF = 1_000_000, 8_000_000  # between tries over all
 LEAST_HELLO, MOST_HELLO = 5_000_000, 15_000_000
 HELLOS = 2  # answers in a row, and home it goes
-REMEMBERED = 32  # reports that sums may still hold
+REMEMBERED, REMEMBERED_FOR = 64, 5_000_000  # reports that sums may still hold
+SLACK = 200_000  # sums may be made a little before they are asked for
 BURST = 500_000  # of the bytes that were saved up
 STOOD_STILL = 1_000_000  # a beat that comes later than this: it is I who was away
 NEWS_AT_FIRST = 16  # engines without a slot in a report, until the table is known once
@@ -82,9 +84,10 @@
 
 @dataclass(slots=True)
 class _Told:
-    """A report that was made: when, and what it said."""
+    """A report that was made: when, to whom, and what it said."""
 
     at: int
+    to: str
     codes: Codes
 
 
@@ -104,6 +107,16 @@
         return self.first < other.first + len(other.loads) and other.first < self.first + len(self.loads)
 
 
+@dataclass(frozen=True, slots=True)
+class Theirs:
+    """Others' tokens at an engine, of how many of them, and since when."""
+
+    waiting: float
+    load: float
+    heard: int
+    at: int
+
+
 class Reporter:
     """`work` tells my own tokens at each engine, as they are now. `started` must grow with each start of the same name:
     the time of the start does."""
@@ -121,7 +134,8 @@
         self._count: int | None = None
         self._heard = 0
         self._sums_at = -1
-        self.attach, self.moves = 1, 0
+        self._elsewhere = Codes()  # the most that I told those that I have left
+        self.attach, self.moves = 0, 0
         self._last_report: dict[str, int] = {}
         self._started = self._now = started
         self._unanswered, self._waiting_since, self._echo = 0, -1, -1
@@ -143,10 +157,7 @@
         self._tables = {name: self._tables.get(name) or _Table() for name in self._order}
         self._window.keep(self._order)
         if self.current not in self._tables:
-            moved = bool(self.current)
-            self.current = self._order[0] if self._order else ""
-            if moved:
-                self._attached(now)
+            self._move(now, self._order[0] if self._order else "")
         self._hellos, self._hello_due = 0, now + self._hello_wait()
 
     def _hello_wait(self) -> int:
@@ -188,17 +199,23 @@
     def _give_up(self, now: int) -> None:
         """The next aggregator, and after all of them a pause."""
         self._failed += 1
-        at = self._order.index(self.current)
-        self.current = self._order[(at + 1) % len(self._order)]
-        self._attached(now)
+        self._move(now, self._order[(self._order.index(self.current) + 1) % len(self._order)])
         if self._failed >= len(self._order):
             wait = min(MOST_BACKOFF, 2 * LEAST_BACKOFF << min(8, self._failed - len(self._order)))
             # Danger: they all lost it at the same moment, and would all ask again at the same moment.
             self._due = now + int(self.rng.uniform(0, wait - LEAST_BACKOFF))
 
-    def _attached(self, now: int) -> None:
+    def _move(self, now: int, to: str) -> None:
+        if self.current and to != self.current:
+            self.moves += 1
+            self._elsewhere = most = Codes()
+            for told in self._told.values():
+                if told.to != to:
+                    for engine, (waiting, load) in told.codes.items():
+                        known = most.get(engine, (0, 0))
+                        most[engine] = max(waiting, known[0]), max(load, known[1])
+        self.current = to
         self.attach += 1
-        self.moves += 1
         self._unanswered, self._waiting_since, self._echo = 0, -1, -1
         self._hellos, self._hello_number, self._hello_due = 0, -1, now + self._hello_wait()
 
@@ -209,8 +226,11 @@
     def _quiet_ms(self, now: int) -> int:
         """How long none of the others can have had a report of this name: an earlier me may have sent some, until I
         started."""
-        last = max((at for name, at in self._last_report.items() if name != self.current), default=self._started)
-        return max(0, now - last) // 1000
+        return max(0, now - max(self._started, self._last_elsewhere())) // 1000
+
+    def _last_elsewhere(self) -> int:
+        """When the last report to another aggregator than this went out."""
+        return max((at for name, at in self._last_report.items() if name != self.current), default=-MOVED - GONE)
 
     def _report(self, now: int) -> list[Frame]:
         table = self._tables[self.current]
@@ -231,9 +251,9 @@
         news = tuple((engine, waiting, load) for load, waiting, engine in fresh[:some])
         codes.update((engine, (waiting, load)) for engine, waiting, load in news)
         self._number += 1
-        self._told[self._number] = _Told(now, codes)
-        while len(self._told) > REMEMBERED:
-            self._told.popitem(last=False)
+        self._told[self._number] = _Told(now, self.current, codes)
+        while len(self._told) > REMEMBERED or now - next(iter(self._told.values())).at > REMEMBERED_FOR:
+            self._told.popitem(last=False)  # Danger: sums of that long ago hold mine as it was then
         self._last_report[self.current] = now
         self._unanswered += 1
         if self._waiting_since < 0:
@@ -299,9 +319,8 @@
             return
         self._hello_number, self._hellos = -1, self._hellos + 1
         if self._hellos >= HELLOS:
-            self.current = self._order[0]
+            self._move(now, self._order[0])
             self._failed = 0
-            self._attached(now)
 
     def _answered(self) -> None:
         self._unanswered, self._waiting_since, self._failed = 0, -1, 0
@@ -321,14 +340,16 @@
         table.latest = max(table.latest, s.version)
         self._echo = max(self._echo, s.answers)
         table.take(s.entries)
-        self._count = s.counted if s.settled else max(self._count or 0, s.counted)
         if asked.at >= self._sums_at:
             self._heard, self._sums_at = s.heard, asked.at
-        mine = Codes()
+            self._count = s.counted if s.settled else max(self._count or 0, s.counted)
         if s.included >= 0:
             if s.included not in self._told:
                 return  # Danger: my own work is in it, and I no longer know which.
             mine = self._told[s.included].codes
+        else:
+            # By way of an aggregator that I have left, mine may still be in it.
+            mine = self._elsewhere if asked.at < self._last_elsewhere() + MOVED + SLACK else Codes()
         if not s.slots or table.version < s.reused:
             return
         new = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
@@ -348,26 +369,31 @@
         others = (self._count or 1) - 1
         if others <= 0:
             return 0.0, 0.0, 1.0 if self._count else 0.0
+        theirs = self.theirs(now, engine)
+        if theirs is None:
+            return float(others * waiting), float(others * load), 0.0
+        # Each of whom nothing is known counts as the mean of all of whom something is, me among them.
+        worth = 0.5 ** (max(0, now - theirs.at) / FADE)
+        heard = worth * min(theirs.heard, others)
+        scale = (1 + others) / (1 + heard)
+        return (max(0.0, (waiting + worth * theirs.waiting) * scale - waiting),
+                max(0.0, (load + worth * theirs.load) * scale - load), heard / others)
+
+    def theirs(self, now: int, engine: int) -> Theirs | None:
+        """What the others said that they have at an engine; None: no sums of it are known, or they are too old."""
         table = self._tables.get(self._sums_of)
         slot = table.slot_of.get(engine) if table else None
         chunk = next((c for c in self._chunks if c.first <= (slot or 0) < c.first + len(c.loads)), None)
-        age = now - chunk.at if chunk else GONE
         # Danger: with some engines known and some not, those that are not would look empty to everybody.
-        if table is None or chunk is None or age >= GONE or not table.whole or (
-                table.version < table.latest if slot is None else table.since[slot] > chunk.version):
-            return float(others * waiting), float(others * load), 0.0
-        theirs_waiting = theirs_load = 0.0
-        if slot is not None:
-            at = slot - chunk.first
-            mine = chunk.mine.get(engine, (0, 0))
-            theirs_waiting = max(0.0, TOKENS[chunk.waits[at]] - TOKENS[mine[0]])
-            theirs_load = max(0.0, TOKENS[chunk.loads[at]] - TOKENS[mine[1]])
-        # Each of whom nothing is known counts as the mean of all of whom something is, me among them.
-        worth = 0.5 ** (max(0, age) / FADE)
-        heard = worth * min(chunk.heard, others)
-        scale = (1 + others) / (1 + heard)
-        return (max(0.0, (waiting + worth * theirs_waiting) * scale - waiting),
-                max(0.0, (load + worth * theirs_load) * scale - load), heard / others)
+        if table is None or not table.whole or chunk is None or now - chunk.at >= GONE:
+            return None
+        if slot is None:
+            return Theirs(0.0, 0.0, chunk.heard, chunk.at) if table.version >= table.latest else None
+        if table.since[slot] > chunk.version:
+            return None  # these are another engine's
+        mine = chunk.mine.get(engine, (0, 0))
+        waiting, load = TOKENS[chunk.waits[slot - chunk.first]], TOKENS[chunk.loads[slot - chunk.first]]
+        return Theirs(max(0.0, waiting - TOKENS[mine[0]]), max(0.0, load - TOKENS[mine[1]]), chunk.heard, chunk.at)
 
     def figures(self, now: int) -> dict[str, Any]:
         """For operators."""
