--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -24,8 +24,11 @@
 from pearhill.membership.frames import (
     CHUNK,
     ENTRIES,
+    LEASE,
     MOST_PARTS,
     MOST_SLOTS,
+    MOVED,
+    PART_LEASE,
     ROOM,
     ROSTER_BYTES,
     Entry,
@@ -45,9 +48,6 @@
 BEAT = 100_000  # between two beats
 LATE = 750_000  # between two beats of mine
 SNAPSHOT, SNAPSHOT_SLOT = 10_000, 50  # sums are made anew after so long, and so long a slot; between, all get the same
-LEASE = 2_000_000  # of a dispatcher's work
-PART_LEASE = 1_500_000  # of another aggregator's sums
-MOVED = LEASE + PART_LEASE
 SILENT = 10_000_000  # for so long one that says nothing is counted
 CUT = 900_000_000  # and for so long when it is a cut
 HOP = 1_000_000  # added to each silence that is told on; more than a datagram is under way
--- a/pearhill/membership/frames.py
+++ b/pearhill/membership/frames.py
@@ -20,6 +20,9 @@
 ENTRIES = 48  # of a table, in one frame
 NEWS = 64  # engines without a slot, in one report
 ROSTER_BYTES = 1100  # of members in one part of a roster
+LEASE = 2_000_000  # microseconds for which a dispatcher's work is held
+PART_LEASE = 1_500_000  # and another aggregator's sums
+MOVED = LEASE + PART_LEASE  # after its last report to one, a dispatcher's work is in nobody's sums by way of it
 
 Count = Annotated[int, Meta(ge=0, le=MOST_COUNT)]
 Maybe = Annotated[int, Meta(ge=-1, le=MOST_COUNT)]  # -1: none
--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -16,9 +16,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pearhill.membership.aggregator import MOVED
 from pearhill.membership.frames import (
     CHUNK,
+    MOVED,
     NEWS,
     ROOM,
     Entry,
@@ -134,7 +134,7 @@
         self._count: int | None = None
         self._heard = 0
         self._sums_at = -1
-        self._elsewhere = Codes()  # the most that I told those that I have left
+        self._elsewhere: Codes = {}  # the most that I told those that I have left
         self.attach, self.moves = 0, 0
         self._last_report: dict[str, int] = {}
         self._started = self._now = started
@@ -208,7 +208,8 @@
     def _move(self, now: int, to: str) -> None:
         if self.current and to != self.current:
             self.moves += 1
-            self._elsewhere = most = Codes()
+            most: Codes = {}
+            self._elsewhere = most
             for told in self._told.values():
                 if told.to != to:
                     for engine, (waiting, load) in told.codes.items():
