Aggregators: drivers, the operator's file, the control machine's command; first version

Cause: the state machines of the aggregators had no sockets, no file and no command. Change: net/datagrams holds one UDP socket for all who speak on it, by the first byte; net/reporting and net/aggregation drive a Reporter and an Aggregator, net/fleet a dispatcher's whole part (talk, reports, or both, also changed by a reload); membership/sources decides whose word counts. [[fleet.aggregator]] in the operator's file, [aggregator] in the control machine's, `pearhill aggregator FILE`. The lab's relay passes datagrams on from their sender's socket, so that answers come by it too.

--- a/pearhill/admin/door.py
+++ b/pearhill/admin/door.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
@@ -44,23 +44,21 @@
     return values[0]
 
 
-class Door:
-    def __init__(self, operated: Operated) -> None:
-        self.operated = operated
-        self._calls: dict[str, tuple[str, Callable[[str, Reply], None]]] = {
-            "/ops/readiness": ("GET", self._readiness), "/ops/stats": ("GET", self._stats),
-            "/ops/replicas/down": ("POST", lambda query, reply: self._replica(query, reply, True)),
-            "/ops/replicas/up": ("POST", lambda query, reply: self._replica(query, reply, False)),
-            "/ops/fleet": ("GET", self._fleet),
-            "/ops/drain/start": ("POST", lambda query, reply: self._drain(reply, True)),
-            "/ops/drain/stop": ("POST", lambda query, reply: self._drain(reply, False))}
+Call = Callable[[str, Reply], None]  # gets the query
+
+
+class Calls:
+    """What answers calls, by path: the method, and what is done."""
+
+    def __init__(self, calls: Mapping[str, tuple[str, Call]]) -> None:
+        self._calls = calls
 
     def handle(self, message: RequestMessage, reply: Reply) -> None:
         path, _, query = message.target.partition("?")
-        method, call = self._calls.get(path, ("", None))
-        if call is None:
-            reply.answer(404, TEXT, b"no such call\n")
-        elif message.method != method:
+        if path not in self._calls:
+            return reply.answer(404, TEXT, b"no such call\n")
+        method, call = self._calls[path]
+        if message.method != method:
             reply.answer(405, (*TEXT, ("Allow", method)), f"this call is a {method}\n".encode())
         else:
             try:
@@ -71,6 +69,18 @@
     def rejected(self, status: int, why: str) -> tuple[Headers, bytes]:
         return TEXT, f"{why}\n".encode()
 
+
+class Door(Calls):
+    def __init__(self, operated: Operated) -> None:
+        self.operated = operated
+        super().__init__({
+            "/ops/readiness": ("GET", self._readiness), "/ops/stats": ("GET", self._stats),
+            "/ops/replicas/down": ("POST", lambda query, reply: self._replica(query, reply, True)),
+            "/ops/replicas/up": ("POST", lambda query, reply: self._replica(query, reply, False)),
+            "/ops/fleet": ("GET", self._fleet),
+            "/ops/drain/start": ("POST", lambda query, reply: self._drain(reply, True)),
+            "/ops/drain/stop": ("POST", lambda query, reply: self._drain(reply, False))})
+
     def _readiness(self, query: str, reply: Reply) -> None:
         yes = self.operated.can_serve()
         reply.answer(200 if yes else 503, TEXT, b"yes\n" if yes else b"no: it cannot serve yet\n")
--- /dev/null
+++ b/pearhill/aggregator/__init__.py
@@ -0,0 +1,1 @@
+"""The control machine's program: one aggregator of a fleet of dispatchers, from its file to its end."""
--- a/pearhill/chat/file.py
+++ b/pearhill/chat/file.py
@@ -6,12 +6,12 @@
 
 from msgspec import Meta, Struct, field
 
+from pearhill.config.values import MOST_NAMED, Address, Name, PeerTable, Text
+
 Whole = Annotated[int, Meta(ge=1)]
 Tokens = Annotated[int, Meta(ge=0, le=10**15)]
 Micros = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
-Text = Annotated[str, Meta(min_length=1)]
-Address = Annotated[str, Meta(pattern=r"^.+:[0-9]{1,5}$", description="HOST:PORT")]
 
 
 class RuleTable(Struct, forbid_unknown_fields=True):
@@ -210,19 +210,23 @@
     budgets: BudgetsTable
 
 
-class PeerTable(Struct, forbid_unknown_fields=True):
-    name: Text
-    address: Address
+class AggregatorTable(PeerTable, forbid_unknown_fields=True, kw_only=True):
+    """A control machine that sums up what dispatchers have. `region`: whose dispatchers turn to it first."""
+
+    name: Name
+    region: str = ""
 
 
 class FleetTable(Struct, forbid_unknown_fields=True):
-    """Dispatchers that tell one another what work they have. `peer` may name this one too: one list serves all. The
-    first key signs, each of them is accepted."""
+    """Dispatchers that tell one another what work they have: each other (`peer`), or by way of aggregators, or both.
+    `peer` may name this one too: one list serves all. The first key signs, each of them is accepted."""
 
     name: Text
     listen: Address
     key_files: Annotated[list[Text], Meta(min_length=1)]
-    peer: Annotated[list[PeerTable], Meta(min_length=1, max_length=1000)]
+    region: str = ""
+    peer: Annotated[list[PeerTable], Meta(max_length=MOST_NAMED)] = []
+    aggregator: Annotated[list[AggregatorTable], Meta(max_length=MOST_NAMED)] = []
 
 
 class OperatorFile(Struct, forbid_unknown_fields=True):
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from loguru import logger
@@ -16,10 +15,8 @@
 from pearhill.chat.spending import Corrupt, Desk
 from pearhill.config import for_next_start
 from pearhill.eureka.client import Eureka
-from pearhill.membership.council import Council
-from pearhill.membership.datagram import Codec
 from pearhill.net.address import Address
-from pearhill.net.talk import Talk
+from pearhill.net.fleet import Fleet
 from pearhill.node import Limits, Node
 from pearhill.operations import Operations
 from pearhill.spread.digests import Row
@@ -41,22 +38,14 @@
                                self.is_ready, self.desk)
         if self.desk:
             node.on_report = self.desk.report
-        self.talk = self._fleet(setup) if setup.fleet else None
+        self.fleet = Fleet(setup.fleet, setup.seed, node.deadlines, self._work) if setup.fleet else None
+        if self.fleet:
+            self.fleet.on_count = node.share_work
         self._eureka = self._registry(setup)
         self._address: Address | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._registering: asyncio.Task[None] | None = None
 
-    def _fleet(self, setup: ChatSetup) -> Talk:
-        told, node = setup.fleet, self.node
-        assert told
-        # The start's own time is its incarnation; its seed too. Danger: in step, all would ping the same one.
-        started = node.deadlines.clock()
-        council = Council(told.name, told.peers, started, random.Random(started ^ setup.seed), self._work)
-        talk = Talk(council, Codec(list(told.keys)), told.peers, node.deadlines)
-        talk.on_count = node.share_work
-        return talk
-
     def _work(self) -> list[Row]:
         return [Row(*row) for row in self.node.dispatcher.router.work()]
 
@@ -73,14 +62,14 @@
                 self.desk.open()
             except (Corrupt, ValueError) as e:
                 raise OSError(f"budgets.folder: {self.setup.spending and self.setup.spending.folder}: {e}") from None
-        if self.talk and self.setup.fleet:
-            address = self.setup.fleet.listen
+        if self.fleet:
+            name, address = self.fleet.setup.name, self.fleet.setup.listen
             try:
-                host, port = await self.talk.open(address)
+                host, port = await self.fleet.open()
             except OSError as e:
                 raise OSError(f"fleet.listen: {address[0]}:{address[1]}: {e.strerror or e}") from None
-            self.node.dispatcher.router.talk(self.talk.council)
-            logger.info("fleet: {name} talks on {host}:{port}", name=self.setup.fleet.name, host=host, port=port)
+            self.node.dispatcher.router.talk(self.fleet.sources)
+            logger.info("fleet: {name} talks on {host}:{port}", name=name, host=host, port=port)
         if self.setup.entries:
             self.node.listed(True, self.setup.entries, self.setup.addresses)
         if self._eureka:
@@ -104,8 +93,8 @@
         node.reconfigure(fresh.deployment)
         self.setup, self.front.reading, self.front.keyring = fresh, fresh.reading, fresh.keyring
         self.dialect.keys, self.dialect.key = fresh.server_keys, fresh.server_key
-        if self.talk and fresh.fleet:
-            self.talk.reconfigure(Codec(list(fresh.fleet.keys)), fresh.fleet.peers)
+        if self.fleet and fresh.fleet:
+            self.fleet.reconfigure(fresh.fleet)
         if self.desk and fresh.spending:
             self.desk.reconfigure(fresh.spending)
         self.store.reconfigure(fresh.store_bytes, fresh.store_keep)
@@ -120,6 +109,7 @@
             ("chat.sockets", before.sockets, fresh.sockets),
             ("fleet", before.fleet is None, fresh.fleet is None),
             ("fleet.name", before.fleet and before.fleet.name, fresh.fleet and fresh.fleet.name),
+            ("fleet.region", before.fleet and before.fleet.region, fresh.fleet and fresh.fleet.region),
             ("fleet.listen", before.fleet and before.fleet.listen, fresh.fleet and fresh.fleet.listen),
             ("chat.seed", before.seed, fresh.seed),
             ("chat.max_body_bytes", before.max_body, fresh.max_body),
@@ -149,8 +139,8 @@
         await self.deregister()
         await self.node.until()
         self._leave_registry()
-        if self.talk:
-            self.talk.close()
+        if self.fleet:
+            self.fleet.close()
         if self.desk:
             self.desk.close()
         self.node.close()
@@ -162,7 +152,7 @@
     await service.open()
     node = service.node
     operations = Operations(node, lambda: node.accepting and node.dispatcher.can_answer,
-                            lambda: service.talk.told(node) if service.talk else None)
+                            lambda: service.fleet.told(node) if service.fleet else None)
     await node.serve(setup.listen, service.front, "chat front", lambda: service.reload(read_anew()), service.register,
                      service.deregister, door=(setup.admin, Door(operations)) if setup.admin else None)
     await service.close()
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -15,11 +15,12 @@
 from pearhill.chat import file as f
 from pearhill.chat.keys import BadKey, Keyring, Tenant
 from pearhill.chat.spending import SpendingSetup
-from pearhill.config import ConfigError, typed
+from pearhill.config import ConfigError, typed, values
 from pearhill.core.engines import engine_of
 from pearhill.eureka.setup import EurekaSetup
-from pearhill.membership.datagram import LEAST_KEY
-from pearhill.net.address import Address, parse_address
+from pearhill.membership.reporter import AggregatorSite
+from pearhill.net.address import Address
+from pearhill.net.fleet import FleetSetup
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,16 +74,6 @@
         return self.models.get(name) if self.models else Model(name, name)
 
 
-@dataclass(frozen=True, slots=True)
-class FleetSetup:
-    """The dispatchers that this one talks to."""
-
-    name: str
-    listen: Address
-    keys: tuple[bytes, ...]
-    peers: Mapping[str, Address]
-
-
 @dataclass(frozen=True, slots=True)
 class ChatSetup:
     listen: Address
@@ -110,28 +101,6 @@
     return names.index(name)
 
 
-def _address(path: str, text: str) -> Address:
-    try:
-        return parse_address(text)
-    except ValueError:
-        raise typed.complaint(path, text, "HOST:PORT, with a port from 0 to 65535") from None
-
-
-def _secret(path: str, name: str) -> str:
-    """A key from a file of its own. Danger: what stands in the operator's file gets copied, shown and committed."""
-    if not name:
-        return ""
-    try:
-        with open(name, encoding="ascii") as secret:
-            text = secret.read().strip()
-    except (OSError, UnicodeDecodeError) as e:
-        raise typed.complaint(path, name, f"a readable file that holds one key ({type(e).__name__})") from None
-    if not text or any(not "\x21" <= char <= "\x7e" for char in text):
-        raise ConfigError(f"{path}: found a file without one key in it; allowed: a file that holds one key, printable "
-                          "and without spaces")
-    return text
-
-
 def _models(chat: f.ChatTable, deployment: settings.Deployment) -> dict[str, Model]:
     models: dict[str, Model] = {}
 
@@ -192,21 +161,22 @@
 
 
 def _fleet(table: f.FleetTable) -> FleetSetup:
-    peers: dict[str, Address] = {}
-    for k, peer in enumerate(table.peer):
-        if peer.name in peers:
-            raise typed.complaint(f"fleet.peer[{k}].name", peer.name, "a name that no other peer has")
-        peers[peer.name] = _address(f"fleet.peer[{k}].address", peer.address)
-    peers.pop(table.name, None)
-    keys = tuple(_secret(f"fleet.key_files[{k}]", name).encode() for k, name in enumerate(table.key_files))
-    for k, key in enumerate(keys):
-        if len(key) < LEAST_KEY:
-            raise typed.complaint(f"fleet.key_files[{k}]", f"a key of {len(key)} characters", f"{LEAST_KEY} at least")
-    return FleetSetup(table.name, _address("fleet.listen", table.listen), keys, peers)
+    peers = values.addresses("fleet.peer", table.peer, table.name)
+    aggregators = values.addresses("fleet.aggregator", table.aggregator, "", "aggregator")
+    if not table.peer and not aggregators:
+        raise typed.complaint("fleet.peer", None, "a list of one or more, where fleet.aggregator names none")
+    if aggregators and len(table.name) > values.MOST_NAME:
+        raise typed.complaint("fleet.name", table.name, f"{values.MOST_NAME} characters at most, before aggregators")
+    for k, aggregator in enumerate(table.aggregator):
+        if aggregator.name == table.name or aggregator.name in peers:
+            raise typed.complaint(f"fleet.aggregator[{k}].name", aggregator.name, "a name that no dispatcher has")
+    return FleetSetup(table.name, values.address("fleet.listen", table.listen),
+                      values.talk_keys("fleet.key_files", table.key_files), peers, table.region,
+                      tuple(AggregatorSite(a.name, a.region) for a in table.aggregator), aggregators)
 
 
 def _eureka(table: f.EurekaTable) -> EurekaSetup:
-    return EurekaSetup(_address("eureka.address", table.address), table.base.rstrip("/"), table.servers.upper(),
+    return EurekaSetup(values.address("eureka.address", table.address), table.base.rstrip("/"), table.servers.upper(),
                        table.register_as.upper(), table.instance, table.lease_s, table.renew_s, table.fetch_s)
 
 
@@ -269,19 +239,19 @@
         entries.append(i.Entry(engine, _choice(f"{path}.zone", server.zone or zones[0], zones),
                                _choice(f"{path}.kind", server.kind, deployment.kind_names), server.cell, i.READY,
                                server.capacity, 0))
-        addresses[engine] = _address(f"{path}.address", server.address)
-        if key := _secret(f"{path}.key_file", server.key_file):
+        addresses[engine] = values.address(f"{path}.address", server.address)
+        if key := values.secret(f"{path}.key_file", server.key_file):
             keys[engine] = key
     if not entries and not told.eureka:
         raise ConfigError("server: found no servers, and no [eureka] to ask for them; allowed: either, or both")
     models, budgets = _models(chat, deployment), _budgets(told)
     return ChatSetup(
-        _address("chat.listen", chat.listen), chat.sockets, chat.seed, deployment,
+        values.address("chat.listen", chat.listen), chat.sockets, chat.seed, deployment,
         _reading(chat, models, deployment), _keyring(chat, deployment, models), told.idempotency.max_bytes,
         told.idempotency.keep_s * 1_000_000, tuple(entries), addresses, keys,
-        _secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
+        values.secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
         _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None,
-        _address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None,
+        values.address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None,
         _fleet(told.fleet) if told.fleet else None)
 
 
--- a/pearhill/cli/main.py
+++ b/pearhill/cli/main.py
@@ -1,4 +1,4 @@
-"""`pearhill`: serve, check, schema, key, conform, bill, lab, fleet, version."""
+"""`pearhill`: serve, aggregator, check, schema, key, conform, bill, lab, fleet, version."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 import typer
 
 import pearhill
+from pearhill.aggregator import daemon as aggregator_daemon
+from pearhill.aggregator import setup as aggregator_setup
 from pearhill.chat import keys, service, setup
 from pearhill.chat.file import OperatorFile
 from pearhill.cli import lab
@@ -50,6 +52,29 @@
     raise typer.Exit(run(work, log_level, log_format.value))
 
 
+@app.command()
+def aggregator(
+    file: Annotated[Path, typer.Argument(help="the control machine's file (TOML)", show_default=False)],
+    check_only: Annotated[bool, typer.Option("--check", help="read the file, say what is in it, and end")] = False,
+    log_level: Annotated[str, typer.Option(help="least level that is logged", envvar="PEARHILL_LOG")] = "INFO",
+    log_format: Annotated[LogFormat, typer.Option(help="text, or one JSON object a line")] = LogFormat.text,
+) -> None:
+    """Sum up what dispatchers report, as the control machine's file says, until SIGTERM. Exit code 2: bad file."""
+    path = str(file)
+
+    def work():  # type: ignore[no-untyped-def]
+        return aggregator_daemon.serve(aggregator_setup.load(path), lambda: aggregator_setup.load(path))
+
+    if not check_only:
+        raise typer.Exit(run(work, log_level, log_format.value))
+    try:
+        found = aggregator_setup.load(path)
+    except ConfigError as e:
+        _fail(str(e))
+    print(f"{file}: good. {found.name} listens on {found.listen[0]}:{found.listen[1]}, "
+          f"{len(found.peers)} other aggregators")
+
+
 @app.command()
 def check(file: File) -> None:
     """Read the operator's file and say what is in it, or what is wrong. Exit code 2: it cannot be used."""
@@ -61,7 +86,8 @@
     print(f"{file}: good. {len(found.entries)} servers{', eureka' if found.eureka else ''}, {len(models)} models, "
           f"{len(found.keyring.tenants)} tenants, {len(found.reading.rules)} rules, "
           f"classes {', '.join(found.deployment.class_names)}"
-          + (f", talks to {len(found.fleet.peers)} dispatchers as {found.fleet.name}" if found.fleet else ""))
+          + (f", talks to {len(found.fleet.peers)} dispatchers and {len(found.fleet.sites)} aggregators as "
+             f"{found.fleet.name}" if found.fleet else ""))
     if not found.keyring:
         print("  note: no tenants are declared, so everyone who reaches the port may ask")
     if not models:
--- a/pearhill/lab/relay.py
+++ b/pearhill/lab/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import random
 import selectors
@@ -15,17 +16,17 @@
 
 
 class Relay:
-    """A socket for each name: what comes in there goes on to where that one listens. Who sent it shows by where it came
-    from, so that each has to be made known (`place`) before it is passed on."""
+    """A socket for each name: what comes in there goes on to where that one listens, from the socket of its sender, so
+    that answers come by here too. Who sent it shows by where it came from: each has to be made known (`place`) before
+    it is passed on."""
 
     def __init__(self, names: Sequence[str], seed: int) -> None:
         self.rng, self.to, self.names_at = random.Random(seed), dict[str, Address](), dict[Address, str]()
         self.cuts: set[tuple[str, str]] = set()  # sender, addressee
         self.drop = self.double = self.delay_s = 0.0
         self.passed = 0
-        self._heap: list[tuple[float, int, bytes, str]] = []
+        self._heap: list[tuple[float, int, bytes, str, str]] = []  # when, .., sender, addressee
         self._selector, self._ends = selectors.DefaultSelector(), False
-        self._out = socket.socket(type=socket.SOCK_DGRAM)
         self._sockets: dict[str, socket.socket] = {}
         for name in names:
             end = self._sockets[name] = socket.socket(type=socket.SOCK_DGRAM)
@@ -61,16 +62,17 @@
                 for _ in range(1 + (self.rng.random() < self.double)):
                     count += 1
                     at = time.monotonic() + self.rng.random() * self.delay_s
-                    heapq.heappush(self._heap, (at, count, data, key.data))
+                    heapq.heappush(self._heap, (at, count, data, known, key.data))
             while self._heap and self._heap[0][0] <= time.monotonic():
-                _, _, data, to = heapq.heappop(self._heap)
+                _, _, data, sender_name, to = heapq.heappop(self._heap)
                 if to in self.to:
-                    self._out.sendto(data, self.to[to])
+                    with contextlib.suppress(BlockingIOError):  # full: lost, as on any path
+                        self._sockets[sender_name].sendto(data, self.to[to])
                     self.passed += 1
 
     def close(self) -> None:
         self._ends = True
         self._thread.join(5)
-        for end in (*self._sockets.values(), self._out):
+        for end in self._sockets.values():
             end.close()
         self._selector.close()
--- /dev/null
+++ b/pearhill/net/aggregation.py
@@ -0,0 +1,65 @@
+"""An aggregator over UDP: its beats, its datagrams out, the dispatchers' and the other aggregators' in. Decides
+nothing.
+
+No dispatcher's address is kept: all that an aggregator says to one is an answer, and goes where the datagram came
+from that it answers. So nobody can have a dispatcher's answers sent elsewhere by what he forges or sends once more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from pearhill.core.deadlines import Deadlines, Key
+from pearhill.membership.aggregator import BEAT, Aggregator
+from pearhill.membership.frames import VERSION, Frame, FrameCodec
+from pearhill.net.address import Address
+from pearhill.net.datagrams import Datagrams
+
+
+class Aggregation:
+    """`peers`: where the other aggregators listen."""
+
+    def __init__(self, aggregator: Aggregator, codec: FrameCodec, peers: Mapping[str, Address], deadlines: Deadlines,
+                 datagrams: Datagrams) -> None:
+        self.aggregator, self.codec, self.peers, self.deadlines = aggregator, codec, peers, deadlines
+        self.datagrams = datagrams
+        self._beat_key: Key | None = None
+        self.on_beat: Callable[[int], None] = lambda now: None  # told after each, with its time
+
+    def start(self) -> None:
+        """Once the socket is open."""
+        self.datagrams.takers[VERSION] = self._take
+        self._beat()
+
+    def reconfigure(self, codec: FrameCodec, peers: Mapping[str, Address]) -> None:
+        """Other keys, other peers; what is known of those that stay, stays."""
+        self.codec, self.peers = codec, peers
+        self.aggregator.reconfigure(peers, self.deadlines.clock())
+
+    def _beat(self) -> None:
+        now = self.deadlines.clock()
+        self._beat_key = self.deadlines.at(now + BEAT, self._beat)
+        for frame in self.aggregator.beat(now):
+            self._send(frame, self.peers.get(frame.to))
+        self.on_beat(now)
+
+    def _take(self, data: bytes, address: Address) -> None:
+        frame = self.codec.unpack(data, self.aggregator.me)
+        for answer in self.aggregator.heard(self.deadlines.clock(), frame):
+            # Danger: an aggregator is where the file says. One that took its name would be sent what is for it.
+            self._send(answer, self.peers.get(answer.to, address if answer.to == frame.sender else None))
+
+    def _send(self, frame: Frame, address: Address | None) -> None:
+        if address is None:
+            self.datagrams.counts["unsent address-unknown"] += 1
+        else:
+            self.datagrams.send(self.codec.pack(frame), address)
+
+    def told(self) -> dict[str, Any]:
+        """What is known here, for operators."""
+        return {"aggregator": self.aggregator.me, **self.aggregator.figures(self.deadlines.clock()),
+                "datagrams": dict(self.datagrams.counts)}
+
+    def close(self) -> None:
+        self.deadlines.cancel(self._beat_key)
+        self.datagrams.takers.pop(VERSION, None)
--- /dev/null
+++ b/pearhill/net/reporting.py
@@ -0,0 +1,78 @@
+"""A dispatcher's reports to aggregators over UDP: the beats of one Reporter, its datagrams out, their answers in.
+Decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from pearhill.core.deadlines import Deadlines, Key
+from pearhill.membership.frames import VERSION, Frame, FrameCodec
+from pearhill.membership.reporter import AggregatorSite, Reporter
+from pearhill.net.address import Address
+from pearhill.net.datagrams import Datagrams
+
+LEAST_WAIT = 10_000  # between two beats
+
+
+class Reporting:
+    """`addresses`: where the aggregators listen, by name."""
+
+    def __init__(self, reporter: Reporter, codec: FrameCodec, addresses: Mapping[str, Address], deadlines: Deadlines,
+                 datagrams: Datagrams) -> None:
+        self.reporter, self.codec, self.addresses, self.deadlines = reporter, codec, addresses, deadlines
+        self.datagrams = datagrams
+        self._beat_key: Key | None = None
+        self._beat_for = -1  # the moment of the reporter's choice that it is set for
+        self._count: int | None = None
+        self.on_count: Callable[[], None] = lambda: None  # told when another count of dispatchers shares the work
+        self.on_turn: Callable[[int], None] = lambda now: None  # told after each beat and each answer, with its time
+
+    def start(self) -> None:
+        """Once the socket is open."""
+        self.datagrams.takers[VERSION] = self._take
+        self._beat()
+
+    def reconfigure(self, codec: FrameCodec, sites: Iterable[AggregatorSite], addresses: Mapping[str, Address]) -> None:
+        """Other keys, other aggregators; the one in use stays in use if it is still named."""
+        self.codec, self.addresses = codec, addresses
+        self.reporter.reconfigure(sites, self.deadlines.clock())
+        self._arm(self.deadlines.clock())
+
+    def _beat(self) -> None:
+        now = self.deadlines.clock()
+        try:
+            self._send(self.reporter.beat(now))
+        finally:
+            self._beat_for = -1
+            self._arm(now)
+        self._turn(now)
+
+    def _take(self, data: bytes, address: Address) -> None:
+        now, frame = self.deadlines.clock(), self.codec.unpack(data, self.reporter.me)
+        self._send(self.reporter.heard(now, frame, len(data)))
+        self._arm(now)
+        self._turn(now)
+
+    def _arm(self, now: int) -> None:
+        if (due := self.reporter.next_beat(now)) != self._beat_for:
+            self.deadlines.cancel(self._beat_key)
+            # Danger: a beat that is due at once, over and over, would be all that this process does.
+            self._beat_key, self._beat_for = self.deadlines.at(max(now + LEAST_WAIT, due), self._beat), due
+
+    def _turn(self, now: int) -> None:
+        if (count := self.reporter.count(now)) != self._count:
+            self._count = count
+            self.on_count()
+        self.on_turn(now)
+
+    def _send(self, frames: list[Frame]) -> None:
+        for frame in frames:
+            data, address = self.codec.pack(frame), self.addresses.get(frame.to)
+            if address and self.datagrams.send(data, address):
+                self.reporter.sent(len(data))
+
+    def close(self) -> None:
+        """Take leave, so that nobody waits for this one; the socket is open still."""
+        self.deadlines.cancel(self._beat_key)
+        self._send(self.reporter.leave(self.deadlines.clock()))
+        self.datagrams.takers.pop(VERSION, None)
--- /dev/null
+++ b/tests/membership/test_aggregation_process.py
@@ -0,0 +1,270 @@
+"""Three real aggregators and five real dispatchers before stand-in engines, through a relay: crashes, stalls, cuts, bad
+paths, and dispatchers that still only talk."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import signal
+import socket
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from pearhill.lab.relay import Relay
+from tests.admin.test_door import call
+from tests.chat.test_front import PATH, body, operator_file
+from tests.cli.test_cli import Served, run
+from tests.standins import LAST, ROOT, TOKENS, Program, Standin
+
+SEED = 20261202
+WAIT_S = 60  # for what must come about; it takes some seconds, a way home up to thirty
+HOMES = {"d1": "a1", "d2": "a1", "d3": "a2", "d4": "a2", "d5": "a3"}
+A, D = ("a1", "a2", "a3"), tuple(HOMES)
+
+
+class Case(unittest.TestCase):
+    def begin(self, *names: str) -> None:
+        print(f"seed {SEED}")
+        self.aggregators = tuple(name for name in names if name not in HOMES)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / "key").write_text("a-key-that-all-of-them-hold\n")
+        self.relay = Relay(names, SEED)
+        self.addCleanup(self.relay.close)
+        self.engine, self.go = Standin(), threading.Event()
+        self.engine.respond = self.hold
+        self.addCleanup(self.engine.close)
+        self.addCleanup(self.go.set)
+        self.programs: dict[str, Program] = {}
+        self.doors: dict[str, str] = {}
+
+    def hold(self, handler: Any, sent: bytes) -> None:
+        """A stream that has begun and goes on until the test lets it end."""
+        handler.chunks(TOKENS[0], last=False)
+        while not self.go.wait(1):
+            handler.more(TOKENS[0])
+        handler.more(LAST)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def table(self, kind: str, names: tuple[str, ...], region: bool = True) -> str:
+        return "".join(f'[[{kind}]]\nname = "{n}"\naddress = "{self.relay.address(n)}"\n'
+                       + (f'region = "{n}"\n' if region else "") for n in names)
+
+    def fleet(self, name: str, aggregators: tuple[str, ...], peers: tuple[str, ...] = ()) -> str:
+        extra = (f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = ["{self.folder}/key"]\n'
+                 f'region = "{HOMES[name]}"\n' + self.table("fleet.aggregator", aggregators)
+                 + self.table("fleet.peer", peers, False))
+        text = operator_file([self.engine.address], extra, **{"n-instances": 1})
+        return text.replace("[chat]\n", "[chat]\nadmin_addr = '127.0.0.1:0'\n")
+
+    def run_one(self, name: str, text: str = "") -> None:
+        path = self.folder / f"{name}.toml"
+        path.write_text(text or (self.fleet(name, A) if name in HOMES else (
+            f'[aggregator]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = ["{self.folder}/key"]\n'
+            f'admin_addr = "127.0.0.1:0"\n' + self.table("aggregator.peer", self.aggregators, False))))
+        program = self.programs[name] = (Program("--chat", str(path)) if name in HOMES
+                                         else Served("aggregator", str(path)))
+        self.addCleanup(program.kill)
+        program.config = path
+        at = program.wait_line(rf"(?:{name} talks|aggregator {name} listens) on ([\d.]+):(\d+)")
+        self.relay.place(name, at[1], int(at[2]))
+        self.doors[name] = program.wait_line(r"operators are heard on ([\w.:]+)")[1]
+
+    def send(self, number: int, *names: str) -> None:
+        for name in names:
+            self.programs[name].process.send_signal(number)
+
+    def told(self, name: str) -> dict[str, Any]:
+        status, _, answer = call(self.doors[name], "GET", "/ops/fleet")
+        self.assertEqual(status, 200)
+        return json.loads(answer)
+
+    def until(self, what: Callable[[], Any], *names: str) -> None:
+        end = time.monotonic() + WAIT_S
+        while not what():
+            self.assertLess(time.monotonic(), end, [self.told(n) for n in names])
+            time.sleep(0.05)
+
+    def agree(self, count: int, heard: int, *names: str, source: str = "sums") -> None:
+        """Each of these counts so many dispatchers, and the sums that it goes by hold the work of so many."""
+        def so(name: str) -> bool:
+            t = self.told(name)
+            return (t["count"], t["source"], (t["reports"] or {"heard": heard})["heard"]) == (count, source, heard)
+        self.until(lambda: all(so(n) for n in names), *names)
+
+    def uses(self, name: str) -> str:
+        return self.told(name)["reports"]["aggregator"]
+
+    def load(self, name: str, whose: str) -> float:
+        return self.told(name)["engines"][0][whose]["load"]
+
+
+class Troubles(Case):
+    def test_crashes_stalls_cuts_and_the_loss_of_all_are_seen_through(self):
+        self.begin(*A, *D)
+        for name in (*A, *D):
+            self.run_one(name)
+        self.agree(5, 5, *D)
+        self.assertEqual({d: self.uses(d) for d in D}, HOMES)
+        sent = body(stream=True)
+        client = socket.create_connection((self.programs["d1"].host, self.programs["d1"].port), 20)
+        self.addCleanup(client.close)
+        client.sendall(b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+                       % (PATH.encode(), len(sent), sent))
+        self.assertIn(b" 200 OK", client.recv(200))
+        mine = self.load("d1", "mine")
+        self.assertGreater(mine, 0)
+
+        def all_know() -> bool:
+            """Of the one request, as much as it is, by each of the others; never twice."""
+            known = dict[str, float]()
+            for d in D[1:]:
+                t = self.told(d)
+                self.assertLessEqual(t["reports"]["heard"], 5)
+                if t["reports"]["heard"] == 5:  # else the sums are a sample
+                    known[d] = t["engines"][0]["others"]["load"]
+            self.assertLess(max(known.values(), default=0), 1.3 * mine)
+            return len(known) == 4 and min(known.values()) > 0.5 * mine
+        self.until(all_know, *D)
+        with self.subTest("a bad path"):
+            self.relay.drop, self.relay.double, self.relay.delay_s = 0.2, 0.3, 0.1
+            seen = self.relay.passed
+            self.until(lambda: all_know() and self.relay.passed > seen + 200, *D)
+            self.assertEqual({self.told(d)["count"] for d in D}, {5})
+            self.relay.drop = self.relay.double = self.relay.delay_s = 0.0
+        with self.subTest("an aggregator is killed"):
+            self.send(signal.SIGKILL, "a1")
+            self.until(lambda: all_know() and "a1" not in (self.uses("d1"), self.uses("d2")), *D)
+            self.agree(5, 5, *D)
+            self.programs["a2"].wait_line("aggregator: a1 is not heard")
+            self.run_one("a1")
+        with self.subTest("one stands still, and comes back"):
+            self.send(signal.SIGSTOP, "a2")
+            self.until(lambda: all_know() and "a2" not in map(self.uses, D), *D)
+            self.agree(5, 5, *D)
+            self.send(signal.SIGCONT, "a2")
+        with self.subTest("a region is cut off"):
+            self.relay.cut(["a3", "d5"], [n for n in (*A, *D) if n not in ("a3", "d5")])
+            self.agree(5, 4, *D[:4])
+            self.until(lambda: (self.told("d5")["count"], self.told("d5")["reports"]["heard"]) == (5, 1), "d5")
+            self.relay.cut()
+            self.agree(5, 5, *D)
+        with self.subTest("a dispatcher crashes, and starts anew under its name"):
+            self.send(signal.SIGKILL, "d5")
+            self.agree(4, 4, *D[:4])
+            self.run_one("d5")
+            self.agree(5, 5, *D)
+        with self.subTest("all aggregators are killed: each goes by its own work, and the last count"):
+            self.send(signal.SIGKILL, *A)
+            self.agree(5, 5, *D, source="")
+            self.assertEqual([self.load(d, "others") for d in D], [0] * 5)
+            for name in A:
+                self.run_one(name)
+            self.agree(5, 5, *D)
+            self.until(all_know, *D)
+        with self.subTest("all come home"):
+            self.until(lambda: {d: self.uses(d) for d in D} == HOMES, *D)
+        with self.subTest("one that ends takes its leave"):
+            self.programs["d4"].stop()
+            self.agree(4, 4, "d1", "d2", "d3", "d5")
+        self.assertFalse(re.search("Traceback", "".join(line for p in self.programs.values() for line in p.lines)))
+
+    def test_old_and_new_stand_side_by_side_and_a_fleet_goes_over_by_reloads(self):
+        trio = ("d1", "d2", "d3")
+        self.begin("a1", *trio)
+        for name in ("a1", *trio):
+            peers = tuple(p for p in trio if p != name)
+            self.run_one(name, "" if name == "a1" else self.fleet(name, ("a1",) if name != "d1" else (), peers))
+        for d in trio:  # the sums lack d1, so that all go by the talk
+            self.until(lambda d=d: (self.told(d)["count"], self.told(d)["source"]) == (3, "talk"), d)
+        self.until(lambda: self.told("d2")["reports"]["counted"] == self.told("a1")["counted"] == 2, "d2")
+        self.programs["d1"].reload(self.fleet("d1", ("a1",), ("d2", "d3")))
+        self.agree(3, 3, *trio)
+        for d in trio:
+            self.programs[d].reload(self.fleet(d, ("a1",)))
+        self.agree(3, 3, *trio)
+        self.assertEqual([self.told(d)["members"] for d in trio], [{}] * 3)
+        with self.subTest("the aggregator is gone for good: back to the talk"):
+            self.send(signal.SIGKILL, "a1")
+            for d in trio:
+                self.programs[d].reload(self.fleet(d, (), tuple(p for p in trio if p != d)))
+            self.until(lambda: {(t["count"], t["source"], t["reports"]) for t in map(self.told, trio)}
+                       == {(3, "talk", None)}, *trio)
+
+    def test_foreign_datagrams_change_nothing_are_counted_and_named_once(self):
+        self.begin("a1", "d1")
+        self.run_one("a1"), self.run_one("d1", self.fleet("d1", ("a1",)))
+        self.agree(1, 1, "d1")
+        wanted = {"rejected size": 3, "rejected forged": 1, "rejected version": 1}
+        for name in ("a1", "d1"):
+            with self.subTest(name), socket.socket(type=socket.SOCK_DGRAM) as foe:
+                for data in (b"", b"\x02", b"\x02" + b"x" * 200, b"\x01" * 60, b"\x02" * 1401):
+                    foe.sendto(data, self.relay.to[name])
+                self.until(lambda name=name: wanted.items() <= self.told(name)["datagrams"].items(), name)
+                self.programs[name].wait_line(r"1 datagrams are not taken: reasons=size:1, the last from 127\.0\.0\.1:")
+                self.assertEqual(sum("not taken" in line for line in self.programs[name].lines), 1)
+        self.agree(1, 1, "d1")
+
+
+class Files(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / "good").write_text("k" * 32), (self.folder / "short").write_text("k" * 15)
+
+    def test_bad_files_are_told_by_file_path_found_and_allowed(self):
+        from pearhill.aggregator import setup as aggregator
+        from pearhill.chat import setup as chat
+        from pearhill.config import ConfigError
+        path = self.folder / "file.toml"
+
+        def fleet(more: str = "", name: str = "d1") -> str:
+            return operator_file(["a:1"], f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\n'
+                                          f'key_files = ["{self.folder}/good"]\n{more}')
+
+        def control(more: str = "", key: str = "good", listen: str = "127.0.0.1:0") -> str:
+            return (f'[aggregator]\nname = "a1"\nlisten = "{listen}"\nkey_files = ["{self.folder}/{key}"]\n{more}')
+
+        def named(kind: str, name: str = "a2", more: str = "") -> str:
+            return f'[[{kind}]]\nname = "{name}"\naddress = "127.0.0.1:1"\n{more}'
+        ours, theirs = "fleet.aggregator", "aggregator.peer"
+        for load, text, why in (
+                (chat, fleet(), "fleet.peer: found nothing; allowed: a list of one or more, where fleet.aggregator "),
+                (chat, fleet(named(ours) * 2), r"fleet.aggregator\[1\].name: found 'a2'; allowed: a name that no oth"),
+                (chat, fleet(named(ours, "d1")), r"aggregator\[0\].name: found 'd1'; allowed: a name that no dispatc"),
+                (chat, fleet(named(ours) + named("fleet.peer")), r"aggregator\[0\].name: found 'a2'; allowed: a name"),
+                (chat, fleet(named(ours, more="zone = 1\n")), r"fleet.aggregator\[0\].zone: found a key that is not"),
+                (chat, fleet(named(ours, more="region = 1\n")), r"fleet.aggregator\[0\].region: found 1; allowed: te"),
+                (chat, fleet(named(ours, "x" * 97)), r"fleet.aggregator\[0\].name: found 'x"),
+                (chat, fleet(named(ours), "x" * 97), "fleet.name: found 'x+...; allowed: 96 characters at most"),
+                (chat, fleet(named(ours).replace(":1", ":99999")), r"aggregator\[0\].address: found .*; allowed: HOST"),
+                (aggregator, "", "aggregator: found nothing; allowed: a table; it must be given"),
+                (aggregator, control(named(theirs) * 2), r"aggregator.peer\[1\].name: found 'a2'; allowed: a name tha"),
+                (aggregator, control(key="short"), r"aggregator.key_files\[0\]: found .*15 characters.*; allowed: 16"),
+                (aggregator, control(key="none"), r"aggregator.key_files\[0\]: found .*; allowed: a readable file"),
+                (aggregator, control(listen="a1"), "aggregator.listen: found 'a1'; allowed: "),
+                (aggregator, control('admin_addr = "a1"\n'), "aggregator.admin_addr: found 'a1'; allowed: HOST:PORT"),
+                (aggregator, control("[chat]\n"), "chat: found a key that is not known; allowed: aggregator")):
+            with self.subTest(why):
+                path.write_text(text)
+                with self.assertRaisesRegex(ConfigError, f"{path}: .*{why}"):
+                    load.load(str(path))
+        code, _, err = run("aggregator", str(path))
+        self.assertEqual((code, err.count("\n")), (2, 1))
+        path.write_text(fleet("".join(named(ours, f"a{k}") + named("fleet.peer", f"p{k}") for k in range(1024))))
+        found = chat.load(str(path)).fleet
+        self.assertEqual((len(found.sites), len(found.peers)), (1024, 1024))
+
+    def test_the_commented_file_is_good(self):
+        path = self.folder / "aggregator.toml"
+        text = (ROOT / "deploy/aggregator.toml").read_text()
+        path.write_text(text.replace("/etc/pearhill/fleet.key", f"{self.folder}/good"))
+        self.assertEqual(run("aggregator", "--check", str(path)), (
+            0, f"{path}: good. control-north listens on 10.0.0.21:7947, 2 other aggregators\n", ""))
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -27,7 +27,10 @@
         self.assertLessEqual(ours, {f"pearhill.{name}" for name in (
             "__main__", "admin", "config", "core", "counters", "durable", "http1", "interface", "net", "node",
             "operations", "platform", "process", "rules", "service", "settings", "spread", "upgrade")})
-        self.assertFalse(loaded & {"pearhill.spread.digests", "pearhill.net.talk"})  # there they may not talk
+        # There they may not talk, neither to one another nor by way of control machines.
+        self.assertFalse(loaded & {"pearhill.spread.digests", *(f"pearhill.net.{name}" for name in (
+            "talk", "datagrams", "reporting", "aggregation", "fleet"))})
+        self.assertFalse([name for name in loaded if name.startswith(("pearhill.membership", "pearhill.aggregator"))])
 
     def test_the_deploy_file_names_all_that_the_platforms_daemon_runs_from_and_nothing_else(self):
         told = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
