--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -30,7 +30,7 @@
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
         self.assertEqual(project["version"], pearhill.__version__)
         code, out, _ = run("--help")
-        self.assertEqual([c for c in ("serve", "check", "schema", "key", "conform", "version") if c not in out], [])
+        self.assertEqual([c for c in ("serve", "aggregator", "check", "schema", "key", "conform", "version") if c not in out], [])
 
     def test_check(self):
         code, out, _ = run("check", "deploy/chat.toml")
--- a/tests/net/test_datagrams.py
+++ b/tests/net/test_datagrams.py
@@ -108,16 +108,28 @@
             def count(self, now: int) -> int:
                 return 2 + len(self.beats) // 4
 
+            def leave(self, now: int) -> list[Any]:
+                return [Hello("d1", "a1", 5, 1, 9), Hello("d1", "a7", 5, 2, 9)]
+
+            def sent(self, size: int) -> None:
+                case.assertEqual([size], [len(data) for data, _ in case.sent])
+
             due = case.now
-        reporter, counts = Eager(), list[int]()
-        driver = Reporting(reporter, CODEC, {}, self.deadlines, self.datagrams)  # type: ignore[arg-type]
+        reporter, counts, at = Eager(), list[int](), ("10.0.0.2", 2)
+        driver = Reporting(reporter, CODEC, {"a1": at}, self.deadlines, self.datagrams)  # type: ignore[arg-type]
         driver.on_count = lambda: counts.append(reporter.count(self.now))
         driver.start()
         self.data = CODEC.pack(HelloAck("a1", "d1", 5, 1, 9))
         for _ in range(100):  # one that always has something due is asked now and then, also after a fault
-            self.datagrams.datagram_received(self.data, ("10.0.0.2", 2))
+            self.datagrams.datagram_received(self.data, at)
             with contextlib.suppress(ValueError):
                 self.run_for(LEAST_WAIT // 10)
         self.assertGreaterEqual(len(reporter.beats), 9)
         self.assertTrue(all(b - a >= LEAST_WAIT for a, b in zip(reporter.beats, reporter.beats[1:], strict=False)))
         self.assertEqual(counts[:2], [2, 3])
+        driver.close()  # takes leave, and says and hears nothing more
+        self.assertEqual([address for _, address in self.sent], [at])
+        beats = len(reporter.beats)
+        self.run_for(S)
+        self.datagrams.datagram_received(self.data, at)
+        self.assertEqual((len(reporter.beats), self.datagrams.counts["rejected version"]), (beats, 1))
