--- a/benchmarks/talk.py
+++ b/benchmarks/talk.py
@@ -179,9 +179,10 @@
                 for seed in range(1, told.seeds + 1)]
         means = [statistics.mean(r.peaks) for r in runs]
         per = len(runs) * told.seconds * told.dispatchers
+        datagrams, size = sum(r.datagrams for r in runs) / per, sum(r.bytes for r in runs) / per
         print(f"{way:5} {statistics.mean(means):.3f} ({min(means):.3f} to {max(means):.3f}), a choice "
-              f"{statistics.mean(r.choice_us for r in runs):.1f} us, {sum(r.datagrams for r in runs) / per:.1f} datagrams and "
-              f"{sum(r.bytes for r in runs) / per:.0f} bytes a second each", flush=True)
+              f"{statistics.mean(r.choice_us for r in runs):.1f} us, {datagrams:.1f} datagrams and "
+              f"{size:.0f} bytes a second each", flush=True)
 
 
 if __name__ == "__main__":
--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -185,11 +185,12 @@
     def _superseded(self, now: int, r: Report) -> list[Frame] | None:
         """What to say when a newer incarnation of the sender's name is known; None: none is."""
         known, caller = self.known.get(r.sender), self._callers.get(r.sender)
-        newest, heard_at = max((known.stay[0], known.heard_at) if known else (-1, 0),
-                               (caller.incarnation, caller.heard_at) if caller else (-1, 0))
+        # What another aggregator tells of it comes each 2 s, if it comes.
+        newest, until = max((known.stay[0], known.heard_at + (LEASE if known.via == self.me else SILENT)) if known
+                            else (-1, 0), (caller.incarnation, caller.heard_at + LEASE) if caller else (-1, 0))
         if newest <= r.incarnation:
             return None
-        if now - heard_at < LEASE or r.part or r.leaving:
+        if now < until or r.part or r.leaving:
             return []  # Danger: told while the newer one runs, two of one name would outbid each other for ever.
         return [Superseded(*self._head(r.sender), newest)]
 
--- a/pearhill/membership/gauges.py
+++ b/pearhill/membership/gauges.py
@@ -47,7 +47,7 @@
 
 def unpack(data: bytes, n: int) -> bytes:
     """The codes of `n` slots. ValueError: it is not what `pack` makes of so many."""
-    codes = b""
+    codes: bytes | None = None
     if data[:1] == bytes((RAW,)):
         codes = data[1:]
     elif data[:1] == bytes((SPARSE,)):
@@ -58,19 +58,19 @@
         try:
             codes = unpacker.decompress(data[1:], n + 1)
         except zlib.error:
-            codes = b""
+            codes = None
         if not unpacker.eof or unpacker.unused_data:
-            codes = b""
-    if not data or len(codes) != n:
+            codes = None
+    if codes is None or len(codes) != n:
         raise ValueError(f"{len(data)} bytes are not {n} packed gauges")
     return codes
 
 
-def _spread(data: bytes, n: int) -> bytes:
+def _spread(data: bytes, n: int) -> bytes | None:
     size = -(-n // 8)
     bits = int.from_bytes(data[:size], "little")
     if len(data) < size or bits.bit_count() != len(data) - size or bits >> n:
-        return b""
+        return None
     codes, at = bytearray(n), size
     for k, byte in enumerate(data[:size]):
         for bit in _BITS[byte]:
--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -351,12 +351,12 @@
         else:
             # By way of an aggregator that I have left, mine may still be in it.
             mine = self._elsewhere if asked.at < self._last_elsewhere() + MOVED + SLACK else Codes()
-        if not s.slots or table.version < s.reused:
-            return
+        if table.version < s.reused or not (s.slots or s.version == 0):
+            return  # no slots, unless nobody has work anywhere
         new = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
                      max(0, s.heard - (s.included >= 0)), mine)
         # Whatever it covers of older ones is over; a newer one stays. Parts of one answer don't overlap.
-        self._chunks = [c for c in self._chunks if c.at > new.at or not c.overlaps(new)]
+        self._chunks = [c for c in self._chunks if c.loads and (c.at > new.at or not c.overlaps(new))]
         if not any(c.overlaps(new) for c in self._chunks):
             self._chunks.append(new)
 
@@ -384,7 +384,7 @@
         """What the others said that they have at an engine; None: no sums of it are known, or they are too old."""
         table = self._tables.get(self._sums_of)
         slot = table.slot_of.get(engine) if table else None
-        chunk = next((c for c in self._chunks if c.first <= (slot or 0) < c.first + len(c.loads)), None)
+        chunk = next((c for c in self._chunks if slot is None or c.first <= slot < c.first + len(c.loads)), None)
         # Danger: with some engines known and some not, those that are not would look empty to everybody.
         if table is None or not table.whole or chunk is None or now - chunk.at >= GONE:
             return None
