Scale run: how evenly the work lies, by each way

Nothing showed in a run of the program's own parts whether sums by aggregators even the work out as the talk does.

A plan's `[[evenness]]` brings a fleet up once for each way (one's own work alone, the talk, aggregators), feeds requests through Dispatcher, Scout and Router of every hollow dispatcher, and tells the peak over the mean of work by replica in windows of a second. Replicas that were there from the start are no cold ones.

--- a/pearhill/lab/scale/files.py
+++ b/pearhill/lab/scale/files.py
@@ -113,6 +113,8 @@
     text += "".join(f'\n[[chat.model]]\nname = "{name}"\n' for name in MODELS) + _tenants(s.tenants, s.seed)
     text += SETTINGS.format(instances=len(members), zones=json.dumps(zones(s)))
     text += f'\n[eureka]\naddress = "{discovery}"\nservers = "{APP}"\nfetch_s = {s.fetch_s}\n'
+    if way == "own":
+        return text
     text += f'\n[fleet]\nname = "@name@"\nlisten = "@listen@"\nkey_files = ["{key_file}"]\n'
     if way == "talk":
         return text + "".join(f'[[fleet.peer]]\nname = "{p.name}"\naddress = "{p.listen}"\n' for p in members)
--- a/pearhill/lab/scale/fleet.py
+++ b/pearhill/lab/scale/fleet.py
@@ -25,6 +25,7 @@
 from pearhill.lab.scale.files import HERE, Place, filled
 from pearhill.lab.scale.measure import LATE_P99_US, Taken, encoded, slope, spread_ms, taken
 from pearhill.lab.scale.plan import FleetSize, ScaleTable
+from pearhill.spread.evenness import evenness
 
 UP_WITHIN_S, LOOK_S = 60.0, 0.25
 STARTS_AT_ONCE = 4
@@ -187,7 +188,8 @@
         await asyncio.sleep(self.scale.warm_s)
         while time.monotonic() < began + self.scale.warm_s + SETTLE_S:
             looked = await self.ask_all("look", engines=[])
-            if all(c == self.size.dispatchers for told in looked for c in told["counts"]) and all(
+            counts = [c for told in looked for c in told["counts"] if self.size.way != "own"]
+            if all(c == self.size.dispatchers for c in counts) and all(
                     n == self.size.replicas for told in looked for n in told["listed"]):
                 return True
             await asyncio.sleep(1.0)
@@ -236,10 +238,13 @@
             **common, "kind": "hollow", "dispatcher": hollow_figures(hosts), "aggregator": aggregator,
             "discovery": discovery, "list_age_ms": spread_ms(told["lists"] for told in hosts)}}
         made["hollow"]["dispatcher"]["news_age_ms"] = spread_ms([encoded(array("q", ages))])
+        if size.work == "router":
+            made["evenness"] = evenness_of(hosts)
         if alone:
             made["alone"] = {"dispatcher": hollow_figures(alone)}
         if self.real:
-            made["real"] = {**common, "kind": "real", "dispatcher": rates(real, real_after), "aggregator": aggregator,
+            figures = {**rates(real, real_after), "beat_late_ms": None, "news_age_ms": None}
+            made["real"] = {**common, "kind": "real", "dispatcher": figures, "aggregator": aggregator,
                             "discovery": None, "list_age_ms": None}
         return made
 
@@ -272,6 +277,25 @@
             "news_age_ms": None}
 
 
+def evenness_of(hosts: list[dict[str, Any]]) -> dict[str, Any]:
+    """Peak over mean of all dispatchers' work by engine, in windows of a second, for writers and for readers; and what
+    became of the requests since the fleet came up. The first and the last window are not whole."""
+    roles: dict[str, str] = {}
+    ended, windows = Counter[str](), dict[str, Counter[str]]()
+    for told in hosts:
+        roles.update(told["roles"])
+        ended.update(told["ended"])
+        for second, work in told["work"].items():
+            windows.setdefault(second, Counter()).update(work)
+    whole = [windows[second] for second in sorted(windows, key=int)[1:-1]]
+    made: dict[str, Any] = {"windows": len(whole), **{how: ended[how] for how in ("served", "refused", "failed")}}
+    for role in ("writer", "reader"):
+        names = [engine for engine, known in roles.items() if known == role]
+        peaks = [evenness({name: float(work[name]) for name in names}).peak for work in whole]
+        made[f"{role}s"] = {"mean": round(statistics.mean(peaks), 3), "worst": round(max(peaks), 3)} if peaks else None
+    return made
+
+
 def rates(before: Snapshot, after: Snapshot) -> dict[str, Any]:
     """For one process of several alike."""
     seconds, count = after.at - before.at, len(after.processes)
@@ -280,5 +304,4 @@
     return {"cpu_cores": round(cpu / seconds / count, 6),
             **{f"{what}_s": round(counts[what] / seconds / count, 2)
                for what in ("bytes_in", "bytes_out", "messages_in", "messages_out")},
-            "memory_bytes": round(statistics.mean(p.uss for p in after.processes)),
-            "beat_late_ms": None, "news_age_ms": None}
+            "memory_bytes": round(statistics.mean(p.uss for p in after.processes))}
--- a/pearhill/lab/scale/hollow.py
+++ b/pearhill/lab/scale/hollow.py
@@ -80,6 +80,7 @@
         self.began, self.cpu = time.monotonic(), time.process_time()
         self.own_ns = 0
         self.late, self.lists = array("q"), array("q")
+        self.work: dict[int, Counter[int]] = {}  # by second of the machine's clock: tokens under way, by engine
         self.marks: list[tuple[int, int]] = []  # when a mark was looked at, and what it said
 
 
@@ -104,12 +105,17 @@
             self.arrivals = Arrivals(self.service.node.dispatcher, self.service.node.deadlines, rate, self.rng)
 
     def turn(self, marker: str) -> None:
-        """Draw the gauges, and look at the mark that `marker` has left."""
+        """Draw the gauges or look at them, and look at the mark that `marker` has left."""
         service = self.service
         if self.drawn:
             self.drawn.apply(service.node.dispatcher.router.router, self.rng)
             if marker and (engine := observe.marked(service)):
                 engine.queue = engine.load = 0
+        elif self.arrivals:
+            work = self.host.window.work.setdefault(int(time.monotonic()), Counter())
+            for engine in service.node.dispatcher.router.router.engines.values():
+                if engine.load:
+                    work[engine.id] += engine.load
         self._turns += 1
         if marker and marker != self.place.name and self._turns % LOOK_EVERY == 0:
             told = observe.read_mark(service, service.node.deadlines.clock(), marker)
@@ -221,13 +227,15 @@
         for hollow in self.hollows.values():
             counts.update(observe.counters(hollow.service) - hollow.before)
             read_at, hollow.service.read_at = hollow.service.read_at or read_at, None
-        ended = Counter[str]()
+        ended, roles = Counter[str](), dict[int, str]()
         for hollow in self.hollows.values():
             ended.update(hollow.arrivals.ended if hollow.arrivals else {})
+            roles.update((e.id, e.role) for e in hollow.service.node.dispatcher.router.router.engines.values())
         gc.collect()
         return {"count": len(self.hollows), "seconds": seconds, "cpu_s": cpu, "own_s": window.own_ns / 1e9,
                 "counts": dict(counts), "late": encoded(window.late), "marks": window.marks, "read_at": read_at,
-                "lists": encoded(window.lists), "uss": psutil.Process().memory_full_info().uss, "ended": dict(ended)}
+                "lists": encoded(window.lists), "uss": psutil.Process().memory_full_info().uss, "ended": dict(ended),
+                "work": window.work, "roles": roles if self.work == "router" else {}}
 
     def _look(self, told: dict[str, Any]) -> dict[str, Any]:
         """How things stand now: counts, traffic since the start, and for a few, the sums as they see them."""
--- a/pearhill/lab/scale/plan.py
+++ b/pearhill/lab/scale/plan.py
@@ -22,6 +22,7 @@
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Way = Literal["talk", "aggregators"]
+AnyWay = Literal["own", "talk", "aggregators"]  # own: each goes by its own work alone
 Work = Literal["none", "drawn", "router"]
 Kind = Literal["churn", "rack", "zone", "region_cut", "aggregator_lost", "aggregators_lost_2", "readers_share",
                "settings"]
@@ -86,6 +87,17 @@
     arrivals: Annotated[int, Meta(ge=20, le=100_000)] = 400
 
 
+class EvennessTable(Struct, forbid_unknown_fields=True):
+    """How evenly the work lies on replicas when hollow dispatchers of mean traffic get so many requests a second each,
+    through Router and Scout, with engines that answer by a clock: once for each way."""
+
+    ways: Annotated[list[AnyWay], Meta(min_length=1)]
+    dispatchers: Annotated[int, Meta(ge=2)]
+    replicas: Whole
+    rate_per_s: Annotated[float, Meta(gt=0, le=1000)]
+    aggregators: Whole = 3
+
+
 class EventTable(Struct, forbid_unknown_fields=True):
     """One trouble, from `from_s` for `for_s` of the fleet's time, `factor` times as fast as in ordinary days; then
     `settle_s` to come right again. `burst`: changes of settings all at once."""
@@ -119,6 +131,7 @@
     grid: list[GridTable] = []
     check: list[CheckTable] = []
     choice: ChoiceTable | None = None
+    evenness: list[EvennessTable] = []
     troubles: list[TroublesTable] = []
     not_run: list[NotRunTable] = []
 
@@ -126,7 +139,7 @@
 class FleetSize(Struct, frozen=True):
     """One fleet to bring up: hollow and real dispatchers, replicas, control machines."""
 
-    way: Way
+    way: AnyWay
     hollow: int
     replicas: int
     real: int = 0
@@ -171,6 +184,15 @@
                    c.alone, "none"), c.load_per_s) for c in plan.check]
 
 
+def evenness(plan: Plan) -> list[FleetSize]:
+    return [size for table in plan.evenness for size in _evenness(table)]
+
+
+def _evenness(e: EvennessTable) -> list[FleetSize]:
+    return [FleetSize(way, e.dispatchers, e.replicas, 0, e.aggregators if way == "aggregators" else 0, 0, "router",
+                      e.rate_per_s) for way in e.ways]
+
+
 def troubled(table: TroublesTable) -> FleetSize:
     return FleetSize(table.way, table.dispatchers, table.replicas, 0,
                  table.aggregators if table.way == "aggregators" else 0)
@@ -184,6 +206,9 @@
             yield f"grid[{k}]", size, once
     for k, (fleet, load) in enumerate(checks(plan)):
         yield f"check[{k}]", fleet, once * (2 if load else 1)
+    for k, even in enumerate(plan.evenness):
+        for size in _evenness(even):
+            yield f"evenness[{k}]", size, once
     for k, troubles in enumerate(plan.troubles):
         last = troubles.event[-1]
         yield f"troubles[{k}]", troubled(troubles), plan.scale.warm_s + last.from_s + last.for_s + last.settle_s
@@ -215,8 +240,9 @@
     s = plan.scale
     if s.seconds % s.fetch_s:
         raise ConfigError(f"scale.seconds: found {s.seconds}; allowed: a multiple of fetch_s, {s.fetch_s}")
-    if not (plan.grid or plan.check or plan.choice or plan.troubles):
-        raise ConfigError("grid: found nothing to run; allowed: at least one of grid, check, choice and troubles")
+    if not (plan.grid or plan.check or plan.choice or plan.evenness or plan.troubles):
+        raise ConfigError("grid: found nothing to run; allowed: at least one of grid, check, choice, evenness and "
+                          "troubles")
     for k, table in enumerate(plan.troubles):
         free = 0.0
         for n, event in enumerate(table.event):
--- a/pearhill/lab/scale/run.py
+++ b/pearhill/lab/scale/run.py
@@ -29,6 +29,7 @@
     TroublesTable,
     bounded,
     checks,
+    evenness,
     points,
     seconds,
     troubled,
@@ -62,6 +63,7 @@
         self.points: list[dict[str, Any]] = []
         self.checks: list[dict[str, Any]] = []
         self.choice: list[dict[str, Any]] = []
+        self.evenness: list[dict[str, Any]] = []
         self.troubles: list[dict[str, Any]] = []
         self.not_run = [{"what": n.what, "why": n.why} for n in plan.not_run]
         self.load = [round(os.getloadavg()[0], 2)]
@@ -79,6 +81,9 @@
         for number, size in enumerate(sizes):
             self.told(f"point {number + 1} of {len(sizes)}: {described(size)}, {time.monotonic() - self.began:.0f} s")
             await self._or_not_run(size, self._point(size, folder))
+        for size in evenness(plan):
+            self.told(f"evenness: {described(size)}, {size.rate_per_s:g} requests a second each")
+            await self._or_not_run(size, self._evenness(size, folder))
         for table in plan.troubles:
             size = troubled(table)
             self.told(f"troubles: {described(size)}")
@@ -114,6 +119,18 @@
         self.points.append(point)
         self.told("    " + shown(point))
 
+    async def _evenness(self, size: FleetSize, folder: pathlib.Path) -> None:
+        async with RunningFleet(size, self.plan.scale, folder, self.told) as self.fleet:
+            settled = await self._settled(self.fleet)
+            made = await self.fleet.measure()
+        point, even = made["hollow"], made["evenness"]
+        self.evenness.append({
+            "way": size.way, "dispatchers": size.dispatchers, "replicas": size.replicas,
+            "aggregators": size.aggregators, "rate_per_dispatcher": size.rate_per_s,
+            "busy": point["busy"] or not settled, "cpu_cores": point["dispatcher"]["cpu_cores"], **even})
+        self.told(f"    peak over mean in 1 s: writers {even['writers']}, readers {even['readers']}; "
+                  f"served {even['served']}, refused {even['refused']}, failed {even['failed']}")
+
     async def _check(self, size: FleetSize, load_per_s: float, folder: pathlib.Path) -> None:
         async with RunningFleet(size, self.plan.scale, folder, self.told) as self.fleet:
             bare = await self.fleet.dispatcher("bare", bare_text(self.fleet.text, self.fleet))
@@ -172,6 +189,7 @@
         return {"version": pearhill.__version__, "commit": commit(), "seed": plan.scale.seed, "plan": name,
                 "started": self.started, "machine": machine(), "load_1m": self.load, "points": self.points,
                 "checks": self.checks, "slopes": slopes(self.points, self.checks, plan.size), "choice": self.choice,
+                "evenness": self.evenness,
                 "troubles": self.troubles, "not_run": self.not_run}
 
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -19,7 +19,7 @@
 
 from pearhill.config import ConfigError
 from pearhill.eureka.registry import Registry as Client
-from pearhill.lab.scale import fit, measure, observe, plan, report, run, troubles
+from pearhill.lab.scale import fit, fleet, measure, observe, plan, report, run, troubles
 from pearhill.lab.scale.discovery import Registry
 from pearhill.membership import gauges
 from tests.standins import ROOT
@@ -174,6 +174,15 @@
         for k in range(observe.CODES):  # a code's own tokens come back as that code
             self.assertEqual(gauges.encode(int(gauges.TOKENS[observe.FIRST_CODE + k])), observe.FIRST_CODE + k)
 
+    def test_how_even_the_work_of_several_processes_was(self):
+        roles = {"1": "writer", "2": "writer", "3": "reader"}
+        hosts = [{"roles": roles, "ended": {"served": 2}, "work": {"9": {"1": 99}, "10": {"1": 10}, "11": {"3": 5}}},
+                 {"roles": roles, "ended": {"served": 1, "refused": 4}, "work": {"10": {"1": 5, "2": 5}, "11": {"2": 1},
+                                                                               "12": {"2": 99}}}]
+        self.assertEqual(fleet.evenness_of(hosts), {
+            "windows": 2, "served": 3, "refused": 4, "failed": 0, "writers": {"mean": 1.75, "worst": 2.0},
+            "readers": {"mean": 1.0, "worst": 1.0}})
+
     def test_how_long_things_were_wrong_in_a_trouble(self):
         def look(at: float, right: float = 1.0, sums: float = 0.9) -> troubles.Look:
             return troubles.Look(at, 6, right, sums, 100.0, 2.0, 1.0)
