Fits: a longer form has to be better by more than a run repeats itself

Bytes are measured to a thousandth, so a square that bent to the third digit was taken and stretched: 47 KB a second at 330 dispatchers out of points that all lie at 6. Forms within 2% of the best count as alike now, and the simplest is taken.

--- a/pearhill/lab/scale/fit.py
+++ b/pearhill/lab/scale/fit.py
@@ -1,8 +1,8 @@
 """How a cost grows with dispatchers (D) and replicas (R): forms fitted to measured points.
 
 Each is judged by what it says of a point that it was not shown (leave-one-out). Of those within some standard errors of
-the best one, that with the fewest coefficients is taken (Breiman and others, Classification and Regression Trees, 1984,
-section 3.4.3). A form has to show each of its terms.
+the best one, or as near as a run repeats itself, that with the fewest coefficients is taken (Breiman and others,
+Classification and Regression Trees, 1984, section 3.4.3). A form has to show each of its terms.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
 CURVED = re.compile(r"D\^2|ln")  # two counts of dispatchers don't tell a curve from a line
 SURE = 3.0  # standard errors that a coefficient has to be away from nothing
 ERRORS = 2  # standard errors; with one, a term that is not there is found in one of ten draws of made data
+REPEATS = 0.02  # Danger: bytes are measured to a thousandth, and a run repeats itself less well than that
 LEAST_WEIGHED = 0.05  # of the largest value: what is smaller weighs no more than this would
 # Student's t, 95% two-sided, by degrees of freedom; past the last one it hardly changes.
 T95 = (12.7, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13, 2.12, 2.11, 2.10)
@@ -118,7 +119,7 @@
     if not judged:
         return None
     best = min(judged, key=lambda one: one[1])
-    _, error, _, form = min(one for one in judged if one[1] <= best[1] + ERRORS * best[2])
+    _, error, _, form = min(one for one in judged if one[1] <= best[1] + max(REPEATS, ERRORS * best[2]))
     names, terms = FORMS[form]
     found, rows, rests = _solve(points, terms)
     free = len(points) - len(names)
