Capacity: the page with its generator, and the weighing of the mechanisms

Cause: the operators plan for 330 dispatchers before 940 replicas and ask for a page that tells each role's needs there from measured slopes, and names what carries each.

--- /dev/null
+++ b/pearhill/lab/capacity.py
@@ -0,0 +1,940 @@
+"""docs/CAPACITY.md: what the size that is coming asks of each role.
+
+Three sources, never mixed in one figure: the operators' numbers (`Size`), what follows from them and from the code's
+own constants (`Worked`), and what runs have measured (docs/capacity/*.json). The words stand in capacity.md.j2.
+`write(root)` makes the page anew, and the two tables of figures in docs/design/capacity.md with it.
+"""
+
+from __future__ import annotations
+
+import functools
+import json
+import math
+import random
+import re
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import cached_property
+from pathlib import Path
+from typing import Any
+
+import jinja2
+import msgspec
+
+from pearhill.chat.file import EurekaTable
+from pearhill.config import ConfigError, typed
+from pearhill.core.engines import engine_of
+from pearhill.http1 import messages
+from pearhill.membership.aggregator import BEAT as PART_EVERY
+from pearhill.membership.aggregator import CUT, IDLE, ROSTER_EVERY, SILENT, SNAPSHOT, SNAPSHOT_SLOT, Aggregator
+from pearhill.membership.council import Message
+from pearhill.membership.datagram import TAG, Codec
+from pearhill.membership.frames import LEASE, MOVED, PART_LEASE, Frame, FrameCodec, Part
+from pearhill.membership.members import ALIVE, BEAT, LEAST_PINGS, MOST_PINGS, ROUND, Ping, Rumour
+from pearhill.membership.reporter import (
+    ANSWER_WAIT,
+    BYTES_PER_S,
+    GONE,
+    HEADERS,
+    HELLOS,
+    LEAST_BACKOFF,
+    LEAST_HELLO,
+    MOST_BACKOFF,
+    MOST_HELLO,
+    PACE,
+    REMEMBERED,
+    UNANSWERED,
+    AggregatorSite,
+    Reporter,
+)
+from pearhill.net.backend import UNANSWERED as RELEASES
+from pearhill.net.pool import MAX_ANSWER
+from pearhill.net.probes import MOST_OUT
+from pearhill.node import SPARE
+from pearhill.platform.schedule import BETWEEN, SHARE, SHARED_WAIT, WAIT
+from pearhill.rules import KEEP, KEYS, RATIO_MAX, SHED, STEP_EVERY
+from pearhill.spread.digests import ROWS, Row
+from pearhill.spread.reports import FRESH
+
+RESULTS, PAGE, NOTE = "docs/capacity", "docs/CAPACITY.md", "docs/design/capacity.md"
+NOT_MEASURED = "not measured"
+S = 1_000_000  # microseconds
+WARM, COUNTED, TURN = 15 * S, 6 * S, S // 100  # of the protocol as it is played here
+STREAM_TOKENS, FLEET_STREAMS = 2_400, 128.0  # of a request at its engine; requests of all at one engine, as drawn there
+MEGABYTE = 1e6
+HOP = 0.005  # seconds, assumed: for one dispatcher to pass a word on, its way and a turn of a busy loop
+DELTA = 5  # bytes: a slot and a signed gauge in MessagePack
+EUREKA = EurekaTable(address="", servers="")  # as a file has it that says no more
+TALK, AGGREGATORS = "talk", "aggregators"  # the two ways of a run
+# A list's entry as the platform's discovery writes it, with figures as wide as they come.
+ENTRY = {"uid": "s-5be2a07c", "endpoint": "10.112.10.18:8080", "az": "a", "model": "m2", "pod_group": 313,
+         "state": "active", "capacity_hint": 1.0, "boot_ms": 1_796_187_600_000}
+# An instance as Eureka's registry writes it (its public REST description), and how long it tells of a change.
+INSTANCE = {"instanceId": "10.112.10.18:replicas:8080", "hostName": "10.112.10.18", "app": "REPLICAS", "status": "UP",
+            "ipAddr": "10.112.10.18", "overriddenStatus": "UNKNOWN", "port": {"$": 8080, "@enabled": "true"},
+            "securePort": {"$": 443, "@enabled": "false"}, "countryId": 1,
+            "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+            "leaseInfo": {"renewalIntervalInSecs": 30, "durationInSecs": 90, "registrationTimestamp": 1_796_187_600_000,
+                          "lastRenewalTimestamp": 1_796_187_600_000, "evictionTimestamp": 0,
+                          "serviceUpTimestamp": 1_796_187_600_000},
+            "metadata": {"kind": "writer", "zone": "r1-z1", "cell": "313"}, "vipAddress": "replicas",
+            "isCoordinatingDiscoveryServer": "false", "lastUpdatedTimestamp": "1796187600000",
+            "lastDirtyTimestamp": "1796187600000", "actionType": "MODIFIED"}
+DELTA_KEEPS = 180.0  # seconds; the registry's default
+# One engine in an operator's look at a dispatcher (`Talk.told`), and one tenant in the operator's file.
+TOLD = {"address": "10.112.10.18:8080", "avoided": False, "mine": {"waiting": 3815, "load": 41210},
+        "others": {"waiting": 125895, "load": 1318712, "sure": 0.667}}
+TENANT = """[[chat.tenant]]\nname = "lycee-tiznit-0123"\nkeys = ["1f0c9a2e5b7d4c3a$%s"]\nmodels = ["help-desk"]
+
+[[budgets.tenant]]\nname = "lycee-tiznit-0123"\ntokens_per_min = 60000\nburst_tokens = 30000\nweight = 2.0\n
+""" % ("0" * 64)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """What the operators head for, in their words' order. `requests_s` and `tokens_s`: at the peak; tokens put out."""
+
+    dispatchers: int = 330
+    replicas: int = 940
+    accelerators: int = 7_500
+    requests_s: float = 15_000
+    tokens_s: float = 3.4e6
+    first_token_s: float = 1.6
+    between_tokens_s: float = 0.025
+    readers_share: float = 0.29
+    prompt_memory_gb_s: float = 7_500
+    tenants: int = 760
+    models: int = 4
+    regions: int = 3
+    zones: int = 6
+    changes_day: float = 650
+    in_force_s: float = 9
+    control_cores: float = 0.011
+    control_bytes: float = 32 * MEGABYTE
+    control_bytes_s: float = 7_000
+    machines: int = 3
+    machine_cores: float = 1
+    machine_bytes: float = 1_000 * MEGABYTE
+    replaced_day: float = 470
+    dead_day: float = 12
+    heavy: float = 10  # the busiest dispatcher's requests over the mean's
+
+
+# What runs have written. Danger: a result that is read by another schema would fill the page with wrong figures, so
+# that whatever does not fit is an error; what is told beyond it is passed over.
+
+
+class Spread(msgspec.Struct):
+    p50: float
+    p99: float
+    max: float
+
+
+class Cost(msgspec.Struct):
+    """One dispatcher's, or one control machine's. `memory_bytes`: what one more takes in its process."""
+
+    cpu_cores: float | None = None
+    bytes_in_s: float | None = None
+    bytes_out_s: float | None = None
+    messages_in_s: float | None = None
+    messages_out_s: float | None = None
+    memory_bytes: float | None = None
+    beat_late_ms: Spread | None = None
+    news_age_ms: Spread | None = None
+
+    def of(self, quantity: str) -> float | None:
+        if quantity in ("bytes_s", "messages_s"):
+            kind = quantity.removesuffix("_s")
+            ways = [getattr(self, f"{kind}_{way}_s") for way in ("in", "out")]
+            return None if None in ways else sum(ways)
+        return getattr(self, quantity, None)
+
+
+class Calls(msgspec.Struct):
+    calls_s: float | None = None
+    bytes_s: float | None = None
+
+
+class Point(msgspec.Struct):
+    way: str
+    kind: str
+    dispatchers: int
+    replicas: int
+    dispatcher: Cost
+    work: str = "none"
+    aggregators: int = 0
+    seconds: float = 0.0
+    rate_per_dispatcher: float = 0.0
+    processes: int = 0
+    busy: bool = False
+    aggregator: Cost | None = None
+    discovery: Calls | None = None
+    list_age_ms: Spread | None = None
+
+
+class Check(msgspec.Struct):
+    what: str
+    quantity: str
+    real: float | None
+    hollow: float | None
+    difference: float | None
+    within: bool
+    carried_as_error: float | None = None
+
+
+class Slope(msgspec.Struct):
+    way: str
+    role: str
+    quantity: str
+    form: str
+    coefficients: dict[str, float]
+    low: float | None = None
+    high: float | None = None
+    fitted_over: dict[str, list[float]] = {}
+    stretched: float | None = None
+    at_size: float | None = None
+    bound: float | None = None
+    need_over_bound: float | None = None
+
+
+class Choice(msgspec.Struct):
+    replicas: int
+    ms: float
+    remembered_bytes: float | None = None
+
+
+class Trouble(msgspec.Struct):
+    kind: str
+    lost: str = ""
+    for_s: float | None = None
+    carried_by: str = ""
+    factor: float = 1.0
+    figures: dict[str, Any] = {}
+
+
+class NotRun(msgspec.Struct):
+    what: str
+    why: str
+
+
+class Result(msgspec.Struct):
+    version: str
+    commit: str
+    seed: int
+    plan: str
+    started: str
+    machine: dict[str, Any]
+    load_1m: list[float]
+    points: list[Point] = []
+    checks: list[Check] = []
+    slopes: list[Slope] = []
+    choice: list[Choice] = []
+    troubles: list[Trouble] = []
+    not_run: list[NotRun] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A measured figure, and where it comes from."""
+
+    value: float
+    source: str
+
+
+def read(folder: Path) -> dict[str, Result]:
+    """All results of a folder by file name, the oldest run first. ConfigError names file, key, found and allowed."""
+    found = {}
+    for path in sorted(folder.glob("*.json")):
+        try:
+            found[path.stem] = typed.convert(json.loads(path.read_text(encoding="utf-8")), Result)
+        except (OSError, ValueError) as e:
+            raise ConfigError(f"{path}: {e}") from None
+        except ConfigError as e:
+            raise ConfigError(f"{path}: {e}") from None
+    return dict(sorted(found.items(), key=lambda item: (item[1].started, item[0])))
+
+
+class Runs:
+    """What all runs together tell. Of two that measured the same, the later one counts; points that the machine was
+    too busy for count nowhere."""
+
+    WORK = ("drawn", "router", "none")  # of several points at the size, the first kind of work that there is
+
+    def __init__(self, results: dict[str, Result], size: Size) -> None:
+        self.results, self.size = results, size
+
+    def at_size(self, way: str) -> tuple[str, Point] | None:
+        fit = [(self.WORK.index(p.work) if p.work in self.WORK else len(self.WORK), -k, name, p)
+               for k, (name, result) in enumerate(self.results.items()) for p in result.points
+               if (p.way, p.kind, p.busy) == (way, "hollow", False)
+               and (p.dispatchers, p.replicas) == (self.size.dispatchers, self.size.replicas)]
+        return min(fit, key=lambda row: row[:2])[2:] if fit else None
+
+    def _slope(self, way: str, role: str, quantity: str) -> tuple[str, Slope] | None:
+        fit = [(name, slope) for name, result in self.results.items() for slope in result.slopes
+               if (slope.way, slope.role, slope.quantity) == (way, role, quantity) and slope.at_size is not None]
+        return fit[-1] if fit else None
+
+    def found(self, way: str, role: str, quantity: str) -> Found | None:
+        """A figure at the size: measured there, else along the slope that was fitted below it."""
+        if at := self.at_size(way):
+            name, point = at
+            cost = getattr(point, role)
+            value = cost.of(quantity) if isinstance(cost, Cost) else getattr(cost, quantity, None)
+            if value is not None:
+                return Found(value, name)
+        if fit := self._slope(way, role, quantity):
+            name, slope = fit
+            assert slope.at_size is not None
+            far = f", {slope.stretched:.1f} times as far" if slope.stretched else ""
+            return Found(slope.at_size, f"slope of {name}{far}")
+        if quantity in ("bytes_s", "messages_s"):
+            ways = [self.found(way, role, f"{quantity.removesuffix('_s')}_{side}_s") for side in ("in", "out")]
+            if ways[0] and ways[1]:
+                return Found(ways[0].value + ways[1].value, ways[0].source)
+        return None
+
+    @property
+    def choice(self) -> tuple[str, list[Choice]] | None:
+        fit = [(name, result.choice) for name, result in self.results.items() if result.choice]
+        return (fit[-1][0], sorted(fit[-1][1], key=lambda row: row.replicas)) if fit else None
+
+    def choice_at(self, replicas: int) -> Choice | None:
+        return next((row for row in self.choice[1] if row.replicas == replicas), None) if self.choice else None
+
+    def troubles(self, kind: str) -> list[tuple[str, Trouble]]:
+        return [(name, t) for name, t in self.rows("troubles") if t.kind == kind]
+
+    def told(self, kind: str, figure: str) -> Found | None:
+        """A figure that a trouble has told, the last of several."""
+        found = [Found(t.figures[figure], name) for name, t in self.troubles(kind)
+                 if type(t.figures.get(figure)) in (int, float)]
+        return found[-1] if found else None
+
+    def rows(self, part: str) -> list[tuple[str, Any]]:
+        return [(name, row) for name, result in self.results.items() for row in getattr(result, part)]
+
+
+# What follows from the size and the code's constants.
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Of one dispatcher: reports a second, datagrams a second both ways, and bytes of a report and of the sums that
+    answer it; of one control machine: datagrams and bytes of its sums to another. IP and UDP headers are in."""
+
+    reports: float
+    datagrams: float
+    up: float
+    down: float
+    part_datagrams: float
+    part: float
+
+    @property
+    def bytes_s(self) -> float:
+        return self.reports * (self.up + self.down)
+
+
+@functools.cache
+def told(engines: int, readers: int, work: int, reads: int) -> Told:
+    """The reporters' and aggregators' own code, free of I/O, nothing lost: one dispatcher with work at so many engines,
+    prompts to be read at some of them, and another one whose work is as the fleet's, if requests fall anywhere alike.
+    Counted once the table is told."""
+    sites = [AggregatorSite("control-1", "r1"), AggregatorSite("control-2", "r2")]
+    start, codec, rng = 1_796_187_600 * S, FrameCodec([b"k" * 32]), random.Random(1)
+    hubs = {site.name: Aggregator(site.name, [s.name for s in sites], start, random.Random(2)) for site in sites}
+
+    def rows(count: int, reading: int, each: float) -> list[Row]:
+        """`each`: requests at one engine. Danger: alike to the token, gauges would be packed into nothing."""
+        drawn = [sum(rng.uniform(0.6, 1.4) for _ in range(max(1, round(rng.gauss(each, each ** 0.5))))) * STREAM_TOKENS
+                 for _ in range(count)]
+        return [Row(engine_of(f"s-{k}"), int(load) if k < reading else 0, int(load)) for k, load in enumerate(drawn)]
+
+    mine, all_ = rows(work, reads, 1.0), rows(engines, readers, FLEET_STREAMS)
+    me, control = "dispatcher-123", "control-1"
+    reporters = {me: Reporter(me, "r1", sites, start, random.Random(3), lambda: mine),
+                 "dispatcher-321": Reporter("dispatcher-321", "r1", sites, start, random.Random(4), lambda: all_)}
+    sent: Counter[str] = Counter()
+    sizes: Counter[str] = Counter()
+
+    def pass_on(now: int, frames: list[Frame]) -> None:
+        for frame in frames:
+            size = len(codec.pack(frame))
+            if frame.sender in reporters:
+                reporters[frame.sender].sent(size)
+            if now >= start + WARM and (me in (frame.sender, frame.to) or (
+                    frame.sender == control and isinstance(frame, Part))):
+                kind = type(frame).__name__
+                sent[kind] += 1
+                sent[f"{kind}s"] += not getattr(frame, "part", 0)
+                sizes[kind] += size + HEADERS
+            pass_on(now, hubs[frame.to].heard(now, frame) if frame.to in hubs else
+                    reporters[frame.to].heard(now, frame, size))
+
+    for now in range(start, start + WARM + COUNTED, TURN):
+        for reporter in reporters.values():
+            if reporter.next_beat(now) <= now:
+                pass_on(now, reporter.beat(now))
+        for hub in hubs.values() if not (now - start) % PART_EVERY else ():
+            pass_on(now, hub.beat(now))
+    assert hubs[control].figures(start + WARM)["engines"] == engines, "the table is not told yet"
+    reports, seconds_ = sent["Reports"], COUNTED / S
+    return Told(reports / seconds_, (sent["Report"] + sent["Sums"]) / seconds_, sizes["Report"] / reports,
+                sizes["Sums"] / reports, sent["Part"] / sent["Parts"], sizes["Part"] / sent["Parts"])
+
+
+def sums_every(replicas: int) -> float:
+    """Seconds for which a control machine hands out the same sums."""
+    return max(SNAPSHOT, SNAPSHOT_SLOT * replicas) / S
+
+
+def talk_bytes(rows: int) -> int:
+    """Bytes on the wire of one datagram of today's talk with a digest of so many rows."""
+    digest = tuple(Row(engine_of(f"s-{k}"), 3_815, 41_210) for k in range(rows))
+    started = 1_796_187_600_000_000
+    message = Message("dispatcher-123", started, 1 << 20, Ping("dispatcher-321", 1 << 47),
+                      (Rumour("dispatcher-123", started, ALIVE),), digest)
+    return len(Codec([b"k" * 32]).pack(message)) + HEADERS
+
+
+@dataclass(frozen=True)
+class Worked:
+    """Means, for one of each role, unless the name says otherwise."""
+
+    size: Size
+
+    # One of each.
+
+    @property
+    def requests(self) -> float:
+        return self.size.requests_s / self.size.dispatchers
+
+    @property
+    def tokens(self) -> float:
+        return self.size.tokens_s / self.size.dispatchers
+
+    @property
+    def streams(self) -> float:
+        """Little's law: an answer that puts out a token each 25 ms is open so long for each of its tokens."""
+        return self.tokens * self.size.between_tokens_s
+
+    @property
+    def waiting(self) -> float:
+        """Requests of one dispatcher that wait for their first token, if all take as long as 95 in 100 may."""
+        return self.requests * self.size.first_token_s
+
+    @property
+    def readers(self) -> int:
+        return round(self.size.replicas * self.size.readers_share)
+
+    @property
+    def writers(self) -> int:
+        return self.size.replicas - self.readers
+
+    @property
+    def writer_streams(self) -> float:
+        return self.size.tokens_s * self.size.between_tokens_s / self.writers
+
+    @property
+    def prompt_gb(self) -> float:
+        return self.size.prompt_memory_gb_s / self.size.requests_s
+
+    @property
+    def answer_tokens(self) -> float:
+        return self.size.tokens_s / self.size.requests_s
+
+    @property
+    def answer_s(self) -> float:
+        return self.answer_tokens * self.size.between_tokens_s
+
+    def uneven(self, every: int = 20) -> tuple[float, float]:
+        """Requests a second of most dispatchers and of every so-many-th, if that one has ten times the others'."""
+        least = self.size.requests_s / (self.size.dispatchers * (every - 1 + self.size.heavy) / every)
+        return least, least * self.size.heavy
+
+    # The list and discovery.
+
+    @property
+    def entry_bytes(self) -> int:
+        return len(json.dumps(ENTRY, separators=(",", ":"))) + 1
+
+    @property
+    def list_bytes(self) -> int:
+        return self.entry_bytes * self.size.replicas
+
+    @property
+    def longest_list(self) -> int:
+        """Replicas whose list fits into the largest answer that is gathered."""
+        return MAX_ANSWER // self.entry_bytes
+
+    @property
+    def list_changes_day(self) -> float:
+        """Leaving, left and a new one for each that is replaced; left and a new one for each that dies."""
+        return 3 * self.size.replaced_day + 2 * self.size.dead_day
+
+    @property
+    def watch_bytes(self) -> int:
+        """One call that brings nothing, both ways, with four packets' headers."""
+        call = messages.request("GET", f"/v1/endpoints?after=100000&wait_ms={SHARED_WAIT // 1000}", "10.2.0.1:8500")
+        answer = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 36\r\n\r\n'
+        return len(call) + len(answer) + 36 + 4 * 40
+
+    @property
+    def eureka_bytes(self) -> tuple[int, float]:
+        """A whole list from Eureka, and a second of deltas: the changes of three minutes in each, and its own head."""
+        row = len(json.dumps(INSTANCE, separators=(",", ":"))) + 1
+        delta = 600 + self.list_changes_day / 86_400 * DELTA_KEEPS * row
+        return row * self.size.replicas, delta / EUREKA.fetch_s
+
+    @property
+    def shared_calls(self) -> float:
+        """At one discovery that all ask, while nothing changes."""
+        return self.size.dispatchers * S / SHARED_WAIT
+
+    @property
+    def shared_busy(self) -> float:
+        """How many such services that takes, at the time that schedule.py sets aside for a call."""
+        return self.shared_calls * SHARE / S
+
+    @property
+    def start_span(self) -> tuple[float, float]:
+        """Seconds over which the first calls of a fleet that starts at once are spread, and would have to be."""
+        wanted = SHARE * self.size.dispatchers / S
+        return min(wanted, BETWEEN / S), wanted
+
+    # A request's own work.
+
+    @property
+    def steps(self) -> float:
+        return S / STEP_EVERY
+
+    @property
+    def remembered(self) -> tuple[float, float]:
+        """Requests whose prompts the tables remember: at the mean, and at ten times that, where the tables' own length
+        bounds them (two keys a request, at readers)."""
+        mean = self.requests * KEEP / S
+        return min(mean, KEYS * self.readers / 2), min(mean * self.size.heavy, KEYS * self.readers / 2)
+
+    @property
+    def descriptors(self) -> tuple[float, float]:
+        """Of the mean dispatcher and the heavy one: one to the client and one to the server for each open request."""
+        open_ = self.streams + self.waiting
+        return 2 * open_ + SPARE, 2 * open_ * self.size.heavy + SPARE
+
+    # What dispatchers tell one another.
+
+    def busy_engines(self, times: float = 1.0) -> tuple[float, float]:
+        """Engines at which a dispatcher has work, and of those the ones with prompts to be read, if each request falls
+        on any engine alike and a read takes as long as the rules let it."""
+        reads = self.requests * times * SHED * self.size.first_token_s
+        reading = self.readers * (1 - math.exp(-reads / self.readers))
+        return self.writers * (1 - math.exp(-self.streams * times / self.writers)) + reading, reading
+
+    @property
+    def pings(self) -> float:
+        """Pings a second of today's talk."""
+        peers = self.size.dispatchers - 1
+        return min(peers, MOST_PINGS, max(LEAST_PINGS, -(-peers // ROUND))) * S / BEAT
+
+    @property
+    def talk_bytes_s(self) -> float:
+        """Both ways: each ping and its answer, mine and the others'."""
+        return 4 * self.pings * talk_bytes(ROWS)
+
+    def told(self, times: float = 1.0) -> Told:
+        """What a dispatcher with so many times the mean's traffic tells its control machine, and hears."""
+        work, reads = self.busy_engines(times)
+        return told(self.size.replicas, self.readers, round(work), round(reads))
+
+    def machine_talk(self, alive: int) -> tuple[float, float]:
+        """Datagrams and bytes a second, both ways, of one control machine of so many that live."""
+        one, members = self.told(), self.size.dispatchers / alive
+        parts = (alive - 1) * 2 * S / PART_EVERY
+        roster = members * 36 * (alive - 1) * 2 * S / ROSTER_EVERY  # a name and three numbers for each member
+        return (members * one.datagrams + parts * one.part_datagrams + roster / 1_200,
+                members * one.bytes_s + parts * one.part + roster)
+
+    def sums_age(self, times: float = 1.0) -> tuple[float, float, float, float]:
+        """Of word by way of control machines, without the way itself: own region's mean and worst, others' mean and
+        worst. It waits for a report, (for a part,) for the sums to be made, and for the next answer."""
+        one, part, made = 1 / self.told(times).reports, PART_EVERY / S, sums_every(self.size.replicas)
+        return one + made / 2, 2 * one + made, one + part / 2 + made / 2, 2 * one + part + made
+
+    # Replicas.
+
+    def connections(self, replicas: int, keep_s: float = 10.0) -> tuple[float, float]:
+        """Of one replica of a role: kept idle ones from all dispatchers, and new ones a second. A pair of the mean
+        dispatcher and this replica keeps one idle until its next request, or until it is closed as idle."""
+        rate = self.requests / replicas
+        none = math.exp(-rate * keep_s)
+        return self.size.dispatchers * (1 - none), self.size.dispatchers * rate * none
+
+    @property
+    def reader_gb_s(self) -> float:
+        return self.size.prompt_memory_gb_s / self.readers
+
+    @property
+    def writer_gb_s(self) -> float:
+        return self.size.prompt_memory_gb_s / self.writers
+
+    @property
+    def probes(self) -> tuple[float, float, float]:
+        """Where settings let engines be asked: probes a second of one dispatcher, at one replica, and one dispatcher's
+        bytes a second; two engines for each of two choices a request."""
+        mine = min(4 * self.requests, self.size.replicas * S / FRESH)
+        call = len(messages.request("GET", "/status/load", "app.svc")) + 120 + 40 + 4 * 40
+        return mine, mine * self.size.dispatchers / self.size.replicas, mine * call
+
+    # Operators.
+
+    @property
+    def look_bytes(self) -> int:
+        """One dispatcher's answer to GET /ops/fleet."""
+        return len(json.dumps(TOLD)) * self.size.replicas
+
+    @property
+    def settings_bytes(self) -> int:
+        return len(TENANT) * self.size.tenants
+
+    @property
+    def change_every_s(self) -> float:
+        return 86_400 / self.size.changes_day
+
+    @property
+    def tenant_share(self) -> float:
+        """A tenant's mean requests a second at one dispatcher."""
+        return self.size.requests_s / self.size.tenants / self.size.dispatchers
+
+    # Troubles.
+
+    @property
+    def zone(self) -> dict[str, float]:
+        """With one zone go its replicas, its dispatchers, and the answers of either: `passing` are those that its
+        dispatchers passed on from other zones."""
+        zones, streams = self.size.zones, self.streams * self.size.dispatchers
+        return {"replicas": self.size.replicas / zones, "dispatchers": self.size.dispatchers / zones,
+                "streams": streams / zones, "passing": streams / zones * (1 - 1 / zones)}
+
+    @property
+    def cut_streams(self) -> float:
+        """Answers between a region that is cut off and the others, if both ends lie anywhere alike."""
+        part = 1 / self.size.regions
+        return self.streams * self.size.dispatchers * 2 * part * (1 - part)
+
+    @property
+    def replica_work(self) -> float:
+        """Answers that break with one replica: all of a writer's; a reader's reads can be done anew elsewhere."""
+        return self.writer_streams * self.writers / self.size.replicas
+
+    @property
+    def role_moves(self) -> float:
+        return self.size.replicas * self.size.readers_share / 2
+
+    # The mechanisms weighed in docs/design/capacity.md.
+
+    @cached_property
+    def options(self) -> list[Option]:
+        """Ages are those of the word in use at a choice, the next region's way not counted: half the time between two
+        words, and what a word waits for on its way. Assumed for chains: `HOP` for each dispatcher that passes it on."""
+        size, all_left, own = self.size, "all of it", "one's own work alone"
+        budget, vector = size.control_bytes_s, self.told().down
+        made = []
+        seen = f"of {self.busy_engines()[0]:.0f} engines where a dispatcher has work"
+        for name, rows, pings in (("full talk, as today", ROWS, self.pings),
+                                  ("talk thinned to the bound", ROWS, budget / 4 / talk_bytes(ROWS)),
+                                  ("the same with shorter digests", 12, budget / 4 / talk_bytes(12))):
+            turn = (size.dispatchers - 1) / pings  # a round, in which each is heard twice, at any time of it
+            made.append(Option(f"{name}, a round of {seconds(turn)}", 4 * pings * talk_bytes(rows), turn / 3, 2 * turn,
+                               f"{rows} {seen}", all_left))
+        for fan in (2, 4):
+            depth = math.ceil(math.log(size.dispatchers * (fan - 1) + 1, fan)) - 1
+            beat, wave = 2 * (fan + 1) * vector / budget, 2 * depth * HOP
+            made.append(Option(f"a tree, {fan} below each, a wave each {seconds(beat)}", budget, wave + beat / 2,
+                               wave + beat, "all engines", "all of it, but each that falls takes those below along"))
+        lap = size.dispatchers * HOP
+        made.append(Option(f"a ring, a lap of {seconds(lap)}", 2 * vector / lap, lap, 2 * lap, "all engines",
+                           "all of it, but each that stalls or falls stops it"))
+        for times in (1.0, size.heavy):
+            each = self.told(times).reports
+            changes = 4 * self.requests * times / each  # a begin and an end at two stages
+            up = min(changes * DELTA, 2 * size.replicas) + HEADERS + 1 + TAG + 60
+            made.append(Option(f"by region, deltas up, {times:g} times the mean's traffic", (up + vector) * each,
+                               *self.sums_age(times)[2:], "all engines, wrong from a lost delta until both agree", own))
+        for times in (1.0, size.heavy):
+            made.append(Option(f"**by region, gauges up**, {times:g} times the mean's traffic",
+                               self.told(times).bytes_s, *self.sums_age(times)[2:], "all engines", own))
+        near, (work, reads) = size.replicas // size.regions, self.busy_engines()
+        lean = told(near, self.readers // size.regions, round(work / size.regions), round(reads / size.regions))
+        made.append(Option("by region, its own replicas alone", lean.bytes_s, 1 / lean.reports + sums_every(near) / 2,
+                           2 / lean.reports + sums_every(near), f"{near} of {size.replicas} engines", own))
+        return made
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One mechanism at the size. `bytes_s`: both ways, at the dispatcher that has most of it; seconds of `age` and
+    `worst` without loss and the way itself; `left`: with all control machines gone."""
+
+    name: str
+    bytes_s: float
+    age: float
+    worst: float
+    sees: str
+    left: str
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """One need, its bound, and what carries it; empty: nothing does."""
+
+    what: str
+    need: str
+    bound: str
+    over: float | None
+    source: str
+    carried_by: str
+
+
+def needs(worked: Worked, runs: Runs) -> list[Need]:
+    """All needs that have a bound, the worst first; those that nothing carries before all."""
+    size, made = worked.size, list[Need]()
+    limits: list[tuple[str, str, str, float, Callable[[float], str]]] = [
+        ("dispatcher", "processor time", "cpu_cores", size.control_cores, core),
+        ("dispatcher", "bytes, both ways", "bytes_s", size.control_bytes_s, rate),
+        ("dispatcher", "memory", "memory_bytes", size.control_bytes, amount),
+        ("aggregator", "processor time", "cpu_cores", size.machine_cores, core),
+        ("aggregator", "memory", "memory_bytes", size.machine_bytes, amount)]
+    ways = ((TALK, "full talk", "`pearhill/membership/council.py`"),
+            (AGGREGATORS, "reports to control machines", "`pearhill/membership/aggregator.py`"))
+    for way, name, file in ways:
+        for role, quantity, key, bound, shown in limits:
+            if role == "aggregator" and way == TALK:
+                continue
+            got = runs.found(way, role, key)
+            who = "a dispatcher's control" if role == "dispatcher" else "a control machine"
+            made.append(Need(f"{who} with {name}: {quantity}", shown(got.value) if got else NOT_MEASURED, shown(bound),
+                             got.value / bound if got else None, got.source if got else "", file))
+    calls, span = worked.shared_busy, worked.start_span
+    made.append(Need("one discovery that all ask, slow as the bench's: its time for watches",
+                     f"{number(calls)} services", "1 service", calls, "worked out", "`pearhill/platform/schedule.py`"))
+    made.append(Need("the same, as all dispatchers start: to spread their first calls", f"{span[1]:.1f} s",
+                     f"{span[0]:.1f} s", span[1] / span[0], "worked out", "`pearhill/platform/schedule.py`"))
+    if one := runs.choice_at(size.replicas):
+        assert runs.choice
+        source, cores = runs.choice[0], one.ms / 1000 * worked.requests * size.heavy
+        made.append(Need(f"a request's own work: choices at {size.heavy:g} times the mean", core(cores), "1 core",
+                         cores, source, "`pearhill/rules.py`"))
+        if few := runs.choice_at(60):
+            made.append(Need(f"a request's own work: its choices at {size.replicas} over those at 60",
+                             f"{one.ms / few.ms:.1f}", "2",
+                             one.ms / few.ms / 2, source, "`pearhill/rules.py`"))
+    made.append(Need("a tenant's guarantee, its clients in one zone", f"1/{size.zones} of it is held by its "
+                     f"{worked.zone['dispatchers']:.0f} dispatchers", "all of it", float(size.zones), "worked out", ""))
+    made.append(Need("a change of settings, in force everywhere", "as long as it takes somebody to bring it to all",
+                     seconds(size.in_force_s), None, "", ""))
+    return sorted(made, key=lambda n: (bool(n.carried_by), n.over is None, -(n.over or 0.0)))
+
+
+# The page.
+
+
+def number(value: float) -> str:
+    """Three figures, or whole where it is large."""
+    if abs(value) >= 100 or value == round(value, 0):
+        return f"{value:,.0f}"
+    return f"{value:.1f}" if abs(value) >= 10 else f"{value:.2f}" if abs(value) >= 1 else f"{value:.3g}"
+
+
+def amount(value: float) -> str:
+    for unit, size in (("TB", 1e12), ("GB", 1e9), ("MB", 1e6), ("KB", 1e3)):
+        if abs(value) >= size:
+            return f"{number(value / size)} {unit}"
+    return f"{value:.0f} B"
+
+
+def rate(value: float) -> str:
+    return f"{amount(value)}/s"
+
+
+def core(value: float) -> str:
+    return f"{number(value)} cores" if value >= 2 else f"{value * 100:.2g}% of a core" if value < 0.995 else (
+        f"{value:.2g} core")
+
+
+def seconds(value: float) -> str:
+    return f"{value * 1000:.0f} ms" if value < 0.995 else f"{number(value)} s" if value < 120 else (
+        f"{number(value / 60)} min")
+
+
+UNITS: dict[str, Callable[[float], str]] = {"cpu_cores": core, "bytes_s": rate, "memory_bytes": amount,
+                                            "messages_s": lambda value: f"{number(value)}/s", "calls_s": lambda value:
+                                            f"{number(value)}/s"}
+
+
+def show(quantity: str, value: float | None) -> str:
+    if value is None:
+        return NOT_MEASURED
+    key = re.sub(r"_(in|out)_s$", "_s", quantity)
+    return UNITS.get(key, number)(value)
+
+
+def measured(found: Found | None, quantity: str) -> str:
+    return f"{show(quantity, found.value)} ({found.source})" if found else NOT_MEASURED
+
+
+def spread(value: Spread | None) -> str:
+    return f"{number(value.p50)}, {number(value.p99)}, {number(value.max)}" if value else NOT_MEASURED
+
+
+def cell(text: object) -> str:
+    """Danger: a bar or a line's end in what a run has written would break the table."""
+    return " ".join(str(text).replace("|", "/").split())
+
+
+def named(name: str, value: Any) -> str:
+    """One of a trouble's figures; its name tells the unit."""
+    if isinstance(value, bool):
+        return "yes" if value else "**no**"
+    if not isinstance(value, int | float):
+        return NOT_MEASURED if value is None else str(value)
+    if name.startswith("bytes_") or name.startswith("cpu_cores"):
+        return rate(value) if name.startswith("bytes_") else core(value)
+    return f"{number(value)}{' ms' if '_ms' in name else ' s' if name.endswith('_s') else ''}"
+
+
+def columns(trouble: Trouble) -> list[str]:
+    """A trouble's row: what it was, what is told of all, and the rest by name."""
+    f = trouble.figures
+    own = ("way", "dispatchers", "replicas", "lasted_s")
+    first = ("count_wrong_s", "sums_wrong_s", "list_wrong_s", "sums_least", "sums_most", "right_at_the_end",
+             "worst_beat_ms")
+    rest = "; ".join(f"{re.sub('_(ms|s)(?=_|$)', '', name).replace('_', ' ')} {named(name, value)}"
+                     for name, value in f.items() if name not in own + first)
+    row = [trouble.kind, f"{f.get('way', '')} {f.get('dispatchers', '?')} x {f.get('replicas', '?')}",
+           "no" if trouble.factor == 1 else f"{number(trouble.factor)} times", named("lasted_s", f.get("lasted_s")),
+           *(named(name, f.get(name)) for name in first), rest]
+    return [cell(text) for text in row]
+
+
+def shown(trouble: Trouble) -> str:
+    """In a few words: the fleet, and for how long its counts or sums were wrong."""
+    _, fleet, fast, lasted, *_ = columns(trouble)
+    wrong = "no time told" if trouble.for_s is None else "counts and sums right at every look" if (
+        trouble.for_s == 0) else f"counts or sums wrong for {seconds(trouble.for_s)}"
+    return f"{fleet}, {lasted}{'' if trouble.factor == 1 else f', sped up {fast}'}: {wrong}"
+
+
+def _environment() -> jinja2.Environment:
+    made = jinja2.Environment(loader=jinja2.PackageLoader("pearhill.lab", "."), undefined=jinja2.StrictUndefined,
+                              trim_blocks=True, lstrip_blocks=True, keep_trailing_newline=True, autoescape=False)
+    made.filters.update(n=number, b=amount, r=rate, core=core, s=seconds, spread=spread, cell=cell,
+                        columns=columns, shown=shown)
+    return made
+
+
+def page(results: dict[str, Result], size: Size | None = None) -> str:
+    """docs/CAPACITY.md."""
+    size = size or Size()
+    worked, runs = Worked(size), Runs(results, size)
+
+    def found(way: str, role: str, quantity: str) -> str:
+        return measured(runs.found(way, role, quantity), quantity)
+
+    def seen(kind: str, figure: str, unit: str) -> str:
+        got = runs.told(kind, figure)
+        return f"{number(got.value)}{unit} ({got.source})" if got else NOT_MEASURED
+
+    def over(way: str, role: str, *bounds: tuple[str, float]) -> str:
+        got = [(runs.found(way, role, quantity), bound) for quantity, bound in bounds]
+        return ", ".join(f"{f.value / bound:.2f}" if f else NOT_MEASURED for f, bound in got)
+
+    constants = {"KEYS": KEYS, "KEEP": KEEP / S, "WAIT": WAIT / S, "SHARED_WAIT": SHARED_WAIT / S, "SHARE": SHARE / S,
+                 "STEP": STEP_EVERY / S, "RATIO_MAX": RATIO_MAX, "FRESH": FRESH / S, "MOST_OUT": MOST_OUT, "ROWS": ROWS,
+                 "RELEASES": RELEASES, "FETCH": EUREKA.fetch_s, "PACE": PACE / S, "PART": PART_EVERY / S,
+                 "LEASE": LEASE / S, "PART_LEASE": PART_LEASE / S, "MOVED": MOVED / S, "SILENT": SILENT / S,
+                 "CUT": CUT / S, "IDLE": IDLE / S, "ROSTER": ROSTER_EVERY / S, "UNANSWERED": UNANSWERED,
+                 "ANSWER_WAIT": ANSWER_WAIT / S, "GONE": GONE / S, "LEAST": LEAST_BACKOFF / S, "MOST": MOST_BACKOFF / S,
+                 "REMEMBERED": REMEMBERED}
+    text = _environment().get_template("capacity.md.j2").render(
+        size=size, w=worked, c=constants, runs=runs, found=found, over=over, seen=seen,
+        needs=needs(worked, runs), show=show, NOT_MEASURED=NOT_MEASURED, TALK=TALK, AGGREGATORS=AGGREGATORS,
+        talk_datagram=talk_bytes(ROWS))
+    return re.sub(r"\n{3,}", "\n\n", text)
+
+
+def weighed(size: Size | None = None) -> str:
+    """The table of mechanisms for docs/design/capacity.md."""
+    size = size or Size()
+    head = (f"at {size.dispatchers} x {size.replicas}", "bytes a second, both ways", "age, mean", "age, worst",
+            "what it tells of", f"left when all {size.machines} control machines are gone")
+    rows = [(o.name, amount(o.bytes_s), seconds(o.age), seconds(o.worst), o.sees, o.left) for o in Worked(size).options]
+    return "".join(f"| {' | '.join(row)} |\n" for row in (head, ("---",) * 6, *rows))
+
+
+def times(size: Size | None = None) -> str:
+    """The table of the protocol's times for docs/design/capacity.md, out of the code's constants."""
+    w = Worked(size or Size())
+    one = w.told()
+    rows = (
+        ("time", "of", "why so long"), ("---",) * 3,
+        (f"{seconds(PACE / S)} at the least", "between two reports of a dispatcher, drawn by a tenth either way",
+         f"the bytes: past {rate(BYTES_PER_S)} both ways it is longer. At {w.size.replicas} replicas it is "
+         f"{seconds(1 / one.reports)} ({amount(one.up)} up, {amount(one.down)} down). The draw keeps them apart"),
+        (seconds(PART_EVERY / S), "between two parts",
+         f"half of that is what another region's word is older; {rate(one.part * S / PART_EVERY)} to each machine"),
+        (seconds(LEASE / S), "work of a dispatcher without a sign of life stays in the sums",
+         f"{number(LEASE / S * one.reports)} reports at that size: hardly ever are all lost"),
+        (seconds(PART_LEASE / S), "another machine's part stays in the sums", f"{PART_LEASE // PART_EVERY} parts"),
+        (seconds(MOVED / S), "after its last word to another machine, a dispatcher's work is taken by the new one",
+         "both leases are over by then, so that no sum has it twice; until then it stands as not heard"),
+        (f"{seconds(ANSWER_WAIT / S)}, {UNANSWERED} reports", "without an answer, it goes to the next machine",
+         "as the lease: what is not answered is not counted either"),
+        (seconds(GONE / S), "sums older than that are not used",
+         "own work alone from then on, at once and without a word to anybody"),
+        (f"{number(LEAST_HELLO / S)} to {seconds(MOST_HELLO / S)}", "between two hellos to the own region's machine; "
+         f"{HELLOS} answers, and it moves back", "drawn, so that dispatchers come back one after the other"),
+        (f"{number(LEAST_BACKOFF / S)} to {seconds(MOST_BACKOFF / S)}", "between two tries while none answers, drawn",
+         f"{number(w.size.dispatchers * S / MOST_BACKOFF)} to {number(w.size.dispatchers * S / LEAST_BACKOFF)} small "
+         "datagrams a second of all dispatchers"),
+        (seconds(SILENT / S), "a silent dispatcher goes on being counted",
+         "a restart takes less, and a cold replica's share hardly changes by one"),
+        (seconds(CUT / S), "the same, where it is a cut", "regions lose each other for minutes"),
+        (seconds(IDLE / S), "a place in the table without work, before another engine gets it",
+         "longer than any table is behind"))
+    return "".join(f"| {' | '.join(row)} |\n" for row in rows)
+
+
+def note(text: str) -> str:
+    """The design note with its tables made anew. ConfigError: it has no place for one."""
+    for name, made in (("weighed", weighed()), ("times", times())):
+        begin, end = f"<!-- {name}: pearhill lab scale --page -->\n", f"<!-- /{name} -->\n"
+        before, found, rest = text.partition(begin)
+        _, last, after = rest.partition(end)
+        if not (found and last):
+            raise ConfigError(f"{NOTE}: found no table of {name}; allowed: one between {begin.strip()} and "
+                              f"{end.strip()}")
+        text = before + begin + made + end + after
+    return text
+
+
+def write(root: Path) -> str:
+    """Make the page anew, and the note's tables, from the results under this root of the repository; what was done, in
+    words. ConfigError: a result cannot be read. OSError: the page cannot be written."""
+    results = read(root / RESULTS)
+    (root / PAGE).write_text(page(results), encoding="utf-8")
+    path = root / NOTE
+    if path.exists():
+        path.write_text(note(path.read_text(encoding="utf-8")), encoding="utf-8")
+    return f"{PAGE} is made from {len(results)} results: {', '.join(results) or 'none'}"
+
+
+def mechanisms(text: str) -> Iterable[tuple[str, list[str]]]:
+    """Of each row of the tables that say what carries it: its first cell, and the files and packages that its last cell
+    names; none named: it must say that it is missing."""
+    inside = False
+    for line in text.splitlines():
+        cells = [c.strip() for c in line[1:].removesuffix("|").split("|")] if line.startswith("|") else []
+        if inside and cells and not set("".join(cells)) <= {"-"}:
+            yield cells[0], re.findall(r"`([^`]+)`", cells[-1]) or ([] if "missing" in cells[-1] else [cells[-1]])
+        inside = bool(cells) and (inside or cells[-1] == "carried by")
