--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # What the fleet's control costs, over a small grid: a few minutes on a quiet machine. The full plans: docs/LAB.md.
 scale: build
-	.venv/bin/pearhill lab scale deploy/lab/scale-small.toml --json found/scale-small.json --report found/scale-small.html
+	.venv/bin/pearhill lab scale deploy/lab/scale/small.toml --json found/scale-small.json --report found/scale-small.html
 
 sites:
 	@for word in $(WORDS); do test -f $(KIT)/more/mass/other/$$word || \
--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -79,14 +79,27 @@
 
 @app.command("scale")
 def run_scale(
-    file: Annotated[Path, typer.Argument(help="the plan (TOML)", show_default=False)],
+    file: Annotated[Path | None, typer.Argument(help="the plan (TOML)", show_default=False)] = None,
     json_file: Annotated[Path | None, typer.Option("--json", help="write the results to this file")] = None,
     report_file: Annotated[Path | None, typer.Option("--report", help="write the page to this file")] = None,
+    page: Annotated[bool, typer.Option("--page", help="no run: make docs/CAPACITY.md anew from docs/capacity/*.json, "
+                                                      "in the project's folder")] = False,
 ) -> None:
     """Measure what the fleet's control costs over a grid of sizes, with hollow dispatchers beside real ones."""
     from pearhill.config import ConfigError
 
     _parts()
+    if page:
+        if file or json_file or report_file:
+            _fail("--page: found a plan or a file to write beside it; allowed: --page alone")
+        from pearhill.lab import capacity
+
+        try:
+            return print(capacity.write(Path(".")))
+        except (ConfigError, OSError) as e:
+            _fail(e)
+    if file is None:
+        _fail("FILE: found none; allowed: a plan, or --page")
     from pearhill.lab.scale import plan, report, run
 
     stopped: Exception | None = None
--- a/pearhill/net/fleet.py
+++ b/pearhill/net/fleet.py
@@ -130,8 +130,8 @@
                            "each goes by its own work and the last count")
 
     def told(self, node: Node) -> dict[str, Any]:
-        """What is known here of the fleet, for operators. `shares`: dispatchers among whom shares of cold engines and the
-        like are divided; 0: as many as the settings say."""
+        """What is known here of the fleet, for operators. `shares`: dispatchers among whom shares of cold engines and
+        the like are divided; 0: as many as the settings say."""
         now, sources, scout = self.deadlines.clock(), self.sources, node.dispatcher.router
         engines, total = list[dict[str, Any]](), dict[str, float]()
         for engine, (waiting, load, avoided) in scout.figures(now).items():
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -24,7 +24,7 @@
 from pearhill.membership import gauges
 from tests.standins import ROOT
 
-PLANS = ROOT / "deploy" / "lab"
+PLANS = ROOT / "deploy" / "lab" / "scale"
 GRID = '[[grid]]\nway = "talk"\ndispatchers = [4]\nreplicas = [10]\n'
 TINY = """
 [scale]
@@ -79,8 +79,8 @@
                 plan.bounded(plan.load(self.file(text)), memory)
 
     def test_the_plans_that_come_with_it_fit_a_machine_of_24_gb(self):
-        found = sorted(PLANS.glob("scale-*.toml"))
-        self.assertGreaterEqual(len(found), 2)
+        found = sorted(PLANS.glob("*.toml"))
+        self.assertGreaterEqual(len(found), 3)
         for path in found:
             with self.subTest(path.name):
                 plan.bounded(plan.load(str(path)), 24 << 30)
