--- a/tests/membership/test_aggregation.py
+++ b/tests/membership/test_aggregation.py
@@ -371,7 +371,11 @@
         world.run(GONE)
         for p in world.up():
             self.assertEqual(p.reporter.others(world.now, 1, 0, 30), (0.0, 23 * 30.0, 0.0))
-        world.run(30 * S)
+        world.run(10 * S)
+        tries = [p.reporter._number for p in world.up()]
+        world.run(20 * S)
+        for p, before in zip(world.up(), tries, strict=True):
+            self.assertTrue(1 <= p.reporter._number - before <= 12)  # 1 to 8 s between them
         self.assertEqual(world.counts(), {24})
         for site in SITES:
             world.start_aggregator(site.name)
@@ -387,21 +391,21 @@
         self.assertEqual(world.astray(), [])
 
     def test_a_region_cut_off_for_minutes_stays_counted_on_both_sides_and_dead_after_15(self):
-        for sides in (("r2",), ("r0", "r1", "r2")):
-            with self.subTest(sides=sides), mock.patch.object(reporter, "PACE", 500_000):
-                world = World(9, 5)
+        for count, sides in ((3, ("r2",)), (9, ("r2",)), (9, ("r0", "r1", "r2"))):
+            with self.subTest(count=count, sides=sides), mock.patch.object(reporter, "PACE", 500_000):
+                world = World(count, 5)
                 world.run(14 * S)
                 world.cut("r2")
                 if len(sides) > 1:
                     world.cut("r1")
                 for _ in range(45):
                     world.run(2 * S)
-                    self.assertEqual(world.counts(), {9})
+                    self.assertEqual(world.counts(), {count})
                     world.check()
                 if len(sides) == 1:
                     world.heal()
                     world.run(4 * S)
-                    self.assertEqual((world.counts(), world.astray()), ({9}, []))
+                    self.assertEqual((world.counts(), world.astray()), ({count}, []))
                     continue
                 for p in world.up():
                     p.up = p.region == "r0"  # they had died there
@@ -475,6 +479,39 @@
         self.assertEqual(len(world.processes[0].reporter._tables["a0"].slot_of), 940)
 
 
+class Alone(unittest.TestCase):
+    def test_no_answers_while_i_stood_still_are_no_fault_of_the_aggregator(self):
+        now = 1_000 * S
+        r = Reporter("d0", "r0", SITES, now, random.Random(1), lambda: [])
+        for _ in range(5):
+            now = r.next_beat(now)
+            self.assertEqual(r.beat(now)[0].to, "a0")
+        now += 6 * S
+        self.assertEqual((r.beat(now)[0].to, r.attach), ("a0", 1))
+        for _ in range(30):
+            now = r.next_beat(now)
+            r.beat(now)
+        self.assertEqual((r.current != "a0", r.attach, r.moves), (True, 2, 1))
+
+    def test_half_a_table_tells_nothing(self):
+        now = 1_000 * S
+        r = Reporter("d0", "r0", SITES, now, random.Random(1), lambda: [])
+        loads = gauges.pack(bytes((100,) * 4))
+        for k, (entries, told) in enumerate(((((0, 70, 1), (1, 71, 2)), False), (((2, 72, 3), (3, 73, 4)), True))):
+            now = r.next_beat(now)
+            asked, = r.beat(now)
+            r.heard(now, Sums("a0", "d0", 5, k, asked.number, -1, 4, 5, 4, 0, 0, 1, 0, loads, loads, entries, 4), 200)
+            for engine in (70, 73, 99):
+                self.assertEqual(r.theirs(now, engine) is not None, told)
+                if not told:
+                    self.assertEqual(r.others(now, engine, 2, 3), (8.0, 12.0, 0.0))
+        now = r.next_beat(now)
+        asked, = r.beat(now)
+        r.heard(now, Sums("a0", "d0", 5, 9, asked.number, -1, 4, 5, 5, 5, 0, 2, 0, b"\0", b"\0", ((0, 80, 5),)), 200)
+        self.assertIsNone(r.theirs(now, 80))  # the last sums of slot 0 were engine 70's
+        self.assertEqual((r.theirs(now, 70).load, r.theirs(now, 71).load), (0, gauges.TOKENS[100]))
+
+
 def report(number: int = 1, **changed: object) -> Report:
     fields = {"sender": "d0", "to": "a0", "incarnation": 5, "sequence": number, "number": number, "part": 0, "parts": 1,
               "attach": 1, "quiet_ms": 60_000, "leaving": False, "known_incarnation": 0, "known_version": 0, "first": 0,
@@ -516,6 +553,34 @@
                 a.heard(now + wait, report(99, known_incarnation=known, echo=wait // S, quiet_ms=0, news=news))
                 self.assertEqual(sum(a._loads) > 0, counts)
 
+    def test_an_older_report_replaces_no_newer_and_one_that_is_told_elsewhere_is_dropped_at_once(self):
+        now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
+        a.heard(now, report(1))
+        a.heard(now, report(4, known_incarnation=now, echo=1, news=((7, 100, 150),)))
+        a.heard(now, report(3, known_incarnation=now, echo=1, news=((7, 50, 60),)))  # it was overtaken
+        self.assertEqual(a._loads, [gauges.TOKENS[150]])
+        for sequence, attach, load in ((1, 1, gauges.TOKENS[150]), (2, 2, 0)):
+            a.heard(now, Roster("a1", "a0", now, sequence, 0, 1, (("d0", 5, attach, 1_000),)))
+            self.assertEqual((a._loads, a.count(now)), ([load], 1))
+        a.heard(now, report(5, known_incarnation=now, echo=4, news=((7, 100, 150),)))  # late, of the stay before
+        self.assertEqual((a._loads, list(a.members)), ([0], []))
+        a.heard(now, Roster("a1", "a0", now, 3, 0, 1, (("d0", 5, 2, -1), ("d1", 5, 1, -1))))  # it left
+        self.assertEqual((a.count(now), sorted(a.known)), (0, ["d0"]))
+
+    def test_an_aggregator_that_stood_still_forgets_nobody_for_that(self):
+        now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
+        a.beat(now)
+        a.heard(now, report(1))
+        a.heard(now, report(2, known_incarnation=now, echo=1))
+        for wait in (2 * SILENT, SILENT, BEAT):
+            now += wait
+            a.beat(now)
+            self.assertEqual((a.count(now), a.figures(now)["cut"]), (1, 0))
+        for _ in range(SILENT // BEAT + 1):
+            now += BEAT
+            a.beat(now)
+        self.assertEqual((a.count(now), a.figures(now)["cut"]), (1, 1))  # all that there were fell silent: a cut
+
     def test_what_comes_twice_or_from_strangers_is_not_taken(self):
         now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
         self.assertEqual(len(a.heard(now, report(1))), 1)
