Scale run: a reload stands in the way of one beat, and three points show no growth

Cause: a hollow process handed a reload to all of its dispatchers in one turn of its loop, so that beats were late that would not be in processes of their own; and a form was fitted to three points, which show no growth, whatever there is. Change: a turn of the loop after each reload; four points at least.

--- a/pearhill/lab/scale/fit.py
+++ b/pearhill/lab/scale/fit.py
@@ -33,6 +33,7 @@
 }
 CURVED = re.compile(r"D\^2|ln")  # two counts of dispatchers don't tell a curve from a line
 SURE = 3.0  # standard errors that a coefficient has to be away from nothing
+LEAST_POINTS = 4  # fewer show no growth, whatever there is
 ERRORS = 2  # standard errors; with one, a term that is not there is found in one of ten draws of made data
 REPEATS = 0.02  # Danger: bytes are measured to a thousandth, and a run repeats itself less well than that
 LEAST_WEIGHED = 0.05  # of the largest value: what is smaller weighs no more than this would
@@ -105,7 +106,7 @@
 def fit(points: Sequence[Point], size: tuple[float, float], carried: float = 0.0) -> Fit | None:
     """`size`: dispatchers and replicas to stretch to. `carried`: a share by which the points may be off all alike; the
     interval is wider by it. None: there are too few points."""
-    if len(points) < 3:
+    if len(points) < LEAST_POINTS:
         return None
     judged = list[tuple[int, float, float, str]]()  # coefficients, mean error, its standard error, form
     for form, (_, terms) in FORMS.items():
--- a/pearhill/lab/scale/hollow.py
+++ b/pearhill/lab/scale/hollow.py
@@ -200,8 +200,11 @@
             case "look":
                 return self._look(told)
             case "reload":
-                self.text = told["text"]
-                return {"seconds": [hollow.reload(self.text) for hollow in self.hollows.values()]}
+                self.text, spent = told["text"], list[float]()
+                for hollow in self.hollows.values():
+                    spent.append(hollow.reload(self.text))
+                    await asyncio.sleep(0)  # a beat that is due waits for one reload, as in a process of its own
+                return {"seconds": spent}
             case "cut":
                 far = [set(map(tuple, addresses)) for addresses in told["far"]]
                 for hollow in self.hollows.values():
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -123,7 +123,7 @@
         plain, wide = fit.fit(points, (330, 940)), fit.fit(points, (330, 940), 0.4)
         self.assertAlmostEqual(wide.high, plain.high * 1.4)
         self.assertAlmostEqual(wide.low, plain.low * 0.6)
-        self.assertIsNone(fit.fit(points[:2], (330, 940)))
+        self.assertIsNone(fit.fit(points[:3], (330, 940)))
 
     def test_slopes_leave_out_busy_points_and_carry_a_checks_error(self):
         def point(d: int, cpu: float, busy: bool = False) -> dict:
