--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -117,7 +117,7 @@
         self.timers, self.timer = dict[int, int](), 0
         self.ratio, self.allowed, self.retries, self.steps = RATIO_START, 0.0, float(RETRY_BURST), 0
         self.read_share = Faded(STEP_EVERY, 30, 0.5)
-        self.waits = {role: Faded(STEP_EVERY / 2, 6) for role in self.ready}  # tokens, as its engines told lately
+        self.waits = {role: Faded(STEP_EVERY / 2, 6) for role in self.ready}  # tokens, as told lately
         self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
         self.drawn, self.drawn_all = dict[int, float](), 0.0  # tokens read, by prefix, over ten steps or so
         self.asked: dict[int, float] = {}  # by tenant, over the last five steps or so
@@ -251,8 +251,8 @@
         return self._takes(e, self._ahead(e) + req.prompt - self._belief(e, req, home) + PAD)
 
     def _ahead(self, e: Engine) -> float:
-        """Tokens that all nodes have waiting there, as far as I am told. Danger: taken for slow reading, a queue
-        that others left at one engine has me refuse what the idle ones could read, long after it is gone."""
+        """Tokens that all nodes have waiting there, as far as I am told. Danger: taken for slow reading,
+        others' queue at one engine has me refuse what the idle ones could read, long after it is gone."""
         return max(e.queue, e.told if e.told_at == self.now else self.waits[e.role].over(self.now, 0.0))
 
     def _arrived(self, req: i.Arrived) -> None:
@@ -290,7 +290,7 @@
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
             if self._look(job, pair):
                 return None
-            reader = min(pair, key=lambda e: (e.ejected_until > self.now, self._ahead(e)))  # alike: its session's
+            reader = min(pair, key=lambda e: (e.ejected_until > self.now, self._ahead(e)))  # or by session
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
             line += self._takes(reader, max(0.0, req.prompt - self._belief(reader, req, job.home) - usual))
@@ -352,7 +352,7 @@
         """Worth of a request, less its tenant's part beyond its share, as far as my part of it tells."""
         # Danger: what is lent out must not crowd out a guarantee.
         over, worth = float(req.standing == i.SPARE), self.s.classes[req.cls].worth
-        if not over and req.tenant < len(self.s.quotas):  # five requests weigh for the share, whatever my few say
+        if not over and req.tenant < len(self.s.quotas):  # five requests weigh, whatever my few say
             mine = self.s.quotas[req.tenant] / self.s.instances * 5 * STEP_EVERY / 1_000_000
             over = max(0.0, 1 - (mine + 5) / (self.asked.get(req.tenant, 0.0) + 5))
         return worth * (1 - over * (1 - self.s.over_share_worth))
