Reporter: a count stands once one that surely knew has told it; replays put no report off

Cause: a dispatcher that started at an aggregator that had just begun took its first count, of the few that had reported by then, and with it too large a share of every cold engine; and the byte budget was paid for datagrams that were then dropped as replays, so that whoever sends one again and again puts a dispatcher's reports off for good. Change: no count before a settled one (the settings' n-instances stand until then); payment after the replay window. One test that looked after 6 s looks after 12 s too, and that there is no count at 6 s.

--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -132,6 +132,7 @@
         self._chunks: list[_Chunk] = []
         self._sums_of = ""  # whose these are
         self._count: int | None = None
+        self._settled = False  # an aggregator that surely knew everybody has told it
         self._heard = 0
         self._sums_at = -1
         self._elsewhere: Codes = {}  # the most that I told those that I have left
@@ -302,10 +303,10 @@
         """An authentic frame, whenever it comes and however often; `size`: bytes of its datagram."""
         self._now = max(self._now, now)
         self._bytes["in"] += size + HEADERS
-        self._pay(size)
         if frame.sender not in self._tables or not self._window.first_time(
                 frame.sender, frame.incarnation, frame.sequence):
             return []
+        self._pay(size)  # Danger: paid for before, what somebody sends again would put my reports off for good
         if isinstance(frame, HelloAck):
             self._acknowledged(now, frame)
         elif isinstance(frame, Superseded) and frame.sender == self.current and frame.known >= self.incarnation:
@@ -344,6 +345,7 @@
         if asked.at >= self._sums_at:
             self._heard, self._sums_at = s.heard, asked.at
             self._count = s.counted if s.settled else max(self._count or 0, s.counted)
+            self._settled = self._settled or s.settled
         if s.included >= 0:
             if s.included not in self._told:
                 return  # Danger: my own work is in it, and I no longer know which.
@@ -361,8 +363,10 @@
             self._chunks.append(new)
 
     def count(self, now: int) -> int | None:
-        """Dispatchers that share the work, this one among them, as last told; None: nobody has ever told."""
-        return self._count
+        """Dispatchers that share the work, this one among them, as last told; None: nobody who surely knew has told.
+        Danger: by the first word of an aggregator that begins anew I would be one of few, and take all of a cold
+        engine's share."""
+        return self._count if self._settled else None
 
     def others(self, now: int, engine: int, waiting: int, load: int) -> tuple[float, float, float]:
         """What the others have at an engine where I have this much: tokens yet to be read, under way in all, and how
--- a/tests/membership/test_aggregation.py
+++ b/tests/membership/test_aggregation.py
@@ -308,6 +308,9 @@
         world = World(6, 1)
         world.checked(6 * S)
         self.assertEqual(world.astray(), [])
+        self.assertEqual(world.counts(), {None})  # aggregators that have just begun may not know all
+        world.checked(6 * S)
+        self.assertEqual(world.astray(), [])
         self.assertEqual(world.counts(), {6})
         p = world.processes[0]
         waiting, load, sure = p.reporter.others(world.now, 2, 0, 0)
@@ -480,6 +483,26 @@
 
 
 class Alone(unittest.TestCase):
+    def test_what_is_sent_again_puts_no_report_off(self):
+        r = reporter.Reporter("d1", "r0", SITES[:1], S, random.Random(8), lambda: [])
+        at = r.next_beat(S)
+        report, = r.beat(at)
+        sums = Sums(SITES[0].name, "d1", 1, 1, report.number, -1, 1, 1, 0, 0, 0, 1, 0, b"\0", b"\0", ())
+        r.heard(at, sums, 1400)
+        due = r.next_beat(at)
+        for _ in range(1000):
+            r.heard(at, sums, 1400)
+        self.assertEqual(r.next_beat(at), due)
+
+    def test_a_count_is_no_count_before_one_that_surely_knew_has_told_it(self):
+        r = reporter.Reporter("d1", "r0", SITES[:1], S, random.Random(9), lambda: [])
+        for n, (counted, settled, count) in enumerate(((2, False, None), (9, True, 9), (3, False, 9), (3, True, 3))):
+            at = r.next_beat(S * (n + 1))
+            report, = r.beat(at)
+            r.heard(at, Sums(SITES[0].name, "d1", 1, n, report.number, -1, 1, counted, 0, 0, 0, 1, 0, b"\0", b"\0", (),
+                             settled=settled), 100)
+            self.assertEqual(r.count(at), count)
+
     def test_no_answers_while_i_stood_still_are_no_fault_of_the_aggregator(self):
         now = 1_000 * S
         r = Reporter("d0", "r0", SITES, now, random.Random(1), lambda: [])
