Aggregator: who is read after a stand, before its beat, is not held for there twice as long

Cause: one that stood still adds its stand to the time at which it heard each dispatcher, also of those whose datagrams waited and were read before its first beat; these had been heard in the future then, by up to the stand (46 s in the case), and when dead they were counted for so much longer, everywhere, for rosters pass it on. Change: no one was heard later than now.

--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -408,8 +408,9 @@
         """One beat: what has run out, and what the other aggregators are to know."""
         if now - self._beat_at > LATE:
             # Danger: it is I who stood still. What they had to say waits unread, and all would be held for silent.
+            # Danger: who was heard since would be held for there for as long again as I stood still.
             for known in self.known.values():
-                known.heard_at += now - self._beat_at
+                known.heard_at = min(now, known.heard_at + now - self._beat_at)
         self._beat_at = now
         self._expire(now)
         self._forget(now)
--- a/tests/membership/test_aggregation.py
+++ b/tests/membership/test_aggregation.py
@@ -604,6 +604,24 @@
             a.beat(now)
         self.assertEqual((a.count(now), a.figures(now)["cut"]), (1, 1))  # all that there were fell silent: a cut
 
+    def test_who_is_read_before_the_first_beat_after_a_stand_is_forgotten_in_time(self):
+        now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
+        for n in range(1, 6):
+            a.heard(now, report(1, sender=f"d{n}"))
+            a.heard(now, report(2, sender=f"d{n}", known_incarnation=1_000 * S, echo=1))
+        now += 60 * S  # it stands still; what waited is read before its beat
+        for n in range(1, 6):
+            a.heard(now, report(3, sender=f"d{n}", sequence=3, known_incarnation=1_000 * S, echo=2))
+            a.heard(now, report(4, sender=f"d{n}", sequence=4, known_incarnation=1_000 * S, echo=3))
+        a.beat(now)
+        for k in range((SILENT + S) // BEAT):
+            now += BEAT
+            for n in range(2, 6):  # one is dead by now
+                at = 5 + k
+                a.heard(now, report(at, sender=f"d{n}", known_incarnation=1_000 * S, echo=at - 1))
+            a.beat(now)
+        self.assertEqual(a.count(now), 4)
+
     def test_what_comes_twice_or_from_strangers_is_not_taken(self):
         now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
         self.assertEqual(len(a.heard(now, report(1))), 1)
