Capacity page: evenness by each way

Cause: the scale run measures peak over mean by own work, talk and aggregators, and the page left it out.

--- a/pearhill/lab/capacity.py
+++ b/pearhill/lab/capacity.py
@@ -213,6 +213,26 @@
     figures: dict[str, Any] = {}
 
 
+class Peaks(msgspec.Struct):
+    """Peak over mean of work by replica in windows of a second."""
+
+    mean: float
+    worst: float
+
+
+class Even(msgspec.Struct):
+    way: str
+    dispatchers: int
+    replicas: int
+    rate_per_dispatcher: float
+    writers: Peaks
+    readers: Peaks
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    busy: bool = False
+
+
 class NotRun(msgspec.Struct):
     what: str
     why: str
@@ -231,6 +251,7 @@
     slopes: list[Slope] = []
     choice: list[Choice] = []
     troubles: list[Trouble] = []
+    evenness: list[Even] = []
     not_run: list[NotRun] = []
 
 
