One place seals and opens the datagrams of both versions

Cause: the second version's codec wrote the first one's size, version and checksum checks again. Change: Sealer, from which both codecs come; the tests of both are as they were.

--- a/pearhill/membership/datagram.py
+++ b/pearhill/membership/datagram.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import hmac
+from typing import ClassVar
 
 import msgspec
 
@@ -40,14 +41,39 @@
 _decoder: msgspec.msgpack.Decoder[_Body] = msgspec.msgpack.Decoder(_Body)
 
 
-class Codec:
-    """`keys`: the first one signs, any of them is accepted, so that a key is changed without a gap."""
+class Sealer:
+    """Datagrams of one version with a keyed checksum. `keys`: the first one signs, any of them is accepted, so that a
+    key is changed without a gap."""
+
+    version: ClassVar[int]
 
     def __init__(self, keys: list[bytes]) -> None:
         if not keys or min(map(len, keys)) < LEAST_KEY:
             raise ValueError(f"a key of at least {LEAST_KEY} bytes is needed")
         self.keys = keys
 
+    def _seal(self, body: bytes) -> bytes:
+        return bytes((self.version,)) + self._tag(self.keys[0], body) + body
+
+    def _open(self, data: bytes) -> bytes:
+        """The body. Rejected: it is foreign, forged or torn."""
+        if len(data) > MAX_BYTES or len(data) <= 1 + TAG:
+            raise Rejected("size")
+        if data[0] != self.version:
+            raise Rejected("version")
+        tag, body = data[1:1 + TAG], data[1 + TAG:]
+        if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
+            raise Rejected("forged")
+        return body
+
+    @classmethod
+    def _tag(cls, key: bytes, body: bytes) -> bytes:
+        return hmac.digest(key, bytes((cls.version,)) + body, hashlib.sha256)[:TAG]
+
+
+class Codec(Sealer):
+    version = VERSION
+
     def pack(self, m: Message) -> bytes:
         """Danger: a digest of many engines does not fit. Its smallest rows go, then the last rumours."""
         kind, target = {Ping: (PING, ""), Ack: (ACK, ""), Ask: (ASK, "")}[type(m.say)]
@@ -61,19 +87,12 @@
             if len(body) + 1 + TAG <= MAX_BYTES or not (rows or rumours):
                 break
             (rows or rumours).pop()
-        return bytes([VERSION]) + self._tag(self.keys[0], body) + body
+        return self._seal(body)
 
     def unpack(self, data: bytes, me: str) -> Message:
         """Rejected: it is foreign, forged, torn, or for somebody else."""
-        if len(data) > MAX_BYTES or len(data) <= 1 + TAG:
-            raise Rejected("size")
-        if data[0] != VERSION:
-            raise Rejected("version")
-        tag, body = data[1:1 + TAG], data[1 + TAG:]
-        if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
-            raise Rejected("forged")
         try:
-            b = _decoder.decode(body)
+            b = _decoder.decode(self._open(data))
         except (msgspec.DecodeError, RecursionError):
             raise Rejected("malformed") from None
         if b.to != me:
@@ -84,7 +103,3 @@
         say = Ask(me, b.number, b.target) if b.kind == ASK else (Ack if b.kind == ACK else Ping)(me, b.number)
         return Message(b.sender, b.incarnation, b.sequence, say, tuple(Rumour(*r) for r in b.rumours),
                        tuple(Row(*r) for r in b.rows))
-
-    @staticmethod
-    def _tag(key: bytes, body: bytes) -> bytes:
-        return hmac.new(key, bytes([VERSION]) + body, hashlib.sha256).digest()[:TAG]
--- a/pearhill/membership/frames.py
+++ b/pearhill/membership/frames.py
@@ -3,15 +3,13 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
 from pearhill.membership import gauges
-from pearhill.membership.datagram import LEAST_KEY, MAX_BYTES, MOST_COUNT, TAG, Rejected
+from pearhill.membership.datagram import MAX_BYTES, MOST_COUNT, TAG, Rejected, Sealer
 
 VERSION = 2
 CHUNK = 512  # slots of one part: two gauges each, and the rest of the frame, fit a datagram at the worst
@@ -136,32 +134,20 @@
 _decoder: msgspec.msgpack.Decoder[_Any] = msgspec.msgpack.Decoder(_Any)
 
 
-class FrameCodec:
-    """`keys`: the first one signs, any of them is accepted, so that a key is changed without a gap."""
-
-    def __init__(self, keys: list[bytes]) -> None:
-        if not keys or min(map(len, keys)) < LEAST_KEY:
-            raise ValueError(f"a key of at least {LEAST_KEY} bytes is needed")
-        self.keys = keys
+class FrameCodec(Sealer):
+    version = VERSION
 
     def pack(self, message: Frame) -> bytes:
         """ValueError: it does not fit a datagram (who makes frames bounds them)."""
         body = _encoder.encode(message)
         if len(body) + 1 + TAG > MAX_BYTES:
             raise ValueError(f"{type(message).__name__} to {message.to}: {len(body)} bytes are too many")
-        return bytes((VERSION,)) + self._tag(self.keys[0], body) + body
+        return self._seal(body)
 
     def unpack(self, data: bytes, me: str) -> Frame:
         """Rejected: it is foreign, forged, torn, or for somebody else."""
-        if len(data) > MAX_BYTES or len(data) <= 1 + TAG:
-            raise Rejected("size")
-        if data[0] != VERSION:
-            raise Rejected("version")
-        tag, body = data[1:1 + TAG], data[1 + TAG:]
-        if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
-            raise Rejected("forged")
         try:
-            frame = _decoder.decode(body)
+            frame = _decoder.decode(self._open(data))
         except (msgspec.DecodeError, RecursionError):
             raise Rejected("malformed") from None
         if frame.to != me:
@@ -176,7 +162,3 @@
             if frame.first + frame.slots > MOST_SLOTS:
                 raise Rejected("malformed")
         return frame
-
-    @staticmethod
-    def _tag(key: bytes, body: bytes) -> bytes:
-        return hmac.digest(key, bytes((VERSION,)) + body, hashlib.sha256)[:TAG]
