A dispatcher whose clock went back comes home: its call there is answered

Cause: an aggregator that had heard a newer incarnation of a name dropped the calls (Hello) of an older one as replays, for as long as it knew the name; so a dispatcher that was started with its clock set back, and was taken elsewhere after its namesake's death, never came home. Change: once the newer one's lease is over the call is answered, as a report has been.

--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -157,7 +157,7 @@
         if isinstance(frame, Report | Hello):
             if frame.sender in self.peers or frame.sender == self.me:
                 return []
-            if isinstance(frame, Report) and (superseded := self._superseded(now, frame)) is not None:
+            if (superseded := self._superseded(now, frame)) is not None:
                 return superseded
         elif not (isinstance(frame, Part | Roster) and frame.sender in self.peers):
             return []
@@ -182,17 +182,20 @@
         self._sequence += 1
         return self.me, to, self.incarnation, self._sequence
 
-    def _superseded(self, now: int, r: Report) -> list[Frame] | None:
+    def _superseded(self, now: int, frame: Report | Hello) -> list[Frame] | None:
         """What to say when a newer incarnation of the sender's name is known; None: none is."""
-        known, caller = self.known.get(r.sender), self._callers.get(r.sender)
+        known, caller = self.known.get(frame.sender), self._callers.get(frame.sender)
         # What another aggregator tells of it comes each 2 s, if it comes.
         newest, until = max((known.stay[0], known.heard_at + (LEASE if known.via == self.me else SILENT)) if known
                             else (-1, 0), (caller.incarnation, caller.heard_at + LEASE) if caller else (-1, 0))
-        if newest <= r.incarnation:
+        if newest <= frame.incarnation:
             return None
-        if now < until or r.part or r.leaving:
+        if now < until:
             return []  # Danger: told while the newer one runs, two of one name would outbid each other for ever.
-        return [Superseded(*self._head(r.sender), newest)]
+        if isinstance(frame, Hello):
+            # Danger: unanswered, one whose clock went back would never come home. It changes nothing here.
+            return [HelloAck(*self._head(frame.sender), frame.number)]
+        return [] if frame.part or frame.leaving else [Superseded(*self._head(frame.sender), newest)]
 
     def _report(self, now: int, r: Report) -> list[Frame]:
         caller, stay = self._callers.get(r.sender), (r.incarnation, r.attach)
--- a/tests/membership/test_aggregation.py
+++ b/tests/membership/test_aggregation.py
@@ -622,6 +622,14 @@
             a.beat(now)
         self.assertEqual(a.count(now), 4)
 
+    def test_one_whose_clock_went_back_may_come_home_once_its_namesake_is_over(self):
+        now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
+        a.heard(now, report(1))
+        for wait, answers in ((LEASE // 2, []), (LEASE, [HelloAck])):
+            hello = Hello("d0", "a0", 4, 1, 77)  # a report's incarnation is 5
+            self.assertEqual([type(f) for f in a.heard(now + wait, hello)], answers)
+        self.assertEqual([type(f) for f in a.heard(now + 2 * LEASE, report(2, incarnation=4))], [Superseded])
+
     def test_what_comes_twice_or_from_strangers_is_not_taken(self):
         now, a = 1_000 * S, Aggregator("a0", ["a1"], 1_000 * S, random.Random(1))
         self.assertEqual(len(a.heard(now, report(1))), 1)
