--- a/pearhill/lab/capacity.py
+++ b/pearhill/lab/capacity.py
@@ -305,6 +305,8 @@
             value = cost.of(quantity) if isinstance(cost, Cost) else getattr(cost, quantity, None)
             if value is not None:
                 return Found(value, name)
+        if way == TALK and role == "dispatcher" and (least := self._most_measured(way, quantity)):
+            return least
         if fit := self._slope(way, role, quantity):
             name, slope = fit
             assert slope.at_size is not None
@@ -316,6 +318,17 @@
                 return Found(ways[0].value + ways[1].value, ways[0].source)
         return None
 
+    def _most_measured(self, way: str, quantity: str) -> Found | None:
+        """The largest of the points below the size. Danger: a beat of the talk has so many pings at most, from some
+        peers on; a slope that was fitted below them knows nothing of that, and says many times too much."""
+        points = [(value, name, p) for name, p in self.rows("points")
+                  if (p.way, p.kind, p.busy) == (way, "hollow", False)
+                  and (value := p.dispatcher.of(quantity)) is not None]
+        if not points:
+            return None
+        value, name, p = max(points, key=lambda row: row[0])
+        return Found(value, f"at least: {name}, {p.dispatchers} x {p.replicas}")
+
     @property
     def choice(self) -> tuple[str, list[Choice]] | None:
         fit = [(name, result.choice) for name, result in self.results.items() if result.choice]
@@ -870,7 +883,8 @@
         got = [(runs.found(way, role, quantity), bound) for quantity, bound in bounds]
         return ", ".join(f"{f.value / bound:.2f}" if f else NOT_MEASURED for f, bound in got)
 
-    constants = {"KEYS": KEYS, "KEEP": KEEP / S, "WAIT": WAIT / S, "SHARED_WAIT": SHARED_WAIT / S, "SHARE": SHARE / S,
+    constants = {"ROUND": ROUND, "MOST_PINGS": MOST_PINGS, "KEYS": KEYS, "KEEP": KEEP / S, "WAIT": WAIT / S,
+                 "SHARED_WAIT": SHARED_WAIT / S, "SHARE": SHARE / S,
                  "STEP": STEP_EVERY / S, "RATIO_MAX": RATIO_MAX, "FRESH": FRESH / S, "MOST_OUT": MOST_OUT, "ROWS": ROWS,
                  "RELEASES": RELEASES, "FETCH": EUREKA.fetch_s, "PACE": PACE / S, "PART": PART_EVERY / S,
                  "LEASE": LEASE / S, "PART_LEASE": PART_LEASE / S, "MOVED": MOVED / S, "SILENT": SILENT / S,
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -149,6 +149,15 @@
             with self.subTest(told):
                 self.assertIn(told, page)
 
+    def test_the_talks_slope_is_not_stretched_past_the_bound_on_its_pings(self):
+        self.put("talk", result(
+            points=[point(way=c.TALK, dispatchers=80, replicas=60, aggregator=None),
+                    point(way=c.TALK, dispatchers=20, replicas=940, aggregator=None, busy=True)],
+            slopes=[slope(c.TALK, "cpu_cores", 0.41)]))
+        page = self.page()
+        self.assertIn("0.8% of a core (at least: talk, 80 x 60)", page)
+        self.assertNotIn("41% of a core (slope", page)
+
     def test_the_larger_need_comes_first_and_what_nothing_carries_before_it(self):
         self.put("a", result(slopes=[slope(c.TALK, "cpu_cores", 1.1), slope(c.TALK, "memory_bytes", 16e6)]))
         made = c.needs(c.Worked(SIZE), c.Runs(c.read(self.root / c.RESULTS), SIZE))
