--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -1,8 +1,9 @@
-"""`pearhill lab`: run a scenario, compare two runs."""
+"""`pearhill lab`: run a scenario, compare two runs, measure the fleet's control."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
@@ -76,6 +77,40 @@
     print(f"{target}\n{target.with_suffix('.html')}")
 
 
+@app.command("scale")
+def run_scale(
+    file: Annotated[Path, typer.Argument(help="the plan (TOML)", show_default=False)],
+    json_file: Annotated[Path | None, typer.Option("--json", help="write the results to this file")] = None,
+    report_file: Annotated[Path | None, typer.Option("--report", help="write the page to this file")] = None,
+) -> None:
+    """Measure what the fleet's control costs over a grid of sizes, with hollow dispatchers beside real ones."""
+    from pearhill.config import ConfigError
+
+    _parts()
+    from pearhill.lab.scale import plan, report, run
+
+    stopped: Exception | None = None
+    try:
+        made = plan.load(str(file))
+        results = asyncio.run(run.run(made, file.name, lambda line: print(line, file=sys.stderr, flush=True)))
+    except ConfigError as e:
+        _fail(e)
+    except run.Stopped as e:
+        results, stopped = e.results, e
+    written = (json_file, json.dumps(results, indent=1) + "\n"), (report_file, report.page(file.stem, results))
+    for path, text in written:
+        if path:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_text(text, encoding="utf-8")
+            print(path)
+    for slope in results["slopes"]:
+        over = f", {slope['need_over_bound']:.2f} of its bound" if slope["bound"] else ""
+        print(f"{slope['way']}, {slope['role']}, {slope['quantity']}: {slope['at_size']:.4g} at the size{over} "
+              f"({slope['form']}, stretched {slope['stretched']} times)")
+    if stopped:
+        _fail(stopped)
+
+
 @app.command("up")
 def bring_up(
     file: Annotated[Path, typer.Argument(help="the operator's file (TOML)", show_default=False)],
--- /dev/null
+++ b/pearhill/lab/scale/work.py
@@ -0,0 +1,149 @@
+"""What a hollow dispatcher has under way: gauges drawn anew, or requests that engines answer by a clock alone."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from typing import Any
+
+import numpy
+
+from pearhill import interface as i
+from pearhill.core.deadlines import Deadlines
+from pearhill.core.dispatcher import Ask, Attempt, Dispatcher, Request
+from pearhill.rules import Engine, Router
+
+SETS = 24  # of drawn gauges, of which each beat takes one, turned by a drawn number of engines
+READ_S = 0.45  # a read's time at the size that is planned for, with what it waits
+LIGHT_READ_S = 0.15  # the same of an engine that answers by a clock, whatever others ask of it
+STREAM_TOKENS, PROMPT = 2_400, 2_000  # tokens of a stream at its writer, and of a prompt at its reader
+TOKEN_S, ANSWER = 0.025, 231  # between tokens; tokens of an answer: 260 streams at 45 requests a second
+Gauges = list[list[tuple[int, int]]]  # by set, by engine: tokens to be read there, under way there
+
+
+class Drawn:
+    """Gauges of one dispatcher at the size that is planned for: `streams` open at writers, `rate_per_s` reads."""
+
+    def __init__(self, readers: int, writers: int, rate_per_s: float, streams: float, seed: int) -> None:
+        rng = numpy.random.default_rng(seed)
+        self.writers = self._sets(rng, writers, streams, STREAM_TOKENS, False)
+        self.readers = self._sets(rng, readers, rate_per_s * READ_S, PROMPT, True)
+
+    @staticmethod
+    def _sets(rng: numpy.random.Generator, engines: int, mean: float, tokens: int, reads: bool) -> Gauges:
+        if not engines:
+            return [[] for _ in range(SETS)]
+        counts = rng.poisson(mean / engines, (SETS, engines))
+        loads = (counts * tokens * rng.uniform(0.6, 1.4, counts.shape)).astype(int)
+        return [[(load if reads else 0, load) for load in row] for row in loads.tolist()]
+
+    def apply(self, router: Router, rng: random.Random) -> None:
+        """To the Router's own books of its work, where the talk and the reports take it from."""
+        self._set(router.ready[i.WRITER], rng.choice(self.writers), rng)
+        self._set(router.ready[i.READER], rng.choice(self.readers), rng)
+
+    @staticmethod
+    def _set(engines: Sequence[Engine], gauges: list[tuple[int, int]], rng: random.Random) -> None:
+        if not gauges:
+            return
+        turn = rng.randrange(len(gauges))
+        turned = gauges[turn:] + gauges[:turn]
+        while len(turned) < len(engines):
+            turned = turned + turned
+        for engine, (queue, load) in zip(engines, turned, strict=False):
+            engine.queue, engine.load = queue, load
+
+
+class NoClient:
+    """A client of a hollow dispatcher: whatever it is told is counted."""
+
+    def __init__(self, ended: Callable[[str], None]) -> None:
+        self._ended = ended
+
+    def refuse(self, stay_away: int) -> None:
+        self._ended("refused")
+
+    def fail(self) -> None:
+        self._ended("failed")
+
+    def decline(self, said: Any) -> None:
+        self._ended("failed")
+
+    async def pass_on(self, data: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        self._ended("served")
+
+    def abort(self) -> None:
+        self._ended("failed")
+
+    def gone(self) -> bool:
+        return False
+
+
+class NoEngines:
+    """A backend whose engines answer by a clock: a reader after the read, a writer a token after another, at once
+    begun and ended when the answer is out. Nothing goes over a socket."""
+
+    def __init__(self, dispatcher: Dispatcher, deadlines: Deadlines, rng: random.Random) -> None:
+        self.dispatcher, self.deadlines, self.rng = dispatcher, deadlines, rng
+
+    def send(self, attempt: Attempt) -> None:
+        if not attempt.may_begin():
+            return
+        kinds = self.dispatcher.deployment.router.kinds
+        entry = self.dispatcher.engines[attempt.engine]
+        if kinds[entry.kind].role == i.READER:
+            wait = int(self.rng.expovariate(1 / LIGHT_READ_S) * 1e6)
+            self.deadlines.after(wait, lambda: attempt.end(i.READ, PROMPT // 2, may_hold=True))
+            return
+
+        def begun() -> None:
+            if attempt.begin():
+                answer = int(self.rng.expovariate(1 / (ANSWER * TOKEN_S)) * 1e6)
+                self.deadlines.after(answer, lambda: attempt.end(i.ANSWERED, PROMPT // 2))
+        self.deadlines.after(int(TOKEN_S * 1e6), begun)
+
+    def cancel(self, attempt: Attempt) -> bool:
+        return True
+
+    def begun(self, attempt: Attempt) -> bool:
+        return True
+
+    def probe(self, engine: int) -> None:
+        self.deadlines.after(1_000, lambda: self.dispatcher.probed(engine, i.ANSWERED, (0.5, 1.0)))
+
+    def release(self, request: Request, engines: Collection[int]) -> None:
+        pass
+
+
+class Arrivals:
+    """Requests at a hollow dispatcher by an event clock of its own: a Poisson stream, openings and talks drawn."""
+
+    def __init__(self, dispatcher: Dispatcher, deadlines: Deadlines, rate_per_s: float, rng: random.Random) -> None:
+        self.dispatcher, self.deadlines, self.rate, self.rng = dispatcher, deadlines, rate_per_s, rng
+        self.ended: dict[str, int] = {"served": 0, "refused": 0, "failed": 0}
+        dispatcher.backend = NoEngines(dispatcher, deadlines, rng)
+        self._stopped = False
+        self._due = deadlines.clock()
+        self._next()
+
+    def _next(self) -> None:
+        self._due += int(self.rng.expovariate(self.rate) * 1e6)
+        self.deadlines.at(self._due, self._arrive)
+
+    def _arrive(self) -> None:
+        if self._stopped:
+            return
+        rng = self.rng
+        ask = Ask(0, 8_000_000, max(64, int(rng.expovariate(1 / PROMPT))), 2 * ANSWER, rng.randrange(1, 1 << 30),
+                  rng.randrange(1, 512), PROMPT // 2, rng.randrange(760))
+        self.dispatcher.take(ask, NoClient(self._count), None)
+        self._next()
+
+    def _count(self, how: str) -> None:
+        self.ended[how] += 1
+
+    def stop(self) -> None:
+        self._stopped = True
