--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -158,3 +158,27 @@
     for name, (rows, told) in runs.items():
         print(f"{name}\n{report.text(report.figures(rows, told))}\n")
     print(out)
+
+
+@app.command("soak")
+def run_soak(
+    seeds: Annotated[int, typer.Option(help="how many seeds to play")] = 10,
+    first: Annotated[int, typer.Option(help="the first seed")] = 1,
+    seconds: Annotated[float, typer.Option(help="of load for each seed")] = 12.0,
+    dispatchers: Annotated[int, typer.Option(help="real processes, 10 to 40", min=10, max=40)] = 10,
+    logs: Annotated[Path | None, typer.Option(help="a folder for the log lines behind each violation")] = None,
+) -> None:
+    """Randomized fault soak: real dispatchers, overlapping faults, the rules as oracle. Exit code 1: a violation."""
+    from pearhill.lab.soak import run
+
+    broken = 0
+    for seed in range(first, first + seeds):
+        report = run.play(seed, seconds, dispatchers)
+        print(report.text(), flush=True)
+        broken += bool(report.violations)
+        if logs and report.violations:
+            logs.mkdir(parents=True, exist_ok=True)
+            for name, lines in report.logs.items():
+                (logs / f"{seed}-{name}.log").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    print(f"{seeds} seeds from {first}, {broken} with violations")
+    raise typer.Exit(1 if broken else 0)
--- /dev/null
+++ b/pearhill/lab/soak/plan.py
@@ -0,0 +1,163 @@
+"""What a seed stands for: settings, a fleet, and a time line of troubles that overlap."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from pearhill.lab.soak.clients import ClassOfRequests
+from pearhill.lab.soak.oracle import KEYED, SAFE, SECOND, UNSAFE, Rules
+from pearhill.lab.soak.replicas import MISBEHAVIOURS
+
+ZONES = ("north", "south")
+TROUBLES = (
+    "terminate",
+    "kill",
+    "reload",
+    "hold",
+    "wall",
+    "cut",
+    "misbehave",
+    "restart-replica",
+    "drain-replica",
+    "silence-agents",
+    "resets",
+    "fail-calls",
+    "pieces",
+)
+CALL_ERRORS = (
+    ("accept", "ECONNABORTED"),
+    ("accept", "ENFILE"),
+    ("accept", "ENOBUFS"),
+    ("socket", "ENFILE"),
+    ("socket", "ENOBUFS"),
+    ("connect", "EADDRNOTAVAIL"),
+    ("connect", "ENETUNREACH"),
+    ("write-log", "ENOSPC"),
+)
+WALL_STEPS_S = (-3600.0, -7.0, -2.0, 2.0, 7.0, 3600.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """`at` and `lasts` in seconds from the first request; `pick` chooses whom it meets."""
+
+    kind: str
+    at: float
+    lasts: float
+    pick: float
+    how: str = ""
+    amount: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    seed: int
+    seconds: float
+    dispatchers: int
+    readers: int
+    writers: int
+    mixed: int
+    rate: float
+    settings: dict[str, Any]
+    classes: list[ClassOfRequests]
+    rules: Rules
+    troubles: list[Trouble]
+
+
+def _settings(rng: random.Random, dispatchers: int, classes: list[ClassOfRequests]) -> dict[str, Any]:
+    told = [
+        {
+            "name": c.name,
+            "aim": c.ttl_ms * 300,
+            "deadline": c.ttl_ms * 1000,
+            "effect": c.effect,
+            "group": "all",
+            "window": c.window,
+            "worth": worth,
+            "late-worth": 0.2,
+        }
+        for c, worth in zip(classes, (1, 2, 3), strict=True)
+    ]
+    return {
+        "allowed": {
+            "conn-idle": rng.choice((4_000_000, 15_000_000)),
+            "connect-timeout": 250_000,
+            "max-attempts": 5,
+            "max-retry-after": 500_000,
+            "may-cancel": True,
+            "most-held": 1000,
+            "retry-after": True,
+            "second-copies": False,
+        },
+        "classes": told,
+        "extra": {
+            "aim-us-per-1000-prompt-tokens": [40000] * 3,
+            "local-read": rng.random() < 0.5,
+            "release-within": 300_000,
+            "role-by-kind": ["read", "write", "both"],
+            "tokens-by-kind": [200_000] * 3,
+            "token-aim": [70_000] * 3,
+        },
+        "models": ["read", "write", "both"],
+        "n-instances": dispatchers,
+        "zone": 0,
+        "zones": list(ZONES),
+        "rules": {
+            "cold": 8_000_000,
+            "cold-from": rng.choice((0.1, 0.28)),
+            "fall": 1_500_000,
+            "fall-multiple": rng.choice((1.5, 2.5)),
+            "drain-grace": 500_000,
+        },
+        "tick": 2000,
+    }
+
+
+def _trouble(rng: random.Random, kind: str, seconds: float) -> Trouble:
+    at, lasts, pick = rng.uniform(0.5, seconds - 1), rng.uniform(0.5, seconds / 2), rng.random()
+    match kind:
+        case "hold":
+            return Trouble(kind, at, rng.uniform(0.02, 0.15), pick)
+        case "wall":
+            return Trouble(kind, at, 0, pick, amount=rng.choice(WALL_STEPS_S))
+        case "misbehave":
+            return Trouble(kind, at, lasts, pick, rng.choice(MISBEHAVIOURS), rng.choice((0.3, 1.0)))
+        case "fail-calls":
+            call, error = rng.choice(CALL_ERRORS)
+            return Trouble(kind, at, min(lasts, 1.0), pick, f"{call} {error}", rng.choice((0.3, 0.8)))
+        case "resets":
+            return Trouble(kind, at, lasts, pick, amount=0.05)
+        case "pieces":
+            return Trouble(kind, at, lasts, pick, amount=rng.choice((7, 100)))
+    return Trouble(kind, at, lasts, pick)
+
+
+def draw(seed: int, seconds: float = 12.0, dispatchers: int = 10) -> Plan:
+    """The plan of a seed: the same settings, fleet and troubles every time."""
+    rng = random.Random(seed)
+    classes = [
+        ClassOfRequests("advice", SAFE, 0, rng.choice((1500, 3000))),
+        ClassOfRequests("edit", KEYED, rng.choice((600_000, 2_000_000)), rng.choice((2000, 4000))),
+        ClassOfRequests("booking", UNSAFE, 0, rng.choice((2000, 4000))),
+    ]
+    settings = _settings(rng, dispatchers, classes)
+    readers, writers, mixed = rng.randint(3, 4), rng.randint(3, 5), rng.randint(0, 2)
+    rate, rules = rng.choice((60.0, 100.0)), settings["rules"]
+    limits = Rules(
+        300_000,
+        rules["drain-grace"],
+        rules["cold"],
+        rules["cold-from"],
+        rules["fall"],
+        rules["fall-multiple"],
+        1.4 * rate / (min(readers, writers) + mixed),
+        400_000,
+    )
+    kinds = [rng.choice(TROUBLES) for _ in range(rng.randint(6, 10))]
+    troubles = sorted((_trouble(rng, kind, seconds) for kind in kinds), key=lambda t: t.at)
+    return Plan(seed, seconds, dispatchers, readers, writers, mixed, rate, settings, classes, limits, troubles)
+
+
+__all__ = ["SECOND", "Plan", "Trouble", "draw"]
--- /dev/null
+++ b/pearhill/lab/soak/processes.py
@@ -0,0 +1,144 @@
+"""Dispatchers as processes under the shim: their start, commands, signals, logs and end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from pearhill.lab.soak.clients import Door
+from pearhill.lab.soak.oracle import SECOND, Oracle
+
+READY_WITHIN_S = 30.0
+KEPT_LINES = 400
+_LISTENS = re.compile(r"listens on ([\d.]+):(\d+)")
+_FAULTS = re.compile(r"Traceback|task failed|failed on|reached its deadline without an answer|violation")
+
+
+class Dispatcher:
+    """One dispatcher: its name and configuration stay through restarts, its process and port do not."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        settings: dict[str, Any],
+        discovery: str,
+        oracle: Oracle,
+        clock: Callable[[], int],
+        seed: int,
+    ) -> None:
+        self.name, self.settings, self.discovery = name, settings, discovery
+        self.oracle, self.clock, self.seed = oracle, clock, seed
+        self.path = folder / f"{name}.json"
+        self.log: list[str] = []
+        self.door: Door | None = None
+        self.starts = 0
+        self.ending = False
+        self.commands: list[str] = []  # given to each new process too
+        self._listening = asyncio.Event()
+        self.process: asyncio.subprocess.Process | None = None
+        self._follower: asyncio.Task[None] | None = None
+
+    def write_config(self) -> None:
+        self.path.write_text(
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": "127.0.0.1:0",
+                    "discovery": self.discovery,
+                    "seed": f"{self.seed + self.starts:x}",
+                    "settings": self.settings,
+                    "limits": {"sockets": 512},
+                    "known": {"rev": 0, "all": True, "targets": []},
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        self.starts += 1
+        self.ending = False
+        self.write_config()
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        environ |= {"RELAY_CONFIG": str(self.path), "SOAK_SEED": str(self.seed)}
+        self._listening.clear()
+        process = self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "pearhill.lab.soak.shim",
+            stdin=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            env=environ,
+        )
+        for line in self.commands:
+            self._say(line)
+        self._follower = asyncio.ensure_future(self._follow(process))
+        await asyncio.wait_for(self._listening.wait(), READY_WITHIN_S)
+
+    async def _follow(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        while raw := await process.stderr.readline():
+            line = raw.decode(errors="replace").rstrip()
+            self.log.append(line)
+            del self.log[:-KEPT_LINES]
+            if found := _LISTENS.search(line):
+                self.door = Door(self.name, found[1], int(found[2]))
+                self._listening.set()
+            if _FAULTS.search(line):
+                self.oracle.process_fault(self.clock(), self.name, line)
+        code = await process.wait()
+        if self.ending:
+            if code not in (0, -signal.SIGKILL):
+                self.oracle.process_fault(self.clock(), self.name, f"exit code {code} after SIGTERM")
+        else:
+            self.oracle.process_fault(self.clock(), self.name, f"ended by itself with exit code {code}")
+
+    def _say(self, line: str) -> None:
+        if self.process and self.process.stdin and self.process.returncode is None:
+            self.process.stdin.write(line.encode() + b"\n")
+
+    def command(self, line: str, lasting: bool = False) -> None:
+        """A line to the shim. `lasting`: processes started later get it too."""
+        if lasting:
+            self.commands.append(line)
+        self._say(line)
+
+    def signal(self, number: int) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def reload(self, discovery: str) -> None:
+        self.discovery = discovery
+        self.write_config()
+        self.signal(signal.SIGHUP)
+
+    async def terminate(self, within_s: float) -> bool:
+        """SIGTERM, and SIGKILL after so long. True: it ended by itself."""
+        process = self.process
+        assert process
+        self.ending = True
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), within_s)
+            return True
+        except TimeoutError:
+            self.oracle.killed(self.clock(), self.name)
+            process.kill()
+            await process.wait()
+            return False
+
+    async def kill(self) -> None:
+        process = self.process
+        if process and process.returncode is None:
+            self.ending = True
+            self.oracle.killed(self.clock() + SECOND, self.name)
+            process.kill()
+            await process.wait()
+        if self._follower:
+            await self._follower
--- /dev/null
+++ b/pearhill/lab/soak/replicas.py
@@ -0,0 +1,286 @@
+"""Replicas that speak the platform's protocol, misbehave on command, and report what arrives to the oracle."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pearhill.http1.messages import LAST_CHUNK, RequestMessage, answer, chunk, stream_head
+from pearhill.http1.server import ServerConnection
+from pearhill.lab.soak.oracle import Attempt, Oracle
+from pearhill.lab.soak.proxy import Proxy, reset
+
+READER, WRITER, MIXED = "read", "write", "both"
+EVENTS = 6
+HANG_S = 60.0
+MISBEHAVIOURS = ("error", "reset", "hang", "stall", "full", "half-line", "second-answer", "late-answer")
+_EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%d "},"finish_reason":null}]}\n\n'
+_LAST = (
+    b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":6,"prompt_tokens_details":'
+    b'{"cached_tokens":4}}}\n\ndata: [DONE]\n\n'
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Speeds:
+    read_s: float
+    first_event_s: float
+    event_s: float
+
+
+class Replica:
+    """One replica behind its proxy. `misbehaves`: the share of requests on which it does what `how` says."""
+
+    def __init__(
+        self,
+        uid: str,
+        role: str,
+        zone: str,
+        cell: int,
+        speeds: Speeds,
+        oracle: Oracle,
+        seed: int,
+        clock: Callable[[], int],
+    ) -> None:
+        self.uid, self.role, self.zone, self.cell, self.speeds = uid, role, zone, cell, speeds
+        self.oracle, self.rng, self.clock, self.seed = oracle, random.Random(seed), clock, seed
+        self.misbehaves, self.how = 0.0, "error"
+        self.state, self.boot_ms = "active", 0
+        self.requests = 0
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0, backlog=1024)
+        self.proxy = Proxy(self._server.sockets[0].getsockname()[1], self.seed)
+        await self.proxy.start()
+
+    def restart(self, wall_ms: int) -> None:
+        """The process dies, its connections with it, and a cold one is there at once."""
+        for task in list(self._connections):
+            task.cancel()
+        self.oracle.reader_restarted(self.uid)
+        self.boot_ms = wall_ms
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self._connections.add(task)
+        machine = ServerConnection()
+        try:
+            while data := await reader.read(1 << 16):
+                for message in machine.feed(data):
+                    if not isinstance(message, RequestMessage) or not await self._serve(message, reader, writer):
+                        return
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            machine.close()
+            self._connections.discard(task)
+            writer.transport.abort()
+
+    async def _serve(self, message: RequestMessage, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """False: the connection ends here."""
+        if message.path.startswith("/state/"):
+            request = message.path.removeprefix("/state/")
+            self.oracle.released(self.clock(), request, self.uid)
+            writer.write(answer(204 if message.method == "DELETE" else 404))
+            return True
+        if message.method != "POST":
+            writer.write(answer(404))
+            return True
+        return await self._attempt(message, reader, writer)
+
+    async def _attempt(
+        self,
+        message: RequestMessage,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request = message.headers.get("request-id", "")
+        told = int(message.headers.get("request-timeout-ms", "0"))
+        self.requests += 1
+        attempt = self.oracle.arrived(self.clock(), request, self.uid, self.role != READER, told)
+        left = asyncio.ensure_future(_end_of(reader))
+        work = asyncio.ensure_future(self._work(request, attempt, writer))
+        try:
+            await asyncio.wait((left, work), return_when=asyncio.FIRST_COMPLETED)
+            return work.done() and not left.done() and await work
+        finally:
+            if left.done():
+                attempt.closed_by_dispatcher = True
+            left.cancel()
+            work.cancel()
+            await asyncio.gather(left, work, return_exceptions=True)
+            if not attempt.ended:
+                self.oracle.attempt_over(self.clock(), request, attempt)
+
+    async def _work(self, request: str, attempt: Attempt, writer: asyncio.StreamWriter) -> bool:
+        how = self.how if self.rng.random() < self.misbehaves else ""
+        if how == "full":
+            return self._turned_away(request, attempt, writer, 503)
+        if how == "hang":
+            await asyncio.sleep(HANG_S)
+        if self.role == READER:
+            return await self._read(request, attempt, writer, how)
+        return await self._write(request, attempt, writer, how)
+
+    def _turned_away(self, request: str, attempt: Attempt, writer: asyncio.StreamWriter, status: int) -> bool:
+        self.oracle.attempt_over(self.clock(), request, attempt, never_ran=True)
+        writer.write(answer(status, (("Not-Started", "1"),)))
+        return True
+
+    async def _read(self, request: str, attempt: Attempt, writer: asyncio.StreamWriter, how: str) -> bool:
+        await asyncio.sleep(self.speeds.read_s * self.rng.uniform(0.5, 1.5) * (4 if how == "late-answer" else 1))
+        if how in ("error", "half-line"):
+            writer.write(answer(500))
+            return True
+        self.oracle.read(self.clock(), request, self.uid)
+        self.oracle.attempt_over(self.clock(), request, attempt)
+        if how in ("reset", "stall"):  # the read has ended well, its answer is lost
+            reset(writer)
+            return False
+        writer.write(answer(202, (("Content-Type", "application/json"),), json.dumps({"cached_tokens": 4}).encode()))
+        return await self._second_answer(writer) if how == "second-answer" else True
+
+    async def _second_answer(self, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(0.002)
+        writer.write(answer(500))
+        return True
+
+    async def _write(self, request: str, attempt: Attempt, writer: asyncio.StreamWriter, how: str) -> bool:
+        if self.role == WRITER and not self.oracle.holds(request):
+            return self._turned_away(request, attempt, writer, 410)
+        if how == "error":
+            writer.write(answer(500))
+            return True
+        await asyncio.sleep(self.speeds.first_event_s * self.rng.uniform(0.5, 2.0) * (4 if how == "late-answer" else 1))
+        if how == "reset":
+            reset(writer)
+            return False
+        self.oracle.fetched(request)
+        writer.write(stream_head(200, (("Content-Type", "text/event-stream"),)))
+        for number in range(EVENTS):
+            writer.write(chunk(_EVENT % number))
+            await writer.drain()
+            await asyncio.sleep(self.speeds.event_s)
+            if number == EVENTS // 2 and how == "stall":
+                await asyncio.sleep(HANG_S)
+            if number == EVENTS // 2 and how == "half-line":
+                writer.write(chunk(b'data: {"choi'))
+                return False
+        writer.write(chunk(_LAST) + LAST_CHUNK)
+        await writer.drain()
+        return await self._second_answer(writer) if how == "second-answer" else True
+
+    def target(self) -> dict[str, object]:
+        """This replica as discovery lists it."""
+        return {
+            "uid": self.uid,
+            "endpoint": self.proxy.address,
+            "az": self.zone,
+            "model": self.role,
+            "pod_group": self.cell,
+            "state": self.state,
+            "capacity_hint": 1.0,
+            "boot_ms": self.boot_ms,
+        }
+
+    def close(self) -> None:
+        self.proxy.close()
+        if self._server:
+            self._server.close()
+
+
+async def _end_of(reader: asyncio.StreamReader) -> None:
+    """Returns when the dispatcher has closed the connection of an attempt, or says something out of turn."""
+    await reader.read(1)
+
+
+REQUEST_TARGET = re.compile(r"after=(\d+)(?:&wait_ms=(\d+))?")
+
+
+class Agent:
+    """One dispatcher's discovery agent: it has the list, and may be silent."""
+
+    def __init__(self, dispatcher: str, oracle: Oracle, clock: Callable[[], int]) -> None:
+        self.dispatcher, self.oracle, self.clock = dispatcher, oracle, clock
+        self.rev, self.targets = 1, dict[str, dict[str, object]]()
+        self._changed = asyncio.Condition()
+        self._silent: asyncio.Event | None = None
+        self._late: list[dict[str, object]] = []
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    @property
+    def is_silent(self) -> bool:
+        return self._silent is not None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=64)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def tell(self, target: dict[str, object]) -> None:
+        """A change. While the agent is silent it learns nothing; what it gets at its return counts at once."""
+        if self._silent:
+            self._late.append(target)
+            return
+        async with self._changed:
+            self._learn(target)
+            self._changed.notify_all()
+
+    def _learn(self, target: dict[str, object]) -> None:
+        uid = str(target["uid"])
+        self.rev += 1
+        self.targets[uid] = target
+        self.oracle.told(self.clock(), self.dispatcher, uid, target["state"] == "active")
+
+    async def silence(self, on: bool) -> None:
+        if on:
+            self._silent = self._silent or asyncio.Event()
+            return
+        if self._silent:
+            self._silent.set()
+            self._silent = None
+        async with self._changed:
+            late, self._late = self._late, []
+            for target in late:
+                self._learn(target)
+            self._changed.notify_all()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        machine = ServerConnection()
+        try:
+            while data := await reader.read(1 << 14):
+                for message in machine.feed(data):
+                    if not isinstance(message, RequestMessage):
+                        return
+                    if silent := self._silent:  # a connection on which an answer was missed stays silent for good
+                        await silent.wait()
+                        return
+                    writer.write(answer(200, (("Content-Type", "application/json"),), await self._list(message.target)))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            machine.close()
+            writer.transport.abort()
+
+    async def _list(self, target: str) -> bytes:
+        if found := REQUEST_TARGET.search(target):
+            after, wait_s = int(found[1]), int(found[2] or 0) / 1000
+            async with self._changed:
+                try:
+                    await asyncio.wait_for(self._changed.wait_for(lambda: self.rev > after), wait_s)
+                except TimeoutError:
+                    return json.dumps({"rev": self.rev, "all": False, "targets": []}).encode()
+        return json.dumps({"rev": self.rev, "all": True, "targets": list(self.targets.values())}).encode()
+
+    def close(self) -> None:
+        if self._server:
+            self._server.close()
--- /dev/null
+++ b/pearhill/lab/soak/shim.py
@@ -0,0 +1,113 @@
+"""A dispatcher whose clock, sockets and files fail on command: `python -m pearhill.lab.soak.shim`.
+
+Commands come one a line on standard input:
+
+    wall SECONDS              the wall clock is stepped; the monotonic clock runs on
+    fail CALL ERRNO SHARE     CALL (accept, socket, connect, write-file, write-log) fails so in this share of cases
+    pieces BYTES              reads and writes on sockets are cut to at most so many bytes; 0: whole again
+
+Python's own functions are replaced before the program is imported, so that the program itself is the real one.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import pathlib
+import random
+import runpy
+import socket
+import sys
+import threading
+import time
+from typing import Any
+
+_real_time_ns = time.time_ns
+_RealSocket = socket.socket
+
+
+class Faults:
+    """What fails now. Written by the command thread, read by the program."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.wall_ns = 0
+        self.pieces = 0
+        self.failing: dict[str, tuple[int, float]] = {}
+
+    def command(self, line: str) -> None:
+        match line.split():
+            case ["wall", seconds]:
+                self.wall_ns += int(float(seconds) * 1e9)
+            case ["fail", call, name, share]:
+                self.failing[call] = getattr(errno, name), float(share)
+            case ["pieces", size]:
+                self.pieces = int(size)
+
+    def check(self, call: str) -> None:
+        """OSError: this call fails now."""
+        number, share = self.failing.get(call, (0, 0.0))
+        if share and self.rng.random() < share:
+            raise OSError(number, os.strerror(number))
+
+
+def _socket_class(faults: Faults) -> type[socket.socket]:
+    class FaultySocket(_RealSocket):
+        def __init__(self, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
+            if fileno is None:
+                faults.check("socket")
+            super().__init__(family, type, proto, fileno)
+
+        def accept(self) -> tuple[socket.socket, Any]:
+            faults.check("accept")
+            return super().accept()
+
+        def connect(self, address: Any) -> None:
+            faults.check("connect")
+            super().connect(address)
+
+        def send(self, data: Any, flags: int = 0) -> int:
+            return super().send(memoryview(data)[: faults.pieces] if faults.pieces else data, flags)
+
+        def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+            view = memoryview(buffer)
+            return super().recv_into(view[: faults.pieces] if faults.pieces else view, nbytes, flags)
+
+    return FaultySocket
+
+
+def install(faults: Faults) -> None:
+    """Replace the standard library's calls by those that may fail."""
+    time.time_ns = lambda: _real_time_ns() + faults.wall_ns
+    time.time = lambda: time.time_ns() / 1e9
+    socket.socket = _socket_class(faults)  # type: ignore[misc]
+    write_bytes, write_log = pathlib.Path.write_bytes, sys.stderr.write
+
+    def checked_write_bytes(path: pathlib.Path, data: Any) -> int:
+        faults.check("write-file")
+        return write_bytes(path, data)
+
+    def checked_write_log(text: str) -> int:
+        faults.check("write-log")
+        return write_log(text)
+
+    pathlib.Path.write_bytes = checked_write_bytes  # type: ignore[method-assign, assignment]
+    sys.stderr.write = checked_write_log  # type: ignore[method-assign]
+
+
+def _follow(faults: Faults) -> None:
+    for line in sys.stdin:
+        faults.command(line)
+
+
+def main() -> int:
+    faults = Faults(int(os.environ.get("SOAK_SEED", "0")))
+    install(faults)
+    threading.Thread(target=_follow, args=(faults,), daemon=True).start()
+    sys.argv = sys.argv[:1]
+    runpy.run_module("pearhill", run_name="__main__", alter_sys=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
