--- a/pearhill/lab/scale/discovery.py
+++ b/pearhill/lab/scale/discovery.py
@@ -25,8 +25,10 @@
 
 KEEP_S = 180.0  # as far back as Eureka's own deltas reach
 UP, LEAVING = "UP", "OUT_OF_SERVICE"
-SIZES = {"reader": ServerTable("reader", slots=64, queue=256, memory_tokens=400_000),
-         "writer": ServerTable("writer", slots=128, queue=256, memory_tokens=400_000, write_tokens_per_s=40.0)}
+SIZES = {
+    "reader": ServerTable("reader", slots=64, queue=256, memory_tokens=400_000),
+    "writer": ServerTable("writer", slots=128, queue=256, memory_tokens=400_000, write_tokens_per_s=40.0),
+}
 
 
 class Registry:
@@ -38,22 +40,35 @@
         self.keep_s, self.version = keep_s, 0
         self._made: dict[bool, tuple[int, float, bytes]] = {}
 
-    def put(self, id: str, address: str, kind: str, zone: str, now: float, status: str = UP,
-            started: bool = True) -> None:
+    def put(
+        self, id: str, address: str, kind: str, zone: str, now: float, status: str = UP, started: bool = True
+    ) -> None:
         """`now`: of the monotonic clock; it stands in the row, so that who gets it can tell how old the change is."""
         host, _, port = address.rpartition(":")
         action, before = "MODIFIED" if id in self.rows else "ADDED", self.rows.get(id)
         up_ms = int(time.time() * 1000) if started else before["leaseInfo"]["serviceUpTimestamp"] if before else 0
         self.rows[id] = row = {
-            "instanceId": id, "hostName": host, "app": APP, "ipAddr": host, "status": status,
-            "overriddenstatus": "UNKNOWN", "port": {"$": int(port), "@enabled": "true"},
-            "securePort": {"$": 443, "@enabled": "false"}, "countryId": 1,
+            "instanceId": id,
+            "hostName": host,
+            "app": APP,
+            "ipAddr": host,
+            "status": status,
+            "overriddenstatus": "UNKNOWN",
+            "port": {"$": int(port), "@enabled": "true"},
+            "securePort": {"$": 443, "@enabled": "false"},
+            "countryId": 1,
             "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
             "leaseInfo": {"renewalIntervalInSecs": 30, "durationInSecs": 90, "serviceUpTimestamp": up_ms},
-            "metadata": {"kind": kind, "zone": zone, "cell": str(zlib.crc32(zone.encode()) % 997),
-                         "changed_us": str(int(now * 1e6))},
-            "vipAddress": APP.lower(), "lastUpdatedTimestamp": str(int(time.time() * 1000)),
-            "lastDirtyTimestamp": str(int(time.time() * 1000))}
+            "metadata": {
+                "kind": kind,
+                "zone": zone,
+                "cell": str(zlib.crc32(zone.encode()) % 997),
+                "changed_us": str(int(now * 1e6)),
+            },
+            "vipAddress": APP.lower(),
+            "lastUpdatedTimestamp": str(int(time.time() * 1000)),
+            "lastDirtyTimestamp": str(int(time.time() * 1000)),
+        }
         self._changed(now, action, row)
 
     def drop(self, id: str, now: float) -> None:
@@ -71,9 +86,13 @@
         last = {c[2]["instanceId"]: {**c[2], "actionType": c[1]} for c in self.changes}
         rows = list(last.values()) if delta else list(self.rows.values())
         counts = Counter(row["status"] for row in self.rows.values())
-        told = {"applications": {"versions__delta": str(self.version),
-                                 "apps__hashcode": "".join(f"{s}_{counts[s]}_" for s in sorted(counts)),
-                                 "application": [{"name": APP, "instance": rows}] if rows else []}}
+        told = {
+            "applications": {
+                "versions__delta": str(self.version),
+                "apps__hashcode": "".join(f"{s}_{counts[s]}_" for s in sorted(counts)),
+                "application": [{"name": APP, "instance": rows}] if rows else [],
+            }
+        }
         self._made[delta] = self.version, now, json.dumps(told).encode()
         return self._made[delta][2]
 
@@ -104,8 +123,13 @@
             case "open":
                 return await self._open(told)
             case "counts":
-                return {"counts": dict(self.counts), "version": self.registry.version, "rows": len(self.registry.rows),
-                        "cpu_s": time.process_time(), "at": time.monotonic()}
+                return {
+                    "counts": dict(self.counts),
+                    "version": self.registry.version,
+                    "rows": len(self.registry.rows),
+                    "cpu_s": time.process_time(),
+                    "at": time.monotonic(),
+                }
             case "names":
                 return {"names": list(self.registry.rows)}
             case "replace":
@@ -113,12 +137,19 @@
             case "drain":
                 return {"changed": [self._drain(id) for id in self._drawn(told["count"])]}
             case "die":
-                ids = [id for id in self.registry.rows if self.registry.rows[id]["metadata"]["zone"] == told["zone"]
-                       ] if told.get("zone") else self._drawn(told["count"])
+                ids = (
+                    [id for id in self.registry.rows if self.registry.rows[id]["metadata"]["zone"] == told["zone"]]
+                    if told.get("zone")
+                    else self._drawn(told["count"])
+                )
                 return {"changed": [await self._die(id, told["listed_s"]) for id in ids]}
             case "add":
-                return {"changed": [await self._add(self.rng.choice(told.get("zones") or self.zones),
-                                                    told.get("kind") or "writer") for _ in range(told["count"])]}
+                return {
+                    "changed": [
+                        await self._add(self.rng.choice(told.get("zones") or self.zones), told.get("kind") or "writer")
+                        for _ in range(told["count"])
+                    ]
+                }
             case "turn":
                 ids = [id for id, kind in self.kinds.items() if kind != told["kind"] and id in self.registry.rows]
                 ids = self.rng.sample(ids, min(told["count"], len(ids)))
@@ -170,6 +201,7 @@
         def lost() -> None:
             if id in self.registry.rows:
                 self.registry.drop(id, time.monotonic())
+
         asyncio.get_running_loop().call_later(listed_s, lost)
         return id
 
--- a/pearhill/lab/scale/files.py
+++ b/pearhill/lab/scale/files.py
@@ -87,8 +87,17 @@
 def places(s: ScaleTable, count: int) -> list[Place]:
     """Dispatchers spread over the zones, one after the other; every so many-th is a heavy one."""
     rng, ports, n = random.Random(s.seed), free_ports(count), s.regions * s.zones_per_region
-    return [Place(f"d{k}", f"{HERE}:{ports[k]}", k % n // s.zones_per_region, k % n, rng.getrandbits(31),
-                  s.heavy if k % s.heavy_every == s.heavy_every - 1 else 1.0) for k in range(count)]
+    return [
+        Place(
+            f"d{k}",
+            f"{HERE}:{ports[k]}",
+            k % n // s.zones_per_region,
+            k % n,
+            rng.getrandbits(31),
+            s.heavy if k % s.heavy_every == s.heavy_every - 1 else 1.0,
+        )
+        for k in range(count)
+    ]
 
 
 def tenant_key(seed: int, tenant: int = 0) -> str:
@@ -105,11 +114,20 @@
     return "".join(made)
 
 
-def template(s: ScaleTable, way: str, members: Sequence[Place], aggregators: Mapping[str, str], discovery: str,
-             key_file: str, max_out: int = 800) -> str:
+def template(
+    s: ScaleTable,
+    way: str,
+    members: Sequence[Place],
+    aggregators: Mapping[str, str],
+    discovery: str,
+    key_file: str,
+    max_out: int = 800,
+) -> str:
     """The operator's file of every dispatcher, with places for what is each one's own."""
-    text = (f'[chat]\nlisten = "{HERE}:0"\nadmin_addr = "{HERE}:0"\nsockets = 512\nseed = @seed@\n'
-            f'default_class = "chat"\nmax_out = {max_out}\n')
+    text = (
+        f'[chat]\nlisten = "{HERE}:0"\nadmin_addr = "{HERE}:0"\nsockets = 512\nseed = @seed@\n'
+        f'default_class = "chat"\nmax_out = {max_out}\n'
+    )
     text += "".join(f'\n[[chat.model]]\nname = "{name}"\n' for name in MODELS) + _tenants(s.tenants, s.seed)
     text += SETTINGS.format(instances=len(members), zones=json.dumps(zones(s)))
     text += f'\n[eureka]\naddress = "{discovery}"\nservers = "{APP}"\nfetch_s = {s.fetch_s}\n'
@@ -119,13 +137,20 @@
     if way == "talk":
         return text + "".join(f'[[fleet.peer]]\nname = "{p.name}"\naddress = "{p.listen}"\n' for p in members)
     text += 'region = "@region@"\n'
-    return text + "".join(f'[[fleet.aggregator]]\nname = "{name}"\naddress = "{address}"\nregion = "r{k % s.regions}"\n'
-                          for k, (name, address) in enumerate(aggregators.items()))
+    return text + "".join(
+        f'[[fleet.aggregator]]\nname = "{name}"\naddress = "{address}"\nregion = "r{k % s.regions}"\n'
+        for k, (name, address) in enumerate(aggregators.items())
+    )
 
 
 def filled(text: str, place: Place) -> str:
-    for mark, value in ((NAME, place.name), (LISTEN, place.listen), (SEED, str(place.seed)), (ZONE, str(place.zone)),
-                        (REGION, f"r{place.region}")):
+    for mark, value in (
+        (NAME, place.name),
+        (LISTEN, place.listen),
+        (SEED, str(place.seed)),
+        (ZONE, str(place.zone)),
+        (REGION, f"r{place.region}"),
+    ):
         text = text.replace(mark, value)
     return text
 
--- a/pearhill/lab/scale/fit.py
+++ b/pearhill/lab/scale/fit.py
@@ -77,7 +77,7 @@
     top = max(abs(p.value) for p in points) or 1.0
     missed = []
     for k, p in enumerate(points):
-        rest = [*points[:k], *points[k + 1:]]
+        rest = [*points[:k], *points[k + 1 :]]
         found, rows, _ = _solve(rest, terms)
         if numpy.linalg.matrix_rank(rows) < rows.shape[1]:
             return []
@@ -115,8 +115,9 @@
         missed = _left_out(points, terms)
         found, _, _ = _solve(points, terms)
         if missed and (len(found) == 1 or _growth_shows(points, terms) and not _sinks(found, terms, points, size)):
-            judged.append((len(terms(1, 1)), statistics.mean(missed),
-                           statistics.stdev(missed) / math.sqrt(len(missed)), form))
+            judged.append(
+                (len(terms(1, 1)), statistics.mean(missed), statistics.stdev(missed) / math.sqrt(len(missed)), form)
+            )
     if not judged:
         return None
     best = min(judged, key=lambda one: one[1])
@@ -129,5 +130,11 @@
     variance = float(rests @ rests) / free
     spread = math.sqrt(max(0.0, variance * float(row @ numpy.linalg.pinv(rows.T @ rows) @ row)))
     half = T95[min(free, len(T95)) - 1] * spread
-    return Fit(form, {n: float(f"{c:.6g}") for n, c in zip(names, found.tolist(), strict=True)}, error, at,
-               max(0.0, at - half) * (1 - min(1.0, carried)), (at + half) * (1 + carried))
+    return Fit(
+        form,
+        {n: float(f"{c:.6g}") for n, c in zip(names, found.tolist(), strict=True)},
+        error,
+        at,
+        max(0.0, at - half) * (1 - min(1.0, carried)),
+        (at + half) * (1 + carried),
+    )
--- a/pearhill/lab/scale/fleet.py
+++ b/pearhill/lab/scale/fleet.py
@@ -52,8 +52,9 @@
     async def start(self, ready: str) -> None:
         """`ready`: what its log says once it is up. Failed: it is not."""
         with self.log.open("wb") as log:
-            self.process = subprocess.Popen([sys.executable, *self.arguments], stderr=log, stdout=log,
-                                            start_new_session=True)
+            self.process = subprocess.Popen(
+                [sys.executable, *self.arguments], stderr=log, stdout=log, start_new_session=True
+            )
         end = time.monotonic() + UP_WITHIN_S
         while not re.search(ready, told := self.log.read_text(errors="replace")):
             if self.process.poll() is not None or time.monotonic() > end:
@@ -68,6 +69,7 @@
             with urllib.request.urlopen(f"http://{self.door}{path}", timeout=10) as answer:
                 told: dict[str, Any] = json.loads(answer.read())
                 return told
+
         try:
             return await asyncio.to_thread(call)
         except (OSError, ValueError) as e:
@@ -90,8 +92,14 @@
 class RunningFleet:
     """Use it as a context: at the end, and on any error, its processes are gone."""
 
-    def __init__(self, size: FleetSize, scale: ScaleTable, folder: pathlib.Path, told: Told, cuttable: bool = False,
-                 ) -> None:
+    def __init__(
+        self,
+        size: FleetSize,
+        scale: ScaleTable,
+        folder: pathlib.Path,
+        told: Told,
+        cuttable: bool = False,
+    ) -> None:
         self.size, self.scale, self.folder, self.told, self.cuttable = size, scale, folder, told, cuttable
         self.discovery: Child | None = None
         self.hosts: list[Child] = []
@@ -127,22 +135,33 @@
         if not key.exists():
             key.write_text(new_key())
         self.discovery = await Child.start("discovery", "pearhill.lab.scale.discovery", self.folder)
-        opened = await self.discovery.ask("open", replicas=size.replicas, readers=scale.readers, seed=scale.seed,
-                                          zones=files.zones(scale))
+        opened = await self.discovery.ask(
+            "open", replicas=size.replicas, readers=scale.readers, seed=scale.seed, zones=files.zones(scale)
+        )
         self.places = files.places(scale, size.dispatchers)
         self.sites = {f"a{k}": f"{HERE}:{port}" for k, port in enumerate(files.free_ports(size.aggregators))}
         self.text = files.template(scale, size.way, self.places, self.sites, opened["address"], str(key))
         await self._start_aggregators(str(key))
         readers = round(size.replicas * scale.readers)
-        common = {"text": self.text, "work": size.work, "seed": scale.seed, "rate_per_s": size.rate_per_s,
-                  "streams": scale.streams, "spread_s": float(scale.fetch_s), "readers": readers,
-                  "writers": size.replicas - readers}
+        common = {
+            "text": self.text,
+            "work": size.work,
+            "seed": scale.seed,
+            "rate_per_s": size.rate_per_s,
+            "streams": scale.streams,
+            "spread_s": float(scale.fetch_s),
+            "readers": readers,
+            "writers": size.replicas - readers,
+        }
         shares = [*size.hosts(scale.per_process), *[1] * size.alone]
-        self.hosts = list(await asyncio.gather(*(
-            Child.start(f"host{k}", "pearhill.lab.scale.hollow", self.folder) for k in range(len(shares)))))
+        self.hosts = list(
+            await asyncio.gather(
+                *(Child.start(f"host{k}", "pearhill.lab.scale.hollow", self.folder) for k in range(len(shares)))
+            )
+        )
         starts, first = [], 0
         for host, share in zip(self.hosts, shares, strict=True):
-            starts.append(host.ask("open", places=[asdict(p) for p in self.places[first:first + share]], **common))
+            starts.append(host.ask("open", places=[asdict(p) for p in self.places[first : first + share]], **common))
             first += share
         await asyncio.gather(*starts, self._start_real(self.places[first:]))
 
@@ -166,6 +185,7 @@
         async def one(place: Place) -> None:
             async with gate:
                 self.real.append(await self.dispatcher(place.name, filled(self.text, place)))
+
         await asyncio.gather(*map(one, places))
 
     async def dispatcher(self, name: str, text: str) -> Daemon:
@@ -190,7 +210,8 @@
             looked = await self.ask_all("look", engines=[])
             counts = [c for told in looked for c in told["counts"] if self.size.way != "own"]
             if all(c == self.size.dispatchers for c in counts) and all(
-                    n == self.size.replicas for told in looked for n in told["listed"]):
+                n == self.size.replicas for told in looked for n in told["listed"]
+            ):
                 return True
             await asyncio.sleep(1.0)
         return False
@@ -209,7 +230,7 @@
         assert self.discovery
         size = self.size
         real, machines = await self.snapshot(self.real), await self.snapshot(self.aggregators)
-        before = (await self.discovery.ask("counts"))
+        before = await self.discovery.ask("counts")
         # Requests through the Router have work at every writer, and leave none to a mark.
         await self.ask_all("begin", marker="" if size.work == "router" else self.places[0].name)
         await self.discovery.ask("replace", count=1)  # a change whose age is seen as each dispatcher comes to fetch it
@@ -217,26 +238,43 @@
         hosts, after = await self.ask_all("end"), await self.discovery.ask("counts")
         read_at: list[int] = next((told["read_at"] for told in hosts if told["read_at"]), [])
         ages = observe.mark_ages(read_at, [mark for told in hosts for mark in told["marks"]], size.way == "talk")
-        alone, hosts = hosts[len(hosts) - size.alone:], hosts[:len(hosts) - size.alone]
+        alone, hosts = hosts[len(hosts) - size.alone :], hosts[: len(hosts) - size.alone]
         machines_after = await self.snapshot(self.aggregators, last=True)
         real_after = await self.snapshot(self.real, last=True)
         late = spread_ms(told["late"] for told in hosts)
         busy = late is None or late["p99"] * 1000 > LATE_P99_US
         if busy:
-            self.told("    the machine was too busy for this to be read: own beats late, "
-                      f"p99 {late and late['p99']} ms")
+            self.told(
+                "    the machine was too busy for this to be read: own beats late, " f"p99 {late and late['p99']} ms"
+            )
         seconds = after["at"] - before["at"]
         calls = Counter(after["counts"]) - Counter(before["counts"])
-        common = {"way": size.way, "work": size.work, "dispatchers": size.dispatchers, "replicas": size.replicas,
-                  "aggregators": size.aggregators, "seconds": round(self.scale.seconds, 1),
-                  "rate_per_dispatcher": size.rate_per_s if size.work == "router" else 0.0,
-                  "processes": self.processes, "busy": busy}
+        common = {
+            "way": size.way,
+            "work": size.work,
+            "dispatchers": size.dispatchers,
+            "replicas": size.replicas,
+            "aggregators": size.aggregators,
+            "seconds": round(self.scale.seconds, 1),
+            "rate_per_dispatcher": size.rate_per_s if size.work == "router" else 0.0,
+            "processes": self.processes,
+            "busy": busy,
+        }
         aggregator = rates(machines, machines_after) if self.aggregators else None
-        discovery = {"calls_s": round(calls["calls"] / seconds, 3),
-                     "bytes_s": round((calls["bytes_in"] + calls["bytes_out"]) / seconds, 1)}
-        made: dict[str, Any] = {"hollow": {
-            **common, "kind": "hollow", "dispatcher": hollow_figures(hosts), "aggregator": aggregator,
-            "discovery": discovery, "list_age_ms": spread_ms(told["lists"] for told in hosts)}}
+        discovery = {
+            "calls_s": round(calls["calls"] / seconds, 3),
+            "bytes_s": round((calls["bytes_in"] + calls["bytes_out"]) / seconds, 1),
+        }
+        made: dict[str, Any] = {
+            "hollow": {
+                **common,
+                "kind": "hollow",
+                "dispatcher": hollow_figures(hosts),
+                "aggregator": aggregator,
+                "discovery": discovery,
+                "list_age_ms": spread_ms(told["lists"] for told in hosts),
+            }
+        }
         made["hollow"]["dispatcher"]["news_age_ms"] = spread_ms([encoded(array("q", ages))])
         if size.work == "router":
             made["evenness"] = evenness_of(hosts)
@@ -244,8 +282,14 @@
             made["alone"] = {"dispatcher": hollow_figures(alone)}
         if self.real:
             figures = {**rates(real, real_after), "beat_late_ms": None, "news_age_ms": None}
-            made["real"] = {**common, "kind": "real", "dispatcher": figures, "aggregator": aggregator,
-                            "discovery": None, "list_age_ms": None}
+            made["real"] = {
+                **common,
+                "kind": "real",
+                "dispatcher": figures,
+                "aggregator": aggregator,
+                "discovery": None,
+                "list_age_ms": None,
+            }
         return made
 
     async def close(self) -> None:
@@ -269,12 +313,16 @@
         counts.update(told["counts"])
     cpu = sum(told["cpu_s"] - told["own_s"] for told in hosts)
     memory = slope([told["count"] for told in hosts], [told["uss"] for told in hosts])
-    return {"cpu_cores": round(cpu / seconds / count, 6),
-            **{f"{what}_s": round(counts[what] / seconds / count, 2)
-               for what in ("bytes_in", "bytes_out", "messages_in", "messages_out")},
-            "memory_bytes": round(memory) if memory == memory else None,
-            "beat_late_ms": spread_ms(told["late"] for told in hosts),
-            "news_age_ms": None}
+    return {
+        "cpu_cores": round(cpu / seconds / count, 6),
+        **{
+            f"{what}_s": round(counts[what] / seconds / count, 2)
+            for what in ("bytes_in", "bytes_out", "messages_in", "messages_out")
+        },
+        "memory_bytes": round(memory) if memory == memory else None,
+        "beat_late_ms": spread_ms(told["late"] for told in hosts),
+        "news_age_ms": None,
+    }
 
 
 def evenness_of(hosts: list[dict[str, Any]]) -> dict[str, Any]:
@@ -301,7 +349,11 @@
     seconds, count = after.at - before.at, len(after.processes)
     cpu = sum(b.cpu_s - a.cpu_s for a, b in zip(before.processes, after.processes, strict=True))
     counts = after.counts - before.counts
-    return {"cpu_cores": round(cpu / seconds / count, 6),
-            **{f"{what}_s": round(counts[what] / seconds / count, 2)
-               for what in ("bytes_in", "bytes_out", "messages_in", "messages_out")},
-            "memory_bytes": round(statistics.mean(p.uss for p in after.processes))}
+    return {
+        "cpu_cores": round(cpu / seconds / count, 6),
+        **{
+            f"{what}_s": round(counts[what] / seconds / count, 2)
+            for what in ("bytes_in", "bytes_out", "messages_in", "messages_out")
+        },
+        "memory_bytes": round(statistics.mean(p.uss for p in after.processes)),
+    }
--- a/pearhill/lab/scale/hollow.py
+++ b/pearhill/lab/scale/hollow.py
@@ -157,7 +157,7 @@
         began, now = time.thread_time_ns(), self._loop.time()
         self.window.late.append(max(0, int((now - self._due) * 1e6)))
         turns = min(TURNS, max(1, len(self.hollows)))
-        for hollow in list(self.hollows.values())[self._turn % turns::turns]:
+        for hollow in list(self.hollows.values())[self._turn % turns :: turns]:
             hollow.turn(self.marker)
         self._turn += 1
         self._due = max(self._due + TICK_S / turns, now)
@@ -167,8 +167,9 @@
     def drawn(self, weight: float) -> Drawn:
         """Drawn gauges are shared by those of one weight: each takes another set, turned otherwise, at each beat."""
         if weight not in self._drawn:
-            self._drawn[weight] = Drawn(self.readers, self.writers, self.rate_per_s * weight, self.streams * weight,
-                                        self.seed)
+            self._drawn[weight] = Drawn(
+                self.readers, self.writers, self.rate_per_s * weight, self.streams * weight, self.seed
+            )
         return self._drawn[weight]
 
     async def handle(self, told: dict[str, Any]) -> dict[str, Any]:
@@ -235,10 +236,21 @@
             ended.update(hollow.arrivals.ended if hollow.arrivals else {})
             roles.update((e.id, e.role) for e in hollow.service.node.dispatcher.router.router.engines.values())
         gc.collect()
-        return {"count": len(self.hollows), "seconds": seconds, "cpu_s": cpu, "own_s": window.own_ns / 1e9,
-                "counts": dict(counts), "late": encoded(window.late), "marks": window.marks, "read_at": read_at,
-                "lists": encoded(window.lists), "uss": psutil.Process().memory_full_info().uss, "ended": dict(ended),
-                "work": window.work, "roles": roles if self.work == "router" else {}}
+        return {
+            "count": len(self.hollows),
+            "seconds": seconds,
+            "cpu_s": cpu,
+            "own_s": window.own_ns / 1e9,
+            "counts": dict(counts),
+            "late": encoded(window.late),
+            "marks": window.marks,
+            "read_at": read_at,
+            "lists": encoded(window.lists),
+            "uss": psutil.Process().memory_full_info().uss,
+            "ended": dict(ended),
+            "work": window.work,
+            "roles": roles if self.work == "router" else {},
+        }
 
     def _look(self, told: dict[str, Any]) -> dict[str, Any]:
         """How things stand now: counts, traffic since the start, and for a few, the sums as they see them."""
@@ -257,9 +269,17 @@
             if k % 8 == 0:
                 sums.append(observe.seen(hollow.service, now, numbers))
         lists = [len(hollow.service.node.dispatcher.engines) for hollow in self.hollows.values()]
-        return {"at": time.monotonic(), "names": list(self.hollows), "counts": counts, "totals": dict(total),
-                "own": sum(own.values()), "seen": sums, "late_us": late, "listed": lists,
-                "cpu_s": time.process_time()}
+        return {
+            "at": time.monotonic(),
+            "names": list(self.hollows),
+            "counts": counts,
+            "totals": dict(total),
+            "own": sum(own.values()),
+            "seen": sums,
+            "late_us": late,
+            "listed": lists,
+            "cpu_s": time.process_time(),
+        }
 
 
 def make() -> Handle:
--- a/pearhill/lab/scale/loaded.py
+++ b/pearhill/lab/scale/loaded.py
@@ -20,12 +20,14 @@
     for daemon in fleet.real:
         host, _, port = daemon.front.rpartition(":")
         fronts.append((host, int(port)))
-    tenant = TenantTable("tenant-0", rate_per_s * len(fronts), MODELS[0], prompt_tokens=400, answer_tokens=8,
-                         prefixes=64)
+    tenant = TenantTable(
+        "tenant-0", rate_per_s * len(fronts), MODELS[0], prompt_tokens=400, answer_tokens=8, prefixes=64
+    )
     scenario = Scenario(LabTable("", seconds=scale.seconds, seed=scale.seed), [ServerTable("writer")], [tenant])
     turns = itertools.cycle(random.Random(scale.seed).sample(fronts, len(fronts)))
-    work = asyncio.create_task(load.run(scenario, lambda: next(turns), {"tenant-0": tenant_key(scale.seed)},
-                                        lambda done, total: None))
+    work = asyncio.create_task(
+        load.run(scenario, lambda: next(turns), {"tenant-0": tenant_key(scale.seed)}, lambda done, total: None)
+    )
     try:
         point: dict[str, Any] = (await fleet.measure())["real"]
         rows = await work
--- a/pearhill/lab/scale/measure.py
+++ b/pearhill/lab/scale/measure.py
@@ -52,8 +52,12 @@
             model = next((line.partition(":")[2].strip() for line in file if line.startswith("model name")), model)
     except OSError:
         pass
-    return {"processor": model, "cores": os.cpu_count() or 1, "memory_bytes": psutil.virtual_memory().total,
-            "python": platform.python_version()}
+    return {
+        "processor": model,
+        "cores": os.cpu_count() or 1,
+        "memory_bytes": psutil.virtual_memory().total,
+        "python": platform.python_version(),
+    }
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearhill/lab/scale/observe.py
+++ b/pearhill/lab/scale/observe.py
@@ -33,8 +33,14 @@
 def datagrams(counts: Mapping[str, int]) -> Counter[str]:
     """A driver's own counts as messages and bytes each way, headers among them."""
     came, sent = counts.get("received", 0), counts.get("sent", 0)
-    return Counter({"messages_in": came, "messages_out": sent, "bytes_in": counts.get("bytes_in", 0) + HEADERS * came,
-                    "bytes_out": counts.get("bytes_out", 0) + HEADERS * sent})
+    return Counter(
+        {
+            "messages_in": came,
+            "messages_out": sent,
+            "bytes_in": counts.get("bytes_in", 0) + HEADERS * came,
+            "bytes_out": counts.get("bytes_out", 0) + HEADERS * sent,
+        }
+    )
 
 
 def seen(service: ChatService, now: int, engines: list[int]) -> float:
--- a/pearhill/lab/scale/plan.py
+++ b/pearhill/lab/scale/plan.py
@@ -24,8 +24,9 @@
 Way = Literal["talk", "aggregators"]
 AnyWay = Literal["own", "talk", "aggregators"]  # own: each goes by its own work alone
 Work = Literal["none", "drawn", "router"]
-Kind = Literal["churn", "rack", "zone", "region_cut", "aggregator_lost", "aggregators_lost_2", "readers_share",
-               "settings"]
+Kind = Literal[
+    "churn", "rack", "zone", "region_cut", "aggregator_lost", "aggregators_lost_2", "readers_share", "settings"
+]
 
 
 class SizeTable(Struct, forbid_unknown_fields=True):
@@ -171,8 +172,9 @@
 
 def _grid(g: GridTable, scale: ScaleTable) -> list[FleetSize]:
     aggregators = g.aggregators if g.way == "aggregators" else 0
-    return [FleetSize(g.way, d, r, 0, aggregators, 0, g.work, scale.rate_per_s)
-            for r in g.replicas for d in g.dispatchers]
+    return [
+        FleetSize(g.way, d, r, 0, aggregators, 0, g.work, scale.rate_per_s) for r in g.replicas for d in g.dispatchers
+    ]
 
 
 def points(plan: Plan) -> list[FleetSize]:
@@ -180,8 +182,21 @@
 
 
 def checks(plan: Plan) -> list[tuple[FleetSize, float]]:
-    return [(FleetSize(c.way, c.dispatchers, c.replicas, c.dispatchers, c.aggregators if c.way == "aggregators" else 0,
-                   c.alone, "none"), c.load_per_s) for c in plan.check]
+    return [
+        (
+            FleetSize(
+                c.way,
+                c.dispatchers,
+                c.replicas,
+                c.dispatchers,
+                c.aggregators if c.way == "aggregators" else 0,
+                c.alone,
+                "none",
+            ),
+            c.load_per_s,
+        )
+        for c in plan.check
+    ]
 
 
 def evenness(plan: Plan) -> list[FleetSize]:
@@ -189,13 +204,18 @@
 
 
 def _evenness(e: EvennessTable) -> list[FleetSize]:
-    return [FleetSize(way, e.dispatchers, e.replicas, 0, e.aggregators if way == "aggregators" else 0, 0, "router",
-                      e.rate_per_s) for way in e.ways]
+    return [
+        FleetSize(
+            way, e.dispatchers, e.replicas, 0, e.aggregators if way == "aggregators" else 0, 0, "router", e.rate_per_s
+        )
+        for way in e.ways
+    ]
 
 
 def troubled(table: TroublesTable) -> FleetSize:
-    return FleetSize(table.way, table.dispatchers, table.replicas, 0,
-                 table.aggregators if table.way == "aggregators" else 0)
+    return FleetSize(
+        table.way, table.dispatchers, table.replicas, 0, table.aggregators if table.way == "aggregators" else 0
+    )
 
 
 def _fleets(plan: Plan) -> Iterator[tuple[str, FleetSize, float]]:
@@ -217,8 +237,10 @@
 def seconds(plan: Plan) -> float:
     """How long it should take, roughly."""
     choice = sum(plan.choice.replicas) * plan.choice.arrivals * 2e-5 if plan.choice else 0.0
-    return choice + sum(for_s + OVER_START + max(plan.scale.fetch_s, START_S * fleet.dispatchers / 4)
-                        + fleet.real * START_S for _, fleet, for_s in _fleets(plan))
+    return choice + sum(
+        for_s + OVER_START + max(plan.scale.fetch_s, START_S * fleet.dispatchers / 4) + fleet.real * START_S
+        for _, fleet, for_s in _fleets(plan)
+    )
 
 
 def bounded(plan: Plan, memory: int) -> None:
@@ -229,8 +251,10 @@
         if processes > MOST_PROCESSES:
             raise ConfigError(f"{path}: found {what}, {processes} processes; allowed: {MOST_PROCESSES}")
         if taken > MOST_MEMORY * memory:
-            raise ConfigError(f"{path}: found {what}, some {taken / 1e9:.1f} GB; allowed: {MOST_MEMORY:.0%} of the "
-                              f"machine's memory, {MOST_MEMORY * memory / 1e9:.1f} GB")
+            raise ConfigError(
+                f"{path}: found {what}, some {taken / 1e9:.1f} GB; allowed: {MOST_MEMORY:.0%} of the "
+                f"machine's memory, {MOST_MEMORY * memory / 1e9:.1f} GB"
+            )
     if (long := seconds(plan)) > MOST_SECONDS:
         raise ConfigError(f"grid: found a plan of some {long / 3600:.1f} h; allowed: {MOST_SECONDS / 3600:.0f} h")
 
@@ -241,21 +265,25 @@
     if s.seconds % s.fetch_s:
         raise ConfigError(f"scale.seconds: found {s.seconds}; allowed: a multiple of fetch_s, {s.fetch_s}")
     if not (plan.grid or plan.check or plan.choice or plan.evenness or plan.troubles):
-        raise ConfigError("grid: found nothing to run; allowed: at least one of grid, check, choice, evenness and "
-                          "troubles")
+        raise ConfigError(
+            "grid: found nothing to run; allowed: at least one of grid, check, choice, evenness and " "troubles"
+        )
     for k, table in enumerate(plan.troubles):
         free = 0.0
         for n, event in enumerate(table.event):
             at = f"troubles[{k}].event[{n}]"
             if event.from_s < free:
-                raise ConfigError(f"{at}.from_s: found {event.from_s}; allowed: {free} or later, when the one before "
-                                  "has settled")
+                raise ConfigError(
+                    f"{at}.from_s: found {event.from_s}; allowed: {free} or later, when the one before " "has settled"
+                )
             free = event.from_s + event.for_s + event.settle_s
             if event.kind.startswith("aggregator"):
                 lost = 2 if event.kind == "aggregators_lost_2" else 1
                 if table.way != "aggregators" or table.aggregators <= lost:
-                    raise ConfigError(f"{at}.kind: found {event.kind!r}; allowed: where more than {lost} aggregators "
-                                      "are, way 'aggregators'")
+                    raise ConfigError(
+                        f"{at}.kind: found {event.kind!r}; allowed: where more than {lost} aggregators "
+                        "are, way 'aggregators'"
+                    )
             if event.kind in ("region_cut", "zone") and s.regions < 2:
                 raise ConfigError(f"{at}.kind: found {event.kind!r}; allowed: where scale.regions is 2 or more")
     return plan
--- a/pearhill/lab/scale/report.py
+++ b/pearhill/lab/scale/report.py
@@ -10,9 +10,11 @@
 from pearhill.lab.report import COLOURS, HEIGHT, WIDTH
 
 LEFT, BOTTOM, TOP, RIGHT = 60, 28, 12, 90
-QUANTITIES = (("cpu_cores", "Processor time of a dispatcher's control, share of a core", 1.0, 0.011),
-              ("bytes_s", "Bytes a second both ways, KB", 1e-3, 7_000.0),
-              ("memory_bytes", "Memory of a dispatcher's control, MB", 1e-6, 32e6))
+QUANTITIES = (
+    ("cpu_cores", "Processor time of a dispatcher's control, share of a core", 1.0, 0.011),
+    ("bytes_s", "Bytes a second both ways, KB", 1e-3, 7_000.0),
+    ("memory_bytes", "Memory of a dispatcher's control, MB", 1e-6, 32e6),
+)
 Curve = tuple[str, list[tuple[float, float]]]
 
 
@@ -30,25 +32,32 @@
     most_x, most_y = max(x for x, _ in every) or 1, max([y for _, y in every] + ([bound] if bound else [])) * 1.05 or 1
 
     def at(x: float, y: float) -> str:
-        return (f"{LEFT + (WIDTH - LEFT - RIGHT) * x / most_x:.1f},"
-                f"{TOP + (HEIGHT - TOP - BOTTOM) * (1 - y / most_y):.1f}")
+        return (
+            f"{LEFT + (WIDTH - LEFT - RIGHT) * x / most_x:.1f},"
+            f"{TOP + (HEIGHT - TOP - BOTTOM) * (1 - y / most_y):.1f}"
+        )
 
     base = HEIGHT - BOTTOM
-    parts = [f'<svg viewBox="0 0 {WIDTH} {HEIGHT}" role="img">',
-             f'<line x1="{LEFT}" y1="{base}" x2="{WIDTH - RIGHT}" y2="{base}" stroke="#999"/>',
-             f'<text x="0" y="{TOP + 8}" font-size="11">{most_y:.3g}</text>',
-             f'<text x="0" y="{base}" font-size="11">0</text>',
-             f'<text x="{LEFT}" y="{HEIGHT - 8}" font-size="11">{across}</text>',
-             f'<text x="{WIDTH - RIGHT - 20}" y="{HEIGHT - 8}" font-size="11">{most_x:g}</text>']
+    parts = [
+        f'<svg viewBox="0 0 {WIDTH} {HEIGHT}" role="img">',
+        f'<line x1="{LEFT}" y1="{base}" x2="{WIDTH - RIGHT}" y2="{base}" stroke="#999"/>',
+        f'<text x="0" y="{TOP + 8}" font-size="11">{most_y:.3g}</text>',
+        f'<text x="0" y="{base}" font-size="11">0</text>',
+        f'<text x="{LEFT}" y="{HEIGHT - 8}" font-size="11">{across}</text>',
+        f'<text x="{WIDTH - RIGHT - 20}" y="{HEIGHT - 8}" font-size="11">{most_x:g}</text>',
+    ]
     if bound:
         y = at(0, bound).partition(",")[2]
-        parts.append(f'<line x1="{LEFT}" y1="{y}" x2="{WIDTH - RIGHT}" y2="{y}" stroke="#c00" stroke-dasharray="4"/>'
-                     f'<text x="{WIDTH - RIGHT + 4}" y="{y}" font-size="11" fill="#c00">bound</text>')
+        parts.append(
+            f'<line x1="{LEFT}" y1="{y}" x2="{WIDTH - RIGHT}" y2="{y}" stroke="#c00" stroke-dasharray="4"/>'
+            f'<text x="{WIDTH - RIGHT + 4}" y="{y}" font-size="11" fill="#c00">bound</text>'
+        )
     for k, (name, points) in enumerate(curves):
         colour, placed = COLOURS[k % len(COLOURS)], [at(*point) for point in sorted(points)]
         parts.append(f'<polyline fill="none" stroke="{colour}" stroke-width="1.8" points="{" ".join(placed)}"/>')
-        parts += [f'<circle cx="{p.partition(",")[0]}" cy="{p.partition(",")[2]}" r="2.6" fill="{colour}"/>'
-                  for p in placed]
+        parts += [
+            f'<circle cx="{p.partition(",")[0]}" cy="{p.partition(",")[2]}" r="2.6" fill="{colour}"/>' for p in placed
+        ]
         y_name = TOP + 10 + 13 * k
         parts.append(f'<text x="{WIDTH - RIGHT + 4}" y="{y_name}" font-size="11" fill="{colour}">{name}</text>')
     return "".join(parts) + "</svg>"
@@ -61,9 +70,12 @@
         for quantity, title, scale, bound in QUANTITIES:
             curves = []
             for replicas in sorted({p["replicas"] for p in hollow if p["way"] == way}):
-                points = [(float(p["dispatchers"]), found * scale) for p in hollow
-                          if (p["way"], p["replicas"]) == (way, replicas)
-                          and (found := value(p["dispatcher"], quantity)) is not None]
+                points = [
+                    (float(p["dispatchers"]), found * scale)
+                    for p in hollow
+                    if (p["way"], p["replicas"]) == (way, replicas)
+                    and (found := value(p["dispatcher"], quantity)) is not None
+                ]
                 curves.append((f"{replicas} replicas", points))
             made.append((f"{title}: {way}", plot(curves, "dispatchers", bound * scale)))
     if results["choice"]:
@@ -73,6 +85,11 @@
 
 
 def page(title: str, results: dict[str, Any]) -> str:
-    environment = jinja2.Environment(loader=jinja2.PackageLoader("pearhill.lab.scale", "."), autoescape=True,
-                                     undefined=jinja2.StrictUndefined, trim_blocks=True, lstrip_blocks=True)
+    environment = jinja2.Environment(
+        loader=jinja2.PackageLoader("pearhill.lab.scale", "."),
+        autoescape=True,
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+    )
     return environment.get_template("report.html.j2").render(title=title, results=results, plots=_plots(results))
--- a/pearhill/lab/scale/run.py
+++ b/pearhill/lab/scale/run.py
@@ -51,8 +51,13 @@
 
 def commit() -> str:
     """Of the program that ran; empty outside a clone."""
-    done = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True,
-                          cwd=pathlib.Path(pearhill.__file__).parent, check=False)
+    done = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"],
+        capture_output=True,
+        text=True,
+        cwd=pathlib.Path(pearhill.__file__).parent,
+        check=False,
+    )
     return done.stdout.strip()
 
 
@@ -124,12 +129,22 @@
             settled = await self._settled(self.fleet)
             made = await self.fleet.measure()
         point, even = made["hollow"], made["evenness"]
-        self.evenness.append({
-            "way": size.way, "dispatchers": size.dispatchers, "replicas": size.replicas,
-            "aggregators": size.aggregators, "rate_per_dispatcher": size.rate_per_s,
-            "busy": point["busy"] or not settled, "cpu_cores": point["dispatcher"]["cpu_cores"], **even})
-        self.told(f"    peak over mean in 1 s: writers {even['writers']}, readers {even['readers']}; "
-                  f"served {even['served']}, refused {even['refused']}, failed {even['failed']}")
+        self.evenness.append(
+            {
+                "way": size.way,
+                "dispatchers": size.dispatchers,
+                "replicas": size.replicas,
+                "aggregators": size.aggregators,
+                "rate_per_dispatcher": size.rate_per_s,
+                "busy": point["busy"] or not settled,
+                "cpu_cores": point["dispatcher"]["cpu_cores"],
+                **even,
+            }
+        )
+        self.told(
+            f"    peak over mean in 1 s: writers {even['writers']}, readers {even['readers']}; "
+            f"served {even['served']}, refused {even['refused']}, failed {even['failed']}"
+        )
 
     async def _check(self, size: FleetSize, load_per_s: float, folder: pathlib.Path) -> None:
         async with RunningFleet(size, self.plan.scale, folder, self.told) as self.fleet:
@@ -156,16 +171,25 @@
         found = compared(hollow, real, alone)
         self.checks += found
         for check in found:
-            self.told(f"    {check['what']}, {check['quantity']}: real {check['real']:.4g}, "
-                      f"hollow {check['hollow']:.4g}, {check['difference']:+.0%}")
+            self.told(
+                f"    {check['what']}, {check['quantity']}: real {check['real']:.4g}, "
+                f"hollow {check['hollow']:.4g}, {check['difference']:+.0%}"
+            )
 
     async def _choice(self, folder: pathlib.Path) -> None:
         assert self.plan.choice
         child = await Child.start("choice", "pearhill.lab.scale.choice", folder)
         try:
             for replicas in self.plan.choice.replicas:
-                self.choice.append(await child.ask("choice", replicas=replicas, arrivals=self.plan.choice.arrivals,
-                                                   instances=self.plan.size.dispatchers, seed=self.plan.scale.seed))
+                self.choice.append(
+                    await child.ask(
+                        "choice",
+                        replicas=replicas,
+                        arrivals=self.plan.choice.arrivals,
+                        instances=self.plan.size.dispatchers,
+                        seed=self.plan.scale.seed,
+                    )
+                )
                 self.told(f"choice among {replicas}: {self.choice[-1]['ms']:.3f} ms")
         finally:
             await child.close()
@@ -180,30 +204,46 @@
             pids = fleet.pids()
             held = await asyncio.to_thread(memory_of, pids)
             if held > most or len(pids) >= MOST_PROCESSES:
-                raise Stopped(f"{len(pids)} processes hold {held / 1e9:.1f} GB; allowed: {MOST_PROCESSES}, and "
-                              f"{MOST_MEMORY:.0%} of the machine's memory")
+                raise Stopped(
+                    f"{len(pids)} processes hold {held / 1e9:.1f} GB; allowed: {MOST_PROCESSES}, and "
+                    f"{MOST_MEMORY:.0%} of the machine's memory"
+                )
 
     def results(self, name: str) -> dict[str, Any]:
         plan = self.plan
         self.load.append(round(os.getloadavg()[0], 2))
-        return {"version": pearhill.__version__, "commit": commit(), "seed": plan.scale.seed, "plan": name,
-                "started": self.started, "machine": machine(), "load_1m": self.load, "points": self.points,
-                "checks": self.checks, "slopes": slopes(self.points, self.checks, plan.size), "choice": self.choice,
-                "evenness": self.evenness,
-                "troubles": self.troubles, "not_run": self.not_run}
+        return {
+            "version": pearhill.__version__,
+            "commit": commit(),
+            "seed": plan.scale.seed,
+            "plan": name,
+            "started": self.started,
+            "machine": machine(),
+            "load_1m": self.load,
+            "points": self.points,
+            "checks": self.checks,
+            "slopes": slopes(self.points, self.checks, plan.size),
+            "choice": self.choice,
+            "evenness": self.evenness,
+            "troubles": self.troubles,
+            "not_run": self.not_run,
+        }
 
 
 def described(size: FleetSize) -> str:
     real = f" and {size.real} real" if size.real else ""
-    return (f"{size.way}, {size.hollow} hollow{real} dispatchers before {size.replicas} replicas, work {size.work}"
-            + (f", {size.aggregators} aggregators" if size.aggregators else ""))
+    return f"{size.way}, {size.hollow} hollow{real} dispatchers before {size.replicas} replicas, work {size.work}" + (
+        f", {size.aggregators} aggregators" if size.aggregators else ""
+    )
 
 
 def shown(point: dict[str, Any]) -> str:
     d, a = point["dispatcher"], point["aggregator"]
     memory = f"{d['memory_bytes'] / 1e6:.2f} MB" if d["memory_bytes"] else "memory not told"
-    text = (f"{point['kind']}: {d['cpu_cores']:.2%} of a core, {d['bytes_in_s'] / 1e3:.2f} KB/s in, "
-            f"{d['bytes_out_s'] / 1e3:.2f} out, {memory}")
+    text = (
+        f"{point['kind']}: {d['cpu_cores']:.2%} of a core, {d['bytes_in_s'] / 1e3:.2f} KB/s in, "
+        f"{d['bytes_out_s'] / 1e3:.2f} out, {memory}"
+    )
     if age := d["news_age_ms"]:
         text += f", news {age['p50']:.0f} ms old, p99 {age['p99']:.0f}"
     return text + (f"; aggregator {a['cpu_cores']:.1%} of a core, {a['memory_bytes'] / 1e6:.0f} MB" if a else "")
@@ -211,7 +251,7 @@
 
 def bare_text(text: str, fleet: RunningFleet) -> str:
     """The operator's file without list and fleet: what a process takes before any control."""
-    head = text[:text.index("\n[eureka]")].replace("admin_addr", "# admin_addr")
+    head = text[: text.index("\n[eureka]")].replace("admin_addr", "# admin_addr")
     place = fleet.places[0]
     return filled(head, place) + '\n[[server]]\nuid = "one"\naddress = "127.0.0.1:9"\nkind = "writer"\n'
 
@@ -228,8 +268,10 @@
     a process each show tells how much of it comes of sharing one; nothing is fitted to them, so nothing is carried."""
     made = []
     where = f", {hollow['way']}, {hollow['dispatchers']} dispatchers before {hollow['replicas']} replicas"
-    for what, figures in ((f"hollow against real{where}", hollow["dispatcher"]),
-                          (f"hollow with a process each against real{where}", alone and alone["dispatcher"])):
+    for what, figures in (
+        (f"hollow against real{where}", hollow["dispatcher"]),
+        (f"hollow with a process each against real{where}", alone and alone["dispatcher"]),
+    ):
         for quantity in ("cpu_cores", "bytes_s", "memory_bytes"):
             a, b = _value(real["dispatcher"], quantity), figures and _value(figures, quantity)
             if not a or not b:
@@ -237,8 +279,17 @@
             difference = b / a - 1
             within = abs(difference) <= WITHIN
             carried = 0.0 if within or figures is not hollow["dispatcher"] else abs(a / b - 1)
-            made.append({"what": what, "quantity": quantity, "real": a, "hollow": b, "difference": round(difference, 4),
-                         "within": within, "carried_as_error": round(carried, 4)})
+            made.append(
+                {
+                    "what": what,
+                    "quantity": quantity,
+                    "real": a,
+                    "hollow": b,
+                    "difference": round(difference, 4),
+                    "within": within,
+                    "carried_as_error": round(carried, 4),
+                }
+            )
     return made
 
 
@@ -247,32 +298,52 @@
     made = []
     good = [p for p in points if p["kind"] == "hollow" and p["work"] == "drawn" and not p["busy"]]
     bounds: dict[tuple[str, str], float] = {
-        ("dispatcher", "cpu_cores"): size.cpu_cores, ("dispatcher", "bytes_s"): size.bytes_s,
-        ("dispatcher", "memory_bytes"): size.memory_bytes, ("aggregator", "cpu_cores"): 1.0,
-        ("aggregator", "memory_bytes"): 1e9}
+        ("dispatcher", "cpu_cores"): size.cpu_cores,
+        ("dispatcher", "bytes_s"): size.bytes_s,
+        ("dispatcher", "memory_bytes"): size.memory_bytes,
+        ("aggregator", "cpu_cores"): 1.0,
+        ("aggregator", "memory_bytes"): 1e9,
+    }
     for way in sorted({p["way"] for p in good}):
-        errors = {c["quantity"]: c["carried_as_error"] for c in checks
-                  if c["what"].startswith(f"hollow against real, {way},")}
-        for role, quantities in (("dispatcher", ("cpu_cores", "bytes_s", "memory_bytes")),
-                                 ("aggregator", ("cpu_cores", "bytes_s", "memory_bytes")),
-                                 ("discovery", ("calls_s", "bytes_s"))):
+        errors = {
+            c["quantity"]: c["carried_as_error"] for c in checks if c["what"].startswith(f"hollow against real, {way},")
+        }
+        for role, quantities in (
+            ("dispatcher", ("cpu_cores", "bytes_s", "memory_bytes")),
+            ("aggregator", ("cpu_cores", "bytes_s", "memory_bytes")),
+            ("discovery", ("calls_s", "bytes_s")),
+        ):
             for quantity in quantities:
-                rows = [fit.Point(p["dispatchers"], p["replicas"], value) for p in good
-                        if p["way"] == way and p[role] and (value := _value(p[role], quantity)) is not None]
+                rows = [
+                    fit.Point(p["dispatchers"], p["replicas"], value)
+                    for p in good
+                    if p["way"] == way and p[role] and (value := _value(p[role], quantity)) is not None
+                ]
                 carried = errors.get(quantity, 0.0) if role == "dispatcher" else 0.0
                 found = fit.fit(rows, (size.dispatchers, size.replicas), carried)
                 if not found:
                     continue
                 bound = bounds.get((role, quantity))
                 most = max(p.dispatchers for p in rows), max(p.replicas for p in rows)
-                made.append({
-                    "way": way, "role": role, "quantity": quantity, "form": found.form,
-                    "coefficients": found.coefficients, "low": found.low, "high": found.high,
-                    "fitted_over": {"dispatchers": [min(p.dispatchers for p in rows), most[0]],
-                                    "replicas": [min(p.replicas for p in rows), most[1]]},
-                    "stretched": round(max(1.0, size.dispatchers / most[0], size.replicas / most[1]), 2),
-                    "at_size": found.at_size, "bound": bound,
-                    "need_over_bound": round(found.at_size / bound, 4) if bound else None})
+                made.append(
+                    {
+                        "way": way,
+                        "role": role,
+                        "quantity": quantity,
+                        "form": found.form,
+                        "coefficients": found.coefficients,
+                        "low": found.low,
+                        "high": found.high,
+                        "fitted_over": {
+                            "dispatchers": [min(p.dispatchers for p in rows), most[0]],
+                            "replicas": [min(p.replicas for p in rows), most[1]],
+                        },
+                        "stretched": round(max(1.0, size.dispatchers / most[0], size.replicas / most[1]), 2),
+                        "at_size": found.at_size,
+                        "bound": bound,
+                        "need_over_bound": round(found.at_size / bound, 4) if bound else None,
+                    }
+                )
     return made
 
 
--- a/pearhill/lab/scale/troubles.py
+++ b/pearhill/lab/scale/troubles.py
@@ -37,11 +37,16 @@
     "readers_share": "nothing",
     "settings": "nothing; each reload stands in the way of what else the process does",
 }
-CARRIED = {"churn": "pearhill/eureka, pearhill/membership", "rack": "pearhill/eureka, pearhill/membership",
-           "zone": "pearhill/eureka, pearhill/membership", "region_cut": "pearhill/membership",
-           "aggregator_lost": "pearhill/membership/reporter.py",
-           "aggregators_lost_2": "pearhill/membership/reporter.py", "readers_share": "pearhill/eureka",
-           "settings": "missing: nothing carries a change to all; here the run itself hands it to each"}
+CARRIED = {
+    "churn": "pearhill/eureka, pearhill/membership",
+    "rack": "pearhill/eureka, pearhill/membership",
+    "zone": "pearhill/eureka, pearhill/membership",
+    "region_cut": "pearhill/membership",
+    "aggregator_lost": "pearhill/membership/reporter.py",
+    "aggregators_lost_2": "pearhill/membership/reporter.py",
+    "readers_share": "pearhill/eureka",
+    "settings": "missing: nothing carries a change to all; here the run itself hands it to each",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,10 +93,17 @@
         self._last = now, total
         rows = (await self.fleet.discovery.ask("counts"))["rows"] if self.fleet.discovery else 0
         listed = [n for host in told for n in host["listed"]]
-        self.looks.append(Look(
-            now - self.began, there, sum(c == (self.counted or there) for c in counts) / max(1, there),
-            statistics.mean(seen) / own if own and seen else 1.0, rate, max(h["late_us"] for h in told) / 1000,
-            sum(n == rows for n in listed) / max(1, there)))
+        self.looks.append(
+            Look(
+                now - self.began,
+                there,
+                sum(c == (self.counted or there) for c in counts) / max(1, there),
+                statistics.mean(seen) / own if own and seen else 1.0,
+                rate,
+                max(h["late_us"] for h in told) / 1000,
+                sum(n == rows for n in listed) / max(1, there),
+            )
+        )
 
     async def until(self, at: float) -> None:
         while (now := time.monotonic() - self.began) < at:
@@ -118,15 +130,19 @@
     sums_wrong = wrong_for(during, lambda look: abs(look.sums / base - 1) > SUMS_WITHIN if base else False)
     list_wrong = wrong_for(during, lambda look: look.listed < 1.0)
     last = during[-1]
-    return {"count_wrong_s": count_wrong, "sums_wrong_s": sums_wrong, "list_wrong_s": list_wrong,
-            "right_at_the_end": last.right == 1.0 and (not base or abs(last.sums / base - 1) <= SUMS_WITHIN),
-            "least_share_right": round(min(look.right for look in during), 4),
-            "sums_least": round(min(look.sums / base if base else 1.0 for look in during), 3),
-            "sums_most": round(max(look.sums / base if base else 1.0 for look in during), 3),
-            "worst_beat_ms": round(max(look.late_ms for look in during), 1),
-            "worst_beat_before_ms": round(max((look.late_ms for look in before), default=0.0), 1),
-            "bytes_peak_s": round(max(look.bytes_s for look in during), 1),
-            "bytes_before_s": round(statistics.median([look.bytes_s for look in before] or [0.0]), 1)}
+    return {
+        "count_wrong_s": count_wrong,
+        "sums_wrong_s": sums_wrong,
+        "list_wrong_s": list_wrong,
+        "right_at_the_end": last.right == 1.0 and (not base or abs(last.sums / base - 1) <= SUMS_WITHIN),
+        "least_share_right": round(min(look.right for look in during), 4),
+        "sums_least": round(min(look.sums / base if base else 1.0 for look in during), 3),
+        "sums_most": round(max(look.sums / base if base else 1.0 for look in during), 3),
+        "worst_beat_ms": round(max(look.late_ms for look in during), 1),
+        "worst_beat_before_ms": round(max((look.late_ms for look in before), default=0.0), 1),
+        "bytes_peak_s": round(max(look.bytes_s for look in during), 1),
+        "bytes_before_s": round(statistics.median([look.bytes_s for look in before] or [0.0]), 1),
+    }
 
 
 class Timeline:
@@ -145,6 +161,7 @@
         async def one(k: int) -> None:
             if mine := [name for name in names if self.host_of[name] == k]:
                 await self.fleet.hosts[k].ask("stop", names=mine, gracefully=gracefully)
+
         await asyncio.gather(*map(one, range(len(self.fleet.hosts))))
         self.down |= set(names)
 
@@ -153,6 +170,7 @@
             places = [asdict(p) for p in self.fleet.places if p.name in names and self.host_of[p.name] == k]
             if places:
                 await self.fleet.hosts[k].ask("start", places=places)
+
         await asyncio.gather(*map(one, range(len(self.fleet.hosts))))
         self.down -= set(names)
 
@@ -173,8 +191,10 @@
         size, began = self.fleet.size, now()
         machines = size.dispatchers + size.replicas
         replaced, dead = (n * event.factor / DAY_S * event.for_s for n in (REPLACED_A_DAY, DEAD_A_DAY))
-        moments = sorted([(began + event.for_s * self.rng.random(), True) for _ in range(round(replaced))]
-                         + [(began + event.for_s * self.rng.random(), False) for _ in range(max(1, round(dead)))])
+        moments = sorted(
+            [(began + event.for_s * self.rng.random(), True) for _ in range(round(replaced))]
+            + [(began + event.for_s * self.rng.random(), False) for _ in range(max(1, round(dead)))]
+        )
         died = list[str]()
         done = {"replicas_replaced": 0, "dispatchers_replaced": 0, "replicas_dead": 0, "dispatchers_dead": 0}
         for at, comes_back in moments:
@@ -197,18 +217,23 @@
             await self._discovery("add", count=done["replicas_dead"])
         self.extra = done
 
-    async def _gone(self, event: EventTable, end: float, now: Callable[[], float], names: list[str],
-                    **replicas: Any) -> None:
+    async def _gone(
+        self, event: EventTable, end: float, now: Callable[[], float], names: list[str], **replicas: Any
+    ) -> None:
         await self.stop(names, gracefully=False)
         died = (await self._discovery("die", listed_s=min(LEASE_S, event.for_s / 2), **replicas))["changed"]
-        self.extra = {"dispatchers_gone": len(names), "replicas_gone": len(died),
-                      "lease_s": min(LEASE_S, event.for_s / 2)}
+        self.extra = {
+            "dispatchers_gone": len(names),
+            "replicas_gone": len(died),
+            "lease_s": min(LEASE_S, event.for_s / 2),
+        }
         await self._sleep_until(end, now)
         await self.start(names)
         for kind in ("reader", "writer"):
             count = sum(id.startswith(kind) for id in died)
-            await self._discovery("add", count=count, kind=kind,
-                                  zones=[replicas["zone"]] if "zone" in replicas else None)
+            await self._discovery(
+                "add", count=count, kind=kind, zones=[replicas["zone"]] if "zone" in replicas else None
+            )
 
     async def _rack(self, event: EventTable, end: float, now: Callable[[], float]) -> None:
         size = self.fleet.size
@@ -216,14 +241,15 @@
         await self._gone(event, end, now, names, count=max(1, size.replicas // RACK))
 
     async def _zone(self, event: EventTable, end: float, now: Callable[[], float]) -> None:
-        await self._gone(event, end, now, [p.name for p in self.fleet.places if p.zone == 0],
-                         zone=zones(self.scale)[0])
+        await self._gone(event, end, now, [p.name for p in self.fleet.places if p.zone == 0], zone=zones(self.scale)[0])
 
     async def _region_cut(self, event: EventTable, end: float, now: Callable[[], float]) -> None:
         """Region 0 hears nothing of the others, nor they of it."""
+
         def address(text: str) -> tuple[str, int]:
             host, _, port = text.rpartition(":")
             return host, int(port)
+
         fleet, regions = self.fleet, self.scale.regions
         sides: list[list[tuple[str, int]]] = [[], []]
         for place in fleet.places:
@@ -233,8 +259,9 @@
         await fleet.ask_all("cut", far=[sides[1 if region == 0 else 0] for region in range(regions)])
         if fleet.relay:
             names = list(fleet.sites)
-            fleet.relay.cut([n for k, n in enumerate(names) if k % regions == 0],
-                            [n for k, n in enumerate(names) if k % regions])
+            fleet.relay.cut(
+                [n for k, n in enumerate(names) if k % regions == 0], [n for k, n in enumerate(names) if k % regions]
+            )
         await self._sleep_until(end, now)
         await fleet.ask_all("cut", far=[[] for _ in range(regions)])
         if fleet.relay:
@@ -278,10 +305,14 @@
                 spent += told["seconds"]
             in_force.append(time.monotonic() - asked)
         await self._sleep_until(end, now)
-        self.extra = {"changes": count, "burst": event.burst, "reload_cpu_ms": round(statistics.mean(spent) * 1000, 2),
-                      "reload_cpu_ms_worst": round(max(spent) * 1000, 2),
-                      "handed_by_the_run_to_all_s": round(max(in_force), 2),
-                      "cpu_cores_at_650_a_day": round(statistics.mean(spent) * SETTINGS_A_DAY / DAY_S, 8)}
+        self.extra = {
+            "changes": count,
+            "burst": event.burst,
+            "reload_cpu_ms": round(statistics.mean(spent) * 1000, 2),
+            "reload_cpu_ms_worst": round(max(spent) * 1000, 2),
+            "handed_by_the_run_to_all_s": round(max(in_force), 2),
+            "cpu_cores_at_650_a_day": round(statistics.mean(spent) * SETTINGS_A_DAY / DAY_S, 8),
+        }
 
 
 def factor(event: EventTable) -> float:
@@ -289,8 +320,14 @@
     return round(DAY_S / event.for_s, 1) if event.kind == "readers_share" else event.factor
 
 
-async def run(events: list[EventTable], size: FleetSize, fleet: RunningFleet, scale: ScaleTable,
-              told: Callable[[str], None], made: list[dict[str, Any]]) -> None:
+async def run(
+    events: list[EventTable],
+    size: FleetSize,
+    fleet: RunningFleet,
+    scale: ScaleTable,
+    told: Callable[[str], None],
+    made: list[dict[str, Any]],
+) -> None:
     """Every event in its turn, in a fleet that has settled; what came of each goes to `made` once it is over."""
     line = Timeline(fleet, scale)
     await line.find_hosts()
@@ -313,8 +350,21 @@
         watch.counted = None
         came = figures(before, watch.looks[first:])
         for_s = max(came["count_wrong_s"], came["sums_wrong_s"])
-        made.append({"kind": event.kind, "factor": factor(event), "lost": LOST[event.kind], "for_s": for_s,
-                     "carried_by": CARRIED[event.kind],
-                     "figures": {**came, **line.extra, "lasted_s": event.for_s, "way": size.way,
-                                 "dispatchers": size.dispatchers, "replicas": size.replicas}})
+        made.append(
+            {
+                "kind": event.kind,
+                "factor": factor(event),
+                "lost": LOST[event.kind],
+                "for_s": for_s,
+                "carried_by": CARRIED[event.kind],
+                "figures": {
+                    **came,
+                    **line.extra,
+                    "lasted_s": event.for_s,
+                    "way": size.way,
+                    "dispatchers": size.dispatchers,
+                    "replicas": size.replicas,
+                },
+            }
+        )
         told(f"          counts or sums wrong for {for_s:.1f} s, worst beat {came['worst_beat_ms']:.0f} ms late")
--- a/pearhill/lab/scale/work.py
+++ b/pearhill/lab/scale/work.py
@@ -103,6 +103,7 @@
             if attempt.begin():
                 answer = int(self.rng.expovariate(1 / (ANSWER * TOKEN_S)) * 1e6)
                 self.deadlines.after(answer, lambda: attempt.end(i.ANSWERED, PROMPT // 2))
+
         self.deadlines.after(int(TOKEN_S * 1e6), begun)
 
     def cancel(self, attempt: Attempt) -> bool:
@@ -137,8 +138,16 @@
         if self._stopped:
             return
         rng = self.rng
-        ask = Ask(0, 8_000_000, max(64, int(rng.expovariate(1 / PROMPT))), 2 * ANSWER, rng.randrange(1, 1 << 30),
-                  rng.randrange(1, 512), PROMPT // 2, rng.randrange(760))
+        ask = Ask(
+            0,
+            8_000_000,
+            max(64, int(rng.expovariate(1 / PROMPT))),
+            2 * ANSWER,
+            rng.randrange(1, 1 << 30),
+            rng.randrange(1, 512),
+            PROMPT // 2,
+            rng.randrange(760),
+        )
         self.dispatcher.take(ask, NoClient(self._count), None)
         self._next()
 
--- a/pearhill/lab/servers.py
+++ b/pearhill/lab/servers.py
@@ -1,6 +1,6 @@
 """Model servers of the laboratory: slots, a queue, memory, two speeds, and faults. They answer by time, not by thought.
 
-    python -m pearhill.lab.servers < JSON        prints one address a line, and serves until its input ends
+python -m pearhill.lab.servers < JSON        prints one address a line, and serves until its input ends
 """
 
 from __future__ import annotations
@@ -20,10 +20,14 @@
 from pearhill.lab.scenario import FaultTable, ServerTable
 
 GARBLED = b"data: {\xff\n\n"
-EVENT = (b'data: {"id":"lab","object":"chat.completion.chunk","created":0,"model":"lab","choices":[{"index":0,"delta":'
-         b'{"content":"word "},"finish_reason":null}]}\n\n')
-END = (b'data: {"id":"lab","object":"chat.completion.chunk","created":0,"model":"lab","choices":[{"index":0,"delta":{},'
-       b'"finish_reason":"stop"}]}\n\n')
+EVENT = (
+    b'data: {"id":"lab","object":"chat.completion.chunk","created":0,"model":"lab","choices":[{"index":0,"delta":'
+    b'{"content":"word "},"finish_reason":null}]}\n\n'
+)
+END = (
+    b'data: {"id":"lab","object":"chat.completion.chunk","created":0,"model":"lab","choices":[{"index":0,"delta":{},'
+    b'"finish_reason":"stop"}]}\n\n'
+)
 
 
 class Model:
@@ -58,8 +62,11 @@
             return True
         asked, fault = json.loads(message.body), self._fault()
         prompt = asked.get("x_prompt_tokens", 100)
-        if (fault and fault.kind == "refuse") or self.waiting >= self.table.queue + self.table.slots or (
-                self.held + prompt > self.table.memory_tokens):
+        if (
+            (fault and fault.kind == "refuse")
+            or self.waiting >= self.table.queue + self.table.slots
+            or (self.held + prompt > self.table.memory_tokens)
+        ):
             writer.write(answer(503, (("Not-Started", "1"),)))
             return True
         self.waiting += 1
@@ -76,8 +83,13 @@
             self.held -= prompt
             self.work.append((came, time.monotonic()))
 
-    async def _write(self, asked: dict[str, Any], prompt: int, fault: FaultTable | None, writer: asyncio.StreamWriter,
-                     ) -> bool:
+    async def _write(
+        self,
+        asked: dict[str, Any],
+        prompt: int,
+        fault: FaultTable | None,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
         most = asked.get("max_completion_tokens") or asked.get("max_tokens") or 10**9
         tokens = min(asked.get("x_answer_tokens", 20), most)
         writer.write(stream_head(200, (("Content-Type", "text/event-stream"),)))
@@ -92,8 +104,10 @@
                     return False
                 await asyncio.sleep(60)
             await asyncio.sleep(1 / self.table.write_tokens_per_s)
-        usage = {"choices": [], "usage": {"prompt_tokens": prompt, "completion_tokens": tokens,
-                                          "total_tokens": prompt + tokens}}
+        usage = {
+            "choices": [],
+            "usage": {"prompt_tokens": prompt, "completion_tokens": tokens, "total_tokens": prompt + tokens},
+        }
         writer.write(chunk(END + b"data: %b\n\ndata: [DONE]\n\n" % msgspec.json.encode(usage)) + b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/pearhill/lab/up.py
+++ b/pearhill/lab/up.py
@@ -35,8 +35,10 @@
         except ValueError:
             here = False
         if not here:
-            raise ConfigError(f"server: found one at {host}:{port}; allowed: addresses of this machine alone "
-                              "(127.0.0.1), for stand-ins listen there")
+            raise ConfigError(
+                f"server: found one at {host}:{port}; allowed: addresses of this machine alone "
+                "(127.0.0.1), for stand-ins listen there"
+            )
         tables.append(ServerTable(setup.deployment.kind_names[entry.kind], listen=f"{host}:{port}"))
     if not tables:
         raise ConfigError("server: found none; allowed: one or more, for each of which a stand-in listens")
@@ -51,8 +53,14 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     # Danger: Ctrl-C reaches every process of the terminal. The engines must outlive what the dispatcher has taken.
-    models = await asyncio.create_subprocess_exec(sys.executable, "-m", "pearhill.lab.servers", start_new_session=True,
-                                                  stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    models = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "pearhill.lab.servers",
+        start_new_session=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
     assert models.stdin and models.stdout
     front: asyncio.subprocess.Process | None = None
     try:
@@ -62,8 +70,9 @@
             if line != table.listen.replace("localhost", "127.0.0.1"):
                 raise NotUp(f"stand-in engine: {line or 'ended at once'}")
             told(f"stand-in engine, {table.kind}, on {line}")
-        front = await asyncio.create_subprocess_exec(sys.executable, "-m", "pearhill", "--chat", file,
-                                                     start_new_session=True)
+        front = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pearhill", "--chat", file, start_new_session=True
+        )
         ended, stopped = asyncio.ensure_future(front.wait()), asyncio.ensure_future(stop.wait())
         await asyncio.wait((ended, stopped), return_when=asyncio.FIRST_COMPLETED)
         stopped.cancel()
--- a/pearhill/membership/aggregator.py
+++ b/pearhill/membership/aggregator.py
@@ -186,8 +186,10 @@
         """What to say when a newer incarnation of the sender's name is known; None: none is."""
         known, caller = self.known.get(frame.sender), self._callers.get(frame.sender)
         # What another aggregator tells of it comes each 2 s, if it comes.
-        newest, until = max((known.stay[0], known.heard_at + (LEASE if known.via == self.me else SILENT)) if known
-                            else (-1, 0), (caller.incarnation, caller.heard_at + LEASE) if caller else (-1, 0))
+        newest, until = max(
+            (known.stay[0], known.heard_at + (LEASE if known.via == self.me else SILENT)) if known else (-1, 0),
+            (caller.incarnation, caller.heard_at + LEASE) if caller else (-1, 0),
+        )
         if newest <= frame.incarnation:
             return None
         if now < until:
@@ -265,8 +267,8 @@
         for r in whole:
             if r.known_incarnation == self.incarnation:
                 end = min(r.first + r.slots, len(self._engines))
-                loads[r.first:end] = unpack(r.loads, r.slots)[:max(0, end - r.first)]
-                waits[r.first:end] = unpack(r.waits, r.slots)[:max(0, end - r.first)]
+                loads[r.first : end] = unpack(r.loads, r.slots)[: max(0, end - r.first)]
+                waits[r.first : end] = unpack(r.waits, r.slots)[: max(0, end - r.first)]
                 if r.known_version < self.reused:
                     # Danger: told of an engine that had the slot before, it would be another one's work.
                     for slot in range(r.first, end):
@@ -325,15 +327,19 @@
         return new
 
     def _idle(self, now: int, slot: int) -> bool:
-        return (now - self._used_at[slot] >= IDLE and not self._loads[slot] and not self._waits[slot]
-                and not any(slot < len(p.loads) and (p.loads[slot] or p.waits[slot]) for p in self.peers.values()))
+        return (
+            now - self._used_at[slot] >= IDLE
+            and not self._loads[slot]
+            and not self._waits[slot]
+            and not any(slot < len(p.loads) and (p.loads[slot] or p.waits[slot]) for p in self.peers.values())
+        )
 
     def _entries(self, known_version: int) -> tuple[Entry, ...]:
         """What a table of that version lacks, oldest first, as much as a frame holds."""
         if known_version >= self.version:
             return ()
         at = bisect_right(self._log, (known_version, MOST_SLOTS))
-        return tuple((slot, self._engines[slot], version) for version, slot in self._log[at:at + ENTRIES])
+        return tuple((slot, self._engines[slot], version) for version, slot in self._log[at : at + ENTRIES])
 
     def _snap(self, now: int) -> _Snapshot:
         if self._snapshot and now - self._snapshot.at < max(SNAPSHOT, SNAPSHOT_SLOT * len(self._engines)):
@@ -343,8 +349,8 @@
         for peer in self.peers.values():
             if peer.lease > now:
                 heard += peer.heard
-                loads[:len(peer.loads)] = map(float.__add__, loads, peer.loads)
-                waits[:len(peer.waits)] = map(float.__add__, waits, peer.waits)
+                loads[: len(peer.loads)] = map(float.__add__, loads, peer.loads)
+                waits[: len(peer.waits)] = map(float.__add__, waits, peer.waits)
         included = {name: (m.stay[0], m.number) for name, m in self.members.items() if m.lease >= 0}
         self._snapshot = _Snapshot(now, heard + len(included), included, _chunks(loads, waits))
         return self._snapshot
@@ -360,9 +366,26 @@
             chunks = [(0, 0, b"\0", b"\0"), *chunks]
         incarnation, number = snap.included.get(r.sender, (-1, -1))
         included, counted, settled = number if incarnation == r.incarnation else -1, self.count(now), self._settled(now)
-        return [Sums(*self._head(r.sender), r.number, included, snap.heard, counted, self.version, self.reused, k,
-                     len(chunks), first, loads, waits, () if k else entries, slots, settled)
-                for k, (first, slots, loads, waits) in enumerate(chunks)]
+        return [
+            Sums(
+                *self._head(r.sender),
+                r.number,
+                included,
+                snap.heard,
+                counted,
+                self.version,
+                self.reused,
+                k,
+                len(chunks),
+                first,
+                loads,
+                waits,
+                () if k else entries,
+                slots,
+                settled,
+            )
+            for k, (first, slots, loads, waits) in enumerate(chunks)
+        ]
 
     # Other aggregators.
 
@@ -385,7 +408,7 @@
         peer.base, peer.lease, peer.heard = base, sent_at + PART_LEASE, p.heard
         loads, waits = [0.0] * len(self._engines), [0.0] * len(self._engines)
         for q in whole:
-            codes = zip(peer.engines[q.first:], unpack(q.loads, q.slots), unpack(q.waits, q.slots), strict=False)
+            codes = zip(peer.engines[q.first :], unpack(q.loads, q.slots), unpack(q.waits, q.slots), strict=False)
             for engine, load, wait in codes:
                 if (load or wait) and engine >= 0 and (mine := self._slot(now, engine)) is not None:
                     if mine >= len(loads):
@@ -427,21 +450,40 @@
             frames += self._parts(now, name, peer, chunks, heard)
         told = frozenset((name, k.stay, k.left) for name, k in self.known.items())
         if now >= self._roster_due or (
-                told != self._roster_told and now >= self._roster_due - ROSTER_EVERY + ROSTER_NEWS):
+            told != self._roster_told and now >= self._roster_due - ROSTER_EVERY + ROSTER_NEWS
+        ):
             self._roster_due, self._roster_told = now + ROSTER_EVERY, told
             for name in self.peers:
                 frames += self._rosters(now, name)
         return frames
 
-    def _parts(self, now: int, name: str, peer: _Peer, chunks: list[tuple[int, int, bytes, bytes]],
-               heard: int) -> list[Frame]:
+    def _parts(
+        self, now: int, name: str, peer: _Peer, chunks: list[tuple[int, int, bytes, bytes]], heard: int
+    ) -> list[Frame]:
         entries = self._entries(peer.known_version)
         if entries or not chunks:
             chunks = [(0, 0, b"\0", b"\0"), *chunks]
         _remember(peer.sent, self._sequence + 1, now)
-        return [Part(*self._head(name), heard, len(self.members), max(0, peer.incarnation), peer.version, self.version,
-                     self.reused, k, len(chunks), first, loads, waits, () if k else entries, slots, peer.echo)
-                for k, (first, slots, loads, waits) in enumerate(chunks)]
+        return [
+            Part(
+                *self._head(name),
+                heard,
+                len(self.members),
+                max(0, peer.incarnation),
+                peer.version,
+                self.version,
+                self.reused,
+                k,
+                len(chunks),
+                first,
+                loads,
+                waits,
+                () if k else entries,
+                slots,
+                peer.echo,
+            )
+            for k, (first, slots, loads, waits) in enumerate(chunks)
+        ]
 
     def _rosters(self, now: int, to: str) -> list[Frame]:
         pieces: list[list[Member]] = [[]]
@@ -468,8 +510,10 @@
             k = self.known[name]
             peer = self.peers.get(k.via)
             k.cut = not k.left and (
-                len(lost) > LOST_AT_ONCE * total or (peer is not None and now - peer.heard_at >= LEASE)
-                or (lost_of[k.via] >= LEAST_LOST and lost_of[k.via] > LOST_AT_ONCE * groups[k.via]))
+                len(lost) > LOST_AT_ONCE * total
+                or (peer is not None and now - peer.heard_at >= LEASE)
+                or (lost_of[k.via] >= LEAST_LOST and lost_of[k.via] > LOST_AT_ONCE * groups[k.via])
+            )
         for name, silent in silences.items():
             k = self.known[name]
             if silent >= (FORGOTTEN if k.left else CUT if k.cut else SILENT):
@@ -503,13 +547,24 @@
         """For operators: what is known here, and how old it is."""
         self._expire(now)
         own = sum(m.lease >= 0 for m in self.members.values())
-        return {"name": self.me, "members": len(self.members), "heard": own + sum(
-                    p.heard for p in self.peers.values() if p.lease > now),
-                "counted": self.count(now), "settled": self._settled(now),
-                "cut": sum(k.cut for k in self.known.values()), "engines": len(self._engines),
-                "version": self.version,
-                "peers": {name: {"age_s": (now - p.heard_at) / 1e6 if p.heard_at >= 0 else None, "heard": p.heard,
-                                 "fresh": p.lease > now} for name, p in self.peers.items()}}
+        return {
+            "name": self.me,
+            "members": len(self.members),
+            "heard": own + sum(p.heard for p in self.peers.values() if p.lease > now),
+            "counted": self.count(now),
+            "settled": self._settled(now),
+            "cut": sum(k.cut for k in self.known.values()),
+            "engines": len(self._engines),
+            "version": self.version,
+            "peers": {
+                name: {
+                    "age_s": (now - p.heard_at) / 1e6 if p.heard_at >= 0 else None,
+                    "heard": p.heard,
+                    "fresh": p.lease > now,
+                }
+                for name, p in self.peers.items()
+            },
+        }
 
     def reconfigure(self, peers: Iterable[str], now: int) -> None:
         """Other aggregators. What is known of those that stay, stays."""
@@ -551,5 +606,7 @@
     whole = pack(coded), pack(waiting)
     if n and len(whole[0]) + len(whole[1]) <= ROOM:
         return [(0, n, *whole)]
-    return [(first, min(CHUNK, n - first), pack(coded[first:first + CHUNK]), pack(waiting[first:first + CHUNK]))
-            for first in range(0, n, CHUNK)]
+    return [
+        (first, min(CHUNK, n - first), pack(coded[first : first + CHUNK]), pack(waiting[first : first + CHUNK]))
+        for first in range(0, n, CHUNK)
+    ]
--- a/pearhill/membership/council.py
+++ b/pearhill/membership/council.py
@@ -30,8 +30,9 @@
 class Council:
     """`work` tells my own tokens at each engine, as they are now."""
 
-    def __init__(self, me: str, peers: Iterable[str], started: int, rng: random.Random,
-                 work: Callable[[], Iterable[Row]]) -> None:
+    def __init__(
+        self, me: str, peers: Iterable[str], started: int, rng: random.Random, work: Callable[[], Iterable[Row]]
+    ) -> None:
         self.members, self.work, self._mine = Members(me, peers, started, started, rng), Work(), work
         self._sequence = 0
         self._peers = set(self.members.members)  # counted, as of the last beat
@@ -47,19 +48,29 @@
         """An authentic message, whenever it comes and however often. The answers to it."""
         # Danger: sent again, the words of a dead dispatcher would be signs of its life.
         if message.sender not in self.members.members or not self._window.first_time(
-                message.sender, message.incarnation, message.sequence):
+            message.sender, message.incarnation, message.sequence
+        ):
             return []
         self.work.heard(now, message.sender, (message.incarnation, message.sequence), message.rows)
-        return self._messages(self.members.heard(now, message.sender, message.incarnation, message.say,
-                                                 message.rumours))
+        return self._messages(
+            self.members.heard(now, message.sender, message.incarnation, message.say, message.rumours)
+        )
 
     def _messages(self, says: list[Say]) -> list[Message]:
         rows = tuple(cut(self._mine())) if says else ()
         made = []
         for say in says:
             self._sequence += 1
-            made.append(Message(self.members.me, self.members.incarnation, self._sequence, say,
-                                tuple(self.members.rumours(say.to)), rows))
+            made.append(
+                Message(
+                    self.members.me,
+                    self.members.incarnation,
+                    self._sequence,
+                    say,
+                    tuple(self.members.rumours(say.to)),
+                    rows,
+                )
+            )
         return made
 
     def counted(self, now: int) -> set[str]:
--- a/pearhill/membership/datagram.py
+++ b/pearhill/membership/datagram.py
@@ -61,7 +61,7 @@
             raise Rejected("size")
         if data[0] != self.version:
             raise Rejected("version")
-        tag, body = data[1:1 + TAG], data[1 + TAG:]
+        tag, body = data[1 : 1 + TAG], data[1 + TAG :]
         if not any(hmac.compare_digest(tag, self._tag(key, body)) for key in self.keys):
             raise Rejected("forged")
         return body
@@ -82,8 +82,9 @@
         rumours = [(r.name, r.incarnation, r.state) for r in m.rumours]
         rows = [(r.engine, r.waiting, r.load) for r in m.rows]
         while True:
-            body = _encoder.encode(_Body(m.sender, m.say.to, m.incarnation, m.sequence, kind, m.say.number, target,
-                                         rumours, rows))
+            body = _encoder.encode(
+                _Body(m.sender, m.say.to, m.incarnation, m.sequence, kind, m.say.number, target, rumours, rows)
+            )
             if len(body) + 1 + TAG <= MAX_BYTES or not (rows or rumours):
                 break
             (rows or rumours).pop()
@@ -97,9 +98,19 @@
             raise Rejected("malformed") from None
         if b.to != me:
             raise Rejected("not-for-me")  # Danger: replayed to another, an ack would clear a ping that it never saw.
-        if len(b.rumours) > RUMOURS or len(b.rows) > ROWS or b.kind not in (PING, ACK, ASK) or any(
-                not 0 <= n <= MOST_COUNT for n in (b.incarnation, b.sequence, *(r[1] for r in b.rumours))):
+        if (
+            len(b.rumours) > RUMOURS
+            or len(b.rows) > ROWS
+            or b.kind not in (PING, ACK, ASK)
+            or any(not 0 <= n <= MOST_COUNT for n in (b.incarnation, b.sequence, *(r[1] for r in b.rumours)))
+        ):
             raise Rejected("malformed")
         say = Ask(me, b.number, b.target) if b.kind == ASK else (Ack if b.kind == ACK else Ping)(me, b.number)
-        return Message(b.sender, b.incarnation, b.sequence, say, tuple(Rumour(*r) for r in b.rumours),
-                       tuple(Row(*r) for r in b.rows))
+        return Message(
+            b.sender,
+            b.incarnation,
+            b.sequence,
+            say,
+            tuple(Rumour(*r) for r in b.rumours),
+            tuple(Row(*r) for r in b.rows),
+        )
--- a/pearhill/membership/gauges.py
+++ b/pearhill/membership/gauges.py
@@ -10,7 +10,7 @@
 from bisect import bisect_right
 
 LEAST, STEP, CODES = 16, 1.07, 256  # tokens of code 1; of each code to the one before it
-TOKENS: tuple[float, ...] = (0.0, *(float(round(LEAST * STEP ** k)) for k in range(CODES - 1)))
+TOKENS: tuple[float, ...] = (0.0, *(float(round(LEAST * STEP**k)) for k in range(CODES - 1)))
 # Where the next code is the nearer one. Danger: rounded to none, the work of many small requests would vanish.
 _BOUNDS = [1.0, *((a * b) ** 0.5 for a, b in zip(TOKENS[1:], TOKENS[2:], strict=False))]
 RAW, SPARSE, DEFLATED = 0, 1, 2
--- a/pearhill/membership/members.py
+++ b/pearhill/membership/members.py
@@ -168,7 +168,7 @@
         told = [Rumour(self.me, self.incarnation, ALIVE)]
         if (about := self.members.get(to)) and about.state != ALIVE:  # it must hear of it to object
             told.append(Rumour(to, about.incarnation, about.state))
-        for name in sorted(self._news, key=lambda n: self._news[n])[:RUMOURS - len(told)]:
+        for name in sorted(self._news, key=lambda n: self._news[n])[: RUMOURS - len(told)]:
             if name in self.members and name != to:
                 m = self.members[name]
                 told.append(Rumour(name, m.incarnation, m.state))
--- a/pearhill/membership/reporter.py
+++ b/pearhill/membership/reporter.py
@@ -121,8 +121,15 @@
     """`work` tells my own tokens at each engine, as they are now. `started` must grow with each start of the same name:
     the time of the start does."""
 
-    def __init__(self, me: str, region: str, aggregators: Iterable[AggregatorSite], started: int, rng: random.Random,
-                 work: Callable[[], Iterable[Row]]) -> None:
+    def __init__(
+        self,
+        me: str,
+        region: str,
+        aggregators: Iterable[AggregatorSite],
+        started: int,
+        rng: random.Random,
+        work: Callable[[], Iterable[Row]],
+    ) -> None:
         self.me, self.region, self.incarnation, self.rng, self._mine = me, region, started, rng, work
         self._window, self._sequence = ReplayWindow(), 0
         # Danger: counted from 1 at each start, an answer to an earlier me would answer a report of mine.
@@ -151,6 +158,7 @@
 
     def reconfigure(self, aggregators: Iterable[AggregatorSite], now: int) -> None:
         """Other aggregators. What is known of those that stay, stays."""
+
         def rank(site: AggregatorSite) -> tuple[bool, bytes]:
             return site.region != self.region, hashlib.sha256(f"{self.me}\0{site.name}".encode()).digest()
 
@@ -266,28 +274,69 @@
         self._due = now + int(pace * self.rng.uniform(1 - JITTER, 1 + JITTER))
         return self._parts(now, table, bytes(loads), bytes(waits), news)
 
-    def _parts(self, now: int, table: _Table, loads: bytes, waits: bytes,
-               news: tuple[tuple[int, int, int], ...]) -> list[Frame]:
+    def _parts(
+        self, now: int, table: _Table, loads: bytes, waits: bytes, news: tuple[tuple[int, int, int], ...]
+    ) -> list[Frame]:
         """One part if it fits; else chunks of slots, and the news by itself."""
         packed = pack(loads), pack(waits)
         if len(packed[0]) + len(packed[1]) + len(news) * NEWS_BYTES <= ROOM:
             pieces = [(0, len(loads), *packed, news)]
         else:
-            pieces = [(first, len(loads[first:first + CHUNK]), pack(loads[first:first + CHUNK]),
-                       pack(waits[first:first + CHUNK]), ()) for first in range(0, len(loads), CHUNK)]
+            pieces = [
+                (
+                    first,
+                    len(loads[first : first + CHUNK]),
+                    pack(loads[first : first + CHUNK]),
+                    pack(waits[first : first + CHUNK]),
+                    (),
+                )
+                for first in range(0, len(loads), CHUNK)
+            ]
             if news:
                 pieces.append((0, 0, b"\0", b"\0", news))
-        return [Report(*self._head(self.current), self._number, k, len(pieces), self.attach, self._quiet_ms(now), False,
-                       table.incarnation, table.version, first, some, waiting, told, slots, self._echo)
-                for k, (first, slots, some, waiting, told) in enumerate(pieces)]
+        return [
+            Report(
+                *self._head(self.current),
+                self._number,
+                k,
+                len(pieces),
+                self.attach,
+                self._quiet_ms(now),
+                False,
+                table.incarnation,
+                table.version,
+                first,
+                some,
+                waiting,
+                told,
+                slots,
+                self._echo,
+            )
+            for k, (first, slots, some, waiting, told) in enumerate(pieces)
+        ]
 
     def leave(self, now: int) -> list[Frame]:
         """The last word: nobody is to count me any more."""
         if not self._order:
             return []
         self._number += 1
-        return [Report(*self._head(self.current), self._number, 0, 1, self.attach, self._quiet_ms(now), True, 0, 0, 0,
-                       b"\0", b"\0", ())]
+        return [
+            Report(
+                *self._head(self.current),
+                self._number,
+                0,
+                1,
+                self.attach,
+                self._quiet_ms(now),
+                True,
+                0,
+                0,
+                0,
+                b"\0",
+                b"\0",
+                (),
+            )
+        ]
 
     def sent(self, size: int) -> None:
         """A datagram of so many bytes went out."""
@@ -304,7 +353,8 @@
         self._now = max(self._now, now)
         self._bytes["in"] += size + HEADERS
         if frame.sender not in self._tables or not self._window.first_time(
-                frame.sender, frame.incarnation, frame.sequence):
+            frame.sender, frame.incarnation, frame.sequence
+        ):
             return []
         self._pay(size)  # Danger: paid for before, what somebody sends again would put my reports off for good
         if isinstance(frame, HelloAck):
@@ -355,8 +405,15 @@
             mine = self._elsewhere if asked.at < self._last_elsewhere() + MOVED + SLACK else Codes()
         if table.version < s.reused or not (s.slots or s.version == 0):
             return  # no slots, unless nobody has work anywhere
-        new = _Chunk(asked.at, s.version, s.first, unpack(s.loads, s.slots), unpack(s.waits, s.slots),
-                     max(0, s.heard - (s.included >= 0)), mine)
+        new = _Chunk(
+            asked.at,
+            s.version,
+            s.first,
+            unpack(s.loads, s.slots),
+            unpack(s.waits, s.slots),
+            max(0, s.heard - (s.included >= 0)),
+            mine,
+        )
         # Whatever it covers of older ones is over; a newer one stays. Parts of one answer don't overlap.
         self._chunks = [c for c in self._chunks if c.loads and (c.at > new.at or not c.overlaps(new))]
         if not any(c.overlaps(new) for c in self._chunks):
@@ -381,8 +438,11 @@
         worth = 0.5 ** (max(0, now - theirs.at) / FADE)
         heard = worth * min(theirs.heard, others)
         scale = (1 + others) / (1 + heard)
-        return (max(0.0, (waiting + worth * theirs.waiting) * scale - waiting),
-                max(0.0, (load + worth * theirs.load) * scale - load), heard / others)
+        return (
+            max(0.0, (waiting + worth * theirs.waiting) * scale - waiting),
+            max(0.0, (load + worth * theirs.load) * scale - load),
+            heard / others,
+        )
 
     def theirs(self, now: int, engine: int) -> Theirs | None:
         """What the others said that they have at an engine; None: no sums of it are known, or they are too old."""
@@ -402,7 +462,13 @@
 
     def figures(self, now: int) -> dict[str, Any]:
         """For operators."""
-        return {"aggregator": self.current, "attach": self.attach,
-                "age_s": (now - self._sums_at) / 1e6 if self._sums_at >= 0 else None, "counted": self._count,
-                "heard": self._heard, "moves": self.moves, "bytes_in": self._bytes["in"],
-                "bytes_out": self._bytes["out"]}
+        return {
+            "aggregator": self.current,
+            "attach": self.attach,
+            "age_s": (now - self._sums_at) / 1e6 if self._sums_at >= 0 else None,
+            "counted": self._count,
+            "heard": self._heard,
+            "moves": self.moves,
+            "bytes_in": self._bytes["in"],
+            "bytes_out": self._bytes["out"],
+        }
--- a/pearhill/net/aggregation.py
+++ b/pearhill/net/aggregation.py
@@ -20,8 +20,14 @@
 class Aggregation:
     """`peers`: where the other aggregators listen."""
 
-    def __init__(self, aggregator: Aggregator, codec: FrameCodec, peers: Mapping[str, Address], deadlines: Deadlines,
-                 datagrams: Datagrams) -> None:
+    def __init__(
+        self,
+        aggregator: Aggregator,
+        codec: FrameCodec,
+        peers: Mapping[str, Address],
+        deadlines: Deadlines,
+        datagrams: Datagrams,
+    ) -> None:
         self.aggregator, self.codec, self.peers, self.deadlines = aggregator, codec, peers, deadlines
         self.datagrams = datagrams
         self._beat_key: Key | None = None
@@ -55,8 +61,11 @@
 
     def told(self) -> dict[str, Any]:
         """What is known here, for operators."""
-        return {"aggregator": self.aggregator.me, **self.aggregator.figures(self.deadlines.clock()),
-                "datagrams": dict(self.datagrams.counts)}
+        return {
+            "aggregator": self.aggregator.me,
+            **self.aggregator.figures(self.deadlines.clock()),
+            "datagrams": dict(self.datagrams.counts),
+        }
 
     def close(self) -> None:
         self.deadlines.cancel(self._beat_key)
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -118,7 +118,8 @@
             if not await self.backend.may_replace(attempt.request):
                 return self.over(i.MOOT)
             connection = self.connection = await pool.acquire(
-                address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT)
+                address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT
+            )
         except NoRoom:  # Danger: taken for the engine's failure, a crowd here would eject every engine in turn.
             return self.over(i.MOOT)
         except CannotConnect:
@@ -154,7 +155,7 @@
                 if status == 200 and not self.backend.dialect.accepts(headers):
                     self._give_up("no-stream", i.ERROR, f"an answer of type {headers.get('content-type')}")
             case Data(data):
-                self.body += data[:MAX_BODY - len(self.body)]
+                self.body += data[: MAX_BODY - len(self.body)]
             case End(_, clean):
                 self._ended(clean)
             case Lost():
@@ -247,8 +248,12 @@
             # Danger: what is held for the request counts from here on, and the engines that hold it may be cut off: no
             # release would reach them in time. While the connection is open the attempt is out. A read, before which
             # nothing is held, has to be over: its request may be refused, and nothing that may run may be out then.
-            if self.attempt.request.holders and connection.sent and connection.exchange is self \
-                    and not self.attempt.began:
+            if (
+                self.attempt.request.holders
+                and connection.sent
+                and connection.exchange is self
+                and not self.attempt.began
+            ):
                 self.backend.keep_open(self.attempt.request, connection)
             else:
                 connection.close("called-off")
@@ -340,8 +345,11 @@
         return call.cancel() if call else False
 
     def release(self, request: Request, engines: Collection[int]) -> None:
-        calls = [(address, self.dialect.release(request.payload, engine)) for engine in engines
-                 if (address := self.addresses.get(engine))]
+        calls = [
+            (address, self.dialect.release(request.payload, engine))
+            for engine in engines
+            if (address := self.addresses.get(engine))
+        ]
         self.releasing += 1
         self.owed[request.number] = engines
         self.pool.spawn(self._release_all(request.number, calls))
--- a/pearhill/net/datagrams.py
+++ b/pearhill/net/datagrams.py
@@ -67,9 +67,13 @@
         """The first at once, those of the minute that follows together at its end."""
         self._tell_key = None
         if self._rejected:
-            logger.warning("{side}: {count} datagrams are not taken: reasons={reasons}, the last from {peer}",
-                           side=self.side, count=self._rejected.total(), peer=self._from,
-                           reasons=",".join(f"{why}:{n}" for why, n in sorted(self._rejected.items())))
+            logger.warning(
+                "{side}: {count} datagrams are not taken: reasons={reasons}, the last from {peer}",
+                side=self.side,
+                count=self._rejected.total(),
+                peer=self._from,
+                reasons=",".join(f"{why}:{n}" for why, n in sorted(self._rejected.items())),
+            )
             self._rejected.clear()
             self._tell_key = self.deadlines.after(TOLD_EVERY, self._tell)
 
--- a/pearhill/net/fleet.py
+++ b/pearhill/net/fleet.py
@@ -104,8 +104,11 @@
         count = self.sources.count(self.deadlines.clock())
         if count is not None and count != self._count:
             self._count = count
-            logger.info("fleet: {count} dispatchers share the work, {there} of them are heard of", count=count,
-                        there=self._heard())
+            logger.info(
+                "fleet: {count} dispatchers share the work, {there} of them are heard of",
+                count=count,
+                there=self._heard(),
+            )
             self.on_count(count)
 
     def _heard(self) -> int:
@@ -126,8 +129,10 @@
             self._silent_since = now
         elif now - self._silent_since >= SILENT and self._reports_to is not None:
             self._reports_to = None
-            logger.warning("fleet: no aggregator answers: {what}", what="the talk goes on" if self.talk else
-                           "each goes by its own work and the last count")
+            logger.warning(
+                "fleet: no aggregator answers: {what}",
+                what="the talk goes on" if self.talk else "each goes by its own work and the last count",
+            )
 
     def told(self, node: Node) -> dict[str, Any]:
         """What is known here of the fleet, for operators. `shares`: dispatchers among whom shares of cold engines and
@@ -138,20 +143,30 @@
             theirs = sources.others(now, engine, waiting, load)
             address = "{}:{}".format(*node.backend.addresses.get(engine, ("", 0)))
             total[address] = load + theirs[1]
-            engines.append({"address": address, "avoided": avoided,
-                            "mine": {"waiting": waiting, "load": load},
-                            "others": {"waiting": round(theirs[0]), "load": round(theirs[1]),
-                                       "sure": round(theirs[2], 3)}})
+            engines.append(
+                {
+                    "address": address,
+                    "avoided": avoided,
+                    "mine": {"waiting": waiting, "load": load},
+                    "others": {"waiting": round(theirs[0]), "load": round(theirs[1]), "sure": round(theirs[2], 3)},
+                }
+            )
         even = evenness(total)
         members = self.talk.council.members.members if self.talk else {}
-        return {"name": self.setup.name, "count": sources.count(now), "shares": node.dispatchers,
-                "source": sources.in_use(now),
-                "members": {name: {"state": m.state, "incarnation": m.incarnation, "for_s": (now - m.since) / 1e6}
-                            for name, m in members.items()},
-                "reports": self.reporting.reporter.figures(now) if self.reporting else None,
-                "engines": engines, "datagrams": dict(self.datagrams.counts),
-                "evenness": {"peak_over_mean": round(even.peak, 3), "gini": round(even.gini, 3),
-                             "idle": list(even.idle)}}
+        return {
+            "name": self.setup.name,
+            "count": sources.count(now),
+            "shares": node.dispatchers,
+            "source": sources.in_use(now),
+            "members": {
+                name: {"state": m.state, "incarnation": m.incarnation, "for_s": (now - m.since) / 1e6}
+                for name, m in members.items()
+            },
+            "reports": self.reporting.reporter.figures(now) if self.reporting else None,
+            "engines": engines,
+            "datagrams": dict(self.datagrams.counts),
+            "evenness": {"peak_over_mean": round(even.peak, 3), "gini": round(even.gini, 3), "idle": list(even.idle)},
+        }
 
     def close(self) -> None:
         """At the end: nothing is taken or sent any more."""
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -44,8 +44,11 @@
         sock = socket.socket(fileno=number)
     except OSError as e:
         raise ValueError(f"descriptor {number}: {e.strerror or e}") from None
-    if (sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM
-            or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+    if (
+        sock.family not in (socket.AF_INET, socket.AF_INET6)
+        or sock.type != socket.SOCK_STREAM
+        or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    ):
         sock.detach()  # it is not ours to close
         raise ValueError(f"descriptor {number} is no TCP socket that listens")
     return sock
@@ -173,7 +176,7 @@
         """Most of what is written fits the socket at once: a task and a deadline for each piece would cost more than
         the piece. A writer takes over what does not fit."""
         with contextlib.suppress(OSError):  # full, or broken: the writer will tell which
-            del self._out[:self.sock.send(self._out)]
+            del self._out[: self.sock.send(self._out)]
         if self._out:
             self._flush()
 
@@ -292,8 +295,10 @@
 
     @property
     def _floods(self) -> bool:
-        return len(self.waiting) >= PIPELINED + (not self.answering) or sum(
-            len(m.body) for m in self.waiting if isinstance(m, RequestMessage)) > self.machine.max_body
+        return (
+            len(self.waiting) >= PIPELINED + (not self.answering)
+            or sum(len(m.body) for m in self.waiting if isinstance(m, RequestMessage)) > self.machine.max_body
+        )
 
     def _task_over(self, task: asyncio.Task[None]) -> None:
         """Danger: a socket that is closed while the loop still polls it may hand its number to another. A task that
@@ -347,8 +352,13 @@
             if task and asyncio.current_task(self.listener.loop) is not task:
                 task.cancel()
         self.listener.counters.connections[f"{self.listener.side} {reason}"] += 1
-        logger.info("connection side={side} peer={peer} reason={reason} requests={requests}", side=self.listener.side,
-                    peer=self.peer, reason=reason, requests=self.requests)
+        logger.info(
+            "connection side={side} peer={peer} reason={reason} requests={requests}",
+            side=self.listener.side,
+            peer=self.peer,
+            reason=reason,
+            requests=self.requests,
+        )
         pending, self.pending = self.pending, None
         if pending:
             pending.left()
@@ -367,8 +377,17 @@
     """`most` bounds the connections; past it those that are of least use make room. `send_buffer`: bytes that the
     system may hold of an answer to one client, twice over; 0: as it likes. `side` names them in the log."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, handler: Handler,
-                 most: int, max_body: int = MAX_BODY, send_buffer: int = 0, side: str = "client") -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        counters: Counters,
+        handler: Handler,
+        most: int,
+        max_body: int = MAX_BODY,
+        send_buffer: int = 0,
+        side: str = "client",
+    ) -> None:
         self.loop, self.deadlines, self.counters, self.handler, self.most = loop, deadlines, counters, handler, most
         self.max_body, self.send_buffer, self.side = max_body, send_buffer, side
         self.links: set[Link] = set()
@@ -417,7 +436,7 @@
         """Another bound on the connections. Those that idle go now, down to it."""
         self.most = most
         idle = sorted((link for link in self.links if link.idle and not link.closed), key=lambda link: link.since)
-        for link in idle[:max(0, len(self.links) - most)]:
+        for link in idle[: max(0, len(self.links) - most)]:
             link.close_unless_asked("room-needed")
 
     def _accept(self) -> None:
--- a/pearhill/net/log.py
+++ b/pearhill/net/log.py
@@ -25,8 +25,12 @@
 def as_json(message: Message) -> str:
     """One object a line: the message, and every field that was bound to it under its own name."""
     record = message.record
-    told = {**record["extra"], "time": record["time"].isoformat(timespec="milliseconds"),
-            "level": record["level"].name, "message": record["message"]}
+    told = {
+        **record["extra"],
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "message": record["message"],
+    }
     if record["exception"]:
         told["trace"] = str(message).partition("\n")[2]
     return json.dumps(told, default=str) + "\n"
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -144,16 +144,30 @@
             self._reader.cancel()
         self.pool.forget(self)
         self.pool.counters.connections[f"server {reason}"] += 1
-        logger.info("connection side={side} peer={peer} reason={reason} exchanges={exchanges}", side="server",
-                    peer="{}:{}".format(*self.address), reason=reason, exchanges=self.exchanges)
+        logger.info(
+            "connection side={side} peer={peer} reason={reason} exchanges={exchanges}",
+            side="server",
+            peer="{}:{}".format(*self.address),
+            reason=reason,
+            exchanges=self.exchanges,
+        )
 
 
 class Pool:
     """All connections to servers. `most` bounds them all together; `spare` more keep the books in order, `FOR_LISTS` of
     them for the list of servers alone: requests hold none of them, nor releases by the hundred, through a cut, all."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, counters: Counters, *,
-                 connect_timeout: int, keep_idle: int, most: int, spare: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        counters: Counters,
+        *,
+        connect_timeout: int,
+        keep_idle: int,
+        most: int,
+        spare: int,
+    ) -> None:
         self.loop, self.deadlines, self.counters = loop, deadlines, counters
         self.connect_timeout, self.keep_idle, self.most = connect_timeout, keep_idle, most
         self.spare = spare
@@ -163,8 +177,9 @@
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
-    async def acquire(self, address: Address, use: int = REQUESTS, within: int = MAX_CONNECT,
-                      fresh: bool = False) -> Connection:
+    async def acquire(
+        self, address: Address, use: int = REQUESTS, within: int = MAX_CONNECT, fresh: bool = False
+    ) -> Connection:
         """A connection that is up: an idle one that still stands, the latest used first, else a new one, `within` so
         many microseconds if that is less than the settings allow. `use`: what for. `fresh`: a new one in any case."""
         now = self.deadlines.clock()
@@ -235,8 +250,11 @@
             connection.close("server-left")
 
     def _drop_oldest(self) -> bool:
-        oldest = min((c for idle in self.idle.values() for c in idle), key=lambda c: c.idle_key or (0, 0),
-                     default=next(iter(self.unread), None))
+        oldest = min(
+            (c for idle in self.idle.values() for c in idle),
+            key=lambda c: c.idle_key or (0, 0),
+            default=next(iter(self.unread), None),
+        )
         if oldest:
             oldest.close("room-needed")
         return oldest is not None
@@ -272,8 +290,16 @@
             self.done.set_result(error)
 
 
-async def call(pool: Pool, address: Address, data: bytes, timeout: int, most: int = MAX_ANSWER, *,
-               use: int = BOOKS, fresh: bool = False) -> tuple[int, bytes]:
+async def call(
+    pool: Pool,
+    address: Address,
+    data: bytes,
+    timeout: int,
+    most: int = MAX_ANSWER,
+    *,
+    use: int = BOOKS,
+    fresh: bool = False,
+) -> tuple[int, bytes]:
     """One request and its whole answer; `timeout` is for its connection, and again for its answer. OSError,
     TimeoutError, ValueError or CannotConnect where there is none."""
     connection = await pool.acquire(address, use, timeout, fresh)
--- a/pearhill/net/reporting.py
+++ b/pearhill/net/reporting.py
@@ -17,8 +17,14 @@
 class Reporting:
     """`addresses`: where the aggregators listen, by name."""
 
-    def __init__(self, reporter: Reporter, codec: FrameCodec, addresses: Mapping[str, Address], deadlines: Deadlines,
-                 datagrams: Datagrams) -> None:
+    def __init__(
+        self,
+        reporter: Reporter,
+        codec: FrameCodec,
+        addresses: Mapping[str, Address],
+        deadlines: Deadlines,
+        datagrams: Datagrams,
+    ) -> None:
         self.reporter, self.codec, self.addresses, self.deadlines = reporter, codec, addresses, deadlines
         self.datagrams = datagrams
         self._beat_key: Key | None = None
--- a/pearhill/net/talk.py
+++ b/pearhill/net/talk.py
@@ -13,8 +13,9 @@
 
 
 class Talk:
-    def __init__(self, council: Council, codec: Codec, peers: Mapping[str, Address], deadlines: Deadlines,
-                 datagrams: Datagrams) -> None:
+    def __init__(
+        self, council: Council, codec: Codec, peers: Mapping[str, Address], deadlines: Deadlines, datagrams: Datagrams
+    ) -> None:
         self.council, self.codec, self.peers, self.deadlines = council, codec, peers, deadlines
         self.datagrams = datagrams
         self._beat_key: Key | None = None
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -67,8 +67,15 @@
         self.dispatchers = 0  # that share the work, where somebody here counts them; 0: as the settings say
         self.parts = 1  # processes that share the limits and this dispatcher's part of all else
         self.settings = deployment
-        self.pool = Pool(loop, self.deadlines, self.counters, connect_timeout=deployment.connect_timeout,
-                         keep_idle=_keep_idle(deployment), most=self.room, spare=FOR_BOOKS)
+        self.pool = Pool(
+            loop,
+            self.deadlines,
+            self.counters,
+            connect_timeout=deployment.connect_timeout,
+            keep_idle=_keep_idle(deployment),
+            most=self.room,
+            spare=FOR_BOOKS,
+        )
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.backend = HttpBackend(self.pool, dialect, self.dispatcher.probed)
         self.dispatcher.backend = self.backend
@@ -98,8 +105,11 @@
 
     def _settle(self) -> None:
         router = self.settings.router
-        self.dispatcher.reconfigure(replace(self.settings, router=replace(
-            router, instances=(self.dispatchers or router.instances) * self.parts)))
+        self.dispatcher.reconfigure(
+            replace(
+                self.settings, router=replace(router, instances=(self.dispatchers or router.instances) * self.parts)
+            )
+        )
 
     def share_work(self, dispatchers: int) -> None:
         """So many dispatchers are there now, whatever the settings said."""
@@ -138,8 +148,13 @@
 
     def figures(self) -> Figures:
         core = self.dispatcher
-        return Figures(dict(zip(core.deployment.class_names, core.calls, strict=True)), core.inflight,
-                       self.counters.written, len(core.engines), core.router.avoided(self.deadlines.clock()))
+        return Figures(
+            dict(zip(core.deployment.class_names, core.calls, strict=True)),
+            core.inflight,
+            self.counters.written,
+            len(core.engines),
+            core.router.avoided(self.deadlines.clock()),
+        )
 
     def take_out(self, engine: int, out: bool) -> bool:
         """Take a server out, or use it again, until the other is asked for. False: nobody has this number."""
@@ -205,11 +220,17 @@
         except ConfigError as e:
             logger.warning("reload: the old configuration stays: {error}", error=str(e))
 
-    async def serve(self, address: Address | socket.socket, handler: Handler, name: str, reload: Callable[[], str],
-                    opened: Callable[[Address], None] = lambda address: None,
-                    leaving: Callable[[], Awaitable[None]] | None = None,
-                    door: tuple[Address, Handler] | None = None,
-                    may_accept: Callable[[], bool] = lambda: True) -> None:
+    async def serve(
+        self,
+        address: Address | socket.socket,
+        handler: Handler,
+        name: str,
+        reload: Callable[[], str],
+        opened: Callable[[Address], None] = lambda address: None,
+        leaving: Callable[[], Awaitable[None]] | None = None,
+        door: tuple[Address, Handler] | None = None,
+        may_accept: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Take requests until SIGTERM or SIGINT, then see through all that was taken. `reload` reads the
         configuration anew at each SIGHUP and tells in words what came of it. `door`: where operators call, and what
         answers them. `address` may be a socket that listens already: its clients are taken from `may_accept` on, and
@@ -221,8 +242,9 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._reload, reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         operators = self._open_door(*door) if door else None
-        listener = self.listener = Listener(self.loop, self.deadlines, self.counters, handler, self.room,
-                                            self.limits.max_body, self.limits.send_buffer)
+        listener = self.listener = Listener(
+            self.loop, self.deadlines, self.counters, handler, self.room, self.limits.max_body, self.limits.send_buffer
+        )
         while not (free := may_accept()) and not stopped.is_set():
             await pause(self.deadlines, LOOK_AGAIN)
         if free:  # Danger: told to end before it could serve, it would take another's clients to refuse them.
@@ -247,8 +269,11 @@
         # Danger: as the loop closes, the system's own handling comes back, and a late SIGHUP would end the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
-    async def until(self, quiet: Callable[[], bool] = lambda: True, meanwhile: Callable[[], None] = lambda: None,
-                    ) -> None:
+    async def until(
+        self,
+        quiet: Callable[[], bool] = lambda: True,
+        meanwhile: Callable[[], None] = lambda: None,
+    ) -> None:
         """Wait for the end of every request and whatever else is to be quiet, and for the releases, as long as the
         system surely lets this process live. Danger: a replica that is gone never answers one; and what is looked at
         before a wait may be owed after it, so that all of it holds in the same turn of the loop."""
--- a/pearhill/operations.py
+++ b/pearhill/operations.py
@@ -13,8 +13,9 @@
 
 
 class Operations:
-    def __init__(self, node: Node, can_serve: Callable[[], bool],
-                 fleet: Callable[[], dict[str, Any] | None] = lambda: None) -> None:
+    def __init__(
+        self, node: Node, can_serve: Callable[[], bool], fleet: Callable[[], dict[str, Any] | None] = lambda: None
+    ) -> None:
         self.node, self.can_serve, self.fleet = node, can_serve, fleet
 
     def figures(self) -> Figures:
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -26,8 +26,12 @@
     node = Node(config.deployment, ReplicaDialect(), Limits(config.sockets, config.seed, door=config.admin is not None))
     deployment = config.deployment
     # The seed is this start's own. Danger: drawn from one that all share, what is spread would be in step.
-    schedule = CallSchedule(deployment.shared_discovery, deployment.router.instances, deployment.drain_grace,
-                            random.Random(config.seed ^ SCHEDULE))
+    schedule = CallSchedule(
+        deployment.shared_discovery,
+        deployment.router.instances,
+        deployment.drain_grace,
+        random.Random(config.seed ^ SCHEDULE),
+    )
     watch = Watch(node.pool, config.discovery, deployment, node.listed, schedule, config.known)
     known_until = node.deadlines.clock() + KNOWN_AFTER
 
@@ -52,24 +56,30 @@
         nonlocal config
         before, fresh = config, read_anew(config)
         node.reconfigure(fresh.deployment)
-        schedule.reconfigure(fresh.deployment.shared_discovery, fresh.deployment.router.instances,
-                             fresh.deployment.drain_grace)
+        schedule.reconfigure(
+            fresh.deployment.shared_discovery, fresh.deployment.router.instances, fresh.deployment.drain_grace
+        )
         watch.deployment, config = fresh.deployment, fresh
         if fresh.discovery != before.discovery:
             watch.move(fresh.discovery)
-        later = for_next_start(("name", before.name, fresh.name), ("listen", before.listen, fresh.listen),
-                               ("limits.sockets", before.sockets, fresh.sockets),
-                               ("admin_addr", before.admin, fresh.admin))
+        later = for_next_start(
+            ("name", before.name, fresh.name),
+            ("listen", before.listen, fresh.listen),
+            ("limits.sockets", before.sockets, fresh.sockets),
+            ("admin_addr", before.admin, fresh.admin),
+        )
         return f"discovery at {fresh.discovery[0]}:{fresh.discovery[1]}{later}"
 
     watch.start()
+
     def says_yes() -> bool:
         return can_serve() and node.accepting and (upgrade is None or upgrade.says_yes())
 
     door = (config.admin, Door(Operations(node, says_yes))) if config.admin else None
     clients = config.listen if config.passed is None else listening(config.passed)
-    await node.serve(clients, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door,
-                     may_accept=may_accept)
+    await node.serve(
+        clients, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door, may_accept=may_accept
+    )
     if upgrade:
         upgrade.end()
     watch.stop()
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -39,8 +39,11 @@
     return place
 
 
-def entries_of(targets: Any, deployment: Deployment, known: Mapping[int, i.Entry] = MappingProxyType({}),
-               ) -> tuple[tuple[i.Entry, ...], dict[int, Address]]:
+def entries_of(
+    targets: Any,
+    deployment: Deployment,
+    known: Mapping[int, i.Entry] = MappingProxyType({}),
+) -> tuple[tuple[i.Entry, ...], dict[int, Address]]:
     """The targets of an answer. One that makes no sense is left out: the others still count. `known`: the last list."""
     entries, addresses, left_out = [], {}, []
     kinds, zones = deployment.router.kinds, max(1, len(deployment.zone_names))
@@ -48,10 +51,14 @@
         try:
             engine = engine_of(str(target["uid"]))
             entry = i.Entry(
-                engine, _index(target["az"], deployment.zone_names, zones),
-                _index(target["model"], deployment.kind_names, len(kinds)), int(target["pod_group"]),
-                STATES[target["state"]], float(target.get("capacity_hint", 1.0)),
-                int(target.get("boot_ms", 0)) * 1000)
+                engine,
+                _index(target["az"], deployment.zone_names, zones),
+                _index(target["model"], deployment.kind_names, len(kinds)),
+                int(target["pod_group"]),
+                STATES[target["state"]],
+                float(target.get("capacity_hint", 1.0)),
+                int(target.get("boot_ms", 0)) * 1000,
+            )
             addresses[engine] = parse_address(target["endpoint"])
             entries.append(entry)
         except (KeyError, ValueError, TypeError, AttributeError) as e:
@@ -61,16 +68,28 @@
             if old and target.get("state") in ("leaving", "left"):
                 entries.append(replace(old, phase=STATES[target["state"]]))
     if left_out:  # Danger: a line for each of a thousand that are all wrong would fill the log
-        logger.warning("discovery: {count} targets of {all} are left out, the first: {error}: {target}",
-                       count=len(left_out), all=len(targets), error=repr(left_out[0][0]), target=left_out[0][1])
+        logger.warning(
+            "discovery: {count} targets of {all} are left out, the first: {error}: {target}",
+            count=len(left_out),
+            all=len(targets),
+            error=repr(left_out[0][0]),
+            target=left_out[0][1],
+        )
     return tuple(entries), addresses
 
 
 class Watch:
     """`known`: a list in discovery's form that the dispatcher starts with."""
 
-    def __init__(self, pool: Pool, address: Address, deployment: Deployment, on_list: OnList, schedule: CallSchedule,
-                 known: Mapping[str, Any]) -> None:
+    def __init__(
+        self,
+        pool: Pool,
+        address: Address,
+        deployment: Deployment,
+        on_list: OnList,
+        schedule: CallSchedule,
+        known: Mapping[str, Any],
+    ) -> None:
         self.pool, self.address, self.deployment, self.on_list = pool, address, deployment, on_list
         self.schedule = schedule
         self.heard = False  # discovery has answered since the start
@@ -150,8 +169,13 @@
         clock, rev = self.pool.deadlines.clock, self.rev
         began = clock()
         try:
-            status, body = await call(self.pool, self.address, messages.request(
-                "GET", target, f"{self.address[0]}:{self.address[1]}"), self.schedule.patience(wait), use=LISTS)
+            status, body = await call(
+                self.pool,
+                self.address,
+                messages.request("GET", target, f"{self.address[0]}:{self.address[1]}"),
+                self.schedule.patience(wait),
+                use=LISTS,
+            )
             if status != 200:
                 raise ValueError(f"status {status}")
             self.apply(json.loads(body))
@@ -164,8 +188,11 @@
         self.stop()
         self.heard = self._told = True
         if self._why:
-            logger.info("discovery: answers again after {failures} failures, {ms} ms", failures=self.schedule.failures,
-                        ms=(clock() - self._silent_since) // 1000)
+            logger.info(
+                "discovery: answers again after {failures} failures, {ms} ms",
+                failures=self.schedule.failures,
+                ms=(clock() - self._silent_since) // 1000,
+            )
         self._why = ""
         self._after(self.schedule.answered(bool(wait) and self.rev == rev and clock() - began < wait // 2))
 
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -149,9 +149,14 @@
             return None
         self.open.add(id)
         client = PlatformClient(dispatcher, reply, lambda: self.open.discard(id))
-        payload = Payload(id, message.method, message.target, message.body,
-                          message.headers.get("content-type", "application/json"),
-                          message.headers.get("idempotency-key", ""))
+        payload = Payload(
+            id,
+            message.method,
+            message.target,
+            message.body,
+            message.headers.get("content-type", "application/json"),
+            message.headers.get("idempotency-key", ""),
+        )
         request = dispatcher.take(ask, client, payload)
         client.request = None if request.answered else request
         return client
@@ -186,6 +191,14 @@
         max_out = _number("max_out", info.get("max_out", "0"))
         tenant = self._tenants.get(headers.get("tenant", ""), 0)
         return id, Ask(
-            cls, max(1, ttl - SLACK), prompt, max_out, session=key_of(headers.get("affinity-key", "")),
-            prefix=key_of(info.get("prefix", "")), prefix_len=_number("prefix_len", info.get("prefix_len", "0")),
-            tenant=tenant, repeat=headers.get("client-retry") == "1", resumed=headers.get("client-retry") == "again")
+            cls,
+            max(1, ttl - SLACK),
+            prompt,
+            max_out,
+            session=key_of(headers.get("affinity-key", "")),
+            prefix=key_of(info.get("prefix", "")),
+            prefix_len=_number("prefix_len", info.get("prefix_len", "0")),
+            tenant=tenant,
+            repeat=headers.get("client-retry") == "1",
+            resumed=headers.get("client-retry") == "again",
+        )
--- a/pearhill/platform/replica.py
+++ b/pearhill/platform/replica.py
@@ -59,8 +59,11 @@
 
 class ReplicaDialect:
     def request(self, payload: Payload, engine: int, wait_ms: int) -> bytes:
-        headers = [("Request-Id", payload.id), ("Request-Timeout-Ms", str(wait_ms)),
-                   ("Content-Type", payload.content_type)]
+        headers = [
+            ("Request-Id", payload.id),
+            ("Request-Timeout-Ms", str(wait_ms)),
+            ("Content-Type", payload.content_type),
+        ]
         if payload.idempotency_key:  # Danger: without it a repeat of a keyed request runs twice.
             headers.append(("Idempotency-Key", payload.idempotency_key))
         return messages.request(payload.method, payload.target, HOST, headers, payload.body)
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -130,8 +130,14 @@
         self.usual, self.served, self.sends = (dict.fromkeys(self.ready, 0.0) for _ in range(3))
         self.lengths, self.lasts = dict[int, Faded](), dict[int, Faded]()  # by class: prompts', answers'
         self.handlers: dict[type, Callable[[Any], None]] = {
-            i.Listed: self._listed, i.Arrived: self._arrived, i.Began: self._began, i.Ended: self._ended,
-            i.Left: self._left, i.Due: self._due, i.Looked: self._looked}
+            i.Listed: self._listed,
+            i.Arrived: self._arrived,
+            i.Began: self._began,
+            i.Ended: self._ended,
+            i.Left: self._left,
+            i.Due: self._due,
+            i.Looked: self._looked,
+        }
 
     def reconfigure(self, settings: i.Settings) -> None:
         """Other figures for the same classes, kinds and zones."""
@@ -195,8 +201,10 @@
         with too little, as many send as all may."""
         if (part := self._cold_part(e)) >= 1:
             return True
-        rate = max(self.s.fall_multiple * part * self.usual[e.role] * (e.entry.weight or 1) * COLD_RATE,
-                   COLD_RATE / self.s.fall / self.s.instances)
+        rate = max(
+            self.s.fall_multiple * part * self.usual[e.role] * (e.entry.weight or 1) * COLD_RATE,
+            COLD_RATE / self.s.fall / self.s.instances,
+        )
         age = max(0, self.now - max(e.tokens_at, e.entry.started))
         e.tokens, e.tokens_at = min(max(rate * self.s.fall / 2, 1), e.tokens + rate * age), self.now
         return e.tokens >= 1
@@ -208,8 +216,11 @@
         fails = {zone: fails.over(self.now, 0.0) for zone, fails in self.zones.items()}
         line = min(fails.values(), default=0.0) + OUTLIER
         near = [e for e in fit if fails.get(e.entry.zone, 0.0) < line] or fit
-        well = [e for e in near if e.ejected_until <= self.now
-                and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line]
+        well = [
+            e
+            for e in near
+            if e.ejected_until <= self.now and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line
+        ]
         # Panic threshold. Danger: where most look bad the judgement is at fault; ejected, they bury the rest.
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
@@ -237,8 +248,15 @@
     def _emptier(self, pool: list[Engine]) -> Engine:
         two = self.rng.sample(pool, min(2, len(pool)))
         told = i.WRITER in self.looks  # then its own word of its memory says more than my part
-        return min(two, key=lambda e: (e.ejected_until > self.now, self._held(e, 0) if told else 0.0,
-                                       e.load / (e.entry.weight or 1), self._held(e, 0)))
+        return min(
+            two,
+            key=lambda e: (
+                e.ejected_until > self.now,
+                self._held(e, 0) if told else 0.0,
+                e.load / (e.entry.weight or 1),
+                self._held(e, 0),
+            ),
+        )
 
     def _takes(self, e: Engine, weight: float, reads: bool = True) -> float:
         """How long reading a prompt, or fetching its state, should take until the first token."""
@@ -286,7 +304,7 @@
             line = (min(job.aim_at, job.end) - self.now) * SHED * (1 + self._worth(req) / self.best)
             # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the
             # more homes; the pair among them is the session's own, so that most stay as the count changes.
-            homes, session = order[:self._homes(req, len(order))], req.session or req.request
+            homes, session = order[: self._homes(req, len(order))], req.session or req.request
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
             if self._look(job, pair):
                 return None
@@ -365,8 +383,12 @@
 
     def _quick(self, e: Engine, job: Job) -> bool:
         """A short read, to be done within a quarter of the aim, and no streams that it delays."""
-        return (job.req.prompt - self._belief(e, job.req) < SHORT and e.stretch.over(self.now, 1.0) < STRETCH
-                and self._read_time(e, job.req) < job.aim / 4 and e.load <= self._crowd(job.req))
+        return (
+            job.req.prompt - self._belief(e, job.req) < SHORT
+            and e.stretch.over(self.now, 1.0) < STRETCH
+            and self._read_time(e, job.req) < job.aim / 4
+            and e.load <= self._crowd(job.req)
+        )
 
     def _crowd(self, req: i.Arrived) -> float:
         """My work at a writer past which it gets no more. Danger: a favourite, or the one that a release
@@ -559,7 +581,7 @@
         self.drawn_all = sum(self.drawn.values())
         self.asked = {tenant: n * 0.8 for tenant, n in self.asked.items()}
         for role in self.ready:
-            seen, new = self.served[role] / (1 - 0.8 ** self.steps), max(0.3, 1 / self.steps)
+            seen, new = self.served[role] / (1 - 0.8**self.steps), max(0.3, 1 / self.steps)
             self.usual[role] = max(0.95 * self.usual[role], (1 - new) * self.usual[role] + new * seen)
             self.served[role] *= 0.8
             self.sends[role] *= 0.8
--- a/pearhill/service/handover.py
+++ b/pearhill/service/handover.py
@@ -40,10 +40,16 @@
     drain: Wish | None
 
     def encode(self) -> bytes:
-        told = {"name": self.name, "start": self.start, "at": self.at, "serving": self.serving, "quiet": self.quiet,
-                "ended": self.ended,
-                "out": {f"{engine:x}": [w.at, w.on, w.since] for engine, w in self.out.items()},
-                "drain": self.drain and [self.drain.at, self.drain.on, self.drain.since]}
+        told = {
+            "name": self.name,
+            "start": self.start,
+            "at": self.at,
+            "serving": self.serving,
+            "quiet": self.quiet,
+            "ended": self.ended,
+            "out": {f"{engine:x}": [w.at, w.on, w.since] for engine, w in self.out.items()},
+            "drain": self.drain and [self.drain.at, self.drain.on, self.drain.since],
+        }
         body = json.dumps(told).encode()
         return MARK + b"%08x\n" % zlib.crc32(body) + body
 
@@ -60,14 +66,22 @@
     head, newline, body = data.partition(b"\n")
     if not head.startswith(MARK):
         raise BadNote("of another version" if head.startswith(b"pearhill-note ") else "no note")
-    if not newline or head[len(MARK):] != b"%08x" % zlib.crc32(body):
+    if not newline or head[len(MARK) :] != b"%08x" % zlib.crc32(body):
         raise BadNote("torn")
     try:
         told = json.loads(body)
         out = {int(engine, 16): _wish(wish) for engine, wish in told["out"].items()}
         drain = told["drain"] and _wish(told["drain"])
-        note = Note(str(told["name"]), int(told["start"]), int(told["at"]), told["serving"] is True,
-                    told["quiet"] is True, told["ended"] is True, out, drain or None)
+        note = Note(
+            str(told["name"]),
+            int(told["start"]),
+            int(told["at"]),
+            told["serving"] is True,
+            told["quiet"] is True,
+            told["ended"] is True,
+            out,
+            drain or None,
+        )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as e:
         raise BadNote(f"unreadable: {e!r}") from None
     if note.name != name:
--- a/pearhill/service/wishes.py
+++ b/pearhill/service/wishes.py
@@ -50,8 +50,9 @@
 
     def merge(self, out: dict[int, Wish], drain: Wish | None) -> tuple[set[int], bool]:
         """Take over what another process has heard later: the engines concerned, and whether the drain is."""
-        changed = {engine for engine, wish in out.items()
-                   if wish.at > (self.out[engine].at if engine in self.out else -1)}
+        changed = {
+            engine for engine, wish in out.items() if wish.at > (self.out[engine].at if engine in self.out else -1)
+        }
         self.out.update((engine, out[engine]) for engine in changed)
         later = drain is not None and drain.at > (self.drain.at if self.drain else -1)
         if later:
--- a/pearhill/settings.py
+++ b/pearhill/settings.py
@@ -34,8 +34,13 @@
 
     def held_fast(self) -> dict[str, tuple[object, ...]]:
         """What a running process has numbered or sized its books by, under the keys of the settings."""
-        return {"classes": self.class_names, "zones": self.zone_names, "models": self.kind_names,
-                "extra.role-by-kind": tuple(kind.role for kind in self.router.kinds), "tenants": self.tenant_names}
+        return {
+            "classes": self.class_names,
+            "zones": self.zone_names,
+            "models": self.kind_names,
+            "extra.role-by-kind": tuple(kind.role for kind in self.router.kinds),
+            "tenants": self.tenant_names,
+        }
 
 
 def _names(rows: Any) -> tuple[str, ...]:
@@ -50,37 +55,63 @@
         per_k = extra.get("aim-us-per-1000-prompt-tokens") or [0.0] * n
         pace = extra.get("token-aim") or [0.0] * n
         classes = tuple(
-            i.ClassSpec(int(c["aim"]), float(per_k[k]), int(c["deadline"]), float(c["worth"]),
-                        float(c.get("late-worth", 0)), EFFECTS.get(c["effect"], c["effect"]),
-                        c.get("group", "all"), int(c.get("window", 0)), float(pace[k]))
-            for k, c in enumerate(s["classes"]))
-        kinds = tuple(i.KindSpec(ROLES.get(role, role), int(memory)) for role, memory in zip(
-            extra["role-by-kind"], extra["tokens-by-kind"], strict=True))
+            i.ClassSpec(
+                int(c["aim"]),
+                float(per_k[k]),
+                int(c["deadline"]),
+                float(c["worth"]),
+                float(c.get("late-worth", 0)),
+                EFFECTS.get(c["effect"], c["effect"]),
+                c.get("group", "all"),
+                int(c.get("window", 0)),
+                float(pace[k]),
+            )
+            for k, c in enumerate(s["classes"])
+        )
+        kinds = tuple(
+            i.KindSpec(ROLES.get(role, role), int(memory))
+            for role, memory in zip(extra["role-by-kind"], extra["tokens-by-kind"], strict=True)
+        )
         columns = s.get("report", {}).get("columns", [])
         load_at = tuple(columns.index(name) if name in columns else -1 for name in ("x0", "x1"))
         router = i.Settings(
-            instances=int(s["n-instances"]), zone=int(s["zone"]), classes=classes, kinds=kinds,
+            instances=int(s["n-instances"]),
+            zone=int(s["zone"]),
+            classes=classes,
+            kinds=kinds,
             quotas=tuple(float(t["quota-rps"]) for t in s.get("tenants", [])),
             over_share_worth=float(s.get("over-share-worth", 1)),
-            release_within=int(extra["release-within"]), local_read=bool(extra["local-read"]),
-            may_cancel=bool(allowed["may-cancel"]), second_copies=bool(allowed["second-copies"]),
-            may_move=bool(extra.get("resume", False)), retry_hints=bool(allowed.get("retry-after", False)),
+            release_within=int(extra["release-within"]),
+            local_read=bool(extra["local-read"]),
+            may_cancel=bool(allowed["may-cancel"]),
+            second_copies=bool(allowed["second-copies"]),
+            may_move=bool(extra.get("resume", False)),
+            retry_hints=bool(allowed.get("retry-after", False)),
             max_retry_after=int(allowed.get("max-retry-after", 0)),
-            max_attempts=int(allowed["max-attempts"]), cold=int(rules["cold"]),
-            cold_from=float(rules["cold-from"]), fall=int(rules["fall"]),
-            fall_multiple=float(rules["fall-multiple"]), tick=int(s["tick"]),
-            probing=bool(allowed.get("probing", False)) and min(load_at) >= 0
+            max_attempts=int(allowed["max-attempts"]),
+            cold=int(rules["cold"]),
+            cold_from=float(rules["cold-from"]),
+            fall=int(rules["fall"]),
+            fall_multiple=float(rules["fall-multiple"]),
+            tick=int(s["tick"]),
+            probing=bool(allowed.get("probing", False))
+            and min(load_at) >= 0
             and s["report"].get("via", "off") != "off",
-            probe_price=float(s.get("prices", {}).get("probe", 0)))
+            probe_price=float(s.get("prices", {}).get("probe", 0)),
+        )
         return Deployment(
-            router, (load_at[0], load_at[1]),
+            router,
+            (load_at[0], load_at[1]),
             class_names=tuple(str(c.get("name", k)) for k, c in enumerate(s["classes"])),
-            zone_names=_names(s.get("zones", [])), kind_names=_names(s.get("models", [])),
+            zone_names=_names(s.get("zones", [])),
+            kind_names=_names(s.get("models", [])),
             tenant_names=_names(s.get("tenants", [])),
             connect_timeout=int(allowed.get("connect-timeout", 250_000)),
-            conn_idle=int(allowed.get("conn-idle", 15_000_000)), most_held=int(allowed.get("most-held", 10_000)),
+            conn_idle=int(allowed.get("conn-idle", 15_000_000)),
+            most_held=int(allowed.get("most-held", 10_000)),
             shared_discovery=s.get("discovery") == "on_request",
-            drain_grace=int(rules.get("drain-grace", 250_000)))
+            drain_grace=int(rules.get("drain-grace", 250_000)),
+        )
     except KeyError as e:
         raise SettingsError(f"{e.args[0]} is missing") from None
     except (ValueError, TypeError, IndexError, AttributeError) as e:
--- a/pearhill/spread/scout.py
+++ b/pearhill/spread/scout.py
@@ -67,8 +67,10 @@
         self.probes = looks(settings)
         self._looks()
         # Danger: a state that waits at a reader meanwhile must be taken or let go of in time.
-        self.wait = max(settings.tick, min(int(min(spec.aim for spec in settings.classes) * WAIT_SHARE),
-                                           settings.release_within // 4))
+        self.wait = max(
+            settings.tick,
+            min(int(min(spec.aim for spec in settings.classes) * WAIT_SHARE), settings.release_within // 4),
+        )
 
     def talk(self, peers: Peers | None) -> None:
         """From now on these say what they have. What they say costs nothing more, so that every choice is looked at."""
@@ -82,15 +84,20 @@
     def figures(self, now: int) -> dict[int, tuple[int, int, bool]]:
         """Of each listed engine: my tokens yet to be read there, mine under way there in all, whether I avoid it."""
         ejected = self._ejected(now)
-        return {e.id: (e.queue, e.load, e.id in ejected or self._ejected_until(now, e.id) > 0)
-                for e in self.router.engines.values()}
+        return {
+            e.id: (e.queue, e.load, e.id in ejected or self._ejected_until(now, e.id) > 0)
+            for e in self.router.engines.values()
+        }
 
     def _ejected(self, now: int) -> set[int]:
         """Listed engines that get nothing new for now, by the list's word or by the Router's outlier ejection."""
         router = self.router
         line = min((fails.over(now, 0.0) for fails in router.zones.values()), default=0.0) + OUTLIER
-        return {e.id for e in router.engines.values()
-                if e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line}
+        return {
+            e.id
+            for e in router.engines.values()
+            if e.entry.phase != i.READY or e.rest > now or e.fails.over(now, 0.0) >= line
+        }
 
     def _looks(self) -> None:
         self.router.looks = frozenset((i.READER, i.WRITER, i.MIXED)) if self.peers else self.probes
@@ -134,8 +141,11 @@
 
     def _look(self, now: int, look: i.Look) -> list[i.Action]:
         roles = {e: self.router.engines[e].role for e in look.engines}
-        missing = {e for e in look.engines if roles[e] in self.probes
-                   and not self.reports.fresh(now, e) and not self._ejected_until(now, e)}
+        missing = {
+            e
+            for e in look.engines
+            if roles[e] in self.probes and not self.reports.fresh(now, e) and not self._ejected_until(now, e)
+        }
         if not missing:
             return self._facts(now, look.request, look.engines)
         probes: list[i.Action] = [i.Probe(e) for e in sorted(missing) if now - self.asked.get(e, -GIVEN_UP) >= GIVEN_UP]
--- a/pearhill/upgrade.py
+++ b/pearhill/upgrade.py
@@ -86,8 +86,11 @@
             if handover.over(note, now):
                 self.notes.remove(path)
         if (handover.parts, handover.succeeded) != before:
-            logger.info("upgrade: {parts} processes serve, {what}", parts=handover.parts,
-                        what="another takes the clients" if handover.succeeded else "this one takes clients")
+            logger.info(
+                "upgrade: {parts} processes serve, {what}",
+                parts=handover.parts,
+                what="another takes the clients" if handover.succeeded else "this one takes clients",
+            )
         self.node.share(handover.parts)
         self.node.give_way(handover.succeeded)
         self.node.wished(engines, drain)
--- a/pearhill/wire.py
+++ b/pearhill/wire.py
@@ -10,8 +10,17 @@
 from pearhill import interface as i
 
 PHASES = {0: i.GONE, 1: i.READY, 2: i.DRAINING}
-OUTCOMES = {200: i.ANSWERED, 102: i.READ, 500: i.ERROR, 503: i.FULL, 504: i.TIMEOUT, 502: i.UNREACHABLE,
-            598: i.BROKEN, 499: i.CANCELLED, 410: i.MOOT}
+OUTCOMES = {
+    200: i.ANSWERED,
+    102: i.READ,
+    500: i.ERROR,
+    503: i.FULL,
+    504: i.TIMEOUT,
+    502: i.UNREACHABLE,
+    598: i.BROKEN,
+    499: i.CANCELLED,
+    410: i.MOOT,
+}
 TURNED_AWAY = 503  # of a probe: the engine lives
 FULL_LIST, CACHED_LIST, FAILED_CALL = 0, 3, 4
 
@@ -74,8 +83,19 @@
 
 def _submit(b: bytes) -> i.Arrived:
     txn, _, prefix_len, prefix, prompt, cls, session, ttl, tenant, most, opts = _SUBMIT.unpack_from(b)
-    return i.Arrived(txn, cls, tenant, session, prefix, _whole(prefix_len), _whole(prompt), _whole(most),
-                     ttl, bool(opts & 2), bool(opts & 16))
+    return i.Arrived(
+        txn,
+        cls,
+        tenant,
+        session,
+        prefix,
+        _whole(prefix_len),
+        _whole(prompt),
+        _whole(most),
+        ttl,
+        bool(opts & 2),
+        bool(opts & 16),
+    )
 
 
 def _load(b: bytes, at: int, values: int, load_at: tuple[int, int]) -> tuple[float, float] | None:
@@ -109,7 +129,7 @@
     seed, n = struct.unpack_from("<QI", b)
     if len(b) < 12 + n:
         raise WireError("START is shorter than its settings")
-    return Start(seed, b[12:12 + n])
+    return Start(seed, b[12 : 12 + n])
 
 
 def _skip(b: bytes) -> None:
@@ -117,8 +137,16 @@
 
 
 _EVENTS: dict[int, Callable[[bytes], i.Event | Start | Halt | None]] = {
-    6: _skip, 11: _skip, 3: _listed, 4: _start, 10: _submit, 7: _began, 9: lambda b: Halt(),
-    1: lambda b: i.Due(_U32.unpack_from(b)[0]), 2: lambda b: i.Left(_U32.unpack_from(b)[0])}
+    6: _skip,
+    11: _skip,
+    3: _listed,
+    4: _start,
+    10: _submit,
+    7: _began,
+    9: lambda b: Halt(),
+    1: lambda b: i.Due(_U32.unpack_from(b)[0]),
+    2: lambda b: i.Left(_U32.unpack_from(b)[0]),
+}
 
 _REPORTING: dict[int, Callable[[bytes, tuple[int, int]], i.Event]] = {0: _probed, 8: _ended}  # may hold a report
 
@@ -139,8 +167,12 @@
     return Frame(seq, clock, tuple(_records(seq, body, count, load_at)))
 
 
-def _records(seq: int, body: bytes, count: int, load_at: Callable[[int], tuple[int, int]],
-             ) -> Iterator[tuple[int, i.Event | Start | Halt]]:
+def _records(
+    seq: int,
+    body: bytes,
+    count: int,
+    load_at: Callable[[int], tuple[int, int]],
+) -> Iterator[tuple[int, i.Event | Start | Halt]]:
     at, instance = 0, -1
     for k in range(count):
         where = f"frame {seq}, record {k} at byte {at}"
@@ -148,7 +180,7 @@
             raise WireError(f"{where}: no room for a record")
         code, size = _RECORD.unpack_from(body, at)
         at += _RECORD.size
-        fields = body[at:at + size]
+        fields = body[at : at + size]
         at += size
         if len(fields) < size:
             raise WireError(f"{where}: {size} bytes stated, {len(fields)} present")
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -27,8 +27,9 @@
 class DoorCase(unittest.TestCase):
     def start(self, *kinds: str, **changes: Any) -> list[Standin]:
         servers = [Standin() for _ in kinds]
-        self.discovery = Discovery(*((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(
-            zip(servers, kinds, strict=True))))
+        self.discovery = Discovery(
+            *((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(zip(servers, kinds, strict=True)))
+        )
         self.program = platform(self.discovery.address, admin_addr="127.0.0.1:0", **changes)
         for thing in (*servers, self.discovery):
             self.addCleanup(thing.close)
@@ -53,17 +54,27 @@
         self.start("all-in-one")
         down = "/ops/replicas/down"
         for status, method, path in (
-                (404, "GET", "/"), (404, "GET", "/ready"), (404, "POST", "/ops/replicas"), (405, "POST", "/ops/stats"),
-                (405, "GET", "/ops/drain/start"), (405, "DELETE", down), (400, "POST", down),
-                (400, "POST", f"{down}?target="), (400, "POST", f"{down}?target=s-0&target=s-0"),
-                (404, "POST", f"{down}?target=nobody"), (404, "POST", "/ops/replicas/up?target=nobody"),
-                (400, "POST", f"{down}?" + "&".join(f"a{n}=1" for n in range(20)))):
+            (404, "GET", "/"),
+            (404, "GET", "/ready"),
+            (404, "POST", "/ops/replicas"),
+            (405, "POST", "/ops/stats"),
+            (405, "GET", "/ops/drain/start"),
+            (405, "DELETE", down),
+            (400, "POST", down),
+            (400, "POST", f"{down}?target="),
+            (400, "POST", f"{down}?target=s-0&target=s-0"),
+            (404, "POST", f"{down}?target=nobody"),
+            (404, "POST", "/ops/replicas/up?target=nobody"),
+            (400, "POST", f"{down}?" + "&".join(f"a{n}=1" for n in range(20))),
+        ):
             with self.subTest(method=method, path=path):
                 self.assertEqual(self.ops(method, path), status)
         self.assertEqual(call(self.door, "PUT", down)[1]["Allow"], "POST")
         host, _, port = self.door.rpartition(":")
-        for raw, status in ((b"GET /ops/stats HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000, b"431"),
-                            (b"nonsense\r\n\r\n", b"400")):
+        for raw, status in (
+            (b"GET /ops/stats HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000, b"431"),
+            (b"nonsense\r\n\r\n", b"400"),
+        ):
             with socket.create_connection((host, int(port)), 20) as caller:
                 caller.sendall(raw)
                 self.assertIn(status, caller.recv(4096))
@@ -112,14 +123,24 @@
         self.start("all-in-one")
         for address, code in (("nowhere", 2), (self.door, 1)):
             with self.subTest(address=address):
-                done = subprocess.run([sys.executable, "-m", "pearhill"], cwd=ROOT, capture_output=True, env={
-                    "RELAY_CONFIG": str(self.program.config), "RELAY_ADMIN_ADDR": address, "PEARHILL_LOG": "WARNING"})
+                done = subprocess.run(
+                    [sys.executable, "-m", "pearhill"],
+                    cwd=ROOT,
+                    capture_output=True,
+                    env={
+                        "RELAY_CONFIG": str(self.program.config),
+                        "RELAY_ADMIN_ADDR": address,
+                        "PEARHILL_LOG": "WARNING",
+                    },
+                )
                 self.assertEqual((done.returncode, done.stderr.count(b"\n")), (code, 1), done.stderr)
                 self.assertIn(b"pearhill: admin_addr: ", done.stderr)
-        self.program.reload(platform_file(self.discovery.address, admin_addr="nowhere"),
-                            "the old configuration stays: admin_addr")
-        self.program.reload(platform_file(self.discovery.address, admin_addr="127.0.0.1:1"),
-                            "for the next start: admin_addr")
+        self.program.reload(
+            platform_file(self.discovery.address, admin_addr="nowhere"), "the old configuration stays: admin_addr"
+        )
+        self.program.reload(
+            platform_file(self.discovery.address, admin_addr="127.0.0.1:1"), "for the next start: admin_addr"
+        )
         self.assertEqual(self.ops("GET", "/ops/readiness"), 200)
 
 
@@ -128,14 +149,22 @@
         reader, writer = self.start("reader", "writer")
         reader.respond = lambda h, b: h.plain(*((204,) if h.command == "DELETE" else (202, b"{}")))
         none = {"success": 0, "busy": 0, "failure": 0}
-        self.assertEqual(self.stats(), {
-            "calls": {"advice": none, "job-booking": none}, "inflight": 0, "backend_calls": 0, "hosts_listed": 2,
-            "hosts_down": 0})
+        self.assertEqual(
+            self.stats(),
+            {
+                "calls": {"advice": none, "job-booking": none},
+                "inflight": 0,
+                "backend_calls": 0,
+                "hosts_listed": 2,
+                "hosts_down": 0,
+            },
+        )
         self.assertEqual(self.ask("a1"), 200)
 
         def waits(handler: Any, body: bytes) -> None:
             writer.go.wait(20)
             handler.chunks(*TOKENS, LAST)
+
         writer.respond = waits
         connection = self.program.connect()
         connection.request("POST", PATH, BODY, headers("a2", "job-booking"))
@@ -149,8 +178,10 @@
         self.assertEqual(self.ops("POST", "/ops/replicas/down?target=s-1"), 200)
         self.assertEqual(self.ask("a4"), 503)
         told = self.stats()
-        self.assertEqual(told["calls"], {"advice": {**none, "success": 1, "busy": 1},
-                                         "job-booking": {**none, "success": 1, "failure": 1}})
+        self.assertEqual(
+            told["calls"],
+            {"advice": {**none, "success": 1, "busy": 1}, "job-booking": {**none, "success": 1, "failure": 1}},
+        )
         self.assertEqual((told["inflight"], told["hosts_listed"], told["hosts_down"]), (0, 2, 1))
 
 
@@ -164,9 +195,11 @@
         def asked(id: str) -> tuple[int, int]:
             before = [s.runs for s in servers]
             for n in range(8):
-                self.assertEqual(self.program.ask("POST", PATH, BODY, {**headers(f"{id}{n}"), "Affinity-Key": f"{n}"})
-                                 [0], 200)
+                self.assertEqual(
+                    self.program.ask("POST", PATH, BODY, {**headers(f"{id}{n}"), "Affinity-Key": f"{n}"})[0], 200
+                )
             return servers[0].runs - before[0], servers[1].runs - before[1]
+
         self.assertEqual(asked("a"), (0, 8))
         for rev, listed in ((2, targets[1:]), (3, targets)):  # gone, and back
             self.discovery.update(*listed)
@@ -194,6 +227,7 @@
             for part in (TOKENS[1], LAST):
                 handler.more(part)
             handler.wfile.write(b"0\r\n\r\n")
+
         self.assertEqual(self.ops("POST", "/ops/replicas/down?target=s-1"), 200)
         server.respond = waits
         connection = self.program.connect()
--- a/tests/budgets/test_budgets.py
+++ b/tests/budgets/test_budgets.py
@@ -30,6 +30,7 @@
 class Periods(unittest.TestCase):
     def test_against_the_calendar(self):
         import datetime
+
         for wall in (0, DAY - 1, DAY, 951_782_400, 951_868_800, 1_796_083_199, 1_796_083_200, 4_102_444_799):
             told = datetime.datetime.fromtimestamp(wall, datetime.UTC)
             day, month = periods(wall)
@@ -79,17 +80,19 @@
         self.assertEqual(b.settle(T0, held, Used(1_000, 800, 5)), (200 + 80 + 20) * MILLI)
 
     def test_levels_nest(self):
-        cases = (("account", Plan({"a": plan(account="x")}, {"x": Limit(tokens_per_min=60, burst=100)}), "x: tokens a"),
-                 ("key", Plan({"a": plan(key=Limit(tokens_per_min=60, burst=100))}), "k1: tokens a minute"),
-                 ("open", Plan({"a": plan(key=Limit(open=1))}), "k1: requests open"),
-                 ("day", Plan({"a": plan(day=100)}), "a: tokens a day"),
-                 ("month", Plan({"a": plan(month=100)}), "a: tokens a month"))
+        cases = (
+            ("account", Plan({"a": plan(account="x")}, {"x": Limit(tokens_per_min=60, burst=100)}), "x: tokens a"),
+            ("key", Plan({"a": plan(key=Limit(tokens_per_min=60, burst=100))}), "k1: tokens a minute"),
+            ("open", Plan({"a": plan(key=Limit(open=1))}), "k1: requests open"),
+            ("day", Plan({"a": plan(day=100)}), "a: tokens a day"),
+            ("month", Plan({"a": plan(month=100)}), "a: tokens a month"),
+        )
         for name, made, why in cases:
             with self.subTest(name=name):
                 b = Budgets(made, T0)
                 self.assertTrue(b.admit(T0, WALL, "a", "k1", 50, 30).admitted)
                 standing = b.admit(T0, WALL, "a", "k1", 50, 30)
-                self.assertEqual((standing.kind, standing.why[:len(why)]), (OVER, why))
+                self.assertEqual((standing.kind, standing.why[: len(why)]), (OVER, why))
                 self.assertEqual(standing.lasting, name in ("day", "month"))
 
     def test_what_is_larger_than_the_burst_waits_for_a_full_bucket(self):
@@ -146,13 +149,21 @@
 
 
 class SpareCapacity(unittest.TestCase):
-    def run_load(self, rates: dict[str, float], plans: dict[str, TenantPlan], capacity: int, seconds: int = 120,
-                 ) -> tuple[dict[str, float], float, dict[str, int]]:
+    def run_load(
+        self,
+        rates: dict[str, float],
+        plans: dict[str, TenantPlan],
+        capacity: int,
+        seconds: int = 120,
+    ) -> tuple[dict[str, float], float, dict[str, int]]:
         """Tokens a minute served to each tenant that asks for `rates`; the share of capacity used while anyone was
         refused; refusals."""
         rng, b = random.Random(7), Budgets(Plan(plans, capacity=capacity, capacity_burst=capacity // 6), T0)
-        events = sorted((T0 + int(rng.random() * seconds * S), name) for name, rate in rates.items()
-                        for _ in range(int(rate * seconds / 60 / 100)))
+        events = sorted(
+            (T0 + int(rng.random() * seconds * S), name)
+            for name, rate in rates.items()
+            for _ in range(int(rate * seconds / 60 / 100))
+        )
         served, refused, warm = dict.fromkeys(rates, 0), dict.fromkeys(rates, 0), T0 + 30 * S
         for now, name in events:
             standing = b.admit(now, WALL, name, "", 90, 10)
@@ -174,10 +185,15 @@
         self.assertGreater(used, 0.95)
 
     def test_spare_goes_out_by_weight_and_what_one_leaves_the_others_get(self):
-        cases = (({"a": 1.0, "b": 3.0}, {"a": 400_000, "b": 400_000}, {"a": 50_000, "b": 150_000}),
-                 ({"a": 1.0, "b": 3.0}, {"a": 400_000, "b": 60_000}, {"a": 140_000, "b": 60_000}),
-                 ({"a": 1.0, "b": 1.0, "c": 2.0}, {"a": 20_000, "b": 400_000, "c": 400_000},
-                  {"a": 20_000, "b": 60_000, "c": 120_000}))
+        cases = (
+            ({"a": 1.0, "b": 3.0}, {"a": 400_000, "b": 400_000}, {"a": 50_000, "b": 150_000}),
+            ({"a": 1.0, "b": 3.0}, {"a": 400_000, "b": 60_000}, {"a": 140_000, "b": 60_000}),
+            (
+                {"a": 1.0, "b": 1.0, "c": 2.0},
+                {"a": 20_000, "b": 400_000, "c": 400_000},
+                {"a": 20_000, "b": 60_000, "c": 120_000},
+            ),
+        )
         for weights, rates, wanted in cases:
             with self.subTest(weights=weights, rates=rates):
                 own = {name: plan(weight=w, tokens_per_min=1, burst=100) for name, w in weights.items()}
@@ -193,8 +209,9 @@
         self.assertGreater(refused["a"], 500)
 
     def test_ten_thousand_tenants_wake_in_one_second(self):
-        b = Budgets(Plan(default=plan(weight=1, tokens_per_min=600, burst=200), capacity=600_000,
-                         capacity_burst=100_000), T0)
+        b = Budgets(
+            Plan(default=plan(weight=1, tokens_per_min=600, burst=200), capacity=600_000, capacity_burst=100_000), T0
+        )
         for k in range(10_000):
             standing = b.admit(T0 + k * 100, WALL, f"t{k}", "", 90, 10)
             self.assertEqual(standing.kind, WITHIN)
@@ -218,9 +235,15 @@
 class Rebuilt(unittest.TestCase):
     def test_a_snapshot_and_the_charges_behind_it_make_the_same_balances(self):
         rng = random.Random(3)
-        made = Plan({"a": plan(tokens_per_min=600, burst=5_000, debt=500, day=10**6, month=10**7, account="x"),
-                     "b": plan(tokens_per_min=60, burst=500, weight=2.0, key=Limit(tokens_per_min=6_000, burst=900))},
-                    {"x": Limit(tokens_per_min=6_000, burst=50_000)}, capacity=60_000, capacity_burst=10_000)
+        made = Plan(
+            {
+                "a": plan(tokens_per_min=600, burst=5_000, debt=500, day=10**6, month=10**7, account="x"),
+                "b": plan(tokens_per_min=60, burst=500, weight=2.0, key=Limit(tokens_per_min=6_000, burst=900)),
+            },
+            {"x": Limit(tokens_per_min=6_000, burst=50_000)},
+            capacity=60_000,
+            capacity_burst=10_000,
+        )
         for cut in range(0, 60, 7):
             live, journal, state = Budgets(made, T0), [], None
             now = T0
@@ -232,16 +255,38 @@
                 if held := live.admit(now, WALL, tenant, "k", rng.randrange(1, 200), 50).reservation:
                     used = Used(rng.randrange(200), 0, rng.randrange(50))
                     milli = live.settle(now, held, used)
-                    journal.append(pack(Charge(now, WALL, "", tenant, "k", held.account, "", "", "answered",
-                                               used.prompt, 0, used.answer, milli, held.spare, held.day, held.month)))
+                    journal.append(
+                        pack(
+                            Charge(
+                                now,
+                                WALL,
+                                "",
+                                tenant,
+                                "k",
+                                held.account,
+                                "",
+                                "",
+                                "answered",
+                                used.prompt,
+                                0,
+                                used.answer,
+                                milli,
+                                held.spare,
+                                held.day,
+                                held.month,
+                            )
+                        )
+                    )
             held = live.admit(now, WALL, "a", "k", 10, 10)  # open at the crash: let go
             again = Budgets(made, T0)
             rebuild(again, state, journal, now)
             live.settle(now, held.reservation, None) if held.reservation else None
             for tenant in "ab":
                 self.assertEqual(again.balance(now + S, WALL, tenant), live.balance(now + S, WALL, tenant))
-                self.assertEqual(again.admit(now, WALL, tenant, "k", 1, 50).reservation is None,
-                                 live.admit(now, WALL, tenant, "k", 1, 50).reservation is None)
+                self.assertEqual(
+                    again.admit(now, WALL, tenant, "k", 1, 50).reservation is None,
+                    live.admit(now, WALL, tenant, "k", 1, 50).reservation is None,
+                )
 
     def test_a_state_of_another_version_is_refused(self):
         with self.assertRaises(ValueError):
--- a/tests/chat/test_asgi.py
+++ b/tests/chat/test_asgi.py
@@ -26,8 +26,13 @@
             self.host, self.port = listening.getsockname()
             number = listening.fileno()
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "uvicorn", "examples.starlette_app:app", "--fd", str(number)], cwd=ROOT,
-                pass_fds=[number], stderr=subprocess.PIPE, text=True, env={**os.environ, "PEARHILL_CHAT": path})
+                [sys.executable, "-m", "uvicorn", "examples.starlette_app:app", "--fd", str(number)],
+                cwd=ROOT,
+                pass_fds=[number],
+                stderr=subprocess.PIPE,
+                text=True,
+                env={**os.environ, "PEARHILL_CHAT": path},
+            )
         self.follow_log()
 
 
@@ -39,7 +44,7 @@
         self.addCleanup(program.kill)
         self.assertEqual(json.loads(program.ask("GET", "/hours")[2])["open"], "09:00")
         status, _, got = program.ask("POST", PATH, body(stream=True))
-        self.assertEqual((status, got[:len(TOKENS[0])], got[-14:]), (200, TOKENS[0], b"data: [DONE]\n\n"))
+        self.assertEqual((status, got[: len(TOKENS[0])], got[-14:]), (200, TOKENS[0], b"data: [DONE]\n\n"))
         self.assertEqual(json.loads(program.ask("POST", PATH, body())[2])["object"], "chat.completion")
         self.assertEqual(program.ask("POST", PATH, b"{")[0], 400)
         server.respond = lambda h, b: h.chunks(TOKENS[0])  # no [DONE]
@@ -88,6 +93,7 @@
             self.server.go.wait(20)
             handler.more(TOKENS[1] + LAST)
             handler.wfile.write(b"0\r\n\r\n")
+
         self.server.respond = pieces
         task, _, send = self.call(body(stream=True))
         self.assertEqual((await send.get())["status"], 200)
--- a/tests/chat/test_budgets.py
+++ b/tests/chat/test_budgets.py
@@ -19,8 +19,9 @@
 from tests.standins import LAST, ROOT, TOKENS, Program
 
 LONG = TOKENS[0] * 30
-USED = (b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":%d,"total_tokens":9}}\n\n'
-        b'data: [DONE]\n\n')
+USED = (
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":%d,"total_tokens":9}}\n\n' b"data: [DONE]\n\n"
+)
 
 
 def table(**limits: object) -> str:
@@ -30,7 +31,8 @@
 
 def tenant(name: str, **limits: object) -> str:
     return f"\n[[budgets.tenant]]\nname = {json.dumps(name)}\nweight = 0\n" + "".join(
-        f"{key} = {json.dumps(value)}\n" for key, value in limits.items())
+        f"{key} = {json.dumps(value)}\n" for key, value in limits.items()
+    )
 
 
 class Budgeted(ChatCase):
@@ -97,8 +99,9 @@
         self.begin(tenant("north", day_tokens=850), tenant("south", open_requests=1))
         self.assertEqual(self.call(body(max_tokens=800))[0], 200)
         answer = self.call(body(max_tokens=8_400))
-        self.assertEqual((answer[0], self.error(answer)["code"], answer[1]["x-should-retry"]),
-                         (429, "insufficient_quota", "false"))
+        self.assertEqual(
+            (answer[0], self.error(answer)["code"], answer[1]["x-should-retry"]), (429, "insufficient_quota", "false")
+        )
         self.assertEqual(self.usage()["tokens"]["day_limit"], 850)
         self.server.respond = lambda h, b: self.server.go.wait(20)
         connection = self.program.connect()
@@ -106,8 +109,10 @@
         connection.request("POST", PATH, body(), {"api-key": B})
         self.server.wait_for("POST", count=2)
         answer = self.call(body(), B)
-        self.assertEqual((answer[0], self.error(answer)["code"], answer[1]["x-ratelimit-remaining-requests"]),
-                         (429, "rate_limit_exceeded", "0"))
+        self.assertEqual(
+            (answer[0], self.error(answer)["code"], answer[1]["x-ratelimit-remaining-requests"]),
+            (429, "rate_limit_exceeded", "0"),
+        )
         connection.close()  # it leaves, and makes room
         self.program.wait_line("side=server .* reason=called-off")
         del self.server.respond
@@ -152,6 +157,7 @@
         def slow(handler, sent):
             handler.chunks(TOKENS[0], last=False)
             self.server.go.wait(20)
+
         self.server.respond = slow
         connection = self.program.connect()
         connection.request("POST", PATH, body(stream=True), {"api-key": A})
@@ -168,6 +174,7 @@
             self.server.go.wait(20)
             handler.more(TOKENS[1] + LAST)
             handler.wfile.write(b"0\r\n\r\n")
+
         self.server.respond = slow
         connection = self.program.connect()
         connection.request("POST", PATH, body("booking", stream=True), {"api-key": A})
@@ -227,14 +234,19 @@
         self.program.stop()
         for path in self.folder.iterdir():
             path.write_bytes(path.read_bytes()[:-1] + b"?" if path.suffix == ".state" else b"")
-        done = subprocess.run([sys.executable, "-m", "pearhill", "--chat", str(self.program.config)], cwd=ROOT,
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "pearhill", "--chat", str(self.program.config)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
         self.assertEqual(done.returncode, 1)
         self.assertIn(f"pearhill: budgets.folder: {self.folder}: no snapshot is whole", done.stderr)
 
     def test_a_disk_that_cannot_be_written_refuses_or_serves_uncounted(self):
         """The folder goes away under the running process: the next segment cannot be made."""
         import shutil
+
         self.begin(tenant("north", day_tokens=10**6), folder=True, uncounted_tokens=12)
         shutil.rmtree(self.folder)
         self.assertEqual(self.call(body())[0], 200)
@@ -253,8 +265,10 @@
         text = self.program.config.read_text()
         self.program.reload(text.replace("day_tokens = 1000000", "day_tokens = 20"))
         self.assertEqual(self.call(body())[0], 429)
-        self.program.reload(text.replace("day_tokens = 1000000", "day_tokens = -1"),
-                            r"reload: the old configuration stays: .*budgets.tenant\[0\].day_tokens: found -1")
+        self.program.reload(
+            text.replace("day_tokens = 1000000", "day_tokens = -1"),
+            r"reload: the old configuration stays: .*budgets.tenant\[0\].day_tokens: found -1",
+        )
         self.program.reload(text)
         self.assertEqual(self.call(body())[0], 200)
         self.assertEqual(self.usage()["tokens"]["today"], 22)
@@ -263,6 +277,7 @@
 class Bills(Budgeted):
     def test_totals_equal_the_journal_to_the_token(self):
         import pyarrow.parquet
+
         self.begin(tenant("north", tokens_per_min=1, burst_tokens=830), folder=True, cached_price=0.5)
         for key, sent in ((A, body()), (A, body(max_tokens=8_000)), (B, body()), (B, body())):
             self.call(sent, key)
@@ -271,17 +286,31 @@
         self.program.stop()
         charges = read_folder(self.folder)
         period = month_name(periods(charges[0].wall)[1])
-        done = subprocess.run([sys.executable, "-c", "from pearhill.cli.main import main; main()", "bill",
-                               str(self.folder), "--period", period, "--out", str(self.folder / "out")], cwd=ROOT,
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "from pearhill.cli.main import main; main()",
+                "bill",
+                str(self.folder),
+                "--period",
+                period,
+                "--out",
+                str(self.folder / "out"),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
         self.assertEqual(done.returncode, 0, done.stderr)
         out = self.folder / "out" / f"bill-{period}"
         rows = pyarrow.parquet.read_table(out.with_suffix(".parquet")).to_pylist()
         self.assertEqual(sum(row["milli"] for row in rows), sum(c.milli for c in charges))
         told = {row["tenant"]: row for row in csv.DictReader(out.with_suffix(".csv").open())}
-        self.assertEqual({k: told["north"][k] for k in ("requests", "prompt", "cached", "answer", "refused", "milli")},
-                         {"requests": "1", "prompt": "9", "cached": "4", "answer": "2", "refused": "1",
-                          "milli": "9000"})
+        self.assertEqual(
+            {k: told["north"][k] for k in ("requests", "prompt", "cached", "answer", "refused", "milli")},
+            {"requests": "1", "prompt": "9", "cached": "4", "answer": "2", "refused": "1", "milli": "9000"},
+        )
         self.assertEqual((told["south"]["requests"], told["south"]["failed"]), ("3", "1"))
         for name in ("requests", "prompt", "cached", "answer", "refused", "failed", "debt", "milli"):
             self.assertEqual(int(told["total"][name]), int(told["north"][name]) + int(told["south"][name]))
@@ -294,17 +323,25 @@
 
     def test_what_cannot_be_billed_is_one_line(self):
         with tempfile.TemporaryDirectory() as folder:
-            for arguments, why in (((folder, "--period", "2026-13"), "is no month"),
-                                   ((f"{folder}/none", "--period", "2026-12"), "is no folder")):
-                done = subprocess.run([sys.executable, "-c", "from pearhill.cli.main import main; main()", "bill",
-                                       *arguments], cwd=ROOT, capture_output=True, text=True)
+            for arguments, why in (
+                ((folder, "--period", "2026-13"), "is no month"),
+                ((f"{folder}/none", "--period", "2026-12"), "is no folder"),
+            ):
+                done = subprocess.run(
+                    [sys.executable, "-c", "from pearhill.cli.main import main; main()", "bill", *arguments],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                )
                 self.assertEqual((done.returncode, done.stderr.count("\n"), why in done.stderr), (2, 1, True))
 
     def test_names_are_escaped_on_the_page(self):
         from pearhill.bill.files import html
         from pearhill.budgets.charges import Charge
-        page = html(sum_up([Charge(0, 0, "", "<b>&", "", "", "", "", "answered", 1, 0, 1, 2000, False, 0, 0)],
-                           "1970-01"))
+
+        page = html(
+            sum_up([Charge(0, 0, "", "<b>&", "", "", "", "", "answered", 1, 0, 1, 2000, False, 0, 0)], "1970-01")
+        )
         self.assertIn("&lt;b&gt;&amp;", page)
 
 
@@ -312,9 +349,11 @@
     def test_the_file_in_deploy_is_good_and_can_be_named(self):
         text = operator_file(["127.0.0.1:1"]).replace("[chat]\n", "[chat]\nbudgets_file = 'deploy/budgets.toml'\n")
         made = load(write_file(self, text)).spending
-        self.assertEqual((made.plan.tenants["lycee-tiznit"].account, made.plan.prices.cached),
-                         ("delegation-tiznit", 100))
+        self.assertEqual(
+            (made.plan.tenants["lycee-tiznit"].account, made.plan.prices.cached), ("delegation-tiznit", 100)
+        )
         from pearhill.chat.file import BudgetsFile, BudgetsTable, BudgetTable
+
         typed.load(str(ROOT / "deploy" / "budgets.toml"), BudgetsFile)
         shown = (ROOT / "deploy" / "budgets.toml").read_text()
         for name in (*BudgetsTable.__struct_fields__, *BudgetTable.__struct_fields__):
@@ -322,12 +361,21 @@
                 self.assertRegex(shown, rf"(?m)^(# )?{name} = |\[+budgets\.{name}\]", name)
 
     def test_the_settings_tenants_have_their_quota_as_their_weight(self):
-        text = operator_file(["127.0.0.1:1"], table() + tenant("north", day_tokens=5),
-                             tenants=[{"name": "north", "quota-rps": 5.0}, {"name": "south", "quota-rps": 3.0}])
+        text = operator_file(
+            ["127.0.0.1:1"],
+            table() + tenant("north", day_tokens=5),
+            tenants=[{"name": "north", "quota-rps": 5.0}, {"name": "south", "quota-rps": 3.0}],
+        )
         plan = load(write_file(self, text)).spending.plan
         self.assertEqual((plan.tenants["north"].weight, plan.tenants["south"].weight), (0, 3.0))
 
     def test_durations(self):
-        for micros, text in ((0, "0ms"), (1, "1ms"), (12_000, "12ms"), (1_500_000, "1.5s"), (60_000_000, "1m0s"),
-                             (361_250_000, "6m1.25s")):
+        for micros, text in (
+            (0, "0ms"),
+            (1, "1ms"),
+            (12_000, "12ms"),
+            (1_500_000, "1.5s"),
+            (60_000_000, "1m0s"),
+            (361_250_000, "6m1.25s"),
+        ):
             self.assertEqual(duration(micros), text)
--- a/tests/chat/test_conformance.py
+++ b/tests/chat/test_conformance.py
@@ -19,8 +19,11 @@
     def test_the_daemon(self):
         report = asyncio.run(conform_own())
         self.holds(report, 250)
-        self.assertEqual((ROOT / "docs" / "CONFORMANCE.md").read_text(), report.markdown(),
-                         "write it anew: pearhill conform --write docs/CONFORMANCE.md")
+        self.assertEqual(
+            (ROOT / "docs" / "CONFORMANCE.md").read_text(),
+            report.markdown(),
+            "write it anew: pearhill conform --write docs/CONFORMANCE.md",
+        )
 
     def test_the_middleware(self):
         async def run() -> Report:
@@ -32,6 +35,7 @@
                 return await run_cases(f"http://{program.host}:{program.port}", server, embedded=True)
             finally:
                 await server.close()
+
         self.holds(asyncio.run(run()), 250)
 
     def test_a_suite_that_finds_nothing_says_so(self):
@@ -43,6 +47,7 @@
 
     def test_a_front_that_does_wrong_is_found_out(self):
         """The same suite against a server that is no front: what it answers itself must not hold."""
+
         async def run() -> Report:
             server, other = ScriptedServer(), ScriptedServer()
             await server.start()
@@ -53,5 +58,6 @@
             finally:
                 await server.close()
                 await other.close()
+
         report = asyncio.run(run())
         self.assertEqual(report.held, [])
--- a/tests/chat/test_door.py
+++ b/tests/chat/test_door.py
@@ -33,7 +33,10 @@
     def test_it_is_absent_unless_the_file_names_it(self):
         self.start()
         self.assertFalse([line for line in self.program.lines if "operators" in line])
-        self.program.reload(self.program.config.read_text().replace(
-            "[chat]\n", "[chat]\nadmin_addr = 'nowhere'\n"), "the old configuration stays: .*chat.admin_addr")
-        self.program.reload(self.program.config.read_text().replace("nowhere", "127.0.0.1:0"),
-                            "for the next start: chat.admin_addr")
+        self.program.reload(
+            self.program.config.read_text().replace("[chat]\n", "[chat]\nadmin_addr = 'nowhere'\n"),
+            "the old configuration stays: .*chat.admin_addr",
+        )
+        self.program.reload(
+            self.program.config.read_text().replace("nowhere", "127.0.0.1:0"), "for the next start: chat.admin_addr"
+        )
--- a/tests/chat/test_front.py
+++ b/tests/chat/test_front.py
@@ -22,12 +22,15 @@
 
 
 def operator_file(addresses: list[str], extra: str = "", **changes: Any) -> str:
-    servers = "".join(f'[[server]]\nuid = "s{n}"\naddress = "{a}"\nkind = "all-in-one"\n'
-                      for n, a in enumerate(addresses))
+    servers = "".join(
+        f'[[server]]\nuid = "s{n}"\naddress = "{a}"\nkind = "all-in-one"\n' for n, a in enumerate(addresses)
+    )
     rule = '[[chat.rule]]\nmodel = "booking*"\nclass = "job-booking"\n'
-    return (f"settings = {toml({**SETTINGS, **changes})}\n[chat]\nlisten = '127.0.0.1:0'\n"
-            f"models = ['help', 'booking']\n"
-            f"{rule}{servers}{extra}")
+    return (
+        f"settings = {toml({**SETTINGS, **changes})}\n[chat]\nlisten = '127.0.0.1:0'\n"
+        f"models = ['help', 'booking']\n"
+        f"{rule}{servers}{extra}"
+    )
 
 
 def write_file(case: unittest.TestCase, text: str) -> str:
@@ -39,13 +42,24 @@
 
 
 def body(model: str = "help", stream: bool = False, **more: Any) -> bytes:
-    return json.dumps({"model": model, "stream": stream, "messages": [
-        {"role": "system", "content": "You help."}, {"role": "user", "content": "How long?"}], **more}).encode()
+    return json.dumps(
+        {
+            "model": model,
+            "stream": stream,
+            "messages": [{"role": "system", "content": "You help."}, {"role": "user", "content": "How long?"}],
+            **more,
+        }
+    ).encode()
 
 
 class ChatCase(unittest.TestCase):
-    def start(self, count: int = 1, extra: str = "", addresses: tuple[str, ...] = (), door: bool = False,
-              ) -> list[Standin]:
+    def start(
+        self,
+        count: int = 1,
+        extra: str = "",
+        addresses: tuple[str, ...] = (),
+        door: bool = False,
+    ) -> list[Standin]:
         servers = [Standin() for _ in range(count)]
         for server in servers:
             self.addCleanup(server.close)
@@ -74,8 +88,9 @@
         self.assertEqual(got, b"".join(TOKENS) + events[0] + b"\n\n" + events[2] + b"\n\n")
         sent = json.loads(server.bodies[0])
         self.assertEqual((sent["stream"], sent["stream_options"]), (True, {"include_usage": True}))
-        self.assertEqual(self.ask(body(stream=True, stream_options={"include_usage": True}))[2],
-                         b"".join(TOKENS) + LAST)
+        self.assertEqual(
+            self.ask(body(stream=True, stream_options={"include_usage": True}))[2], b"".join(TOKENS) + LAST
+        )
 
     def test_an_answer_in_one_piece(self):
         self.start()
@@ -88,9 +103,15 @@
 
     def test_bad_requests_are_error_objects_and_counted(self):
         (server,) = self.start()
-        bad = [b"{", b"[]", body(model=""), json.dumps({"model": "help", "messages": []}).encode(),
-               json.dumps({"model": "help", "messages": ["x"]}).encode(), body(max_tokens=-1),
-               body(metadata={"class": "unheard-of"})]
+        bad = [
+            b"{",
+            b"[]",
+            body(model=""),
+            json.dumps({"model": "help", "messages": []}).encode(),
+            json.dumps({"model": "help", "messages": ["x"]}).encode(),
+            body(max_tokens=-1),
+            body(metadata={"class": "unheard-of"}),
+        ]
         for sent in bad:
             with self.subTest(sent=sent[:60]):
                 answer = self.ask(sent)
@@ -139,8 +160,14 @@
 
 class Events(ChatCase):
     """What a server may send instead of an answer."""
-    BAD = (b"data: {broken\n\n", b"data: 7\n\n", b'data: {"error":{"message":"no"}}\n\n',
-           b'data: {"choices":[{"index":0}]}\n\n', b"data: \xff\n\n")
+
+    BAD = (
+        b"data: {broken\n\n",
+        b"data: 7\n\n",
+        b'data: {"error":{"message":"no"}}\n\n',
+        b'data: {"choices":[{"index":0}]}\n\n',
+        b"data: \xff\n\n",
+    )
     EMPTY = b"data: [DONE]\n\n"
 
     def test_malformed_events_end_as_failed_and_bookings_are_not_run_again(self):
@@ -151,8 +178,9 @@
                     runs = server.runs
                     server.respond = lambda h, b, parts=(before + bad,): h.chunks(*parts, last=False)
                     answer = self.ask(body("booking"))
-                    self.assertIn((answer[0], self.error(answer)["code"]),
-                                  [(500, "request_failed"), (502, "stream_broken")])
+                    self.assertIn(
+                        (answer[0], self.error(answer)["code"]), [(500, "request_failed"), (502, "stream_broken")]
+                    )
                     self.assertEqual(server.runs, runs + 1)
 
     def test_an_end_without_an_answer_is_no_answer(self):
@@ -180,6 +208,7 @@
             handler.chunks(TOKENS[0], last=False)
             while not server.go.wait(0.5):
                 handler.more(b": comments are no events\n\n")
+
         server.respond = stall
         self.assertEqual(self.ask(body("booking"))[0], 502)
         self.assertEqual(server.runs, 1)
@@ -191,6 +220,7 @@
         def endless(handler, body):
             handler.chunks(*TOKENS, LAST, last=False)
             server.go.wait(20)
+
         server.respond = endless
         self.assertEqual(self.ask(body("booking"))[0], 200)
         self.program.wait_line("side=server .* reason=no-last-chunk")
@@ -199,11 +229,13 @@
 class OneOutcome(ChatCase):
     def drop(self, server: Standin, **headers: str) -> None:
         """A booking's client takes the first event and leaves; then the server sends the rest."""
+
         def slow(handler, body):
             handler.chunks(TOKENS[0], last=False)
             server.go.wait(20)
             handler.more(TOKENS[1] + LAST)
             handler.wfile.write(b"0\r\n\r\n")
+
         server.respond = slow
         connection = self.program.connect()
         connection.request("POST", PATH, body("booking", stream=True), headers)
@@ -263,19 +295,27 @@
 class OperatorFile(unittest.TestCase):
     def test_bad_files_are_one_line_that_names_the_key(self):
         good = operator_file(["127.0.0.1:1"])
-        cases = {"chat.listen": good.replace("'127.0.0.1:0'", "'nowhere'"),
-                 "chat.lisen": good.replace("listen", "lisen"),
-                 "chat.rule[0].class": good.replace('"job-booking"\n[', '"no-class"\n['),
-                 "server[0].address": good.replace("127.0.0.1:1\"", "x\""), "server": operator_file([]),
-                 "settings.rulers": good.replace('"rules" =', '"rulers" ='), "idempotency.keep_s": good
-                 + "[idempotency]\nkeep_s = 0\n"}
+        cases = {
+            "chat.listen": good.replace("'127.0.0.1:0'", "'nowhere'"),
+            "chat.lisen": good.replace("listen", "lisen"),
+            "chat.rule[0].class": good.replace('"job-booking"\n[', '"no-class"\n['),
+            "server[0].address": good.replace('127.0.0.1:1"', 'x"'),
+            "server": operator_file([]),
+            "settings.rulers": good.replace('"rules" =', '"rulers" ='),
+            "idempotency.keep_s": good + "[idempotency]\nkeep_s = 0\n",
+        }
         for key, text in cases.items():
             with self.subTest(key=key):
-                done = subprocess.run([sys.executable, "-m", "pearhill", "--chat", write_file(self, text)], cwd=ROOT,
-                                      capture_output=True, text=True)
+                done = subprocess.run(
+                    [sys.executable, "-m", "pearhill", "--chat", write_file(self, text)],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                )
                 self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
                 self.assertRegex(done.stderr, f"^pearhill: [^ ]*chat.toml: {re.escape(key)}: ")
 
     def test_the_file_in_deploy_is_good(self):
         from pearhill.chat.setup import load
+
         self.assertEqual(load(str(ROOT / "deploy" / "chat.toml")).deployment.class_names, ("advice", "job-booking"))
--- a/tests/chat/test_keys.py
+++ b/tests/chat/test_keys.py
@@ -15,8 +15,10 @@
 
 
 def tenants(**keys: list[str]) -> str:
-    rows = "".join(f'[[chat.tenant]]\nname = "{name}"\nkeys = {json.dumps([record_of(k) for k in found])}\n'
-                   for name, found in keys.items())
+    rows = "".join(
+        f'[[chat.tenant]]\nname = "{name}"\nkeys = {json.dumps([record_of(k) for k in found])}\n'
+        for name, found in keys.items()
+    )
     return rows
 
 
@@ -24,8 +26,10 @@
     def test_several_keys_of_a_tenant_and_none_of_others(self):
         north, south = Tenant("north", 0), Tenant("south", 1)
         ring = Keyring([(north, [record_of(A), record_of(B)]), (south, [record_of(C)])])
-        self.assertEqual([ring.owner(k) for k in (A, B, C, new_key(), "", A[:-1], A + "x", A.upper())],
-                         [north, north, south, None, None, None, None, None])
+        self.assertEqual(
+            [ring.owner(k) for k in (A, B, C, new_key(), "", A[:-1], A + "x", A.upper())],
+            [north, north, south, None, None, None, None, None],
+        )
         self.assertFalse(Keyring([]))
 
     def test_keys_whose_numbers_are_alike_are_told_apart(self):
@@ -61,11 +65,13 @@
 
     def test_who_may_ask_and_for_what(self):
         self.begin()
-        cases = [({}, "help", 401, "invalid_api_key"),
-                 ({"Authorization": f"Bearer {B}"}, "help", 401, "invalid_api_key"),
-                 ({"Authorization": f"Basic {A}"}, "help", 401, "invalid_api_key"),
-                 ({"Authorization": f"Bearer {C}"}, "booking", 403, "model_not_allowed"),
-                 ({"Authorization": f"Bearer {C}"}, "nobody", 404, "model_not_found")]
+        cases = [
+            ({}, "help", 401, "invalid_api_key"),
+            ({"Authorization": f"Bearer {B}"}, "help", 401, "invalid_api_key"),
+            ({"Authorization": f"Basic {A}"}, "help", 401, "invalid_api_key"),
+            ({"Authorization": f"Bearer {C}"}, "booking", 403, "model_not_allowed"),
+            ({"Authorization": f"Bearer {C}"}, "nobody", 404, "model_not_found"),
+        ]
         for headers, model, status, code in cases:
             with self.subTest(headers=headers, model=model):
                 answer = self.program.ask("POST", PATH, body(model), headers)
@@ -81,8 +87,9 @@
             self.assertNotIn("Authorization", seen)
         log = "".join(self.program.lines)
         self.assertFalse([k for k in (A, B, C) if k in log])
-        self.assertRegex(log, r"request id=\w+ client_id='' tenant='south' path=/v1/chat/completions model='' "
-                         "status=403")
+        self.assertRegex(
+            log, r"request id=\w+ client_id='' tenant='south' path=/v1/chat/completions model='' " "status=403"
+        )
 
     def test_one_tenants_idempotency_keys_are_not_anothers(self):
         self.begin()
@@ -99,6 +106,7 @@
             self.server.go.wait(20)
             handler.more(TOKENS[1] + b"data: [DONE]\n\n")
             handler.wfile.write(b"0\r\n\r\n")
+
         self.server.respond = slow
         connection = self.program.connect()
         self.addCleanup(connection.close)
@@ -115,6 +123,7 @@
 
     def test_servers_have_keys_of_their_own(self):
         import tempfile
+
         with tempfile.NamedTemporaryFile("w", suffix=".key") as file:
             file.write("server-secret\n")
             file.flush()
@@ -125,6 +134,7 @@
     def test_a_plain_key_in_the_file_is_not_shown(self):
         from pearhill.chat.setup import loads
         from pearhill.config import ConfigError
+
         with self.assertRaises(ConfigError) as caught:
             loads(operator_file(["127.0.0.1:1"], f'[[chat.tenant]]\nname = "n"\nkeys = ["{A}"]\n'))
         self.assertIn("chat.tenant[0].keys[0]", str(caught.exception))
--- a/tests/chat/test_openai.py
+++ b/tests/chat/test_openai.py
@@ -18,16 +18,27 @@
 def call_events(*pieces: str) -> list[bytes]:
     first = {"index": 0, "id": "c1", "type": "function", "function": {"name": "book", "arguments": pieces[0]}}
     parts = [first] + [{"index": 0, "function": {"arguments": piece}} for piece in pieces[1:]]
-    chunks = [{"id": "x", "object": "chat.completion.chunk", "created": 1, "model": "m", "choices": [
-        {"index": 0, "delta": {"tool_calls": [part]}, "finish_reason": None}]} for part in parts]
+    chunks = [
+        {
+            "id": "x",
+            "object": "chat.completion.chunk",
+            "created": 1,
+            "model": "m",
+            "choices": [{"index": 0, "delta": {"tool_calls": [part]}, "finish_reason": None}],
+        }
+        for part in parts
+    ]
     return [b"data: %b\n\n" % json.dumps(chunk).encode() for chunk in chunks]
 
 
 class Official(ChatCase):
     def begin(self, **options) -> openai.OpenAI:
         (self.server,) = self.start()
-        client = openai.OpenAI(base_url=f"http://{self.program.host}:{self.program.port}/v1", api_key="k" * 30,
-                               **{"max_retries": 0, "timeout": 20, **options})
+        client = openai.OpenAI(
+            base_url=f"http://{self.program.host}:{self.program.port}/v1",
+            api_key="k" * 30,
+            **{"max_retries": 0, "timeout": 20, **options},
+        )
         self.addCleanup(client.close)
         return client
 
@@ -36,8 +47,9 @@
         whole = client.chat.completions.create(model="help", messages=HI)
         self.assertEqual((whole.choices[0].message.content, whole.usage.total_tokens), ("one two", 11))
         self.assertTrue(whole._request_id)
-        stream = client.chat.completions.create(model="help", messages=HI, stream=True,
-                                                stream_options={"include_usage": True})
+        stream = client.chat.completions.create(
+            model="help", messages=HI, stream=True, stream_options={"include_usage": True}
+        )
         chunks = list(stream)
         self.assertEqual("".join(c.choices[0].delta.content or "" for c in chunks if c.choices), "one two")
         self.assertEqual(chunks[-1].usage.total_tokens, 11)
@@ -52,8 +64,9 @@
         answer = client.chat.completions.create(model="help", messages=HI, tools=[TOOL])
         call = answer.choices[0].message.tool_calls[0]
         self.assertEqual((call.id, call.function.name, call.function.arguments), ("c1", "book", '{"day":1}'))
-        answer = client.responses.create(model="help", input="Hi", tools=[{"type": "function", **TOOL["function"],
-                                                                           "strict": False}])
+        answer = client.responses.create(
+            model="help", input="Hi", tools=[{"type": "function", **TOOL["function"], "strict": False}]
+        )
         self.assertEqual((answer.output[0].type, answer.output[0].arguments), ("function_call", '{"day":1}'))
 
     def test_responses_and_completions(self):
@@ -105,8 +118,9 @@
             client.chat.completions.create(model="booking", messages=HI)
         self.assertEqual(self.server.runs, 1)  # X-Should-Retry: false
         left = iter([True])
-        self.server.respond = lambda h, b: (h.plain(503, Not_Started="1") if next(left, False)
-                                            else h.chunks(*TOKENS, LAST))
+        self.server.respond = lambda h, b: (
+            h.plain(503, Not_Started="1") if next(left, False) else h.chunks(*TOKENS, LAST)
+        )
         answer = client.chat.completions.create(model="booking", messages=HI)
         self.assertEqual(answer.choices[0].message.content, "one two")
 
@@ -116,6 +130,7 @@
         def late(handler, sent):
             self.server.go.wait(20)
             handler.chunks(*TOKENS, LAST)
+
         self.server.respond = late
         with self.assertRaises(openai.APITimeoutError):
             client.chat.completions.create(model="booking", messages=HI)
@@ -128,10 +143,13 @@
 
         async def ask() -> list[str]:
             async with openai.AsyncOpenAI(base_url=str(client.base_url), api_key="k" * 30, max_retries=0) as other:
+
                 async def one() -> str:
                     stream = await other.chat.completions.create(model="help", messages=HI, stream=True)
                     return "".join([c.choices[0].delta.content or "" async for c in stream if c.choices])
+
                 return await asyncio.gather(*(one() for _ in range(8)))
+
         self.assertEqual(asyncio.run(ask()), ["one two"] * 8)
 
 
--- a/tests/chat/test_under_load.py
+++ b/tests/chat/test_under_load.py
@@ -80,9 +80,12 @@
                 wire.close()
             self.assertTrue(got.whole and got.body.endswith(b"data: [DONE]\n\n"))
             return len(got.body)
+
         for _ in range(self.READ // 10):
-            self.assertEqual(set(await asyncio.gather(*(whole() for _ in range(10)))), {
-                150 * len(event(BIG)) + sum(map(len, (*ANSWER[1:3], ANSWER[4])))})
+            self.assertEqual(
+                set(await asyncio.gather(*(whole() for _ in range(10)))),
+                {150 * len(event(BIG)) + sum(map(len, (*ANSWER[1:3], ANSWER[4])))},
+            )
         told = await asyncio.to_thread(program.counters)
         self.assertEqual((told["served"], told["taken"]), (self.READ, self.OPEN), "the others must still be open")
         held = (resident(program.process.pid) - before) / len(stalled)
@@ -123,6 +126,7 @@
             finally:
                 wire.close()
             return got.status, got.body
+
         booking, other = body("booking", stream=True), json.dumps({"model": "booking", "prompt": "Hi"}).encode()
         first = asyncio.create_task(repeat(PATH, booking))
         while not self.server.runs:
@@ -152,6 +156,7 @@
                     counts["bad"] += 1
             finally:
                 wire.close()
+
         floods = [asyncio.create_task(flood(sent)) for sent in bad * 4]
         wire = Wire(program.host, program.port)
         await wire.open()
@@ -187,6 +192,7 @@
             self.server.go.wait(20)
             handler.more(TOKENS[1] + END)
             handler.wfile.write(b"0\r\n\r\n")
+
         self.server.respond = slow
         connection = self.program.connect()
         self.addCleanup(connection.close)
@@ -209,4 +215,3 @@
         self.server.go.set()
         self.assertTrue(response.read().endswith(b"data: [DONE]\n\n"))
         self.assertEqual(self.ask(body("booking"))[0], 404)
-
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -13,8 +13,13 @@
 
 
 def run(*arguments: str, told: str = "") -> tuple[int, str, str]:
-    done = subprocess.run([sys.executable, "-c", "from pearhill.cli.main import main; main()", *arguments], cwd=ROOT,
-                          input=told, capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-c", "from pearhill.cli.main import main; main()", *arguments],
+        cwd=ROOT,
+        input=told,
+        capture_output=True,
+        text=True,
+    )
     return done.returncode, done.stdout, done.stderr
 
 
@@ -60,8 +65,11 @@
         self.assertEqual(run("key", "--known", told="short\n")[0], 2)
 
     def test_conform_says_what_it_cannot_do(self):
-        for arguments, why in ((("http://127.0.0.1:1",), "no front at"), (("ftp://x",), "is no http"),
-                               (("http://127.0.0.1:1", "--listen", "x"), "x")):
+        for arguments, why in (
+            (("http://127.0.0.1:1",), "no front at"),
+            (("ftp://x",), "is no http"),
+            (("http://127.0.0.1:1", "--listen", "x"), "x"),
+        ):
             code, _, err = run("conform", *arguments)
             self.assertEqual((code, err.count("\n"), why in err), (2, 1, True), err)
 
