--- a/tests/config/test_typed.py
+++ b/tests/config/test_typed.py
@@ -24,15 +24,18 @@
     ("['help', 'booking']", "['help']\ndefault_class = 'x'", "chat.default_class: found 'x'; allowed: advice, job-"),
     ("['help', 'booking']", "['help']\nserver_key_file = '/nowhere/key'", "chat.server_key_file: found '/nowhere/key'"),
     ('class = "job-booking"\n[', 'class = "no"\n[', "chat.rule[0].class: found 'no'; allowed: advice, job-booking"),
-    ('class = "job-booking"\n[', '[', "chat.rule[0].class: found nothing; allowed: text; it must be given"),
+    ('class = "job-booking"\n[', "[", "chat.rule[0].class: found nothing; allowed: text; it must be given"),
     (SERVER, SERVER + 'zone = "west"\n', "server[0].zone: found 'west'; allowed: north, south"),
     ('kind = "all-in-one"', 'kind = "oven"', "server[0].kind: found 'oven'; allowed: reader, writer, all-in-one"),
     ('kind = "all-in-one"\n', "", "server[0].kind: found nothing; allowed: text; it must be given"),
     (SERVER, SERVER + "capacity = 0\n", "server[0].capacity: found 0; allowed: a number > 0.0"),
     (SERVER, SERVER + "[[server]]\n" + SERVER, "server[1].uid: found 's0'; allowed: a uid that no other server has"),
     (SERVER, SERVER + "[eureka]\naddress = 'a:1'\n", "eureka.servers: found nothing; allowed: text; it must be given"),
-    (SERVER, SERVER + "[[chat.model]]\nname = 'm'\nkinds = ['reader']\n",
-     "chat.model[0].kinds: found ['reader']; allowed: at least one kind that writes"),
+    (
+        SERVER,
+        SERVER + "[[chat.model]]\nname = 'm'\nkinds = ['reader']\n",
+        "chat.model[0].kinds: found ['reader']; allowed: at least one kind that writes",
+    ),
     (SERVER, SERVER + "[[chat.model]]\nname = 'm'\naliases = ['help']\n", "chat.model[0].aliases[0]: found 'help'; "),
     (SERVER, SERVER + "[[chat.tenant]]\nname = 't'\nmodels = ['none']\n", "chat.tenant[0].models[0]: found 'none'; "),
     (SERVER, SERVER + "[[chat.tenant]]\nname = 't'\n[[chat.tenant]]\nname = 't'\n", "chat.tenant[1].name: found 't'"),
@@ -62,6 +65,7 @@
 
     def test_the_commented_file_shows_every_key_of_the_chat_table(self):
         from pearhill.chat.file import ChatTable, ModelTable, TenantTable
+
         text = (ROOT / "deploy" / "chat.toml").read_text()
         for table in (ChatTable, ModelTable, TenantTable):
             for name in table.__struct_encode_fields__:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -8,14 +8,38 @@
 from pearhill.rules import Router
 
 S = 1_000_000
-CLASS = i.ClassSpec(aim=1 * S, aim_per_1000=40_000.0, deadline=4 * S, worth=1.0, late_worth=0.1, effect=i.SAFE,
-                    group="all", window=5 * S, token_aim=60_000.0)
+CLASS = i.ClassSpec(
+    aim=1 * S,
+    aim_per_1000=40_000.0,
+    deadline=4 * S,
+    worth=1.0,
+    late_worth=0.1,
+    effect=i.SAFE,
+    group="all",
+    window=5 * S,
+    token_aim=60_000.0,
+)
 SETTINGS = i.Settings(
-    instances=2, zone=0, classes=(CLASS,), kinds=(i.KindSpec(i.READER, 200_000), i.KindSpec(i.WRITER, 150_000),
-                                                  i.KindSpec(i.MIXED, 200_000)),
-    quotas=(), over_share_worth=0.1, release_within=300_000, local_read=True, may_cancel=True,
-    second_copies=False, may_move=True, retry_hints=False, max_retry_after=2 * S, max_attempts=5, cold=14 * S,
-    cold_from=0.25, fall=S, fall_multiple=2.5, tick=2000)
+    instances=2,
+    zone=0,
+    classes=(CLASS,),
+    kinds=(i.KindSpec(i.READER, 200_000), i.KindSpec(i.WRITER, 150_000), i.KindSpec(i.MIXED, 200_000)),
+    quotas=(),
+    over_share_worth=0.1,
+    release_within=300_000,
+    local_read=True,
+    may_cancel=True,
+    second_copies=False,
+    may_move=True,
+    retry_hints=False,
+    max_retry_after=2 * S,
+    max_attempts=5,
+    cold=14 * S,
+    cold_from=0.25,
+    fall=S,
+    fall_multiple=2.5,
+    tick=2000,
+)
 
 
 def settings(effect: str = i.SAFE, group: str = "all", **changes: object) -> i.Settings:
@@ -61,16 +85,34 @@
         self.now = end
         return actions
 
-    def arrive(self, prompt: int = 3000, session: int = 0, prefix: int = 0, prefix_len: int = 0, ttl: int = 4 * S,
-               cls: int = 0, tenant: int = 0, max_out: int = 100) -> tuple[int, list[i.Action]]:
+    def arrive(
+        self,
+        prompt: int = 3000,
+        session: int = 0,
+        prefix: int = 0,
+        prefix_len: int = 0,
+        ttl: int = 4 * S,
+        cls: int = 0,
+        tenant: int = 0,
+        max_out: int = 100,
+    ) -> tuple[int, list[i.Action]]:
         request, self.next = self.next, self.next + 1
-        return request, self.feed(i.Arrived(request, cls, tenant, session, prefix, prefix_len, prompt, max_out,
-                                            ttl, False, False))
-
-    def end(self, request: int, outcome: str, settled: bool = False, kept: int = 0, rtt: int = 50_000,
-            load: tuple[float, float] | None = None) -> list[i.Action]:
-        return self.feed(i.Ended(request, self.attempt[request], self.sent[request].engine, outcome, settled, kept,
-                                 rtt, load))
+        return request, self.feed(
+            i.Arrived(request, cls, tenant, session, prefix, prefix_len, prompt, max_out, ttl, False, False)
+        )
+
+    def end(
+        self,
+        request: int,
+        outcome: str,
+        settled: bool = False,
+        kept: int = 0,
+        rtt: int = 50_000,
+        load: tuple[float, float] | None = None,
+    ) -> list[i.Action]:
+        return self.feed(
+            i.Ended(request, self.attempt[request], self.sent[request].engine, outcome, settled, kept, rtt, load)
+        )
 
     def began(self, request: int, rtt: int = 30_000) -> list[i.Action]:
         return self.feed(i.Began(request, self.attempt[request], self.sent[request].engine, rtt))
--- a/tests/durable/test_journal.py
+++ b/tests/durable/test_journal.py
@@ -79,7 +79,7 @@
             self.assertEqual((found.seq, found.cut), (whole, cut - ends[whole]))
             self.assertEqual(path.stat().st_size, ends[whole])
             if found.cut:  # nothing is thrown away
-                self.assertEqual(path.with_suffix(".torn").read_bytes(), data[ends[whole]:cut])
+                self.assertEqual(path.with_suffix(".torn").read_bytes(), data[ends[whole] : cut])
             again = Journal(self.folder, found.seq, self.told, self.failed)
             again.append(b"after")
             self.assertTrue(again.close())
@@ -145,6 +145,7 @@
                     real(arguments[0], bytes(arguments[1])[:7])
                 raise error
             return real(*arguments)
+
         patched = patch(f"pearhill.durable.journal.os.{name}", call)
         patched.start()
         self.addCleanup(patched.stop)
@@ -201,8 +202,9 @@
         rng, acked = random.Random(SEED), 0
         print("seed", SEED)
         for turn in range(rounds):
-            process = subprocess.Popen([sys.executable, "-c", WRITER, str(self.folder)], stdout=subprocess.PIPE,
-                                       cwd=ROOT, text=True)
+            process = subprocess.Popen(
+                [sys.executable, "-c", WRITER, str(self.folder)], stdout=subprocess.PIPE, cwd=ROOT, text=True
+            )
             assert process.stdout
             for _ in range(rng.randrange(1, 40)):
                 line = process.stdout.readline()
--- a/tests/http1/test_sse.py
+++ b/tests/http1/test_sse.py
@@ -7,8 +7,21 @@
 
 from pearhill.http1.sse import BadEvents, EventParser, ServerEvent
 
-LINES = st.sampled_from([b"data: a", b"data:b", b"data", b"data: \xc3\xa9", b": hi", b"event: x", b"id: 1", b"retry: 5",
-                         b"data: {}", b"data: [DONE]", b"nonsense"])
+LINES = st.sampled_from(
+    [
+        b"data: a",
+        b"data:b",
+        b"data",
+        b"data: \xc3\xa9",
+        b": hi",
+        b"event: x",
+        b"id: 1",
+        b"retry: 5",
+        b"data: {}",
+        b"data: [DONE]",
+        b"nonsense",
+    ]
+)
 EVENTS = st.lists(st.tuples(st.lists(LINES, max_size=3), st.sampled_from([b"\n", b"\r\n", b"\r"])), max_size=8)
 
 
@@ -29,7 +42,7 @@
         stream = (b"\xef\xbb\xbf" if marked else b"") + written(events) + b"data: end\n\n"
         at = sorted({0, len(stream), *(cut for cut in cuts if cut < len(stream))})
         parts = [stream[a:b] for a, b in zip(at, at[1:], strict=False)]
-        whole, cut, bytewise = read([stream]), read(parts), read([stream[k:k + 1] for k in range(len(stream))])
+        whole, cut, bytewise = read([stream]), read(parts), read([stream[k : k + 1] for k in range(len(stream))])
         self.assertEqual([(e.data, e.name) for e in whole], [(e.data, e.name) for e in cut])
         self.assertEqual([(e.data, e.name) for e in whole], [(e.data, e.name) for e in bytewise])
         for got in (whole, cut, bytewise):
@@ -53,4 +66,4 @@
             parser = EventParser(most=20)
             with self.subTest(size=size), self.assertRaises(BadEvents):
                 for at in range(0, len(stream), size):
-                    parser.feed(stream[at:at + size])
+                    parser.feed(stream[at : at + size])
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -14,28 +14,73 @@
 from tests.standins import ROOT
 
 SIZE = c.Size()
-COST = {"cpu_cores": 0.008, "bytes_in_s": 3000.0, "bytes_out_s": 1200.0, "messages_in_s": 4.0, "messages_out_s": 2.0,
-        "memory_bytes": 9.0e6, "beat_late_ms": {"p50": 1, "p99": 12, "max": 40},
-        "news_age_ms": {"p50": 612, "p99": 1190, "max": 1701}}
+COST = {
+    "cpu_cores": 0.008,
+    "bytes_in_s": 3000.0,
+    "bytes_out_s": 1200.0,
+    "messages_in_s": 4.0,
+    "messages_out_s": 2.0,
+    "memory_bytes": 9.0e6,
+    "beat_late_ms": {"p50": 1, "p99": 12, "max": 40},
+    "news_age_ms": {"p50": 612, "p99": 1190, "max": 1701},
+}
 
 
 def point(way: str = c.AGGREGATORS, dispatchers: int = 330, replicas: int = 940, **told: Any) -> dict[str, Any]:
-    return {"way": way, "kind": "hollow", "work": "drawn", "dispatchers": dispatchers, "replicas": replicas,
-            "aggregators": 3, "seconds": 15.0, "rate_per_dispatcher": 45.0, "processes": 10, "busy": False,
-            "dispatcher": COST, "aggregator": COST | {"cpu_cores": 0.25}, "discovery": {"calls_s": 11, "bytes_s": 9e3},
-            "list_age_ms": None, **told}
+    return {
+        "way": way,
+        "kind": "hollow",
+        "work": "drawn",
+        "dispatchers": dispatchers,
+        "replicas": replicas,
+        "aggregators": 3,
+        "seconds": 15.0,
+        "rate_per_dispatcher": 45.0,
+        "processes": 10,
+        "busy": False,
+        "dispatcher": COST,
+        "aggregator": COST | {"cpu_cores": 0.25},
+        "discovery": {"calls_s": 11, "bytes_s": 9e3},
+        "list_age_ms": None,
+        **told,
+    }
 
 
 def slope(way: str, quantity: str, at_size: float, **told: Any) -> dict[str, Any]:
-    return {"way": way, "role": "dispatcher", "quantity": quantity, "form": "a + b*D", "coefficients": {"a": 1, "b": 2},
-            "low": at_size * 0.9, "high": at_size * 1.1, "fitted_over": {"dispatchers": [20, 80]}, "stretched": 4.1,
-            "at_size": at_size, "bound": 1.0, "need_over_bound": at_size, **told}
+    return {
+        "way": way,
+        "role": "dispatcher",
+        "quantity": quantity,
+        "form": "a + b*D",
+        "coefficients": {"a": 1, "b": 2},
+        "low": at_size * 0.9,
+        "high": at_size * 1.1,
+        "fitted_over": {"dispatchers": [20, 80]},
+        "stretched": 4.1,
+        "at_size": at_size,
+        "bound": 1.0,
+        "need_over_bound": at_size,
+        **told,
+    }
 
 
 def result(started: str = "2026-12-02T05:50:00Z", **told: Any) -> dict[str, Any]:
-    return {"version": "0.3.0", "commit": "abc", "seed": 1, "plan": "control.toml", "started": started,
-            "machine": {"processor": "P", "cores": 8, "memory_bytes": 1, "python": "3.11.7"}, "load_1m": [1.5, 2.5],
-            "points": [], "checks": [], "slopes": [], "choice": [], "troubles": [], "not_run": [], **told}
+    return {
+        "version": "0.3.0",
+        "commit": "abc",
+        "seed": 1,
+        "plan": "control.toml",
+        "started": started,
+        "machine": {"processor": "P", "cores": 8, "memory_bytes": 1, "python": "3.11.7"},
+        "load_1m": [1.5, 2.5],
+        "points": [],
+        "checks": [],
+        "slopes": [],
+        "choice": [],
+        "troubles": [],
+        "not_run": [],
+        **told,
+    }
 
 
 class Made(unittest.TestCase):
@@ -66,15 +111,21 @@
     def test_each_mechanism_is_a_file_or_package_or_said_to_be_missing(self):
         rows = list(c.mechanisms((ROOT / c.PAGE).read_text()))
         self.assertGreater(len(rows), 50)
-        lost = {f"{duty}: {name}" for duty, named in rows for name in named
-                if not (name.startswith("pearhill/") and (ROOT / name).exists())}
+        lost = {
+            f"{duty}: {name}"
+            for duty, named in rows
+            for name in named
+            if not (name.startswith("pearhill/") and (ROOT / name).exists())
+        }
         self.assertEqual(lost, set())
 
 
 class Mechanisms(unittest.TestCase):
     def test_files_missing_ones_and_gaps_are_told_apart(self):
-        text = ("| a | b | carried by |\n| --- | --- | --- |\n| 1 | x | `pearhill/a.py`, `pearhill/b` |\n"
-                "| 2 | x | missing: all |\n| 3 | x |  |\n\n| a | b |\n| --- | --- |\n| 4 | `x` |\n")
+        text = (
+            "| a | b | carried by |\n| --- | --- | --- |\n| 1 | x | `pearhill/a.py`, `pearhill/b` |\n"
+            "| 2 | x | missing: all |\n| 3 | x |  |\n\n| a | b |\n| --- | --- |\n| 4 | `x` |\n"
+        )
         self.assertEqual(list(c.mechanisms(text)), [("1", ["pearhill/a.py", "pearhill/b"]), ("2", []), ("3", [""])])
 
 
@@ -82,10 +133,15 @@
     def test_the_operators_figures(self):
         w = c.Worked(SIZE)
         for what, found, theirs, off in (
-                ("requests", w.requests, 45, 0.02), ("heavy", w.requests * 10, 450, 0.02),
-                ("tokens", w.tokens, 10_300, 0.01), ("streams", w.streams, 260, 0.01), ("readers", w.readers, 273, 0),
-                ("writers", w.writers, 667, 0), ("streams a writer", w.writer_streams, 128, 0.01),
-                ("GB a request", w.prompt_gb, 0.5, 0)):
+            ("requests", w.requests, 45, 0.02),
+            ("heavy", w.requests * 10, 450, 0.02),
+            ("tokens", w.tokens, 10_300, 0.01),
+            ("streams", w.streams, 260, 0.01),
+            ("readers", w.readers, 273, 0),
+            ("writers", w.writers, 667, 0),
+            ("streams a writer", w.writer_streams, 128, 0.01),
+            ("GB a request", w.prompt_gb, 0.5, 0),
+        ):
             with self.subTest(what):
                 self.assertAlmostEqual(found, theirs, delta=theirs * off)
 
@@ -114,46 +170,103 @@
 class Pages(Made):
     def test_with_no_run_the_page_is_whole_and_says_so(self):
         page = self.page()
-        for part in ("## The size", "### The choice among 940", "### Dispatcher", "### Control machine",
-                     "### Discovery", "### Replica", "### The network", "### The one who", "## Need over bound",
-                     "## Troubles", "## Hollow dispatchers", "## Not run"):
+        for part in (
+            "## The size",
+            "### The choice among 940",
+            "### Dispatcher",
+            "### Control machine",
+            "### Discovery",
+            "### Replica",
+            "### The network",
+            "### The one who",
+            "## Need over bound",
+            "## Troubles",
+            "## Hollow dispatchers",
+            "## Not run",
+        ):
             self.assertIn(part, page)
         self.assertIn("No run stands in", page)
         self.assertGreater(page.count(c.NOT_MEASURED), 30)
         self.assertNotIn("\n\n\n", page)
 
     def test_figures_come_from_the_runs_and_name_them(self):
-        self.put("control", result(
-            points=[point(), point(dispatchers=20, replicas=60, aggregator=None)],
-            slopes=[slope(c.TALK, "cpu_cores", 0.09), slope(c.TALK, "bytes_in_s", 50e3),
-                    slope(c.TALK, "bytes_out_s", 40e3)],
-            choice=[{"replicas": 60, "ms": 0.24, "remembered_bytes": 650.0}, {"replicas": 940, "ms": 3.3}],
-            checks=[{"what": "hollow against real", "quantity": "bytes_s", "real": 4000, "hollow": 4400,
-                     "difference": 0.1, "within": True, "carried_as_error": None}],
-            troubles=[{"kind": "zone", "factor": 12.0, "lost": "a | b", "for_s": 40.5, "carried_by": "x", "figures": {
-                "way": "talk", "dispatchers": 30, "replicas": 235, "lasted_s": 10, "count_wrong_s": 40.5,
-                "sums_wrong_s": 3, "right_at_the_end": False, "dispatchers_gone": 5, "lease_s": 9.5, "why": "a | b"}},
-                {"kind": "settings", "figures": {"reload_cpu_ms": 81.5}}],
-            not_run=[{"what": "talk, 330 dispatchers", "why": "more than half of the memory"}]))
+        self.put(
+            "control",
+            result(
+                points=[point(), point(dispatchers=20, replicas=60, aggregator=None)],
+                slopes=[
+                    slope(c.TALK, "cpu_cores", 0.09),
+                    slope(c.TALK, "bytes_in_s", 50e3),
+                    slope(c.TALK, "bytes_out_s", 40e3),
+                ],
+                choice=[{"replicas": 60, "ms": 0.24, "remembered_bytes": 650.0}, {"replicas": 940, "ms": 3.3}],
+                checks=[
+                    {
+                        "what": "hollow against real",
+                        "quantity": "bytes_s",
+                        "real": 4000,
+                        "hollow": 4400,
+                        "difference": 0.1,
+                        "within": True,
+                        "carried_as_error": None,
+                    }
+                ],
+                troubles=[
+                    {
+                        "kind": "zone",
+                        "factor": 12.0,
+                        "lost": "a | b",
+                        "for_s": 40.5,
+                        "carried_by": "x",
+                        "figures": {
+                            "way": "talk",
+                            "dispatchers": 30,
+                            "replicas": 235,
+                            "lasted_s": 10,
+                            "count_wrong_s": 40.5,
+                            "sums_wrong_s": 3,
+                            "right_at_the_end": False,
+                            "dispatchers_gone": 5,
+                            "lease_s": 9.5,
+                            "why": "a | b",
+                        },
+                    },
+                    {"kind": "settings", "figures": {"reload_cpu_ms": 81.5}},
+                ],
+                not_run=[{"what": "talk, 330 dispatchers", "why": "more than half of the memory"}],
+            ),
+        )
         page = self.page()
-        for told in ("0.8% of a core (control)", "4.20 KB/s (control)", "90 KB/s (slope of control, 4.1 times as far)",
-                     "9% of a core (slope of control, 4.1 times as far)", "612, 1,190, 1,701 (control)",
-                     "| 940 | 3.30 ms | 15% of a core | 1.5 core |", "| +10% | yes |",
-                     "| talk 30 x 235, 10 s, sped up 12 times: counts or sums wrong for 40.5 s (control) |",
-                     "| control | zone | talk 30 x 235 | 12 times | 10 s | 40.5 s | 3 s | not measured |",
-                     "| **no** | not measured | dispatchers gone 5; lease 9.50 s; why a / b |",
-                     "a reload: 81.5 ms (control)",
-                     "- talk, 330 dispatchers: more than half of the memory (control)",
-                     "full talk: bytes, both ways | 90 KB/s | 7 KB/s | 12.9 |",
-                     "its choices at 940 over those at 60 | 13.8 | 2 | 6.88 | control |"):
+        for told in (
+            "0.8% of a core (control)",
+            "4.20 KB/s (control)",
+            "90 KB/s (slope of control, 4.1 times as far)",
+            "9% of a core (slope of control, 4.1 times as far)",
+            "612, 1,190, 1,701 (control)",
+            "| 940 | 3.30 ms | 15% of a core | 1.5 core |",
+            "| +10% | yes |",
+            "| talk 30 x 235, 10 s, sped up 12 times: counts or sums wrong for 40.5 s (control) |",
+            "| control | zone | talk 30 x 235 | 12 times | 10 s | 40.5 s | 3 s | not measured |",
+            "| **no** | not measured | dispatchers gone 5; lease 9.50 s; why a / b |",
+            "a reload: 81.5 ms (control)",
+            "- talk, 330 dispatchers: more than half of the memory (control)",
+            "full talk: bytes, both ways | 90 KB/s | 7 KB/s | 12.9 |",
+            "its choices at 940 over those at 60 | 13.8 | 2 | 6.88 | control |",
+        ):
             with self.subTest(told):
                 self.assertIn(told, page)
 
     def test_the_talks_slope_is_not_stretched_past_the_bound_on_its_pings(self):
-        self.put("talk", result(
-            points=[point(way=c.TALK, dispatchers=80, replicas=60, aggregator=None),
-                    point(way=c.TALK, dispatchers=20, replicas=940, aggregator=None, busy=True)],
-            slopes=[slope(c.TALK, "cpu_cores", 0.41)]))
+        self.put(
+            "talk",
+            result(
+                points=[
+                    point(way=c.TALK, dispatchers=80, replicas=60, aggregator=None),
+                    point(way=c.TALK, dispatchers=20, replicas=940, aggregator=None, busy=True),
+                ],
+                slopes=[slope(c.TALK, "cpu_cores", 0.41)],
+            ),
+        )
         page = self.page()
         self.assertIn("0.8% of a core (at least: talk, 80 x 60)", page)
         self.assertNotIn("41% of a core (slope", page)
@@ -162,19 +275,25 @@
         self.put("a", result(slopes=[slope(c.TALK, "cpu_cores", 1.1), slope(c.TALK, "memory_bytes", 16e6)]))
         made = c.needs(c.Worked(SIZE), c.Runs(c.read(self.root / c.RESULTS), SIZE))
         carried = [n for n in made if n.carried_by]
-        self.assertEqual(carried, made[len(made) - len(carried):])
+        self.assertEqual(carried, made[len(made) - len(carried) :])
         self.assertAlmostEqual(carried[0].over or 0, 100)
         known = [n.over for n in carried if n.over is not None]
         self.assertEqual(known, sorted(known, reverse=True))
-        self.assertTrue(all(n.over is None for n in carried[len(known):]))
+        self.assertTrue(all(n.over is None for n in carried[len(known) :]))
 
     def test_the_later_run_counts_a_busy_one_does_not_and_a_point_goes_before_a_slope(self):
         def cores(value: float, **told: Any) -> dict[str, Any]:
             return point(dispatcher=COST | {"cpu_cores": value}, **told)
 
         self.put("b-early", result("2026-12-01T00:00:00Z", points=[cores(0.001)]))
-        self.put("a-late", result("2026-12-02T00:00:00Z", points=[cores(0.002), cores(0.004, work="router")],
-                                  slopes=[slope(c.AGGREGATORS, "cpu_cores", 0.009)]))
+        self.put(
+            "a-late",
+            result(
+                "2026-12-02T00:00:00Z",
+                points=[cores(0.002), cores(0.004, work="router")],
+                slopes=[slope(c.AGGREGATORS, "cpu_cores", 0.009)],
+            ),
+        )
         self.put("c-busy", result("2026-12-03T00:00:00Z", points=[cores(0.003, busy=True)]))
         runs = c.Runs(c.read(self.root / c.RESULTS), SIZE)
         self.assertEqual(runs.found(c.AGGREGATORS, "dispatcher", "cpu_cores"), c.Found(0.002, "a-late"))
@@ -183,8 +302,10 @@
     def test_the_notes_table_is_made_anew_and_nothing_else_of_it(self):
         path = self.root / c.NOTE
         path.parent.mkdir(parents=True)
-        form = ("before\n<!-- weighed: pearhill lab scale --page -->\n{}<!-- /weighed -->\n"
-                "between\n<!-- times: pearhill lab scale --page -->\n{}<!-- /times -->\nafter\n")
+        form = (
+            "before\n<!-- weighed: pearhill lab scale --page -->\n{}<!-- /weighed -->\n"
+            "between\n<!-- times: pearhill lab scale --page -->\n{}<!-- /times -->\nafter\n"
+        )
         path.write_text(form.format("old\n", ""))
         self.page()
         self.assertEqual(path.read_text(), form.format(c.weighed(), c.times()))
@@ -197,16 +318,29 @@
     def test_file_key_found_and_allowed_are_told(self):
         late = point(dispatcher=COST | {"beat_late_ms": {"p50": 1, "p99": 2}})
         for what, told, complaint in (
-                ("no JSON", "{", r"bad\.json: Expecting"),
-                ("a list", [], r"bad\.json: .*found \[\]; allowed: a table"),
-                ("no seed", {k: v for k, v in result().items() if k != "seed"},
-                 r"bad\.json: seed: found nothing; allowed: a whole number"),
-                ("a text for a number", result(points=[point(dispatchers="20")]),
-                 r"bad\.json: points\[0\]\.dispatchers: found '20'; allowed: a whole number"),
-                ("a spread without its worst", result(points=[late]),
-                 r"bad\.json: points\[0\]\.dispatcher\.beat_late_ms\.max: found nothing; allowed: a number"),
-                ("a choice without its time", result(choice=[{"replicas": 14}]),
-                 r"bad\.json: choice\[0\]\.ms: found nothing; allowed: a number")):
+            ("no JSON", "{", r"bad\.json: Expecting"),
+            ("a list", [], r"bad\.json: .*found \[\]; allowed: a table"),
+            (
+                "no seed",
+                {k: v for k, v in result().items() if k != "seed"},
+                r"bad\.json: seed: found nothing; allowed: a whole number",
+            ),
+            (
+                "a text for a number",
+                result(points=[point(dispatchers="20")]),
+                r"bad\.json: points\[0\]\.dispatchers: found '20'; allowed: a whole number",
+            ),
+            (
+                "a spread without its worst",
+                result(points=[late]),
+                r"bad\.json: points\[0\]\.dispatcher\.beat_late_ms\.max: found nothing; allowed: a number",
+            ),
+            (
+                "a choice without its time",
+                result(choice=[{"replicas": 14}]),
+                r"bad\.json: choice\[0\]\.ms: found nothing; allowed: a number",
+            ),
+        ):
             with self.subTest(what):
                 self.put("bad", told)
                 with self.assertRaisesRegex(ConfigError, complaint):
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -59,10 +59,12 @@
         return scenario.load(str(path))
 
     def test_a_time_line_that_cannot_be_is_told_by_its_path(self):
-        for faults, why in ((fault("cut", 3, 2), r"fleet.fault\[0\].to_s: found 2.0; allowed: more than from_s, 3.0"),
-                            (fault("stall", 1, 2, "[]"), r"fleet.fault\[0\].who: found nobody"),
-                            (fault("loss", 1, 2) + fault("crash", 1, 2, "[4]"), r"\[1\].who: found 4; allowed: 0 to 3"),
-                            (fault("flood", 1, 2), "fleet.fault.*kind: found 'flood'; allowed: crash, cut, ")):
+        for faults, why in (
+            (fault("cut", 3, 2), r"fleet.fault\[0\].to_s: found 2.0; allowed: more than from_s, 3.0"),
+            (fault("stall", 1, 2, "[]"), r"fleet.fault\[0\].who: found nobody"),
+            (fault("loss", 1, 2) + fault("crash", 1, 2, "[4]"), r"\[1\].who: found 4; allowed: 0 to 3"),
+            (fault("flood", 1, 2), "fleet.fault.*kind: found 'flood'; allowed: crash, cut, "),
+        ):
             with self.subTest(faults), self.assertRaisesRegex(ConfigError, why):
                 self.load(faults)
 
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -52,8 +52,12 @@
         return path
 
     def cli(self, *arguments: str) -> subprocess.CompletedProcess:
-        return subprocess.run([sys.executable, "-c", "from pearhill.cli.main import main; main()", "lab", *arguments],
-                              cwd=ROOT, capture_output=True, text=True)
+        return subprocess.run(
+            [sys.executable, "-c", "from pearhill.cli.main import main; main()", "lab", *arguments],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
 
     def test_a_run_its_files_and_a_comparison(self):
         for name in ("small", "other"):
@@ -68,8 +72,12 @@
         self.assertEqual(planned, [(r.tenant, r.planned_s) for r in run.read(self.folder / "other.parquet")[0]])
         page = (self.folder / "small.html").read_text()
         self.assertEqual((page.count("<polyline"), page.count("<td>one</td>")), (4, 1))
-        done = self.cli("compare", *(str(self.folder / f"{n}.parquet") for n in ("small", "other")), "--out",
-                        str(self.folder / "c.html"))
+        done = self.cli(
+            "compare",
+            *(str(self.folder / f"{n}.parquet") for n in ("small", "other")),
+            "--out",
+            str(self.folder / "c.html"),
+        )
         self.assertEqual((done.returncode, (self.folder / "c.html").read_text().count("<polyline")), (0, 8))
 
     def test_faults_are_seen_by_the_load(self):
@@ -82,9 +90,11 @@
     def test_what_cannot_be_run_or_compared_is_one_line(self):
         bad = self.folder / "bad.toml"
         bad.write_text(self.scenario().read_text().replace("seconds = 2.0", "seconds = 0"))
-        for arguments, why in ((("run", str(bad)), r"bad.toml: lab.seconds: found 0; allowed: a number > 0"),
-                               (("run", "nowhere.toml"), "nowhere.toml"),
-                               (("compare", str(bad), str(bad)), "bad.toml|magic")):
+        for arguments, why in (
+            (("run", str(bad)), r"bad.toml: lab.seconds: found 0; allowed: a number > 0"),
+            (("run", "nowhere.toml"), "nowhere.toml"),
+            (("compare", str(bad), str(bad)), "bad.toml|magic"),
+        ):
             done = self.cli(*arguments)
             self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
             self.assertRegex(done.stderr, why)
@@ -108,8 +118,10 @@
         self.assertTrue(1_800 < inside < 2_200 and 1_350 < len(times) - inside < 1_650, (inside, len(times)))
 
     def test_figures_count_from_the_planned_time_and_leave_the_warming_out(self):
-        rows = [Row("a", t, 0.001, 200 if t % 2 else 429, SERVED if t % 2 else REFUSED, 0.1 * t, 0.2 * t, 10)
-                for t in range(10)]
+        rows = [
+            Row("a", t, 0.001, 200 if t % 2 else 429, SERVED if t % 2 else REFUSED, 0.1 * t, 0.2 * t, 10)
+            for t in range(10)
+        ]
         (made,) = report.figures(rows, {"seconds": 10.0, "warm_s": 5.0})
         self.assertEqual((made.asked, made.served, made.refused, made.tokens_per_s), (5, 0.6, 0.4, 6.0))
         self.assertAlmostEqual(made.first_p50, 700, delta=2)
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -55,26 +55,30 @@
 
     def test_what_cannot_be_is_told_by_its_path(self):
         for text, why in (
-                ("[scale]\nseed = 2\n", "plan.toml: grid: found nothing to run; allowed: at least one of grid, check"),
-                ("[scale]\nseconds = 31.0\nfetch_s = 30\n" + GRID, "scale.seconds: found 31.0; allowed: a multiple "),
-                (GRID.replace("[4]", "[]"), r"grid\[0\].dispatchers: found \[\]"),
-                (GRID.replace("talk", "shout"), r"grid\[0\].way: found 'shout'; allowed: aggregators, talk"),
-                (GRID + "machines = 3\n", r"grid\[0\].machines: found a key that is not known"),
-                (troubled('kind = "flood"\nfrom_s = 1'), r"event\[0\].kind: found 'flood'; allowed: aggregator_lost, "),
-                (troubled('kind = "rack"\nfrom_s = 1', 'kind = "zone"\nfrom_s = 9'),
-                 r"troubles\[0\].event\[1\].from_s: found 9.0; allowed: 31.0 or later"),
-                (troubled('kind = "aggregator_lost"\nfrom_s = 1'), r"kind: found 'aggregator_lost'; allowed: where "),
-                (troubled('kind = "aggregators_lost_2"\nfrom_s = 1', way="aggregators"), "allowed: where more than 2"),
-                ("[scale]\nregions = 1\n" + troubled('kind = "region_cut"\nfrom_s = 1'), "scale.regions is 2 or more")):
+            ("[scale]\nseed = 2\n", "plan.toml: grid: found nothing to run; allowed: at least one of grid, check"),
+            ("[scale]\nseconds = 31.0\nfetch_s = 30\n" + GRID, "scale.seconds: found 31.0; allowed: a multiple "),
+            (GRID.replace("[4]", "[]"), r"grid\[0\].dispatchers: found \[\]"),
+            (GRID.replace("talk", "shout"), r"grid\[0\].way: found 'shout'; allowed: aggregators, talk"),
+            (GRID + "machines = 3\n", r"grid\[0\].machines: found a key that is not known"),
+            (troubled('kind = "flood"\nfrom_s = 1'), r"event\[0\].kind: found 'flood'; allowed: aggregator_lost, "),
+            (
+                troubled('kind = "rack"\nfrom_s = 1', 'kind = "zone"\nfrom_s = 9'),
+                r"troubles\[0\].event\[1\].from_s: found 9.0; allowed: 31.0 or later",
+            ),
+            (troubled('kind = "aggregator_lost"\nfrom_s = 1'), r"kind: found 'aggregator_lost'; allowed: where "),
+            (troubled('kind = "aggregators_lost_2"\nfrom_s = 1', way="aggregators"), "allowed: where more than 2"),
+            ("[scale]\nregions = 1\n" + troubled('kind = "region_cut"\nfrom_s = 1'), "scale.regions is 2 or more"),
+        ):
             with self.subTest(text), self.assertRaisesRegex(ConfigError, why):
                 plan.load(self.file(text))
 
     def test_a_plan_that_is_too_large_for_the_machine_is_refused_before_it_starts(self):
         for text, memory, why in (
-                (GRID.replace("[4]", "[4, 5000]"), 24 << 30, r"grid\[0\]: found 5000 dispatchers .* GB; allowed: 50%"),
-                ("[scale]\nper_process = 2\n" + GRID.replace("[4]", "[500]"), 1 << 42, r"processes; allowed: 300"),
-                (GRID.replace("[4]", "[330]").replace("[10]", "[940]"), 4 << 30, "330 dispatchers before 940 replicas"),
-                ("[scale]\nseconds = 3600.0\n" + GRID.replace("[4]", "[4, 5, 6, 7]"), 24 << 30, "a plan of some 4")):
+            (GRID.replace("[4]", "[4, 5000]"), 24 << 30, r"grid\[0\]: found 5000 dispatchers .* GB; allowed: 50%"),
+            ("[scale]\nper_process = 2\n" + GRID.replace("[4]", "[500]"), 1 << 42, r"processes; allowed: 300"),
+            (GRID.replace("[4]", "[330]").replace("[10]", "[940]"), 4 << 30, "330 dispatchers before 940 replicas"),
+            ("[scale]\nseconds = 3600.0\n" + GRID.replace("[4]", "[4, 5, 6, 7]"), 24 << 30, "a plan of some 4"),
+        ):
             with self.subTest(text), self.assertRaisesRegex(ConfigError, why):
                 plan.bounded(plan.load(self.file(text)), memory)
 
@@ -96,16 +100,29 @@
 class Fits(unittest.TestCase):
     def test_a_product_a_square_a_sum_and_what_does_not_grow_are_told_apart(self):
         """On made data with 1% of noise; of ten draws one may look like another form."""
-        for form, cost in (("a", lambda d, r: 5.0), ("a + b*D", lambda d, r: 1 + 0.1 * d),
-                           ("a + c*R", lambda d, r: 2 + 0.01 * r), ("a + g*ln(D)", lambda d, r: 3 * math.log(d)),
-                           ("a + b*D + c*R", lambda d, r: 1 + 0.1 * d + 0.02 * r),
-                           ("a + e*D*R", lambda d, r: 1 + 0.002 * d * r), ("a + f*D^2", lambda d, r: 2 + 0.003 * d * d),
-                           ("a + b*D + c*R + e*D*R", lambda d, r: 5 + 0.3 * d + 0.05 * r + 0.001 * d * r)):
+        for form, cost in (
+            ("a", lambda d, r: 5.0),
+            ("a + b*D", lambda d, r: 1 + 0.1 * d),
+            ("a + c*R", lambda d, r: 2 + 0.01 * r),
+            ("a + g*ln(D)", lambda d, r: 3 * math.log(d)),
+            ("a + b*D + c*R", lambda d, r: 1 + 0.1 * d + 0.02 * r),
+            ("a + e*D*R", lambda d, r: 1 + 0.002 * d * r),
+            ("a + f*D^2", lambda d, r: 2 + 0.003 * d * d),
+            ("a + b*D + c*R + e*D*R", lambda d, r: 5 + 0.3 * d + 0.05 * r + 0.001 * d * r),
+        ):
             found = []
             for seed in range(10):
                 rng = random.Random(seed)
-                found.append(fit.fit([fit.Point(d, r, cost(d, r) * rng.uniform(0.99, 1.01))
-                                      for d in (10, 20, 40, 80) for r in (60, 235, 470, 940)], (330, 940)))
+                found.append(
+                    fit.fit(
+                        [
+                            fit.Point(d, r, cost(d, r) * rng.uniform(0.99, 1.01))
+                            for d in (10, 20, 40, 80)
+                            for r in (60, 235, 470, 940)
+                        ],
+                        (330, 940),
+                    )
+                )
             with self.subTest(form):
                 right = [one for one in found if one.form == form]
                 self.assertGreaterEqual(len(right), 9, [one.form for one in found])
@@ -127,14 +144,24 @@
 
     def test_slopes_leave_out_busy_points_and_carry_a_checks_error(self):
         def point(d: int, cpu: float, busy: bool = False) -> dict:
-            return {"kind": "hollow", "work": "drawn", "way": "talk", "busy": busy, "dispatchers": d, "replicas": 60,
-                    "dispatcher": {"cpu_cores": cpu, "bytes_in_s": 50.0, "bytes_out_s": 50.0, "memory_bytes": None},
-                    "aggregator": None, "discovery": None}
+            return {
+                "kind": "hollow",
+                "work": "drawn",
+                "way": "talk",
+                "busy": busy,
+                "dispatchers": d,
+                "replicas": 60,
+                "dispatcher": {"cpu_cores": cpu, "bytes_in_s": 50.0, "bytes_out_s": 50.0, "memory_bytes": None},
+                "aggregator": None,
+                "discovery": None,
+            }
+
         points = [point(d, 0.01 + 0.001 * d) for d in (10, 20, 40, 80)] + [point(160, 9.0, busy=True)]
         checks = run.compared(point(8, 0.006), point(8, 0.01), {"dispatcher": point(8, 0.0098)["dispatcher"]})
-        self.assertEqual([(c["quantity"], c["within"], c["carried_as_error"]) for c in checks],
-                         [("cpu_cores", False, 0.6667), ("bytes_s", True, 0.0), ("cpu_cores", True, 0.0),
-                          ("bytes_s", True, 0.0)])
+        self.assertEqual(
+            [(c["quantity"], c["within"], c["carried_as_error"]) for c in checks],
+            [("cpu_cores", False, 0.6667), ("bytes_s", True, 0.0), ("cpu_cores", True, 0.0), ("bytes_s", True, 0.0)],
+        )
         made = {s["quantity"]: s for s in run.slopes(points, checks, plan.SizeTable())}
         self.assertEqual(set(made), {"cpu_cores", "bytes_s"})
         cpu = made["cpu_cores"]
@@ -176,16 +203,30 @@
 
     def test_how_even_the_work_of_several_processes_was(self):
         roles = {"1": "writer", "2": "writer", "3": "reader"}
-        hosts = [{"roles": roles, "ended": {"served": 2}, "work": {"9": {"1": 99}, "10": {"1": 10}, "11": {"3": 5}}},
-                 {"roles": roles, "ended": {"served": 1, "refused": 4}, "work": {"10": {"1": 5, "2": 5}, "11": {"2": 1},
-                                                                               "12": {"2": 99}}}]
-        self.assertEqual(fleet.evenness_of(hosts), {
-            "windows": 2, "served": 3, "refused": 4, "failed": 0, "writers": {"mean": 1.75, "worst": 2.0},
-            "readers": {"mean": 1.0, "worst": 1.0}})
+        hosts = [
+            {"roles": roles, "ended": {"served": 2}, "work": {"9": {"1": 99}, "10": {"1": 10}, "11": {"3": 5}}},
+            {
+                "roles": roles,
+                "ended": {"served": 1, "refused": 4},
+                "work": {"10": {"1": 5, "2": 5}, "11": {"2": 1}, "12": {"2": 99}},
+            },
+        ]
+        self.assertEqual(
+            fleet.evenness_of(hosts),
+            {
+                "windows": 2,
+                "served": 3,
+                "refused": 4,
+                "failed": 0,
+                "writers": {"mean": 1.75, "worst": 2.0},
+                "readers": {"mean": 1.0, "worst": 1.0},
+            },
+        )
 
     def test_how_long_things_were_wrong_in_a_trouble(self):
         def look(at: float, right: float = 1.0, sums: float = 0.9) -> troubles.Look:
             return troubles.Look(at, 6, right, sums, 100.0, 2.0, 1.0)
+
         quiet = [look(0.5 * k) for k in range(8)]
         made = troubles.figures(quiet, [look(4), look(4.5, 0.5), look(5, 0.9, 0.5), look(5.5, 1, 0.5), look(6)])
         self.assertEqual((made["count_wrong_s"], made["sums_wrong_s"], made["right_at_the_end"]), (1.0, 1.0, True))
@@ -204,12 +245,15 @@
     def small(self, way: str, machines: int) -> None:
         before, lines = self.children(), list[str]()
         # An aggregator counts nobody's work before an earlier lease of it is surely over.
-        text = TINY.replace("\"talk\"", f"\"{way}\"\naggregators = 2")
+        text = TINY.replace('"talk"', f'"{way}"\naggregators = 2')
         text = text.replace("warm_s = 1.0", f"warm_s = {1 + 2 * machines}")
         made = asyncio.run(run.run(plan.judged(plan.typed.convert(plan_of(text), plan.Plan)), "tiny", lines.append))
         (point,) = made["points"]
-        self.assertEqual([point[what] for what in ("way", "kind", "dispatchers", "replicas", "aggregators")],
-                         [way, "hollow", 2, 5, machines], lines)
+        self.assertEqual(
+            [point[what] for what in ("way", "kind", "dispatchers", "replicas", "aggregators")],
+            [way, "hollow", 2, 5, machines],
+            lines,
+        )
         self.assertEqual(point["aggregator"] is None, machines == 0)
         d = point["dispatcher"]
         for quantity in ("cpu_cores", "bytes_in_s", "bytes_out_s", "messages_in_s", "messages_out_s"):
@@ -229,9 +273,22 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "plan.toml"
             path.write_text(TINY.replace("seconds = 2.0", "seconds = 60.0"))
-            with subprocess.Popen([sys.executable, "-c", "from pearhill.cli.main import main; main()", "lab", "scale",
-                                   str(path), "--json", f"{folder}/made.json"], stderr=subprocess.PIPE, text=True,
-                                  stdout=subprocess.DEVNULL, env=dict(os.environ)) as command:
+            with subprocess.Popen(
+                [
+                    sys.executable,
+                    "-c",
+                    "from pearhill.cli.main import main; main()",
+                    "lab",
+                    "scale",
+                    str(path),
+                    "--json",
+                    f"{folder}/made.json",
+                ],
+                stderr=subprocess.PIPE,
+                text=True,
+                stdout=subprocess.DEVNULL,
+                env=dict(os.environ),
+            ) as command:
                 end, own = time.monotonic() + 20, set[int]()
                 while len(own) < 2 and time.monotonic() < end:
                     own = {p.pid for p in psutil.Process(command.pid).children(recursive=True)}
--- a/tests/lab/test_up.py
+++ b/tests/lab/test_up.py
@@ -13,8 +13,9 @@
 from tests.chat.test_front import operator_file, write_file
 from tests.standins import ROOT, Program
 
-RECIPE = re.search(r"^run: build\n\t\.venv/bin/pearhill (.*) \$\(CHAT\)$", (ROOT / "Makefile").read_text(),
-                   re.MULTILINE)
+RECIPE = re.search(
+    r"^run: build\n\t\.venv/bin/pearhill (.*) \$\(CHAT\)$", (ROOT / "Makefile").read_text(), re.MULTILINE
+)
 CURL = re.search(r"^    (curl -sN .*?\}')$", (ROOT / "README.md").read_text(), re.MULTILINE | re.DOTALL)
 CLI = ("-c", "from pearhill.cli.main import main; main()")
 
@@ -25,6 +26,7 @@
 
         class Run(Program):
             LAUNCH = (*CLI, *shlex.split(RECIPE[1]))
+
         program = Run("deploy/chat.toml")
         self.addCleanup(program.kill)
         answer = subprocess.run(shlex.split(CURL[1]), capture_output=True, text=True, timeout=20)
@@ -43,14 +45,15 @@
             taken.bind(("127.0.0.1", 0))
             taken.listen()
             port = taken.getsockname()[1]
-            for address, why in ((f"127.0.0.1:{port}", f"stand-in engine: cannot listen on 127.0.0.1:{port}: "),
-                                 ("10.1.2.3:80", "server: found one at 10.1.2.3:80; allowed: addresses of this"),
-                                 ("engines.example:80", "server: found one at engines.example:80; allowed: addresses")):
+            for address, why in (
+                (f"127.0.0.1:{port}", f"stand-in engine: cannot listen on 127.0.0.1:{port}: "),
+                ("10.1.2.3:80", "server: found one at 10.1.2.3:80; allowed: addresses of this"),
+                ("engines.example:80", "server: found one at engines.example:80; allowed: addresses"),
+            ):
                 with self.subTest(address):
                     path = write_file(self, operator_file([address]))
-                    done = subprocess.run([sys.executable, *CLI, "lab", "up", path], capture_output=True, text=True,
-                                          cwd=ROOT, timeout=60)
+                    done = subprocess.run(
+                        [sys.executable, *CLI, "lab", "up", path], capture_output=True, text=True, cwd=ROOT, timeout=60
+                    )
                     self.assertEqual((done.returncode, done.stderr.count("Traceback")), (2, 0), done.stderr)
                     self.assertIn(f"pearhill: {why}", done.stderr)
-
-
--- a/tests/membership/test_aggregation.py
+++ b/tests/membership/test_aggregation.py
@@ -39,7 +39,7 @@
 
 S = 1_000_000
 KEY = b"k" * 32
-STEP = 1.07 ** 1.5  # three times rounded to the nearest code: my report, a part, the sums
+STEP = 1.07**1.5  # three times rounded to the nearest code: my report, a part, the sums
 LATELY = LEASE + PART_LEASE + GONE + 2 * S  # what was said before that is in nobody's sums
 SITES = [AggregatorSite(f"a{k}", f"r{k}") for k in range(3)]
 
@@ -193,8 +193,9 @@
                 told = p.reporter.theirs(self.now, other.engine)
                 if told is not None:
                     most = other.most_lately(self.now) if other is not p else 0
-                    assert told.load <= most * STEP and told.waiting <= most / 2 * STEP, (
-                        f"{p.name} at {p.reporter.current}: {told} of {other.name}, who said {most}")
+                    assert (
+                        told.load <= most * STEP and told.waiting <= most / 2 * STEP
+                    ), f"{p.name} at {p.reporter.current}: {told} of {other.name}, who said {most}"
         named = {p.name for p in self.processes}
         for a in self.aggregators.values():
             assert a.count(self.now) <= len(named)
@@ -216,8 +217,11 @@
     def time_passes(self, micros):
         self.world.checked(micros)
 
-    @rule(drop=st.sampled_from((0.0, 0.3, 0.8)), double=st.sampled_from((0.0, 0.5)),
-          delay=st.sampled_from((100, 50_000, 500_000)))
+    @rule(
+        drop=st.sampled_from((0.0, 0.3, 0.8)),
+        double=st.sampled_from((0.0, 0.5)),
+        delay=st.sampled_from((100, 50_000, 500_000)),
+    )
     def the_network_is_bad(self, drop, double, delay):
         self.world.drop, self.world.double, self.world.delay = drop, double, delay
 
@@ -298,8 +302,9 @@
             assert sure * (world.counts().pop() - 1) > 0.5 * (len(names) - 1) or len(names) == 1
 
 
-Fleet.TestCase.settings = examples(max_examples=25, stateful_step_count=15, deadline=None, database=None,
-                                   derandomize=True)
+Fleet.TestCase.settings = examples(
+    max_examples=25, stateful_step_count=15, deadline=None, database=None, derandomize=True
+)
 TestFleet = Fleet.TestCase
 
 
@@ -470,8 +475,16 @@
                         seen.append((world.now, size + HEADERS))
                     if isinstance(sender, Process):
                         sender.reporter.sent(size)
-                    world.at(2_000, "frame", (f.to if isinstance(sender, Process)
-                                              else world.addresses.get((str(sender), f.to), f.to), f, sender))
+                    world.at(
+                        2_000,
+                        "frame",
+                        (
+                            f.to if isinstance(sender, Process) else world.addresses.get((str(sender), f.to), f.to),
+                            f,
+                            sender,
+                        ),
+                    )
+
             world.send = send  # type: ignore[method-assign]
             world.size = 1_400
             world.run(20 * S)
@@ -486,7 +499,7 @@
     def test_what_is_sent_again_puts_no_report_off(self):
         r = reporter.Reporter("d1", "r0", SITES[:1], S, random.Random(8), lambda: [])
         at = r.next_beat(S)
-        report, = r.beat(at)
+        (report,) = r.beat(at)
         sums = Sums(SITES[0].name, "d1", 1, 1, report.number, -1, 1, 1, 0, 0, 0, 1, 0, b"\0", b"\0", ())
         r.heard(at, sums, 1400)
         due = r.next_beat(at)
@@ -498,9 +511,30 @@
         r = reporter.Reporter("d1", "r0", SITES[:1], S, random.Random(9), lambda: [])
         for n, (counted, settled, count) in enumerate(((2, False, None), (9, True, 9), (3, False, 9), (3, True, 3))):
             at = r.next_beat(S * (n + 1))
-            report, = r.beat(at)
-            r.heard(at, Sums(SITES[0].name, "d1", 1, n, report.number, -1, 1, counted, 0, 0, 0, 1, 0, b"\0", b"\0", (),
-                             settled=settled), 100)
+            (report,) = r.beat(at)
+            r.heard(
+                at,
+                Sums(
+                    SITES[0].name,
+                    "d1",
+                    1,
+                    n,
+                    report.number,
+                    -1,
+                    1,
+                    counted,
+                    0,
+                    0,
+                    0,
+                    1,
+                    0,
+                    b"\0",
+                    b"\0",
+                    (),
+                    settled=settled,
+                ),
+                100,
+            )
             self.assertEqual(r.count(at), count)
 
     def test_no_answers_while_i_stood_still_are_no_fault_of_the_aggregator(self):
@@ -522,23 +556,40 @@
         loads = gauges.pack(bytes((100,) * 4))
         for k, (entries, told) in enumerate(((((0, 70, 1), (1, 71, 2)), False), (((2, 72, 3), (3, 73, 4)), True))):
             now = r.next_beat(now)
-            asked, = r.beat(now)
+            (asked,) = r.beat(now)
             r.heard(now, Sums("a0", "d0", 5, k, asked.number, -1, 4, 5, 4, 0, 0, 1, 0, loads, loads, entries, 4), 200)
             for engine in (70, 73, 99):
                 self.assertEqual(r.theirs(now, engine) is not None, told)
                 if not told:
                     self.assertEqual(r.others(now, engine, 2, 3), (8.0, 12.0, 0.0))
         now = r.next_beat(now)
-        asked, = r.beat(now)
+        (asked,) = r.beat(now)
         r.heard(now, Sums("a0", "d0", 5, 9, asked.number, -1, 4, 5, 5, 5, 0, 2, 0, b"\0", b"\0", ((0, 80, 5),)), 200)
         self.assertIsNone(r.theirs(now, 80))  # the last sums of slot 0 were engine 70's
         self.assertEqual((r.theirs(now, 70).load, r.theirs(now, 71).load), (0, gauges.TOKENS[100]))
 
 
 def report(number: int = 1, **changed: object) -> Report:
-    fields = {"sender": "d0", "to": "a0", "incarnation": 5, "sequence": number, "number": number, "part": 0, "parts": 1,
-              "attach": 1, "quiet_ms": 60_000, "leaving": False, "known_incarnation": 0, "known_version": 0, "first": 0,
-              "loads": b"\0", "waits": b"\0", "news": (), "slots": 0, "echo": -1}
+    fields = {
+        "sender": "d0",
+        "to": "a0",
+        "incarnation": 5,
+        "sequence": number,
+        "number": number,
+        "part": 0,
+        "parts": 1,
+        "attach": 1,
+        "quiet_ms": 60_000,
+        "leaving": False,
+        "known_incarnation": 0,
+        "known_version": 0,
+        "first": 0,
+        "loads": b"\0",
+        "waits": b"\0",
+        "news": (),
+        "slots": 0,
+        "echo": -1,
+    }
     return Report(**fields | changed)  # type: ignore[arg-type]
 
 
@@ -559,15 +610,21 @@
         packed = gauges.pack(bytes((120,)))
         a.heard(later, report(51, known_incarnation=now, echo=50, known_version=1, slots=1, loads=packed, waits=packed))
         self.assertEqual(a._loads, [0])  # it meant engine 7
-        answer, = a.heard(later, report(52, known_incarnation=now, echo=50, known_version=2, slots=1, loads=packed,
-                                        waits=packed))
+        (answer,) = a.heard(
+            later, report(52, known_incarnation=now, echo=50, known_version=2, slots=1, loads=packed, waits=packed)
+        )
         self.assertEqual((a._loads, answer.entries), ([gauges.TOKENS[120]], ()))
         self.assertGreater(later - now, IDLE)
 
     def test_work_counts_when_it_is_surely_nowhere_else_and_only_with_an_echo(self):
         now, news = 1_000 * S, ((7, 100, 150),)
-        for quiet, wait, echo, counts in ((0, MOVED - 1, True, False), (0, MOVED, True, True), (3_500, 0, True, True),
-                                          (-1, MOVED - 1, True, False), (60_000, 0, False, False)):
+        for quiet, wait, echo, counts in (
+            (0, MOVED - 1, True, False),
+            (0, MOVED, True, True),
+            (3_500, 0, True, True),
+            (-1, MOVED - 1, True, False),
+            (60_000, 0, False, False),
+        ):
             with self.subTest(quiet=quiet, wait=wait, echo=echo):
                 a, known = Aggregator("a0", [], now, random.Random(1)), now if echo else now - 1
                 for k in range(wait // S + 2):
@@ -637,14 +694,25 @@
         hello = Hello("d1", "a0", 5, 1, 77)
         self.assertEqual(a.heard(now, hello), [HelloAck("a0", "d1", now, 2, 77)])
         self.assertEqual(a.heard(now, hello), [])
-        for frame in (Roster("a9", "a0", 5, 1, 0, 1, (("x", 1, 1, 0),)), Superseded("d1", "a0", 5, 2, 9),
-                      report(2, sender="a1")):
+        for frame in (
+            Roster("a9", "a0", 5, 1, 0, 1, (("x", 1, 1, 0),)),
+            Superseded("d1", "a0", 5, 2, 9),
+            report(2, sender="a1"),
+        ):
             self.assertEqual(a.heard(now, frame), [])
         self.assertEqual(a.count(now), 0)
         window = ReplayWindow()
-        for incarnation, sequence, first in ((1, 5, True), (1, 5, False), (1, 4, True), (1, 4, False), (1, 2_000, True),
-                                             (1, 2_000 - WINDOW, False), (1, 2_001 - WINDOW, True), (2, 1, True),
-                                             (1, 2_001, False)):
+        for incarnation, sequence, first in (
+            (1, 5, True),
+            (1, 5, False),
+            (1, 4, True),
+            (1, 4, False),
+            (1, 2_000, True),
+            (1, 2_000 - WINDOW, False),
+            (1, 2_001 - WINDOW, True),
+            (2, 1, True),
+            (1, 2_001, False),
+        ):
             self.assertEqual(window.first_time("d", incarnation, sequence), first, (incarnation, sequence))
 
     def test_aggregators_are_replaced_while_it_runs(self):
@@ -664,11 +732,15 @@
 
 class Codec(unittest.TestCase):
     ONE, TWO = gauges.pack(bytes((9,) * 40)), gauges.pack(bytes((0, 3) * 20))
-    FRAMES = (report(3, loads=ONE, waits=TWO, slots=40, news=(((1 << 64) - 1, 1, 255),)),
-              Sums("a0", "d0", 1 << 50, 7, 3, -1, 330, 330, 9, 8, 0, 2, 512, ONE, TWO, ((0, 1 << 63, 9),), 40, False),
-              Part("a0", "a1", 1 << 50, 8, 110, 110, 1 << 50, 3, 9, 8, 1, 2, 512, ONE, TWO, (), 40, 6),
-              Roster("a0", "a1", 5, 9, 0, 1, (("d0", 1 << 50, 2, -1),)), Hello("d0", "a0", 5, 1, 77),
-              HelloAck("a0", "d0", 5, 2, 77), Superseded("a0", "d0", 5, 3, 1 << 50))
+    FRAMES = (
+        report(3, loads=ONE, waits=TWO, slots=40, news=(((1 << 64) - 1, 1, 255),)),
+        Sums("a0", "d0", 1 << 50, 7, 3, -1, 330, 330, 9, 8, 0, 2, 512, ONE, TWO, ((0, 1 << 63, 9),), 40, False),
+        Part("a0", "a1", 1 << 50, 8, 110, 110, 1 << 50, 3, 9, 8, 1, 2, 512, ONE, TWO, (), 40, 6),
+        Roster("a0", "a1", 5, 9, 0, 1, (("d0", 1 << 50, 2, -1),)),
+        Hello("d0", "a0", 5, 1, 77),
+        HelloAck("a0", "d0", 5, 2, 77),
+        Superseded("a0", "d0", 5, 3, 1 << 50),
+    )
 
     def test_frames_come_back_as_they_were_and_the_largest_fit(self):
         codec, noise = FrameCodec([KEY]), random.Random(1).randbytes(512)
@@ -676,9 +748,29 @@
         entries = tuple((MOST_SLOTS - 1, (1 << 64) - 1 - k, version) for k in range(ENTRIES))
         raw = gauges.pack(noise)
         most = 1 << 31
-        largest = (Part(a, b, 1 << 60, version, 999, 999, 1 << 60, version, version, version, 0, 3, 0, raw, raw, (),
-                        512, version),
-                   Sums(a, b, 1 << 60, version, most, most, 999, 999, version, version, 0, 3, 0, b"\0", b"\0", entries))
+        largest = (
+            Part(
+                a,
+                b,
+                1 << 60,
+                version,
+                999,
+                999,
+                1 << 60,
+                version,
+                version,
+                version,
+                0,
+                3,
+                0,
+                raw,
+                raw,
+                (),
+                512,
+                version,
+            ),
+            Sums(a, b, 1 << 60, version, most, most, 999, 999, version, version, 0, 3, 0, b"\0", b"\0", entries),
+        )
         for frame in (*self.FRAMES, *largest):
             self.assertEqual(codec.unpack(codec.pack(frame), frame.to), frame)
         with self.assertRaisesRegex(ValueError, "too many"):
@@ -690,22 +782,42 @@
         def signed(body: bytes) -> bytes:
             return b"\x02" + FrameCodec._tag(KEY, body) + body
 
-        bad = (report(loads=b"\0x"), report(slots=3), report(loads=b"\x01\xff", slots=8), report(loads=b"\x07"),
-               report(loads=b"\x02\xff\xff", slots=8), report(part=1), report(parts=33), report(number=-1),
-               report(incarnation=1 << 63), report(first=MOST_SLOTS),
-               report(first=MOST_SLOTS - 1, slots=2, loads=b"\0xx", waits=b"\0xx"),
-               report(news=((1, 256, 0),)), report(news=((-1, 2, 0),)), report(sender=""), report(echo=-2))
-        for data, reason in ((b"", "size"), (good[:17], "size"), (good + b"x" * MAX_BYTES, "size"),
-                             (b"\x01" + good[1:], "version"), (good[:-1], "forged"), (good + b"\0", "forged"),
-                             (FrameCodec([b"j" * 32]).pack(report()), "forged"), (signed(b"\xc1" * 9), "malformed"),
-                             (signed(b"\x93\x01\x02\x03"), "malformed"), (signed(b"\x91" * 900), "malformed"),
-                             (codec.pack(report(to="a1")), "not-for-me"),
-                             *((codec.pack(frame), "malformed") for frame in bad)):
+        bad = (
+            report(loads=b"\0x"),
+            report(slots=3),
+            report(loads=b"\x01\xff", slots=8),
+            report(loads=b"\x07"),
+            report(loads=b"\x02\xff\xff", slots=8),
+            report(part=1),
+            report(parts=33),
+            report(number=-1),
+            report(incarnation=1 << 63),
+            report(first=MOST_SLOTS),
+            report(first=MOST_SLOTS - 1, slots=2, loads=b"\0xx", waits=b"\0xx"),
+            report(news=((1, 256, 0),)),
+            report(news=((-1, 2, 0),)),
+            report(sender=""),
+            report(echo=-2),
+        )
+        for data, reason in (
+            (b"", "size"),
+            (good[:17], "size"),
+            (good + b"x" * MAX_BYTES, "size"),
+            (b"\x01" + good[1:], "version"),
+            (good[:-1], "forged"),
+            (good + b"\0", "forged"),
+            (FrameCodec([b"j" * 32]).pack(report()), "forged"),
+            (signed(b"\xc1" * 9), "malformed"),
+            (signed(b"\x93\x01\x02\x03"), "malformed"),
+            (signed(b"\x91" * 900), "malformed"),
+            (codec.pack(report(to="a1")), "not-for-me"),
+            *((codec.pack(frame), "malformed") for frame in bad),
+        ):
             with self.subTest(data=data[:60], reason=reason), self.assertRaisesRegex(Rejected, f"^{reason}$"):
                 codec.unpack(data, "a0")
         for n in range(len(good)):
             with self.assertRaises(Rejected):
-                codec.unpack(good[:n] + bytes((good[n] ^ 0x20,)) + good[n + 1:], "a0")
+                codec.unpack(good[:n] + bytes((good[n] ^ 0x20,)) + good[n + 1 :], "a0")
         self.assertEqual(FrameCodec([b"new" * 9, KEY]).unpack(good, "a0"), report())
         for keys in ([], [b"short"]):
             with self.assertRaisesRegex(ValueError, "at least 16 bytes"):
--- a/tests/membership/test_aggregation_process.py
+++ b/tests/membership/test_aggregation_process.py
@@ -56,28 +56,38 @@
         handler.wfile.write(b"0\r\n\r\n")
 
     def table(self, kind: str, names: tuple[str, ...], region: bool = True) -> str:
-        return "".join(f'[[{kind}]]\nname = "{n}"\naddress = "{self.relay.address(n)}"\n'
-                       + (f'region = "{n}"\n' if region else "") for n in names)
+        return "".join(
+            f'[[{kind}]]\nname = "{n}"\naddress = "{self.relay.address(n)}"\n' + (f'region = "{n}"\n' if region else "")
+            for n in names
+        )
 
     def head(self, table: str, name: str) -> str:
         keys = ", ".join(f'"{self.folder}/{key}"' for key in self.keys)
         return f'[{table}]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = [{keys}]\n'
 
     def control(self, name: str) -> str:
-        return (self.head("aggregator", name) + 'admin_addr = "127.0.0.1:0"\n'
-                + self.table("aggregator.peer", self.aggregators, False))
+        return (
+            self.head("aggregator", name)
+            + 'admin_addr = "127.0.0.1:0"\n'
+            + self.table("aggregator.peer", self.aggregators, False)
+        )
 
     def fleet(self, name: str, aggregators: tuple[str, ...], peers: tuple[str, ...] = ()) -> str:
-        extra = (self.head("fleet", name) + f'region = "{HOMES[name]}"\n' + self.table("fleet.peer", peers, False)
-                 + self.table("fleet.aggregator", aggregators))
+        extra = (
+            self.head("fleet", name)
+            + f'region = "{HOMES[name]}"\n'
+            + self.table("fleet.peer", peers, False)
+            + self.table("fleet.aggregator", aggregators)
+        )
         text = operator_file([self.engine.address], extra, **{"n-instances": 1})
         return text.replace("[chat]\n", "[chat]\nadmin_addr = '127.0.0.1:0'\n")
 
     def run_one(self, name: str, text: str = "") -> None:
         path = self.folder / f"{name}.toml"
         path.write_text(text or (self.fleet(name, A) if name in HOMES else self.control(name)))
-        program = self.programs[name] = (Program("--chat", str(path)) if name in HOMES
-                                         else Served("aggregator", str(path)))
+        program = self.programs[name] = (
+            Program("--chat", str(path)) if name in HOMES else Served("aggregator", str(path))
+        )
         self.addCleanup(program.kill)
         program.config = path
         at = program.wait_line(rf"(?:{name} talks|aggregator {name} listens) on ([\d.]+):(\d+)")
@@ -101,9 +111,11 @@
 
     def agree(self, count: int, heard: int, *names: str, source: str = "sums") -> None:
         """Each of these counts so many dispatchers, and the sums that it goes by hold the work of so many."""
+
         def so(name: str) -> bool:
             t = self.told(name)
             return (t["count"], t["shares"], t["source"], t["reports"]["heard"]) == (count, count, source, heard)
+
         self.until(lambda: all(so(n) for n in names), *names)
 
     def uses(self, name: str) -> str:
@@ -120,8 +132,10 @@
         sent = body(stream=True)
         client = socket.create_connection((self.programs["d1"].host, self.programs["d1"].port), 20)
         self.addCleanup(client.close)
-        client.sendall(b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-                       % (PATH.encode(), len(sent), sent))
+        client.sendall(
+            b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+            % (PATH.encode(), len(sent), sent)
+        )
         self.assertIn(b" 200 OK", client.recv(200))
         mine = self.told("d1")["engines"][0]["mine"]["load"]
         self.assertGreater(mine, 0)
@@ -136,6 +150,7 @@
                     known[d] = t["engines"][0]["others"]["load"]
             self.assertLess(max(known.values(), default=0), 1.3 * mine)
             return len(known) == 4 and min(known.values()) > 0.5 * mine
+
         self.until(all_know, *D)
         with self.subTest("a bad path"):
             self.relay.drop, self.relay.double, self.relay.delay_s = 0.2, 0.3, 0.1
@@ -220,8 +235,10 @@
             self.send(signal.SIGKILL, "a1")
             for d in trio:
                 self.programs[d].reload(self.fleet(d, (), tuple(p for p in trio if p != d)))
-            self.until(lambda: {(t["count"], t["source"], t["reports"]) for t in map(self.told, trio)}
-                       == {(3, "talk", None)}, *trio)
+            self.until(
+                lambda: {(t["count"], t["source"], t["reports"]) for t in map(self.told, trio)} == {(3, "talk", None)},
+                *trio,
+            )
 
 
 class Files(unittest.TestCase):
@@ -235,35 +252,40 @@
         from pearhill.aggregator import setup as aggregator
         from pearhill.chat import setup as chat
         from pearhill.config import ConfigError
+
         path = self.folder / "file.toml"
 
         def fleet(more: str = "", name: str = "d1") -> str:
-            return operator_file(["a:1"], f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\n'
-                                          f'key_files = ["{self.folder}/good"]\n{more}')
+            return operator_file(
+                ["a:1"],
+                f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\n' f'key_files = ["{self.folder}/good"]\n{more}',
+            )
 
         def control(more: str = "", key: str = "good", listen: str = "127.0.0.1:0") -> str:
-            return (f'[aggregator]\nname = "a1"\nlisten = "{listen}"\nkey_files = ["{self.folder}/{key}"]\n{more}')
+            return f'[aggregator]\nname = "a1"\nlisten = "{listen}"\nkey_files = ["{self.folder}/{key}"]\n{more}'
 
         def named(kind: str, name: str = "a2", more: str = "") -> str:
             return f'[[{kind}]]\nname = "{name}"\naddress = "127.0.0.1:1"\n{more}'
+
         ours, theirs = "fleet.aggregator", "aggregator.peer"
         for load, text, why in (
-                (chat, fleet(), "fleet.peer: found nothing; allowed: a list of one or more, where fleet.aggregator "),
-                (chat, fleet(named(ours) * 2), r"fleet.aggregator\[1\].name: found 'a2'; allowed: a name that no oth"),
-                (chat, fleet(named(ours, "d1")), r"aggregator\[0\].name: found 'd1'; allowed: a name that no dispatc"),
-                (chat, fleet(named(ours) + named("fleet.peer")), r"aggregator\[0\].name: found 'a2'; allowed: a name"),
-                (chat, fleet(named(ours, more="zone = 1\n")), r"fleet.aggregator\[0\].zone: found a key that is not"),
-                (chat, fleet(named(ours, more="region = 1\n")), r"fleet.aggregator\[0\].region: found 1; allowed: te"),
-                (chat, fleet(named(ours, "x" * 97)), r"fleet.aggregator\[0\].name: found 'x"),
-                (chat, fleet(named(ours), "x" * 97), "fleet.name: found 'x+...; allowed: 96 characters at most"),
-                (chat, fleet(named(ours).replace(":1", ":99999")), r"aggregator\[0\].address: found .*; allowed: HOST"),
-                (aggregator, "", "aggregator: found nothing; allowed: a table; it must be given"),
-                (aggregator, control(named(theirs) * 2), r"aggregator.peer\[1\].name: found 'a2'; allowed: a name tha"),
-                (aggregator, control(key="short"), r"aggregator.key_files\[0\]: found .*15 characters.*; allowed: 16"),
-                (aggregator, control(key="none"), r"aggregator.key_files\[0\]: found .*; allowed: a readable file"),
-                (aggregator, control(listen="a1"), "aggregator.listen: found 'a1'; allowed: "),
-                (aggregator, control('admin_addr = "a1"\n'), "aggregator.admin_addr: found 'a1'; allowed: HOST:PORT"),
-                (aggregator, control("[chat]\n"), "chat: found a key that is not known; allowed: aggregator")):
+            (chat, fleet(), "fleet.peer: found nothing; allowed: a list of one or more, where fleet.aggregator "),
+            (chat, fleet(named(ours) * 2), r"fleet.aggregator\[1\].name: found 'a2'; allowed: a name that no oth"),
+            (chat, fleet(named(ours, "d1")), r"aggregator\[0\].name: found 'd1'; allowed: a name that no dispatc"),
+            (chat, fleet(named(ours) + named("fleet.peer")), r"aggregator\[0\].name: found 'a2'; allowed: a name"),
+            (chat, fleet(named(ours, more="zone = 1\n")), r"fleet.aggregator\[0\].zone: found a key that is not"),
+            (chat, fleet(named(ours, more="region = 1\n")), r"fleet.aggregator\[0\].region: found 1; allowed: te"),
+            (chat, fleet(named(ours, "x" * 97)), r"fleet.aggregator\[0\].name: found 'x"),
+            (chat, fleet(named(ours), "x" * 97), "fleet.name: found 'x+...; allowed: 96 characters at most"),
+            (chat, fleet(named(ours).replace(":1", ":99999")), r"aggregator\[0\].address: found .*; allowed: HOST"),
+            (aggregator, "", "aggregator: found nothing; allowed: a table; it must be given"),
+            (aggregator, control(named(theirs) * 2), r"aggregator.peer\[1\].name: found 'a2'; allowed: a name tha"),
+            (aggregator, control(key="short"), r"aggregator.key_files\[0\]: found .*15 characters.*; allowed: 16"),
+            (aggregator, control(key="none"), r"aggregator.key_files\[0\]: found .*; allowed: a readable file"),
+            (aggregator, control(listen="a1"), "aggregator.listen: found 'a1'; allowed: "),
+            (aggregator, control('admin_addr = "a1"\n'), "aggregator.admin_addr: found 'a1'; allowed: HOST:PORT"),
+            (aggregator, control("[chat]\n"), "chat: found a key that is not known; allowed: aggregator"),
+        ):
             with self.subTest(why):
                 path.write_text(text)
                 with self.assertRaisesRegex(ConfigError, f"{path}: .*{why}"):
@@ -278,5 +300,7 @@
         path = self.folder / "aggregator.toml"
         text = (ROOT / "deploy/aggregator.toml").read_text()
         path.write_text(text.replace("/etc/pearhill/fleet.key", f"{self.folder}/good"))
-        self.assertEqual(run("aggregator", "--check", str(path)), (
-            0, f"{path}: good. control-north listens on 10.0.0.21:7947, 2 other aggregators\n", ""))
+        self.assertEqual(
+            run("aggregator", "--check", str(path)),
+            (0, f"{path}: good. control-north listens on 10.0.0.21:7947, 2 other aggregators\n", ""),
+        )
--- a/tests/membership/test_council.py
+++ b/tests/membership/test_council.py
@@ -94,8 +94,11 @@
     def time_passes(self, micros):
         self.net.run(micros)
 
-    @rule(drop=st.sampled_from((0.0, 0.3, 0.9)), double=st.sampled_from((0.0, 0.5)),
-          delay=st.sampled_from((100, 20_000, 400_000)))
+    @rule(
+        drop=st.sampled_from((0.0, 0.3, 0.9)),
+        double=st.sampled_from((0.0, 0.5)),
+        delay=st.sampled_from((100, 20_000, 400_000)),
+    )
     def the_network_is_bad(self, drop, double, delay):
         self.net.drop, self.net.double, self.net.delay = drop, double, delay
 
@@ -150,8 +153,9 @@
             assert view == {n: ALIVE if n in self.net.up else DEAD for n in self.net.names if n != name}, name
 
 
-Fleet.TestCase.settings = examples(max_examples=60, stateful_step_count=20, deadline=None, database=None,
-                                   derandomize=True)
+Fleet.TestCase.settings = examples(
+    max_examples=60, stateful_step_count=20, deadline=None, database=None, derandomize=True
+)
 TestFleet = Fleet.TestCase
 
 
@@ -213,7 +217,7 @@
     net = Net(2, 5)
     first, second = net.up["d0"], net.up["d1"]
     ping = first.beat(net.now)[0]
-    ack, = second.heard(net.now, ping)
+    (ack,) = second.heard(net.now, ping)
     assert isinstance(ack.say, Ack) and second.heard(net.now, ping) == []
     anew = Council("d0", net.names, net.now + S, random.Random(8), lambda: [])
     anew.beat(net.now + S)
@@ -247,8 +251,14 @@
 
 
 def message(rows: int = 3, rumours: int = 2, say: Ping | Ack | Ask = PLAIN) -> Message:
-    return Message("d1", 1 << 50, 77, say, tuple(Rumour(f"d{n}", 1 << 50, ALIVE) for n in range(rumours)),
-                   tuple(cut(Row((1 << 63) + n, 40_000 + n, 1 << 39) for n in range(rows))))
+    return Message(
+        "d1",
+        1 << 50,
+        77,
+        say,
+        tuple(Rumour(f"d{n}", 1 << 50, ALIVE) for n in range(rumours)),
+        tuple(cut(Row((1 << 63) + n, 40_000 + n, 1 << 39) for n in range(rows))),
+    )
 
 
 def test_a_message_comes_back_as_it_was_and_the_largest_fits_one_datagram():
@@ -256,17 +266,25 @@
         assert Codec([KEY]).unpack(Codec([KEY]).pack(m), "d2") == m
     packed = Codec([KEY]).pack(message(ROWS, 12))
     back = Codec([KEY]).unpack(packed, "d2")
-    assert len(packed) <= MAX_BYTES and len(back.rows) >= 40 and back.rows == message(ROWS).rows[:len(back.rows)]
-
-
-@pytest.mark.parametrize(("spoil", "reason"), [
-    (lambda d: d[:10], "size"), (lambda d: d + b"x" * MAX_BYTES, "size"), (lambda d: b"", "size"),
-    (lambda d: b"\x02" + d[1:], "version"), (lambda d: d[:-1], "forged"), (lambda d: d + b"\0", "forged"),
-    (lambda d: Codec([b"j" * 32]).pack(message()), "forged"),
-    (lambda d: Codec([KEY]).pack(message(say=Ping("d3", 1))), "not-for-me"),
-    (lambda d: b"\x01" + Codec._tag(KEY, b"\x93\x01") + b"\x93\x01", "malformed"),
-    (lambda d: b"\x01" + Codec._tag(KEY, b"\xc1" * 40) + b"\xc1" * 40, "malformed"),
-    (lambda d: Codec([KEY]).pack(Message("d1", 1 << 63, 1, Ping("d2", 1), (), ())), "malformed")])
+    assert len(packed) <= MAX_BYTES and len(back.rows) >= 40 and back.rows == message(ROWS).rows[: len(back.rows)]
+
+
+@pytest.mark.parametrize(
+    ("spoil", "reason"),
+    [
+        (lambda d: d[:10], "size"),
+        (lambda d: d + b"x" * MAX_BYTES, "size"),
+        (lambda d: b"", "size"),
+        (lambda d: b"\x02" + d[1:], "version"),
+        (lambda d: d[:-1], "forged"),
+        (lambda d: d + b"\0", "forged"),
+        (lambda d: Codec([b"j" * 32]).pack(message()), "forged"),
+        (lambda d: Codec([KEY]).pack(message(say=Ping("d3", 1))), "not-for-me"),
+        (lambda d: b"\x01" + Codec._tag(KEY, b"\x93\x01") + b"\x93\x01", "malformed"),
+        (lambda d: b"\x01" + Codec._tag(KEY, b"\xc1" * 40) + b"\xc1" * 40, "malformed"),
+        (lambda d: Codec([KEY]).pack(Message("d1", 1 << 63, 1, Ping("d2", 1), (), ())), "malformed"),
+    ],
+)
 def test_what_is_foreign_forged_torn_or_for_another_is_not_taken(spoil, reason):
     with pytest.raises(Rejected, match=f"^{reason}$"):
         Codec([KEY]).unpack(spoil(Codec([KEY]).pack(message())), "d2")
@@ -276,7 +294,7 @@
     packed = Codec([KEY]).pack(message())
     for n in range(len(packed)):
         with pytest.raises(Rejected):
-            Codec([KEY]).unpack(packed[:n] + bytes([packed[n] ^ 0x20]) + packed[n + 1:], "d2")
+            Codec([KEY]).unpack(packed[:n] + bytes([packed[n] ^ 0x20]) + packed[n + 1 :], "d2")
     assert Codec([b"new" * 9, KEY]).unpack(packed, "d2") == message()
     for keys in ([], [b"short"]):
         with pytest.raises(ValueError, match="at least 16 bytes"):
--- a/tests/membership/test_process.py
+++ b/tests/membership/test_process.py
@@ -54,8 +54,9 @@
         handler.wfile.write(b"0\r\n\r\n")
 
     def run_one(self, name: str) -> Program:
-        peers = "".join(f'[[fleet.peer]]\nname = "{p}"\naddress = "{self.relay.address(p)}"\n'
-                        for p in self.NAMES if p != name)
+        peers = "".join(
+            f'[[fleet.peer]]\nname = "{p}"\naddress = "{self.relay.address(p)}"\n' for p in self.NAMES if p != name
+        )
         extra = f'[fleet]\nname = "{name}"\nlisten = "127.0.0.1:0"\nkey_files = ["{self.folder}/key"]\n{peers}'
         text = operator_file([e.address for e in self.engines], extra, **{"n-instances": 1})
         path = self.folder / f"{name}.toml"
@@ -80,9 +81,11 @@
 
     def agree(self, count: int, heard: int, *names: str) -> None:
         """Each of these counts so many dispatchers, and hears so many, itself among them."""
+
         def so(name: str) -> bool:
             t = self.told(name)
             return (t["count"], 1 + sum(m["state"] == "alive" for m in t["members"].values())) == (count, heard)
+
         self.until(lambda: all(so(n) for n in names), " ".join(names))
 
     def ask(self, name: str) -> None:
@@ -90,8 +93,10 @@
         program, sent = self.programs[name], body(stream=True)
         client = socket.create_connection((program.host, program.port), 20)
         self.addCleanup(client.close)
-        client.sendall(b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-                       % (PATH.encode(), len(sent), sent))
+        client.sendall(
+            b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+            % (PATH.encode(), len(sent), sent)
+        )
         self.assertIn(b" 200 OK", client.recv(200))
 
     def load_heard(self, name: str) -> float:
@@ -154,6 +159,7 @@
     def test_bad_settings_of_the_fleet_are_told_by_their_path(self):
         from pearhill.chat import setup
         from pearhill.config import ConfigError
+
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         good, short = pathlib.Path(folder.name) / "good", pathlib.Path(folder.name) / "short"
@@ -162,12 +168,16 @@
 
         def fleet(peers: str = peer, key: str = f'["{good}"]', listen: str = "127.0.0.1:0") -> str:
             return f'[fleet]\nname = "d1"\nlisten = "{listen}"\nkey_files = {key}\n{peers}'
+
         self.assertEqual(set(setup.loads(operator_file(["a:1"], fleet())).fleet.peers), {"d2"})
         for text, why in (
-                (fleet(peers=peer + peer), r"fleet.peer\[1\].name: found 'd2'; allowed: a name that no other peer has"),
-                (fleet(peers=""), "fleet.peer: found nothing; allowed: a list"),
-                (fleet(key="[]"), "fleet.key_files: found"), (fleet(key='["/nowhere"]'), r"fleet.key_files\[0\]: "),
-                (fleet(key=f'["{short}"]'), r"fleet.key_files\[0\]: found .*15 characters.*; allowed: 16 at least"),
-                (fleet(listen="nowhere"), "fleet.listen"), (fleet() + "porto = 1\n", "fleet.peer.*porto")):
+            (fleet(peers=peer + peer), r"fleet.peer\[1\].name: found 'd2'; allowed: a name that no other peer has"),
+            (fleet(peers=""), "fleet.peer: found nothing; allowed: a list"),
+            (fleet(key="[]"), "fleet.key_files: found"),
+            (fleet(key='["/nowhere"]'), r"fleet.key_files\[0\]: "),
+            (fleet(key=f'["{short}"]'), r"fleet.key_files\[0\]: found .*15 characters.*; allowed: 16 at least"),
+            (fleet(listen="nowhere"), "fleet.listen"),
+            (fleet() + "porto = 1\n", "fleet.peer.*porto"),
+        ):
             with self.subTest(why), self.assertRaisesRegex(ConfigError, why):
                 setup.loads(operator_file(["a:1"], text))
--- a/tests/membership/test_sources.py
+++ b/tests/membership/test_sources.py
@@ -27,16 +27,17 @@
     def test_sums_while_they_count_all_that_talk_else_the_talk(self):
         gone = GONE / 1e6
         for what, sums, talk, count, in_use, load in (
-                ("neither", None, None, None, "", 0.0),
-                ("the talk alone", None, Way(4, 7, 0.5), 4, "talk", 7),
-                ("sums alone", Way(4, 9, 0.9), None, 4, "sums", 9),
-                ("sums alone, and old", Way(4, 9, 0.0, gone), None, 4, "", 9),
-                ("nobody has told yet", Way(None, 0, 0.0, None), None, None, "", 0),
-                ("nobody has told yet, the talk has", Way(None, 0, 0.0, None), Way(4, 7, 0.5), 4, "talk", 7),
-                ("all on both", Way(4, 9, 0.9), Way(4, 7, 0.5), 4, "sums", 9),
-                ("some no longer talk", Way(4, 9, 0.9), Way(2, 7, 0.5), 4, "sums", 9),
-                ("some talk only", Way(3, 9, 0.9), Way(4, 7, 0.5), 4, "talk", 7),
-                ("the aggregators are gone", Way(4, 9, 0.0, gone), Way(2, 7, 0.5), 4, "talk", 7)):
+            ("neither", None, None, None, "", 0.0),
+            ("the talk alone", None, Way(4, 7, 0.5), 4, "talk", 7),
+            ("sums alone", Way(4, 9, 0.9), None, 4, "sums", 9),
+            ("sums alone, and old", Way(4, 9, 0.0, gone), None, 4, "", 9),
+            ("nobody has told yet", Way(None, 0, 0.0, None), None, None, "", 0),
+            ("nobody has told yet, the talk has", Way(None, 0, 0.0, None), Way(4, 7, 0.5), 4, "talk", 7),
+            ("all on both", Way(4, 9, 0.9), Way(4, 7, 0.5), 4, "sums", 9),
+            ("some no longer talk", Way(4, 9, 0.9), Way(2, 7, 0.5), 4, "sums", 9),
+            ("some talk only", Way(3, 9, 0.9), Way(4, 7, 0.5), 4, "talk", 7),
+            ("the aggregators are gone", Way(4, 9, 0.0, gone), Way(2, 7, 0.5), 4, "talk", 7),
+        ):
             with self.subTest(what):
                 sources = Sources()
                 sources.reporter, sources.council = sums, talk  # type: ignore[assignment]
--- a/tests/net/test_datagrams.py
+++ b/tests/net/test_datagrams.py
@@ -50,19 +50,26 @@
         def taker(data: bytes, address: Any) -> None:
             if len(data) > 1:
                 raise Rejected("forged")
+
         self.datagrams.takers[2] = taker
         for data in (b"\2", b"\2x", b"\2x", b"\1", b""):
             self.datagrams.datagram_received(data, ("10.0.0.9", 77))
-        self.assertEqual(self.datagrams.counts, {"received": 5, "bytes_in": 6, "taken": 1, "rejected forged": 2,
-                                                 "rejected version": 1, "rejected size": 1})
+        self.assertEqual(
+            self.datagrams.counts,
+            {"received": 5, "bytes_in": 6, "taken": 1, "rejected forged": 2, "rejected version": 1, "rejected size": 1},
+        )
         self.assertEqual(len(self.lines), 1)
         self.run_for(TOLD_EVERY)
         self.run_for(2 * TOLD_EVERY)  # nothing new, nothing told
         self.datagrams.datagram_received(b"\1", ("10.0.0.8", 77))
-        self.assertEqual([str(line).strip() for line in self.lines], [
-            "fleet: 1 datagrams are not taken: reasons=forged:1, the last from 10.0.0.9:77",
-            "fleet: 3 datagrams are not taken: reasons=forged:1,size:1,version:1, the last from 10.0.0.9:77",
-            "fleet: 1 datagrams are not taken: reasons=version:1, the last from 10.0.0.8:77"])
+        self.assertEqual(
+            [str(line).strip() for line in self.lines],
+            [
+                "fleet: 1 datagrams are not taken: reasons=forged:1, the last from 10.0.0.9:77",
+                "fleet: 3 datagrams are not taken: reasons=forged:1,size:1,version:1, the last from 10.0.0.9:77",
+                "fleet: 1 datagrams are not taken: reasons=version:1, the last from 10.0.0.8:77",
+            ],
+        )
 
 
 class AnAggregator(Case):
@@ -77,6 +84,7 @@
             self.sent.clear()
             self.datagrams.datagram_received(CODEC.pack(Hello(sender, "a1", 5, sequence, 9)), address)
             return [(CODEC.unpack(data, sender), to) for data, to in self.sent]
+
         for sequence, port in ((1, 11), (2, 12)):  # a dispatcher may move
             ((answer, to),) = hear("d1", sequence, ("10.0.0.3", port))
             self.assertIsInstance(answer, HelloAck)
@@ -115,6 +123,7 @@
                 self.sizes.append(size)
 
             due = case.now
+
         reporter, counts, at = Eager(), list[int](), ("10.0.0.2", 2)
         driver = Reporting(reporter, CODEC, {"a1": at}, self.deadlines, self.datagrams)  # type: ignore[arg-type]
         driver.on_count = lambda: counts.append(reporter.count(self.now))
--- a/tests/net/test_incoming.py
+++ b/tests/net/test_incoming.py
@@ -57,6 +57,7 @@
             nonlocal turns
             turns += 1
             original()
+
         self.incoming._readable = counted
         self.incoming._stop()
         waiting = asyncio.create_task(self.incoming.recv_into(self.buffer))
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -27,6 +27,7 @@
         def counted() -> Any:
             self.walks += 1
             return least_useful()
+
         self.listener._least_useful = counted  # type: ignore[method-assign]
 
     async def asyncTearDown(self) -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -17,10 +17,12 @@
 
 def test_a_connection_that_the_server_has_closed_is_not_used_though_its_reader_had_no_turn_to_see_it():
     """What was written to it would end as a reset, and may have run."""
+
     async def day() -> None:
         loop = asyncio.get_running_loop()
-        pool = Pool(loop, Deadlines(start_clock()), Counters(), connect_timeout=5_000_000, keep_idle=5_000_000, most=4,
-                    spare=0)
+        pool = Pool(
+            loop, Deadlines(start_clock()), Counters(), connect_timeout=5_000_000, keep_idle=5_000_000, most=4, spare=0
+        )
         with socket.create_server(("127.0.0.1", 0)) as server:
             first = await pool.acquire(server.getsockname())
             pool.put_back(first)
@@ -39,10 +41,12 @@
 def test_a_connection_rests_after_an_answer_before_it_carries_another_request():
     """A second answer, some milliseconds behind the first, would be taken for that request's. What keeps the books is
     sent at once: the answer to it is of another kind, and nothing runs twice by it."""
+
     async def day() -> None:
         now, loop = 0, asyncio.get_running_loop()
-        pool = Pool(loop, Deadlines(lambda: now), Counters(), connect_timeout=5_000_000, keep_idle=5_000_000, most=4,
-                    spare=9)
+        pool = Pool(
+            loop, Deadlines(lambda: now), Counters(), connect_timeout=5_000_000, keep_idle=5_000_000, most=4, spare=9
+        )
         with socket.create_server(("127.0.0.1", 0)) as server:
             first = await pool.acquire(server.getsockname())
             pool.put_back(first, rests=True)
@@ -63,6 +67,7 @@
 
 def test_a_release_on_a_connection_that_has_fallen_silent_is_said_on_a_new_one_well_within_the_time_to_let_go():
     """300 ms are the least that a deployment gives, and 300 more are allowed. Two idle ones have fallen silent here."""
+
     async def day() -> None:
         now, loop = 0, asyncio.get_running_loop()
         deadlines = Deadlines(lambda: now)
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -60,9 +60,17 @@
 def ask(program: Program, id: str) -> tuple[int, bytes]:
     """A booking; 0 where its dispatcher has died."""
     try:
-        status, _, body = program.ask("POST", PATH, BODY, {
-            "Request-Id": id, "Request-Class": "job-booking", "Request-Timeout-Ms": "9000",
-            "Request-Info": "prompt_len=3000,max_out=100"})
+        status, _, body = program.ask(
+            "POST",
+            PATH,
+            BODY,
+            {
+                "Request-Id": id,
+                "Request-Class": "job-booking",
+                "Request-Timeout-Ms": "9000",
+                "Request-Info": "prompt_len=3000,max_out=100",
+            },
+        )
         return status, body
     except (OSError, http.client.HTTPException):
         return 0, b""
@@ -74,8 +82,13 @@
     Each booking waits for its connection when the list changes, and runs once, elsewhere."""
     late, good = Late(), Standin()
     agents = [Discovery(("s-0", late.address, "all-in-one")) for _ in range(3)]
-    changes = {"settings": {**SETTINGS, "rules": {**SETTINGS["rules"], "drain-grace": grace},
-                            "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}}}
+    changes = {
+        "settings": {
+            **SETTINGS,
+            "rules": {**SETTINGS["rules"], "drain-grace": grace},
+            "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000},
+        }
+    }
     programs = [platform(agent.address, **changes) for agent in agents]
     things = [late, good, *agents]
     silent, whole = threading.Event(), agents[1].respond
--- a/tests/platform/test_owed.py
+++ b/tests/platform/test_owed.py
@@ -26,9 +26,11 @@
 
 
 def request(id: str, cls: str = "job-booking", wait_ms: int = 9000) -> bytes:
-    return (f"POST {PATH} HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\nRequest-Class: {cls}\r\n"
-            f"Request-Timeout-Ms: {wait_ms}\r\nRequest-Info: prompt_len=3000,max_out=100\r\n"
-            f"Content-Length: {len(BODY)}\r\n\r\n").encode() + BODY
+    return (
+        f"POST {PATH} HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\nRequest-Class: {cls}\r\n"
+        f"Request-Timeout-Ms: {wait_ms}\r\nRequest-Info: prompt_len=3000,max_out=100\r\n"
+        f"Content-Length: {len(BODY)}\r\n\r\n"
+    ).encode() + BODY
 
 
 def answer(sock: socket.socket) -> tuple[int, bytes]:
@@ -232,8 +234,10 @@
 def test_a_keyed_request_is_not_begun_again_once_its_window_is_over(day):
     """The choice came in time, and the connection after it. A refusal is harmless: all servers discard repeats."""
     window = 2_500_000
-    keyed = {**SLOW_CONNECT, "classes": [{**SETTINGS["classes"][1], "effect": "idempotency_key", "group": "all",
-                                          "window": window}]}
+    keyed = {
+        **SLOW_CONNECT,
+        "classes": [{**SETTINGS["classes"][1], "effect": "idempotency_key", "group": "all", "window": window}],
+    }
     first, late = Standin(), Late()
     first.respond = lambda handler, body: (first.go.wait(20), handler.plain(500))
     program = day.start((first, "all-in-one"), settings=keyed)
@@ -274,6 +278,7 @@
             return handler.plain(410, Not_Started="1")
         handler.connection.recv(1)
         given_up.set()
+
     reader.respond = read
     for writer in writers:
         writer.respond = write
@@ -297,6 +302,7 @@
             answering.wait(30)
             return handler.plain(204)
         handler.rfile.read(1)  # until its dispatcher gives it up
+
     reader.respond = read
     program = day.start((reader, "all-in-one"))
     gone = day.connect()
@@ -324,8 +330,18 @@
 def test_idle_clients_that_fill_the_descriptors_take_none_from_the_list_the_servers_or_new_requests(day):
     """Discovery is silent meanwhile, and is called again and again. Whoever has a request open keeps its connection."""
     server, over = Standin(), threading.Event()
-    known = [{"uid": "s-0", "endpoint": server.address, "az": "north", "model": "all-in-one", "pod_group": 1,
-              "state": "active", "capacity_hint": 1.0, "boot_ms": 0}]
+    known = [
+        {
+            "uid": "s-0",
+            "endpoint": server.address,
+            "az": "north",
+            "model": "all-in-one",
+            "pod_group": 1,
+            "state": "active",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
+    ]
     agent = Discovery(("s-0", server.address, "all-in-one"))
     whole = agent.respond
     agent.respond = lambda handler, body: (over.wait(20), whole(handler, body))
@@ -368,6 +384,7 @@
             handler.more(event)
             assert seen.acquire(timeout=20)
         handler.wfile.write(b"0\r\n\r\n")
+
     server.respond, over = respond, threading.Event()
     day.start((server, "all-in-one"))
 
@@ -379,9 +396,11 @@
             over.wait(20)  # a flood is ended; another begins
             return
 
-    floods = [threading.Thread(target=neighbour, args=(day.connect(), lambda: request("f") * 50), daemon=True),
-              threading.Thread(target=neighbour, args=(day.connect(), lambda: b"x" * 60_000), daemon=True),
-              threading.Thread(target=neighbour, args=(day.connect(), lambda: b"P"), daemon=True)]
+    floods = [
+        threading.Thread(target=neighbour, args=(day.connect(), lambda: request("f") * 50), daemon=True),
+        threading.Thread(target=neighbour, args=(day.connect(), lambda: b"x" * 60_000), daemon=True),
+        threading.Thread(target=neighbour, args=(day.connect(), lambda: b"P"), daemon=True),
+    ]
     deaf = day.connect()
     deaf.sendall(request("deaf"))
     for flood in floods:
--- a/tests/platform/test_schedule.py
+++ b/tests/platform/test_schedule.py
@@ -103,8 +103,9 @@
         for n in out:
             if self.how == "silent":
                 self.numbers[n] += 1  # what it would have been answered is lost
-                self.at(self.began[n] + self.schedules[n].patience(self.schedules[n].wait(True)), "fail", n,
-                        self.numbers[n])
+                self.at(
+                    self.began[n] + self.schedules[n].patience(self.schedules[n].wait(True)), "fail", n, self.numbers[n]
+                )
             else:
                 self.at(now, "fail", n, self.numbers[n])
 
@@ -187,8 +188,11 @@
 
 
 def started(discovery: Discovery, server: Standin):
-    return platform(discovery.address, settings={**SETTINGS, "discovery": "on_request", "n-instances": 2},
-                    known=[{"uid": "s-0", "endpoint": server.address, **KNOWN}])
+    return platform(
+        discovery.address,
+        settings={**SETTINGS, "discovery": "on_request", "n-instances": 2},
+        known=[{"uid": "s-0", "endpoint": server.address, **KNOWN}],
+    )
 
 
 def test_the_daemon_asks_a_shared_discovery_for_what_changed_since_the_list_it_knows():
@@ -207,8 +211,12 @@
     """An older revision, a failure and nonsense: each is told in one line, and the next good list is in force."""
     server, discovery = Standin(), Discovery()
     discovery.rev = 7
-    answers = [(503, b""), (200, b"[]"), (200, b'{"rev": 9, "all": false, "targets": []}'),
-               (200, b'{"rev": 2, "all": false, "targets": []}')]
+    answers = [
+        (503, b""),
+        (200, b"[]"),
+        (200, b'{"rev": 9, "all": false, "targets": []}'),
+        (200, b'{"rev": 2, "all": false, "targets": []}'),
+    ]
     whole = Discovery.respond
 
     def respond(handler, body):
--- a/tests/platform/test_watch_way.py
+++ b/tests/platform/test_watch_way.py
@@ -55,8 +55,11 @@
         self.open.append(here)
         try:
             async with asyncio.timeout(patience / S):
-                while here.hushed_at is not None or self.down_at is not None or (
-                        self.rev <= after and self.loop.micros() < here.at + wait):
+                while (
+                    here.hushed_at is not None
+                    or self.down_at is not None
+                    or (self.rev <= after and self.loop.micros() < here.at + wait)
+                ):
                     left = here.at + wait - self.loop.micros()
                     ends = left if left > 0 and here.hushed_at is None and self.down_at is None else None
                     done, _ = await asyncio.wait({here.over}, timeout=ends and ends / S)
@@ -69,8 +72,10 @@
         if self.garbled:
             self.garbled -= 1
             return (503, b"") if self.garbled % 2 else (200, b'{"rev": ')
-        return 200, json.dumps({"rev": self.rev, "all": not after,
-                                "targets": [ENTRY] if self.rev > after else []}, indent=self.rev % 2 or None).encode()
+        return 200, json.dumps(
+            {"rev": self.rev, "all": not after, "targets": [ENTRY] if self.rev > after else []},
+            indent=self.rev % 2 or None,
+        ).encode()
 
     def _wake(self, error: Exception | None = None) -> None:
         for call in self.open:
@@ -79,8 +84,9 @@
 
     def _tell(self, now: int) -> None:
         heard = [c for c in self.open if c.hushed_at is None]
-        self.told[self.rev] = now if heard or not self.open else min(
-            max(c.hushed_at + 6 * S, c.at + c.wait + 2 * S) for c in self.open)
+        self.told[self.rev] = (
+            now if heard or not self.open else min(max(c.hushed_at + 6 * S, c.at + c.wait + 2 * S) for c in self.open)
+        )
 
     def play(self, what: str) -> None:
         now = self.loop.micros()
@@ -130,9 +136,14 @@
         turns = Turns(loop, deadlines)
         pool = SimpleNamespace(spawn=Tasks(loop, "a call").spawn, deadlines=deadlines, drop_idle=lambda address: None)
         schedule = CallSchedule(deployment.shared_discovery, 200, deployment.drain_grace, random.Random(seed))
-        watch = discovery.Watch(pool, ("127.0.0.1", 1), deployment,
-                                lambda whole, entries, addresses: applied.setdefault(watch.rev, loop.micros()),
-                                schedule, {})
+        watch = discovery.Watch(
+            pool,
+            ("127.0.0.1", 1),
+            deployment,
+            lambda whole, entries, addresses: applied.setdefault(watch.rev, loop.micros()),
+            schedule,
+            {},
+        )
         with patch.object(discovery, "call", agent.call):
             watch.start()
             for wait_ms, what in script:
--- a/tests/service/test_handover.py
+++ b/tests/service/test_handover.py
@@ -14,8 +14,19 @@
 WISH = st.builds(Wish, st.integers(0, 2**60), st.booleans(), st.integers(0, 2**60))
 
 
-@given(st.builds(Note, st.text(), st.integers(0, 2**60), st.integers(0, 2**60), st.booleans(), st.booleans(),
-                 st.booleans(), st.dictionaries(st.integers(0, 2**64 - 1), WISH, max_size=5), st.none() | WISH))
+@given(
+    st.builds(
+        Note,
+        st.text(),
+        st.integers(0, 2**60),
+        st.integers(0, 2**60),
+        st.booleans(),
+        st.booleans(),
+        st.booleans(),
+        st.dictionaries(st.integers(0, 2**64 - 1), WISH, max_size=5),
+        st.none() | WISH,
+    )
+)
 def test_a_note_is_read_as_it_was_written(note):
     assert decode(note.encode(), note.name) == note
 
@@ -27,13 +38,19 @@
             decode(data[:cut], "n3")
     for at in range(0, len(data), 3):
         with pytest.raises(BadNote):
-            decode(data[:at] + bytes([data[at] ^ 1]) + data[at + 1:], "n3")
-
-
-@pytest.mark.parametrize(("data", "why"), [
-    (b"", "no note"), (b"PK\x03\x04", "no note"), (b"pearhill-note 2 00000000\n{}", "of another version"),
-    (replace(NOTE, name="n4").encode(), "of another dispatcher"),
-    (replace(NOTE, out={n: Wish(1, True, 1) for n in range(10_001)}).encode(), "too many")])
+            decode(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :], "n3")
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"", "no note"),
+        (b"PK\x03\x04", "no note"),
+        (b"pearhill-note 2 00000000\n{}", "of another version"),
+        (replace(NOTE, name="n4").encode(), "of another dispatcher"),
+        (replace(NOTE, out={n: Wish(1, True, 1) for n in range(10_001)}).encode(), "too many"),
+    ],
+)
 def test_what_is_no_note_of_ours_says_why(data, why):
     with pytest.raises(BadNote, match=why):
         decode(data, "n3")
--- a/tests/spread/test_process.py
+++ b/tests/spread/test_process.py
@@ -15,13 +15,22 @@
 UNLIKE["allowed"].update({"may-cancel": False, "probing": True, "max-attempts": 6, "max-retry-after": 2000000})
 UNLIKE["classes"] = [
     {"name": "question", "aim": 1000000, "deadline": 4000000, "effect": "read_like", "worth": 3.0},
-    {"name": "order", "aim": 3000000, "deadline": 15000000, "effect": "non_idempotent", "worth": 5.0}]
-UNLIKE["extra"].update({"local-read": True, "release-within": 1000000, "resume": True,
-                        "role-by-kind": ["read", "write", "write"]})
-UNLIKE.update({"models": ["reads", "writes-a", "writes-b"], "n-instances": 200, "zones": ["north"],
-               "over-share-worth": 0.1, "prices": {"probe": 0.0039},
-               "report": {"via": "on_probe", "columns": ["active", "waiting", "x0", "x1"]},
-               "tenants": [{"name": "east", "quota-rps": 9.0}, {"name": "west", "quota-rps": 0.0}]})
+    {"name": "order", "aim": 3000000, "deadline": 15000000, "effect": "non_idempotent", "worth": 5.0},
+]
+UNLIKE["extra"].update(
+    {"local-read": True, "release-within": 1000000, "resume": True, "role-by-kind": ["read", "write", "write"]}
+)
+UNLIKE.update(
+    {
+        "models": ["reads", "writes-a", "writes-b"],
+        "n-instances": 200,
+        "zones": ["north"],
+        "over-share-worth": 0.1,
+        "prices": {"probe": 0.0039},
+        "report": {"via": "on_probe", "columns": ["active", "waiting", "x0", "x1"]},
+        "tenants": [{"name": "east", "quota-rps": 9.0}, {"name": "west", "quota-rps": 0.0}],
+    }
+)
 BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
 Answer = Callable[[Any], None]
 
@@ -60,8 +69,15 @@
             h.chunks(*TOKENS, LAST)
 
     def ask(self, id: str, cls: str = "order", **more: str) -> int:
-        head = {"Request-Id": id, "Request-Class": cls, "Request-Timeout-Ms": "4000", "Tenant": "east",
-                "Affinity-Key": f"{hash(id) & 0xffff:x}", "Request-Info": "prompt_len=3000,max_out=100", **more}
+        head = {
+            "Request-Id": id,
+            "Request-Class": cls,
+            "Request-Timeout-Ms": "4000",
+            "Tenant": "east",
+            "Affinity-Key": f"{hash(id) & 0xffff:x}",
+            "Request-Info": "prompt_len=3000,max_out=100",
+            **more,
+        }
         status, _, body = self.program.ask("POST", "/v1/chat/completions", BODY, head)
         assert status != 200 or body == b"".join(TOKENS) + LAST
         return status
@@ -88,9 +104,15 @@
             h.close_connection = True
 
         odd: list[Answer] = [
-            lambda h: h.plain(404), lambda h: h.plain(503), lambda h: h.plain(200),
+            lambda h: h.plain(404),
+            lambda h: h.plain(503),
+            lambda h: h.plain(200),
             lambda h: h.plain(500, b"x0=0,x1=0"),
-            report("nan", 1), report(-1, 2), report(0.5, "1,x1=9"), lambda h: h.plain(200, b"z" * 65536)]
+            report("nan", 1),
+            report(-1, 2),
+            report(0.5, "1,x1=9"),
+            lambda h: h.plain(200, b"z" * 65536),
+        ]
         words: tuple[dict[str, str], ...] = ({}, {"Client-Retry": "again"}, {"Client-Retry": "perhaps"})
         for answers in (odd, [torn], [lambda h: h.connection.close()], [late]):  # the last three eject engines
             self.start()
@@ -113,12 +135,16 @@
 
     def test_a_member_that_nobody_knows_and_one_without_a_share_are_served(self):
         self.start()
-        self.assertEqual([self.ask(f"m{n}", Tenant=name) for n, name in enumerate(("east", "west", "nobody"))],
-                         [200] * 3)
+        self.assertEqual(
+            [self.ask(f"m{n}", Tenant=name) for n, name in enumerate(("east", "west", "nobody"))], [200] * 3
+        )
 
     def test_few_dispatchers_or_no_reports_send_no_probe(self):
-        for changes in ({"n-instances": 3}, {"report": {"via": "off", "columns": []}},
-                        {"allowed": {**UNLIKE["allowed"], "probing": False}}):
+        for changes in (
+            {"n-instances": 3},
+            {"report": {"via": "off", "columns": []}},
+            {"allowed": {**UNLIKE["allowed"], "probing": False}},
+        ):
             with self.subTest(changes):
                 self.start({**UNLIKE, **changes})
                 self.assertEqual([self.ask(f"f{n}") for n in range(3)], [200] * 3)
--- a/tests/spread/test_scout.py
+++ b/tests/spread/test_scout.py
@@ -54,10 +54,20 @@
         return self.sent[r].engine
 
 
-@pytest.mark.parametrize(("instances", "price", "probing", "roles"), [
-    (1, 0.0, True, ()), (3, 0.0039, True, ()), (5, 0.0, True, ()), (8, 0.0039, True, (i.READER,)),
-    (12, 0.0039, True, (i.READER,)), (60, 0.0039, True, (i.READER, i.WRITER)), (60, 0.2, True, ()),
-    (200, 0.0039, False, ()), (8, 0.0, True, (i.READER, i.WRITER))])
+@pytest.mark.parametrize(
+    ("instances", "price", "probing", "roles"),
+    [
+        (1, 0.0, True, ()),
+        (3, 0.0039, True, ()),
+        (5, 0.0, True, ()),
+        (8, 0.0039, True, (i.READER,)),
+        (12, 0.0039, True, (i.READER,)),
+        (60, 0.0039, True, (i.READER, i.WRITER)),
+        (60, 0.2, True, ()),
+        (200, 0.0039, False, ()),
+        (8, 0.0, True, (i.READER, i.WRITER)),
+    ],
+)
 def test_a_look_is_taken_only_where_it_pays(instances, price, probing, roles):
     assert looks(replace(SETTINGS, instances=instances, probe_price=price, probing=probing)) == set(roles)
 
@@ -198,10 +208,22 @@
     assert len(reports) == 0
 
 
-@pytest.mark.parametrize(("text", "load"), [
-    ("inflight=7,queue=2,x0=0.61,x1=3.5", (0.61, 3.5)), (" x1=0 , x0=1e-3\r\n", (0.001, 0.0)),
-    ("", None), ("x0=0.5", None), ("x0=0.5,x1=nan", None), ("x0=0.5,x1=-1", None), ("x0=0.5,x1=3,x1=4", None),
-    ("x0=0.5,x1=3,", None), ("x0=0.5,x1", None), ("x0=0.5,x1=3.", None), ("x0=1e999,x1=1", None),
-    ("<html>" * 900, None)])
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("inflight=7,queue=2,x0=0.61,x1=3.5", (0.61, 3.5)),
+        (" x1=0 , x0=1e-3\r\n", (0.001, 0.0)),
+        ("", None),
+        ("x0=0.5", None),
+        ("x0=0.5,x1=nan", None),
+        ("x0=0.5,x1=-1", None),
+        ("x0=0.5,x1=3,x1=4", None),
+        ("x0=0.5,x1=3,", None),
+        ("x0=0.5,x1", None),
+        ("x0=0.5,x1=3.", None),
+        ("x0=1e999,x1=1", None),
+        ("<html>" * 900, None),
+    ],
+)
 def test_a_report_is_believed_whole_or_not_at_all(text, load):
     assert load_of(text) == load
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,21 +20,44 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
-    "allowed": {"conn-idle": 15000000, "connect-timeout": 250000, "max-attempts": 5, "max-retry-after": 500000,
-                "may-cancel": True, "most-held": 1000, "retry-after": True, "second-copies": False},
+    "allowed": {
+        "conn-idle": 15000000,
+        "connect-timeout": 250000,
+        "max-attempts": 5,
+        "max-retry-after": 500000,
+        "may-cancel": True,
+        "most-held": 1000,
+        "retry-after": True,
+        "second-copies": False,
+    },
     "classes": [
         {"name": "advice", "aim": 1500000, "deadline": 6000000, "effect": "read_like", "worth": 1.0},
-        {"name": "job-booking", "aim": 2500000, "deadline": 10000000, "effect": "non_idempotent", "worth": 3.0}],
-    "extra": {"aim-us-per-1000-prompt-tokens": [40000, 40000], "local-read": False, "release-within": 300000,
-              "role-by-kind": ["read", "write", "both"], "tokens-by-kind": [200000, 200000, 200000],
-              "token-aim": [70000, 80000]},
-    "models": ["reader", "writer", "all-in-one"], "n-instances": 1, "zone": 0, "zones": ["north", "south"],
-    "rules": {"cold": 13000000, "cold-from": 0.28, "fall": 1500000, "fall-multiple": 2.5}, "tick": 2000}
-TOKENS = [b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":null}]}\n\n' % word
-          for word in (b"one ", b"two")]
-LAST = (b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
-        b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11,'
-        b'"prompt_tokens_details":{"cached_tokens":4}}}\n\ndata: [DONE]\n\n')
+        {"name": "job-booking", "aim": 2500000, "deadline": 10000000, "effect": "non_idempotent", "worth": 3.0},
+    ],
+    "extra": {
+        "aim-us-per-1000-prompt-tokens": [40000, 40000],
+        "local-read": False,
+        "release-within": 300000,
+        "role-by-kind": ["read", "write", "both"],
+        "tokens-by-kind": [200000, 200000, 200000],
+        "token-aim": [70000, 80000],
+    },
+    "models": ["reader", "writer", "all-in-one"],
+    "n-instances": 1,
+    "zone": 0,
+    "zones": ["north", "south"],
+    "rules": {"cold": 13000000, "cold-from": 0.28, "fall": 1500000, "fall-multiple": 2.5},
+    "tick": 2000,
+}
+TOKENS = [
+    b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":null}]}\n\n' % word
+    for word in (b"one ", b"two")
+]
+LAST = (
+    b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11,'
+    b'"prompt_tokens_details":{"cached_tokens":4}}}\n\ndata: [DONE]\n\n'
+)
 
 
 class Standin:
@@ -112,6 +135,7 @@
     def wait_for(self, method: str, path: str = "", count: int = 1) -> None:
         def found() -> bool:
             return sum(m == method and p.startswith(path) for m, p in self.calls) >= count
+
         with self.seen:
             assert self.seen.wait_for(found, 20), f"no {method} {path} among {self.calls}"
 
@@ -137,10 +161,23 @@
         super().__init__()
 
     def answer(self) -> dict[str, Any]:
-        return {"rev": self.rev, "all": True, "targets": [
-            {"uid": uid, "endpoint": address, "az": "north", "model": kind, "pod_group": 1,
-             "state": "leaving" if uid in self.leaving else "active", "capacity_hint": 1.0, "boot_ms": 0}
-            for uid, address, kind in self.targets]}
+        return {
+            "rev": self.rev,
+            "all": True,
+            "targets": [
+                {
+                    "uid": uid,
+                    "endpoint": address,
+                    "az": "north",
+                    "model": kind,
+                    "pod_group": 1,
+                    "state": "leaving" if uid in self.leaving else "active",
+                    "capacity_hint": 1.0,
+                    "boot_ms": 0,
+                }
+                for uid, address, kind in self.targets
+            ],
+        }
 
     def update(self, *targets: tuple[str, str, str]) -> None:
         with self.changed:
@@ -169,8 +206,14 @@
 
         inherited = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         self.process = subprocess.Popen(
-            [sys.executable, *self.LAUNCH, *arguments], stderr=subprocess.PIPE, text=True, cwd=ROOT,
-            preexec_fn=limit, pass_fds=passed, env={**inherited, **environ})
+            [sys.executable, *self.LAUNCH, *arguments],
+            stderr=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+            preexec_fn=limit,
+            pass_fds=passed,
+            env={**inherited, **environ},
+        )
         self.follow_log()
         self.host, _, port = self.wait_line(r"listens on ([\w.:]+)")[1].rpartition(":")
         self.port = int(port)
@@ -191,6 +234,7 @@
     def wait_line(self, pattern: str, after: int = 0) -> re.Match[str]:
         def find() -> re.Match[str] | None:
             return next(filter(None, (re.search(pattern, line) for line in self.lines[after:])), None)
+
         with self.heard:
             found = self.heard.wait_for(find, 20)
         assert found, f"no line with {pattern!r} in:\n{''.join(self.lines)}"
@@ -199,8 +243,13 @@
     def connect(self, timeout: float = 20) -> http.client.HTTPConnection:
         return http.client.HTTPConnection(self.host, self.port, timeout=timeout)
 
-    def ask(self, method: str, path: str, body: bytes | None = None, headers: dict[str, str] | None = None,
-            ) -> tuple[int, dict[str, str], bytes]:
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
         connection = self.connect()
         try:
             connection.request(method, path, body, headers or {})
@@ -242,13 +291,26 @@
 
 
 def platform_file(discovery: str, known: list[dict[str, Any]] | None = None, **changes: Any) -> str:
-    return json.dumps({"name": "t1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
-                       "settings": SETTINGS, "limits": {"sockets": 256},
-                       "known": {"rev": 0, "all": True, "targets": known or []}, **changes})
-
-
-def platform(discovery: str, known: list[dict[str, Any]] | None = None, files: int = 0, **changes: Any,
-             ) -> Program:
+    return json.dumps(
+        {
+            "name": "t1",
+            "listen": "127.0.0.1:0",
+            "discovery": discovery,
+            "seed": "1f",
+            "settings": SETTINGS,
+            "limits": {"sockets": 256},
+            "known": {"rev": 0, "all": True, "targets": known or []},
+            **changes,
+        }
+    )
+
+
+def platform(
+    discovery: str,
+    known: list[dict[str, Any]] | None = None,
+    files: int = 0,
+    **changes: Any,
+) -> Program:
     """A dispatcher of the platform. Its environment names discovery too, as the deployment's does."""
     folder = tempfile.TemporaryDirectory()
     path = pathlib.Path(folder.name) / "config.json"
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -20,7 +20,8 @@
     def __init__(self, count: int, seed: int) -> None:
         self.rng, self.count, self.now, self.next = random.Random(seed), count, 100 * S, 0
         self.listed = {n: entry(n, 0, cell=n % 2) for n in range(1, READERS + 1)} | {
-            n: entry(n, 1, cell=n % 2) for n in range(11, 11 + WRITERS)}
+            n: entry(n, 1, cell=n % 2) for n in range(11, 11 + WRITERS)
+        }
         self.shares = [4.0 if n % 4 == 0 else 1.0 for n in range(count)]
         self.nodes = [self.fresh() for _ in range(count)]
         self.sent: dict[int, list[int]] = {}
@@ -28,8 +29,11 @@
 
     def fresh(self) -> Drive:
         self.next += 1
-        drive = Drive(settings(instances=self.count, local_read=False, fall=1_500_000, cold=RAMP),
-                      tuple(self.listed.values()), seed=self.rng.randrange(1 << 30))
+        drive = Drive(
+            settings(instances=self.count, local_read=False, fall=1_500_000, cold=RAMP),
+            tuple(self.listed.values()),
+            seed=self.rng.randrange(1 << 30),
+        )
         drive.now = self.now
         return drive
 
@@ -68,8 +72,9 @@
 
 
 @pytest.mark.parametrize("count", [3, 20, 30, 200])
-@pytest.mark.parametrize("day, least", [("one", 0.1), ("release", 0.1), ("restarts", 0.02), ("late", 0.3),
-                                        ("cut", 0.3)])
+@pytest.mark.parametrize(
+    "day, least", [("one", 0.1), ("release", 0.1), ("restarts", 0.02), ("late", 0.3), ("cut", 0.3)]
+)
 def test_a_cold_server_stays_under_what_it_bears_in_every_window_and_gets_work(count: int, day: str, least: float):
     """One of eight starts anew; or five of them within 5 s; or one, and every other process is started anew; or all
     warm ones leave when it has hardly been used, or are cut off, which no list tells."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -156,8 +156,10 @@
     def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_wants(self):
         handle = self.core.router.handle
         self.core.router.handle = lambda now, event: [  # type: ignore[method-assign]
-            action for sent in handle(now, event)
-            for action in ([sent, replace(sent, engine=3)] if isinstance(sent, i.Send) else [sent])]
+            action
+            for sent in handle(now, event)
+            for action in ([sent, replace(sent, engine=3)] if isinstance(sent, i.Send) else [sent])
+        ]
         self.take(BOOKING)
         self.assertEqual(len(self.sent), 1)
 
@@ -215,8 +217,14 @@
             self.assertEqual((self.released, client.told, self.core.requests), (released, [], {}))
 
     def test_a_booking_that_was_called_off_before_it_was_sent_may_go_elsewhere(self):
-        self.core.listed(False, (i.Entry(1, 0, 0, 0, i.GONE, 1.0, 0), i.Entry(5, 0, 2, 0, i.READY, 1.0, 0),
-                                 i.Entry(6, 0, 2, 0, i.READY, 1.0, 0)))
+        self.core.listed(
+            False,
+            (
+                i.Entry(1, 0, 0, 0, i.GONE, 1.0, 0),
+                i.Entry(5, 0, 2, 0, i.READY, 1.0, 0),
+                i.Entry(6, 0, 2, 0, i.READY, 1.0, 0),
+            ),
+        )
         self.take(BOOKING)
         first, self.reached = self.sent[-1], False
         self.core.listed(False, (i.Entry(first.engine, 0, 2, 0, i.GONE, 1.0, 0),))
@@ -246,9 +254,11 @@
             machine, got = ServerConnection(), []
             stream = self.REQUEST * 2
             for at in range(0, len(stream), size):
-                got += machine.feed(stream[at:at + size])
-            self.assertEqual([(m.method, m.target, m.body, m.keep_alive) for m in got if isinstance(
-                m, RequestMessage)], [("POST", "/a?b=1", b"abcd", True)] * 2)
+                got += machine.feed(stream[at : at + size])
+            self.assertEqual(
+                [(m.method, m.target, m.body, m.keep_alive) for m in got if isinstance(m, RequestMessage)],
+                [("POST", "/a?b=1", b"abcd", True)] * 2,
+            )
 
     def test_nothing_is_taken_after_bad_input(self):
         machine = ServerConnection(max_body=4)
@@ -287,8 +297,13 @@
         head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nA: 1\r\na: 2\r\n\r\n0\r\nB: 3\r\n\r\n"
         (got,) = ServerConnection().feed(head)
         self.assertEqual((got.headers["a"], "b" in got.headers), ("1, 2", False))
-        for more in (b"Host: y", b"Content-Length: -1", b"Content-Length: +1", b"Content-Length: 1\r\n" * 2 + b"A: b",
-                     b"Upgrade: h2c\r\nConnection: upgrade"):
+        for more in (
+            b"Host: y",
+            b"Content-Length: -1",
+            b"Content-Length: +1",
+            b"Content-Length: 1\r\n" * 2 + b"A: b",
+            b"Upgrade: h2c\r\nConnection: upgrade",
+        ):
             (bad,) = ServerConnection().feed(b"POST / HTTP/1.1\r\nHost: x\r\n" + more + b"\r\n\r\n")
             self.assertEqual(bad.status, 400)
 
@@ -302,6 +317,7 @@
             buffer = Buffer()
             machine.feed(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 999999\r\n\r\n")
             return weakref.ref(buffer)
+
         self.assertIsNone(read()())  # the machine lives on; it must not hold those who fed it
 
     def test_nothing_of_a_request_or_a_connection_is_kept(self):
@@ -322,8 +338,13 @@
 
     def test_a_chunk_counts_once_its_end_proves_its_size(self):
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        for spoilt in (b"3\r\nhello\r\n", b"9\r\nhello\r\n0\r\n\r\n", b"g\r\n", b"-5\r\nhello\r\n",
-                       b"BFFFFFFF\r\n" + b"x" * 300_000):
+        for spoilt in (
+            b"3\r\nhello\r\n",
+            b"9\r\nhello\r\n0\r\n\r\n",
+            b"g\r\n",
+            b"-5\r\nhello\r\n",
+            b"BFFFFFFF\r\n" + b"x" * 300_000,
+        ):
             with self.subTest(spoilt=spoilt[:20]):
                 machine, got = ClientConnection(), []
                 machine.expect()
@@ -356,9 +377,11 @@
         for size in range(1, len(stream) + 1):
             parser, got = EventParser(), []
             for at in range(0, len(stream), size):
-                got += parser.feed(stream[at:at + size])
-            self.assertEqual([(e.data, e.name) for e in got],
-                             [(None, "message"), (b"a\nb", "message"), (b"c", "x"), (None, "message")])
+                got += parser.feed(stream[at : at + size])
+            self.assertEqual(
+                [(e.data, e.name) for e in got],
+                [(None, "message"), (b"a\nb", "message"), (b"c", "x"), (None, "message")],
+            )
             self.assertEqual(b"".join(e.raw for e in got), stream)
         with self.assertRaises(BadEvents):
             EventParser(most=10).feed(b"data: " + b"x" * 10)
@@ -374,8 +397,15 @@
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         self.address = server.sockets[0].getsockname()
-        self.pool = Pool(asyncio.get_running_loop(), self.deadlines, Counters(), connect_timeout=10**6,
-                         keep_idle=10**6, most=1, spare=FOR_LISTS + 2)
+        self.pool = Pool(
+            asyncio.get_running_loop(),
+            self.deadlines,
+            Counters(),
+            connect_timeout=10**6,
+            keep_idle=10**6,
+            most=1,
+            spare=FOR_LISTS + 2,
+        )
         self.addCleanup(self.pool.close)
 
     async def test_calls_that_keep_the_books_get_through_a_crowd(self):
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -128,9 +128,19 @@
         settled = seen.began or bool(seen.answers)
         seen.held = outcome == i.READ or (seen.held and outcome != i.NO_STATE)
         load = (self.rng.random(), 5.0) if self.reports and self.rng.random() < 0.7 else None
-        self.feed(i.Ended(a.request, seen.attempts - 1, a.engine, outcome, settled,
-                          self.rng.randrange(3000) if outcome in (i.READ, i.ANSWERED) else 0, max(1, took), load,
-                          self.rng.choice((0, 0, 0, S))))
+        self.feed(
+            i.Ended(
+                a.request,
+                seen.attempts - 1,
+                a.engine,
+                outcome,
+                settled,
+                self.rng.randrange(3000) if outcome in (i.READ, i.ANSWERED) else 0,
+                max(1, took),
+                load,
+                self.rng.choice((0, 0, 0, S)),
+            )
+        )
         asking = a.request in self.router.looking  # for a bounded time: its timer is set
         assert settled or seen.out or seen.answers or asking, "an attempt ended, and its request is left alone"
         assert seen.out or asking or not seen.held, "a state stays pinned"
@@ -163,9 +173,21 @@
             if event == "arrival":
                 cls, prompt = self.rng.randrange(len(self.s.classes)), self.rng.choice((40, 900, 5000, 60_000))
                 self.seen[-order] = Seen(cls, self.now + 4 * S)
-                self.feed(i.Arrived(-order, cls, self.rng.randrange(3), self.rng.randrange(9), self.rng.randrange(4),
-                                    prompt // 2, prompt, self.rng.choice((0, 300)), 4 * S, self.rng.random() < 0.1,
-                                    self.s.may_move and self.rng.random() < 0.1))
+                self.feed(
+                    i.Arrived(
+                        -order,
+                        cls,
+                        self.rng.randrange(3),
+                        self.rng.randrange(9),
+                        self.rng.randrange(4),
+                        prompt // 2,
+                        prompt,
+                        self.rng.choice((0, 300)),
+                        4 * S,
+                        self.rng.random() < 0.1,
+                        self.s.may_move and self.rng.random() < 0.1,
+                    )
+                )
                 if self.rng.random() < 0.08:
                     self.disturb()
             elif isinstance(event, i.Probed):
@@ -181,26 +203,57 @@
 
 
 ROLES = st.lists(st.sampled_from((i.READER, i.WRITER, i.MIXED)), min_size=1, max_size=4)
-CLASSES = st.lists(st.tuples(
-    st.sampled_from((i.SAFE, i.KEYED, i.UNSAFE)), st.sampled_from(("all", "zone", "cell")),
-    st.sampled_from((300_000, S, 3 * S)), st.sampled_from((0.0, 1.0, 5.0))), min_size=1, max_size=3)
+CLASSES = st.lists(
+    st.tuples(
+        st.sampled_from((i.SAFE, i.KEYED, i.UNSAFE)),
+        st.sampled_from(("all", "zone", "cell")),
+        st.sampled_from((300_000, S, 3 * S)),
+        st.sampled_from((0.0, 1.0, 5.0)),
+    ),
+    min_size=1,
+    max_size=3,
+)
 COLD = st.tuples(st.sampled_from((S, 13 * S)), st.sampled_from((0.05, 0.27, 1.0)), st.sampled_from((S, 1_500_000)))
 
 
 @seed(1)
 @examples(max_examples=120, deadline=None, database=None)
-@given(roles=ROLES, classes=CLASSES, zones=st.integers(1, 3), instances=st.sampled_from((1, 2, 3, 40, 200)),
-       reports=st.booleans(), probing=st.booleans(), local=st.booleans(), cancel=st.booleans(),
-       resume=st.booleans(), hints=st.booleans(),
-       attempts=st.integers(1, 6), quotas=st.sampled_from(((), (5.0,), (3.0, 0.0, 40.0))),
-       cold=COLD, day=st.integers(0, 1 << 30))
+@given(
+    roles=ROLES,
+    classes=CLASSES,
+    zones=st.integers(1, 3),
+    instances=st.sampled_from((1, 2, 3, 40, 200)),
+    reports=st.booleans(),
+    probing=st.booleans(),
+    local=st.booleans(),
+    cancel=st.booleans(),
+    resume=st.booleans(),
+    hints=st.booleans(),
+    attempts=st.integers(1, 6),
+    quotas=st.sampled_from(((), (5.0,), (3.0, 0.0, 40.0))),
+    cold=COLD,
+    day=st.integers(0, 1 << 30),
+)
 def test_a_day_of_trouble_keeps_the_rules_on_any_deployment(
-        roles, classes, zones, instances, reports, probing, local, cancel, resume, hints, attempts, quotas, cold, day):
+    roles, classes, zones, instances, reports, probing, local, cancel, resume, hints, attempts, quotas, cold, day
+):
     kinds = tuple(i.KindSpec(role, 150_000) for role in roles)
-    s = replace(SETTINGS, instances=instances, kinds=kinds, quotas=quotas,
-                classes=tuple(replace(CLASS, effect=effect, group=group, aim=aim, worth=worth)
-                              for effect, group, aim, worth in classes),
-                probing=probing, local_read=local, may_cancel=cancel, may_move=resume, retry_hints=hints,
-                max_attempts=attempts,
-                cold=cold[0], cold_from=cold[1], fall=cold[2])
+    s = replace(
+        SETTINGS,
+        instances=instances,
+        kinds=kinds,
+        quotas=quotas,
+        classes=tuple(
+            replace(CLASS, effect=effect, group=group, aim=aim, worth=worth) for effect, group, aim, worth in classes
+        ),
+        probing=probing,
+        local_read=local,
+        may_cancel=cancel,
+        may_move=resume,
+        retry_hints=hints,
+        max_attempts=attempts,
+        cold=cold[0],
+        cold_from=cold[1],
+        fall=cold[2],
+    )
     Day(s, zones, reports, random.Random(day)).play(120)
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -15,18 +15,36 @@
 APP = "HELPDESK"
 
 
-def instance(id: str, address: str = "127.0.0.1:9", status: str = "UP", action: str = "ADDED", **metadata: str,
-             ) -> dict[str, Any]:
+def instance(
+    id: str,
+    address: str = "127.0.0.1:9",
+    status: str = "UP",
+    action: str = "ADDED",
+    **metadata: str,
+) -> dict[str, Any]:
     host, _, port = address.rpartition(":")
-    return {"instanceId": id, "hostName": host, "app": APP, "ipAddr": host, "status": status, "actionType": action,
-            "port": {"$": int(port), "@enabled": "true"}, "metadata": {"role": "both", "zone": "north", **metadata}}
+    return {
+        "instanceId": id,
+        "hostName": host,
+        "app": APP,
+        "ipAddr": host,
+        "status": status,
+        "actionType": action,
+        "port": {"$": int(port), "@enabled": "true"},
+        "metadata": {"role": "both", "zone": "north", **metadata},
+    }
 
 
 def answer(*instances: dict[str, Any], code: str | None = None) -> dict[str, Any]:
     counts = Counter(row["status"] for row in instances)
     code = "".join(f"{s}_{counts[s]}_" for s in sorted(counts)) if code is None else code
-    return {"applications": {"versions__delta": "1", "apps__hashcode": code,
-                             "application": [{"name": APP, "instance": list(instances)}] if instances else []}}
+    return {
+        "applications": {
+            "versions__delta": "1",
+            "apps__hashcode": code,
+            "application": [{"name": APP, "instance": list(instances)}] if instances else [],
+        }
+    }
 
 
 class Eureka(Standin):
@@ -65,8 +83,11 @@
         self.program.wait_ready()
 
     def file(self, eureka: Eureka) -> str:
-        return operator_file([], f'[eureka]\naddress = "{eureka.address}"\nservers = "helpdesk"\n'
-                             'register_as = "pearhill"\nrenew_s = 1\nfetch_s = 1\n')
+        return operator_file(
+            [],
+            f'[eureka]\naddress = "{eureka.address}"\nservers = "helpdesk"\n'
+            'register_as = "pearhill"\nrenew_s = 1\nfetch_s = 1\n',
+        )
 
     def test_servers_of_the_registry_serve_and_stay_when_it_is_down(self):
         self.assertEqual(self.program.ask("POST", PATH, body())[0], 200)
@@ -99,8 +120,9 @@
     def test_registered_renewed_registered_anew_and_cancelled(self):
         self.eureka.wait_for("POST", "/eureka/apps/PEARHILL")
         self.eureka.wait_for("PUT", "/eureka/apps/PEARHILL")
-        own = json.loads(next(b for (m, _), b in zip(self.eureka.calls, self.eureka.bodies, strict=True)
-                              if m == "POST"))["instance"]
+        own = json.loads(
+            next(b for (m, _), b in zip(self.eureka.calls, self.eureka.bodies, strict=True) if m == "POST")
+        )["instance"]
         self.assertEqual((own["status"], own["port"]["$"]), ("UP", self.program.port))
         self.eureka.leases.clear()  # the registry forgets: the next renewal is a 404
         self.eureka.wait_for("POST", "/eureka/apps/PEARHILL", 2)
@@ -116,11 +138,13 @@
         return list(self.registry.servers(APP, self.deployment)[0])
 
     def test_metadata_gives_role_zone_and_cell(self):
-        self.registry.replace(answer(instance("a", role="reader", zone="south", cell="4"),
-                                     instance("b", kind="writer")))
+        self.registry.replace(
+            answer(instance("a", role="reader", zone="south", cell="4"), instance("b", kind="writer"))
+        )
         self.assertEqual([(e.kind, e.zone, e.cell) for e in self.entries()], [(0, 1, 4), (1, 0, 0)])
-        self.registry.replace(answer(instance("a", zone="nowhere"), instance("b", role="cook"), instance("c", cell="x"),
-                                     instance("d")))
+        self.registry.replace(
+            answer(instance("a", zone="nowhere"), instance("b", role="cook"), instance("c", cell="x"), instance("d"))
+        )
         self.assertEqual(len(self.entries()), 1)  # what makes no sense is left out
 
     def test_deltas_and_the_hash_code(self):
@@ -128,8 +152,9 @@
         self.assertEqual(self.registry.hash_code, "DOWN_1_UP_1_")
         self.assertTrue(self.registry.apply(answer(instance("b", action="DELETED"), instance("c"), code="UP_2_")))
         self.assertFalse(self.registry.apply(answer(code="UP_3_")))
-        self.assertTrue(self.registry.apply(answer(instance("a", status="STARTING", action="MODIFIED"),
-                                                   code="STARTING_1_UP_1_")))
+        self.assertTrue(
+            self.registry.apply(answer(instance("a", status="STARTING", action="MODIFIED"), code="STARTING_1_UP_1_"))
+        )
         self.assertEqual(sorted(e.phase for e in self.entries()), [i.DRAINING, i.READY])
 
     def test_a_list_of_one_may_come_as_the_one_alone(self):
@@ -140,8 +165,13 @@
 
     def test_nonsense_is_an_error_and_changes_nothing(self):
         self.registry.replace(answer(instance("a")))
-        for told in (None, [], {}, {"applications": {"application": [7]}},
-                     {"applications": {"application": [{"instance": {}}]}}):
+        for told in (
+            None,
+            [],
+            {},
+            {"applications": {"application": [7]}},
+            {"applications": {"application": [{"instance": {}}]}},
+        ):
             with self.subTest(told=told), self.assertRaises(BadRegistry):
                 self.registry.replace(told)
         self.assertEqual(len(self.entries()), 1)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -16,7 +16,8 @@
     st.tuples(st.just("begin"), st.just(""), st.integers(0, 30)),
     st.tuples(st.just("leave"), st.just(""), st.integers(0, 30)),
     st.tuples(st.just("away"), st.sampled_from((ADVICE, BOOKING)), st.just(0)),
-    st.tuples(st.just("wait"), st.just(""), st.integers(1, 3_000_000)))
+    st.tuples(st.just("wait"), st.just(""), st.integers(1, 3_000_000)),
+)
 
 
 class Client:
@@ -77,4 +78,3 @@
         assert all(len(client.ends) <= 1 for _, client, _ in clients)
         assert core.counters.taken == ended + core.inflight + left
         assert core.inflight == sum(not request.answered for _, _, request in clients)
-
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -10,11 +10,15 @@
 from tests.standins import ROOT
 
 NEEDED = {"uvloop", "httptools", "loguru", "sortedcontainers", "pearhill"}
-SHOW = ("import pearhill.__main__, pearhill.platform.daemon, sys, json;"
-        "print(json.dumps([m for m in sys.modules if getattr(sys.modules[m], '__file__', None)]))")
+SHOW = (
+    "import pearhill.__main__, pearhill.platform.daemon, sys, json;"
+    "print(json.dumps([m for m in sys.modules if getattr(sys.modules[m], '__file__', None)]))"
+)
 
-FILES = ("import pearhill.__main__, pearhill.platform.daemon, sys, json;"
-         "print(json.dumps([m.__file__ for n, m in sys.modules.items() if n.partition('.')[0] == 'pearhill']))")
+FILES = (
+    "import pearhill.__main__, pearhill.platform.daemon, sys, json;"
+    "print(json.dumps([m.__file__ for n, m in sys.modules.items() if n.partition('.')[0] == 'pearhill']))"
+)
 
 
 class Lean(unittest.TestCase):
@@ -24,12 +28,40 @@
         others = {name.partition(".")[0] for name in loaded} - NEEDED - set(sys.stdlib_module_names)
         self.assertEqual({name for name in others if not name.startswith(("_", "__editable__"))}, set())
         ours = {".".join(name.split(".")[:2]) for name in loaded if name.startswith("pearhill.")}
-        self.assertLessEqual(ours, {f"pearhill.{name}" for name in (
-            "__main__", "admin", "config", "core", "counters", "durable", "http1", "interface", "net", "node",
-            "operations", "platform", "process", "rules", "service", "settings", "spread", "upgrade")})
+        self.assertLessEqual(
+            ours,
+            {
+                f"pearhill.{name}"
+                for name in (
+                    "__main__",
+                    "admin",
+                    "config",
+                    "core",
+                    "counters",
+                    "durable",
+                    "http1",
+                    "interface",
+                    "net",
+                    "node",
+                    "operations",
+                    "platform",
+                    "process",
+                    "rules",
+                    "service",
+                    "settings",
+                    "spread",
+                    "upgrade",
+                )
+            },
+        )
         # There they may not talk, neither to one another nor by way of control machines.
-        self.assertFalse(loaded & {"pearhill.spread.digests", *(f"pearhill.net.{name}" for name in (
-            "talk", "datagrams", "reporting", "aggregation", "fleet"))})
+        self.assertFalse(
+            loaded
+            & {
+                "pearhill.spread.digests",
+                *(f"pearhill.net.{name}" for name in ("talk", "datagrams", "reporting", "aggregation", "fleet")),
+            }
+        )
         self.assertFalse([name for name in loaded if name.startswith(("pearhill.membership", "pearhill.aggregator"))])
 
     def test_the_deploy_file_names_all_that_the_platforms_daemon_runs_from_and_nothing_else(self):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -159,8 +159,9 @@
 def test_identical_events_give_identical_actions():
     a, b = Drive(seed=3), Drive(seed=3)
     for n in range(50):
-        assert a.arrive(prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400) == \
-            b.arrive(prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400)
+        assert a.arrive(prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400) == b.arrive(
+            prompt=500 + 90 * n, session=n, prefix=n % 5, prefix_len=400
+        )
     assert isinstance(a.router, Router)
 
 
@@ -186,8 +187,11 @@
 
 def test_the_one_writer_left_in_a_cell_is_not_buried():
     """A release took its neighbours. Told by the end of its answers alone, it would get all that its cell reads."""
-    fleet = tuple(entry(n, 0, cell=0) for n in range(1, 4)) + (entry(11, 1, cell=0),) + tuple(
-        entry(n, 1, cell=1) for n in range(12, 16))
+    fleet = (
+        tuple(entry(n, 0, cell=0) for n in range(1, 4))
+        + (entry(11, 1, cell=0),)
+        + tuple(entry(n, 1, cell=1) for n in range(12, 16))
+    )
     d = Drive(SETTINGS, fleet)
     at = []
     for n in range(40):
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -44,8 +44,12 @@
         if roll < 0.35:
             r, actions = d.next, None
             open_[r] = d.now + 4_000_000
-            _, actions = d.arrive(prompt=rng.randrange(20, 20_000), session=rng.randrange(9), prefix=rng.randrange(4),
-                                  prefix_len=rng.randrange(0, 4000))
+            _, actions = d.arrive(
+                prompt=rng.randrange(20, 20_000),
+                session=rng.randrange(9),
+                prefix=rng.randrange(4),
+                prefix_len=rng.randrange(0, 4000),
+            )
             check(actions)
         elif roll < 0.75 and out:
             r = rng.choice(sorted(out))
@@ -65,8 +69,22 @@
             engine = rng.choice(FLEET)
             phase = rng.choice((i.READY, i.READY, i.DRAINING, i.GONE))
             phases[engine.engine] = phase
-            check(d.feed(i.Listed(False, (entry(engine.engine, engine.kind, engine.cell, phase=phase,
-                                                started=d.now if phase == i.READY else 0),))))
+            check(
+                d.feed(
+                    i.Listed(
+                        False,
+                        (
+                            entry(
+                                engine.engine,
+                                engine.kind,
+                                engine.cell,
+                                phase=phase,
+                                started=d.now if phase == i.READY else 0,
+                            ),
+                        ),
+                    )
+                )
+            )
         elif roll < 0.9:
             check(d.feed(i.Began(999_999, 0, 1, 5)) + d.feed(i.Left(999_999)) + d.feed(i.Due(888_888)))
             check(d.feed(i.Ended(999_999, 0, 777, i.TIMEOUT, False, 0, 5, None)))
@@ -86,6 +104,14 @@
 
 def test_same_actions_in_processes_with_different_hash_seeds():
     code = "from tests.test_odd_events import play; print('\\n'.join(play(3)))"
-    runs = {subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, timeout=120,
-                           env={**os.environ, "PYTHONHASHSEED": str(n)}).stdout for n in (1, 2)}
+    runs = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            check=True,
+            timeout=120,
+            env={**os.environ, "PYTHONHASHSEED": str(n)},
+        ).stdout
+        for n in (1, 2)
+    }
     assert len(runs) == 1 and len(runs.pop()) > 1000
--- a/tests/test_panels.py
+++ b/tests/test_panels.py
@@ -36,10 +36,17 @@
     assert gate("gate", REPORT) == ["gate: GATE said nothing"]
 
 
-@pytest.mark.parametrize("played, next_one", [
-    ([], "a"), ([("a", "calm+mass", "2")], "b"), ([("a", "calm+mass", "2"), ("b", "calm+mass", "1")], "b"),
-    ([("a", "calm+mass", "1"), ("b", "calm+mass", "2")], "a"), ([("a", "herd+vast", "1")], "a"),
-    ([("a", "calm+mass", "1"), ("b", None, "2")], "b")])
+@pytest.mark.parametrize(
+    "played, next_one",
+    [
+        ([], "a"),
+        ([("a", "calm+mass", "2")], "b"),
+        ([("a", "calm+mass", "2"), ("b", "calm+mass", "1")], "b"),
+        ([("a", "calm+mass", "1"), ("b", "calm+mass", "2")], "a"),
+        ([("a", "herd+vast", "1")], "a"),
+        ([("a", "calm+mass", "1"), ("b", None, "2")], "b"),
+    ],
+)
 def test_the_site_that_was_not_played_for_longest_is_due(tmp_path, played, next_one):
     for n, (site, days, at) in enumerate(played):
         entry = {"cmd": "real-score", "site": site, "panel": days and f"real:{site}:1:{days}", "at": [at, at]}
@@ -50,22 +57,50 @@
 
 
 def entry(site: str, at: str, *rough: str, ok: bool = True) -> str:
-    return json.dumps({"id": f"{site}{at}", "ok": ok, "site": site, "at": [at, at], "days": [
-        {"rough": list(rough), "seed": 7, "score": 0.0, "served": 0.5, "served_least": 0.25, "gate": "drain",
-         "fault": None, "memory_mb": 19, "caps": [112, 928, 0.86], "files": 88}] if ok else []})
+    return json.dumps(
+        {
+            "id": f"{site}{at}",
+            "ok": ok,
+            "site": site,
+            "at": [at, at],
+            "days": [
+                {
+                    "rough": list(rough),
+                    "seed": 7,
+                    "score": 0.0,
+                    "served": 0.5,
+                    "served_least": 0.25,
+                    "gate": "drain",
+                    "fault": None,
+                    "memory_mb": 19,
+                    "caps": [112, 928, 0.86],
+                    "files": 88,
+                }
+            ]
+            if ok
+            else [],
+        }
+    )
 
 
 def test_kinds_never_played_are_due_first_then_the_longest_ago(tmp_path):
-    for n, told in enumerate((entry("a", "2", "join", "mass", "vast"), entry("a", "1", "join", "mass", "vast"),
-                              entry("a", "3", "join", "brink", "mass", "vast"), entry("b", "4", "herd", "vast"),
-                              entry("b", "5", "herd", "mass", ok=False))):
+    for n, told in enumerate(
+        (
+            entry("a", "2", "join", "mass", "vast"),
+            entry("a", "1", "join", "mass", "vast"),
+            entry("a", "3", "join", "brink", "mass", "vast"),
+            entry("b", "4", "herd", "vast"),
+            entry("b", "5", "herd", "mass", ok=False),
+        )
+    ):
         (tmp_path / f"{n}.json").write_text(told)
     rows = oldest(tmp_path, ["a", "b"])
     assert rows[-2:] == [("2", "a", "join+mass"), ("3", "a", "join+brink")] and {at for at, _, _ in rows[:-2]} == {""}
     assert ("", "b", "herd+mass") in rows and len(rows) == 24
     assert table(tmp_path, "2")[2:] == [
         "| a | join+mass | 7 | 0.00 | 0.500 (0.250) | drain | 19 of 112 MB, 88 of 928 | a2 |",
-        "| a | join+brink | 7 | 0.00 | 0.500 (0.250) | drain | 19 of 112 MB, 88 of 928 | a3 |"]
+        "| a | join+brink | 7 | 0.00 | 0.500 (0.250) | drain | 19 of 112 MB, 88 of 928 | a3 |",
+    ]
 
 
 def test_a_day_played_again_speaks_against_landing_if_it_breaks_a_rule_or_tells_nothing():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -40,15 +40,22 @@
 
 
 def headers(id: str = "a1", cls: str = "advice", wait_ms: int = 5000, **more: str) -> dict[str, str]:
-    return {"Request-Id": id, "Request-Class": cls, "Request-Timeout-Ms": str(wait_ms), "Affinity-Key": "7f3a",
-            "Request-Info": "prompt_len=3000,max_out=100", **more}
+    return {
+        "Request-Id": id,
+        "Request-Class": cls,
+        "Request-Timeout-Ms": str(wait_ms),
+        "Affinity-Key": "7f3a",
+        "Request-Info": "prompt_len=3000,max_out=100",
+        **more,
+    }
 
 
 class PlatformCase(unittest.TestCase):
     def start(self, *kinds: str, **changes: Any) -> list[Standin]:
         servers = [Standin() for _ in kinds]
-        self.discovery = Discovery(*((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(
-            zip(servers, kinds, strict=True))))
+        self.discovery = Discovery(
+            *((f"s-{n}", s.address, kind) for n, (s, kind) in enumerate(zip(servers, kinds, strict=True)))
+        )
         self.program = platform(self.discovery.address, **changes)
         for thing in (*servers, self.discovery):
             self.addCleanup(thing.close)
@@ -79,8 +86,10 @@
             server.respond = lambda h, b: h.plain(500)
         self.program.ask("POST", PATH, BODY, headers("k1", **{"Idempotency-Key": "f882f41b"}))
         self.program.ask("POST", PATH, BODY, headers("k2"))
-        got = [{(h["Request-Id"], h.get("Idempotency-Key")) for h in server.headers if "Request-Id" in h}
-               for server in servers]
+        got = [
+            {(h["Request-Id"], h.get("Idempotency-Key")) for h in server.headers if "Request-Id" in h}
+            for server in servers
+        ]
         self.assertEqual(got[0] & got[1] & {("k1", "f882f41b")}, {("k1", "f882f41b")})
         self.assertEqual(got[0] | got[1], {("k1", "f882f41b"), ("k2", None)})
 
@@ -121,11 +130,13 @@
         def broken(handler, body):
             handler.chunks(TOKENS[0], last=False)
             handler.connection.shutdown(socket.SHUT_RDWR)
+
         server.respond = broken
         with socket.create_connection((self.program.host, self.program.port), 20) as client:
             head = "".join(f"{k}: {v}\r\n" for k, v in headers().items())
-            client.sendall(f"POST {PATH} HTTP/1.1\r\nHost: a\r\n{head}Content-Length: {len(BODY)}\r\n\r\n".encode()
-                           + BODY)
+            client.sendall(
+                f"POST {PATH} HTTP/1.1\r\nHost: a\r\n{head}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
+            )
             got = b"".join(iter(lambda: client.recv(4096), b""))
         self.assertIn(b"one ", got)
         self.assertFalse(got.endswith(b"0\r\n\r\n"))
@@ -160,16 +171,22 @@
             (400, BODY, {**good, "Request-Timeout-Ms": "soon"}),
             (400, BODY, {**good, "Request-Info": "prompt_len"}),
             (400, BODY, {**good, "Request-Info": "prompt_len=-5"}),
-            (400, b"{not json", good), (400, b"[]", good), (413, b"x" * 300_000, good)]
+            (400, b"{not json", good),
+            (400, b"[]", good),
+            (413, b"x" * 300_000, good),
+        ]
         for status, body, given in cases:
             with self.subTest(given=given, body=body[:9]):
                 self.assertEqual(self.program.ask("POST", PATH, body, given)[0], status)
         self.assertEqual(self.program.ask("GET", "/nothing")[0], 404)
         self.assertEqual(self.program.ask("GET", PATH)[0], 405)
-        raw = [(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
-               (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
-               (b"POST / HTTP/1.1\r\n\r\n", b"400"), (b"nonsense\r\n\r\n", b"400"),
-               (b"GET / HTTP/1.1\r\nHost: a\r\nLong: " + b"x" * 40_000 + b"\r\n\r\n", b"431")]
+        raw = [
+            (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+            (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
+            (b"POST / HTTP/1.1\r\n\r\n", b"400"),
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nLong: " + b"x" * 40_000 + b"\r\n\r\n", b"431"),
+        ]
         for sent, status in raw:
             address = self.program.host, self.program.port
             with self.subTest(sent=sent[:60]), socket.create_connection(address, 20) as s:
@@ -185,6 +202,7 @@
         def request(id: str, cls: str) -> bytes:
             head = "".join(f"{k}: {v}\r\n" for k, v in headers(id, cls).items())
             return f"POST {PATH} HTTP/1.1\r\nHost: a\r\n{head}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
+
         with socket.create_connection((self.program.host, self.program.port), 20) as s:
             s.sendall(request("bad", "unheard-of") + request("good", "advice"))
             got = b"".join(iter(lambda: s.recv(4096), b""))
@@ -249,6 +267,7 @@
                 connection.close() if n % 2 else self.addCleanup(connection.close)
             with open(f"/proc/{self.program.process.pid}/statm") as file:
                 return int(file.read().split()[1]) * resource.getpagesize() >> 20
+
         before = resident(40)
         self.assertLess(resident(160) - before, 8)  # their bodies alone are 24
 
@@ -264,6 +283,7 @@
 
     def raw(self, *parts: bytes) -> Any:
         """A server's answer to a POST, byte by byte as the test says; its connection stays open."""
+
         def respond(handler, body):
             try:
                 for part in parts:
@@ -273,6 +293,7 @@
             except OSError:
                 pass
             handler.close_connection = True
+
         return respond
 
     def test_before_the_first_event_it_may_have_run_and_later_the_client_gets_good_events_alone(self):
@@ -304,7 +325,6 @@
             self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"c{n}"))[2], b"".join(TOKENS) + LAST)
         self.assertEqual(server.runs, 3)
 
-
     def test_a_refusal_that_more_follows_proves_nothing_and_a_booking_is_not_sent_again(self):
         """Of two answers neither can be believed; the one may be another request's."""
         servers = self.start("all-in-one", "all-in-one")
@@ -326,6 +346,7 @@
             old.go.wait(20)
             handler.more(TOKENS[1] + LAST)
             handler.wfile.write(b"0\r\n\r\n")
+
         old.respond = waits
         connection = self.program.connect()
         connection.request("POST", PATH, BODY, headers("open"))
@@ -343,8 +364,11 @@
         stay = {**SETTINGS["allowed"], "max-retry-after": 250000}
         self.program.reload(platform_file(self.discovery.address, settings={**SETTINGS, "allowed": stay}))
         kinds = {**SETTINGS, "models": ["writer", "reader", "all-in-one"]}
-        for text, key in (("{", "RELAY_CONFIG"), (platform_file("nowhere"), "discovery"),
-                          (platform_file(self.discovery.address, settings=kinds), "settings.models")):
+        for text, key in (
+            ("{", "RELAY_CONFIG"),
+            (platform_file("nowhere"), "discovery"),
+            (platform_file(self.discovery.address, settings=kinds), "settings.models"),
+        ):
             self.program.reload(text, f"reload: the old configuration stays: {key}")
         status, told, _ = self.program.ask("POST", PATH, BODY, headers())
         self.assertEqual((status, told["retry-after"]), (503, "0.250"))
@@ -364,8 +388,16 @@
 
 
 class Lists(unittest.TestCase):
-    TARGET = {"uid": "s-1", "endpoint": "127.0.0.1:8080", "az": "south", "model": "writer", "pod_group": 3,
-              "state": "active", "capacity_hint": 1.5, "boot_ms": 1_764_600_000_000}
+    TARGET = {
+        "uid": "s-1",
+        "endpoint": "127.0.0.1:8080",
+        "az": "south",
+        "model": "writer",
+        "pod_group": 3,
+        "state": "active",
+        "capacity_hint": 1.5,
+        "boot_ms": 1_764_600_000_000,
+    }
 
     def test_a_target_is_an_engine_that_started_on_the_programs_clock(self):
         deployment = settings.parse(SETTINGS)
@@ -401,6 +433,7 @@
         def waits(handler, body):
             server.go.wait(20)
             handler.chunks(*TOKENS, LAST)
+
         server.respond = waits
         connection = self.program.connect()
         connection.request("POST", PATH, BODY, headers())
@@ -432,14 +465,17 @@
             held.append(handler.connection)
             handler.connection.recv(1)
             closed.set()
+
         reader.respond, writer.respond = read, write
         self.addCleanup(released.set)
         for cls in ("advice", "job-booking"):
             released.clear()
             closed.clear()
             deletes = sum(method == "DELETE" for method, _ in reader.calls)
-            self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"g-{cls}", cls, wait_ms=900))[0],
-                             503 if cls == "advice" else 500)
+            self.assertEqual(
+                self.program.ask("POST", PATH, BODY, headers(f"g-{cls}", cls, wait_ms=900))[0],
+                503 if cls == "advice" else 500,
+            )
             reader.wait_for("DELETE", count=deletes + 1)
             with self.assertRaises(BlockingIOError):
                 held[-1].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -453,6 +489,7 @@
         def once(handler, body):
             handler.chunks(*TOKENS, LAST)
             handler.close_connection = True
+
         server.respond = once
         for n in range(5):
             self.assertEqual(self.program.ask("POST", PATH, BODY, headers(f"d{n}", "job-booking"))[0], 200)
@@ -504,8 +541,7 @@
                     status, _, body = asked.result(20)
         self.assertEqual((status, body), (200, b"".join(TOKENS) + LAST))
         counters = self.program.counters()
-        self.assertEqual((second.runs, counters["sent"], counters["outcomes"]),
-                         (1, 2, {"withdrawn": 1, "answered": 1}))
+        self.assertEqual((second.runs, counters["sent"], counters["outcomes"]), (1, 2, {"withdrawn": 1, "answered": 1}))
 
     def test_a_watch_that_has_fallen_silent_is_opened_anew_and_news_of_its_return_is_heard_at_once(self):
         """Its calls hang for good, those on new connections too for a while; then one is answered."""
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -27,8 +27,10 @@
     assert not final(d.wait(5 * S))
 
 
-@pytest.mark.parametrize("effect,group,answer", [
-    (i.UNSAFE, "all", i.Fail), (i.KEYED, "cell", i.Fail), (i.KEYED, "all", i.Refuse), (i.SAFE, "all", i.Refuse)])
+@pytest.mark.parametrize(
+    "effect,group,answer",
+    [(i.UNSAFE, "all", i.Fail), (i.KEYED, "cell", i.Fail), (i.KEYED, "all", i.Refuse), (i.SAFE, "all", i.Refuse)],
+)
 def test_refused_only_where_trying_again_is_harmless(effect, group, answer):
     d = Drive(settings(effect, group, max_attempts=2))
     r, _ = d.arrive()
@@ -189,7 +191,7 @@
 
     def ask(tokens: float) -> tuple[int, list[i.Action]]:
         r, out = d.arrive(prompt=3000)
-        look, = of(i.Look, out)
+        (look,) = of(i.Look, out)
         return r, d.feed(i.Looked(r, tuple(i.Told(e, 0.1, tokens, 1.0, 0) for e in look.engines)))
 
     before = 40_000 if idle else 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -89,8 +89,10 @@
 
 def crowd(share: float, count: int = 20, seed: int = 3) -> tuple[list[Drive], random.Random]:
     """Nodes that have each seen some 60 requests, of which so large a share begins alike; the rest are many."""
-    rng, seen = random.Random(seed), [Drive(settings(instances=count, local_read=False), READERS, seed=n)
-                                         for n in range(count)]
+    rng, seen = (
+        random.Random(seed),
+        [Drive(settings(instances=count, local_read=False), READERS, seed=n) for n in range(count)],
+    )
     for _ in range(60 * count):
         d, prefix = rng.choice(seen), 5 if rng.random() < share else rng.randrange(100, 300)
         r, _ = d.arrive(prompt=5000, session=rng.randrange(1, 1 << 60), prefix=prefix, prefix_len=3000)
@@ -121,8 +123,7 @@
 
 def test_a_session_of_a_favourite_prefix_is_read_at_one_reader_by_nearly_all_nodes():
     seen, rng = crowd(0.3)
-    same = [max(map(at.count, at)) / len(at)
-            for at in (homes(seen, rng.randrange(1, 1 << 60)) for _ in range(20))]
+    same = [max(map(at.count, at)) / len(at) for at in (homes(seen, rng.randrange(1, 1 << 60)) for _ in range(20))]
     assert sum(same) / len(same) > 0.8  # they count a little differently: most of a session's homes stay
 
 
@@ -138,8 +139,9 @@
     seen, rng = crowd(0.4, count=2)
     for d in seen:
         for _ in range(150):
-            r, _ = d.arrive(prompt=5000, session=rng.randrange(1, 1 << 60), prefix=rng.randrange(100, 300),
-                            prefix_len=3000)
+            r, _ = d.arrive(
+                prompt=5000, session=rng.randrange(1, 1 << 60), prefix=rng.randrange(100, 300), prefix_len=3000
+            )
             d.serve(r, kept=3000)
             d.wait(400_000)
     assert all(d.router._homes(i.Arrived(0, 0, 0, 1, 5, 3000, 5000, 100, S, False, False), 10) == 2 for d in seen)
@@ -294,6 +296,7 @@
 
 def test_a_choice_among_four_times_the_servers_costs_about_four_times_as_much_and_not_sixteen():
     """Counted in calls, which are the same every time."""
+
     def calls(servers: int) -> int:
         d = Drive(settings(instances=200), tuple(entry(k, k % 2, cell=k // 8) for k in range(1, servers + 1)))
         count = 0
@@ -301,6 +304,7 @@
         def counted(frame, event, argument):
             nonlocal count
             count += event == "call" or event == "c_call"
+
         sys.setprofile(counted)
         try:
             for n in range(20):
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -27,29 +27,57 @@
     report = tier["report"]
     return {
         "allowed": {
-            "max-attempts": allow["max_attempts"], "may-cancel": allow["cancel"], "probing": allow["probes"],
-            "second-copies": allow["second_copies"], "retry-after": allow["retry_after"],
-            "max-retry-after": site["clients"]["max_retry_after_ms"] * 1000, "most-held": 1000,
+            "max-attempts": allow["max_attempts"],
+            "may-cancel": allow["cancel"],
+            "probing": allow["probes"],
+            "second-copies": allow["second_copies"],
+            "retry-after": allow["retry_after"],
+            "max-retry-after": site["clients"]["max_retry_after_ms"] * 1000,
+            "most-held": 1000,
             "connect-timeout": tier["conn"]["connect_timeout_ms"] * 1000,
-            "conn-idle": tier["conn"]["idle_s"] * 1_000_000},
-        "classes": [{"name": c["name"], "aim": c["aim_ms"] * 1000, "deadline": c["deadline_ms"] * 1000,
-                     "effect": EFFECTS[c["effect"]], "group": c.get("group", "all"), "worth": c["worth"],
-                     "window": c.get("window_ms", 5000) * 1000, "late-worth": c["late_worth"]} for c in site["class"]],
+            "conn-idle": tier["conn"]["idle_s"] * 1_000_000,
+        },
+        "classes": [
+            {
+                "name": c["name"],
+                "aim": c["aim_ms"] * 1000,
+                "deadline": c["deadline_ms"] * 1000,
+                "effect": EFFECTS[c["effect"]],
+                "group": c.get("group", "all"),
+                "worth": c["worth"],
+                "window": c.get("window_ms", 5000) * 1000,
+                "late-worth": c["late_worth"],
+            }
+            for c in site["class"]
+        ],
         "discovery": {"ask": "on_request", "push": "pushed"}[site["discovery"]["mode"]],
-        "extra": {"aim-us-per-1000-prompt-tokens": [c["aim_ms_per_k"] * 1000 for c in site["fam"]["class"]],
-                  "token-aim": [c["token_ms"] * 1000 for c in site["fam"]["class"]],
-                  "local-read": fam["writers_read"], "holds-allowed": fam["ahead"], "resume": fam["resume"],
-                  "release-within": fam["release_ms"] * 1000, "role-by-kind": fam["role"],
-                  "tokens-by-kind": [int(low(e["memory_k"]) * 1000) for e in fam["engine"]]},
-        "models": [kind["name"] for kind in tier["kind"]], "n-instances": low(site["scale"]["balancers"]), "zone": 0,
-        "zones": site["net"]["zones"], "over-share-worth": site["load"].get("over_share_worth", 0.1),
+        "extra": {
+            "aim-us-per-1000-prompt-tokens": [c["aim_ms_per_k"] * 1000 for c in site["fam"]["class"]],
+            "token-aim": [c["token_ms"] * 1000 for c in site["fam"]["class"]],
+            "local-read": fam["writers_read"],
+            "holds-allowed": fam["ahead"],
+            "resume": fam["resume"],
+            "release-within": fam["release_ms"] * 1000,
+            "role-by-kind": fam["role"],
+            "tokens-by-kind": [int(low(e["memory_k"]) * 1000) for e in fam["engine"]],
+        },
+        "models": [kind["name"] for kind in tier["kind"]],
+        "n-instances": low(site["scale"]["balancers"]),
+        "zone": 0,
+        "zones": site["net"]["zones"],
+        "over-share-worth": site["load"].get("over_share_worth", 0.1),
         "tenants": [{"name": t["name"], "quota-rps": 10 * t["share"]} for t in site.get("tenant", [])],
         "prices": {"probe": site["prices"]["probe"]},
         "report": {"columns": report["fields"], "via": {"none": "off", "probe": "on_probe"}[report["how"]]},
-        "rules": {"cold": int(low(tier["kind"][0]["cold_s"]) * 1e6), "cold-from": low(tier["kind"][0]["cold_from"]),
-                  "fall": rules["fall_ms"] * 1000, "fall-multiple": rules["fall_multiple"],
-                  "drain-grace": rules["drain_grace_ms"] * 1000},
-        "tick": site["day"]["tick_ms"] * 1000}
+        "rules": {
+            "cold": int(low(tier["kind"][0]["cold_s"]) * 1e6),
+            "cold-from": low(tier["kind"][0]["cold_from"]),
+            "fall": rules["fall_ms"] * 1000,
+            "fall-multiple": rules["fall_multiple"],
+            "drain-grace": rules["drain_grace_ms"] * 1000,
+        },
+        "tick": site["day"]["tick_ms"] * 1000,
+    }
 
 
 @pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
@@ -61,21 +89,33 @@
     assert deployment.tenant_names == tuple(t["name"] for t in site.get("tenant", []))
     assert deployment.shared_discovery is (site["discovery"]["mode"] == "ask")
     assert (deployment.drain_grace, deployment.conn_idle) == (
-        site["rules"]["drain_grace_ms"] * 1000, site["tier"][0]["conn"]["idle_s"] * 1_000_000)
+        site["rules"]["drain_grace_ms"] * 1000,
+        site["tier"][0]["conn"]["idle_s"] * 1_000_000,
+    )
     server, kinds = Standin(), site["tier"][0]["kind"]
     writer = next(kind["name"] for kind, role in zip(kinds, site["fam"]["role"], strict=True) if role != "read")
     discovery = Discovery(("s-0", server.address, writer))
     answer = discovery.answer
-    discovery.answer = lambda: {**answer(), "targets": [{**t, "az": site["net"]["zones"][0]}
-                                                        for t in answer()["targets"]]}
+    discovery.answer = lambda: {
+        **answer(),
+        "targets": [{**t, "az": site["net"]["zones"][0]} for t in answer()["targets"]],
+    }
     program = platform(discovery.address, settings=settings)
     try:
         program.wait_ready()
         for n, cls in enumerate(site["class"]):
-            status, _, body = program.ask("POST", "/v1/chat/completions", json.dumps({"messages": []}).encode(), {
-                "Request-Id": f"s{n}", "Request-Class": cls["name"], "Request-Timeout-Ms": str(cls["deadline_ms"]),
-                "Tenant": (site.get("tenant") or [{"name": ""}])[-1]["name"],
-                "Request-Info": "prompt_len=900,max_out=50"})
+            status, _, body = program.ask(
+                "POST",
+                "/v1/chat/completions",
+                json.dumps({"messages": []}).encode(),
+                {
+                    "Request-Id": f"s{n}",
+                    "Request-Class": cls["name"],
+                    "Request-Timeout-Ms": str(cls["deadline_ms"]),
+                    "Tenant": (site.get("tenant") or [{"name": ""}])[-1]["name"],
+                    "Request-Info": "prompt_len=900,max_out=50",
+                },
+            )
             assert (status, body) == (200, b"".join(TOKENS) + LAST)
     finally:
         for end in (program.kill, discovery.close, server.close):
@@ -86,9 +126,14 @@
     """Else two of them show no more than one."""
     parsed = [parse(settings_of(tomllib.loads(path.read_text()))) for path in SITES]
     assert len(parsed) == 2
-    for facts in ([d.shared_discovery for d in parsed], [len(d.zone_names) for d in parsed],
-                  [bool(d.tenant_names) for d in parsed], [d.router.probing for d in parsed],
-                  [d.drain_grace for d in parsed], [d.router.fall for d in parsed]):
+    for facts in (
+        [d.shared_discovery for d in parsed],
+        [len(d.zone_names) for d in parsed],
+        [bool(d.tenant_names) for d in parsed],
+        [d.router.probing for d in parsed],
+        [d.drain_grace for d in parsed],
+        [d.router.fall for d in parsed],
+    ):
         assert facts[0] != facts[1]
     assert {c.effect for d in parsed for c in d.router.classes} == {i.SAFE, i.KEYED, i.UNSAFE}
     for d in parsed:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -38,9 +38,16 @@
         path = self.folder / f"{time.monotonic_ns()}.json"
         path.write_text(platform_file(discovery or self.discovery.address))
         fd = self.door.fileno()
-        program = Program(passed=(fd,), **{
-            "RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": str(fd), "RELAY_ADMIN_ADDR": "127.0.0.1:0",
-            "TMPDIR": str(self.notes), **environ})
+        program = Program(
+            passed=(fd,),
+            **{
+                "RELAY_CONFIG": str(path),
+                "RELAY_PASSED_SOCKET": str(fd),
+                "RELAY_ADMIN_ADDR": "127.0.0.1:0",
+                "TMPDIR": str(self.notes),
+                **environ,
+            },
+        )
         program.config = path
         self.addCleanup(program.kill)
         return program
@@ -111,9 +118,18 @@
         path = self.folder / "empty.json"
         path.write_text(platform_file(empty.address))
         fd = self.door.fileno()
-        new = subprocess.Popen([sys.executable, "-m", "pearhill"], cwd=ROOT, stderr=subprocess.PIPE, pass_fds=(fd,),
-                               env={"RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": str(fd),
-                                    "TMPDIR": str(self.notes), "RELAY_ADMIN_ADDR": "127.0.0.1:0"})
+        new = subprocess.Popen(
+            [sys.executable, "-m", "pearhill"],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            pass_fds=(fd,),
+            env={
+                "RELAY_CONFIG": str(path),
+                "RELAY_PASSED_SOCKET": str(fd),
+                "TMPDIR": str(self.notes),
+                "RELAY_ADMIN_ADDR": "127.0.0.1:0",
+            },
+        )
         assert new.stderr
         self.addCleanup(new.stderr.close)
         self.addCleanup(new.wait)
@@ -147,6 +163,7 @@
 
         def avoided(program: Program) -> int:
             return int(json.loads(self.ops(program, "GET", "/ops/stats")[1])["hosts_down"])
+
         self.assertEqual(self.ops(old, "POST", down)[0], 200)
         new = self.process()
         self.assertEqual(avoided(new), 1)
@@ -207,6 +224,7 @@
         def waits(handler: Any, body: bytes) -> None:
             server.go.wait(20)
             handler.chunks(*TOKENS, LAST)
+
         server.respond = waits
         host, _, port = self.address.rpartition(":")
         client = http.client.HTTPConnection(host, int(port), timeout=20)
@@ -260,7 +278,12 @@
         path.write_text(platform_file(self.discovery.address))
         for told, fds in (("x", ()), ("1", ()), ("-7", ()), ("999", ()), (str(plain.fileno()), (plain.fileno(),))):
             with self.subTest(told=told):
-                done = subprocess.run([sys.executable, "-m", "pearhill"], cwd=ROOT, capture_output=True, pass_fds=fds,
-                                      env={"RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": told})
+                done = subprocess.run(
+                    [sys.executable, "-m", "pearhill"],
+                    cwd=ROOT,
+                    capture_output=True,
+                    pass_fds=fds,
+                    env={"RELAY_CONFIG": str(path), "RELAY_PASSED_SOCKET": told},
+                )
                 self.assertEqual((done.returncode, done.stderr.count(b"\n")), (2, 1), done.stderr)
                 self.assertIn(b"pearhill: RELAY_PASSED_SOCKET: ", done.stderr)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,14 +15,24 @@
 EXAMPLE = bytes.fromhex(
     "0c0000005a5c8000000000005900000005000000 05 04000000 03000000"
     "0a 2c000000 c4913a5d e02e0000 00009644 107cf3d901648e2b 0000e144 00 640ad2557c3bf091 80a90300 0000 00008043 01"
-    "01 04000000 4d000000 05 04000000 05000000 02 04000000 192b6f0e")
+    "01 04000000 4d000000 05 04000000 05000000 02 04000000 192b6f0e"
+)
 SETTINGS = {
     "allowed": {"max-attempts": 5, "may-cancel": True, "second-copies": False},
     "classes": [{"aim": 1000000, "deadline": 4000000, "effect": "read_like", "group": "all", "worth": 2.0}],
-    "extra": {"local-read": True, "release-within": 1000000, "role-by-kind": ["read", "write"],
-              "tokens-by-kind": [200000, 100000]},
-    "n-instances": 2, "zone": 0, "tick": 2000, "report": {"columns": ["x0", "x1"]}, "never-heard-of": 1,
-    "rules": {"cold": 14000000, "cold-from": 0.25, "fall": 1000000, "fall-multiple": 2.5}}
+    "extra": {
+        "local-read": True,
+        "release-within": 1000000,
+        "role-by-kind": ["read", "write"],
+        "tokens-by-kind": [200000, 100000],
+    },
+    "n-instances": 2,
+    "zone": 0,
+    "tick": 2000,
+    "report": {"columns": ["x0", "x1"]},
+    "never-heard-of": 1,
+    "rules": {"cold": 14000000, "cold-from": 0.25, "fall": 1000000, "fall-multiple": 2.5},
+}
 
 
 def frame(records: bytes, count: int) -> bytes:
@@ -49,16 +59,17 @@
     assert (got.seq, got.clock) == (12, 0x805C5A)
     (a, arrived), (b, due), (c, left) = got.events
     assert (a, b, c) == (3, 3, 5)
-    assert arrived == i.Arrived(0x5D3A91C4, 0, 0, 0x91F03B7C55D20A64, 0x2B8E6401D9F37C10, 1200, 1800, 256, 240000,
-                                False, False)
+    assert arrived == i.Arrived(
+        0x5D3A91C4, 0, 0, 0x91F03B7C55D20A64, 0x2B8E6401D9F37C10, 1200, 1800, 256, 240000, False, False
+    )
     assert (due, left) == (i.Due(77), i.Left(0x0E6F2B19))
 
 
 def test_a_probe_and_its_answer():
-    (who, done), = read(frame(bytes.fromhex("05 04000000 03000000 00 0b000000 78050000 f211902c c800 00"), 2)).events
+    ((who, done),) = read(frame(bytes.fromhex("05 04000000 03000000 00 0b000000 78050000 f211902c c800 00"), 2)).events
     assert (who, done) == (3, i.Probed(0x2C9011F2, i.ANSWERED, 1400, None))
     report = record(0, struct.pack("<IIHB2f", 9, 7, 503, 2, 0.25, 3.5))
-    away, = read(frame(record(5, b"\x03\0\0\0") + report, 2)).events
+    (away,) = read(frame(record(5, b"\x03\0\0\0") + report, 2)).events
     assert away[1] == i.Probed(7, i.ANSWERED, 9, (0.25, 3.5))  # turned away: it lives
     silent = record(0, struct.pack("<IIHB", 9, 7, 504, 0))
     assert read(frame(record(5, b"\x03\0\0\0") + silent, 2)).events[0][1].outcome == i.TIMEOUT
@@ -67,27 +78,41 @@
 
 def test_worked_outcome_and_list():
     ended = bytes.fromhex("1e000000 c4913a5d 00000000 c800 01 44480000 074a1203 0000 02 cdcccc3e0000a03f")
-    listed = bytes.fromhex("39000000 2900000000000000 03 02000000 074a1203 00 0000 0000 01 0000803f 0000000000000000"
-                           "f211902c 01 0000 0000 01 0000c03f 20145d0000000000")
+    listed = bytes.fromhex(
+        "39000000 2900000000000000 03 02000000 074a1203 00 0000 0000 01 0000803f 0000000000000000"
+        "f211902c 01 0000 0000 01 0000c03f 20145d0000000000"
+    )
     got = read(frame(record(5, b"\x03\0\0\0") + b"\x08" + ended + b"\x03" + listed, 3))
-    assert got.events[0][1] == i.Ended(0x5D3A91C4, 0, 0x03124A07, i.ANSWERED, True, 0, 18500,
-                                       (pytest.approx(0.4), 1.25))
-    assert got.events[1][1] == i.Listed(True, (i.Entry(0x03124A07, 0, 0, 0, i.READY, 1.0, 0),
-                                               i.Entry(0x2C9011F2, 1, 0, 0, i.READY, 1.5, 0x5D1420)))
+    assert got.events[0][1] == i.Ended(
+        0x5D3A91C4, 0, 0x03124A07, i.ANSWERED, True, 0, 18500, (pytest.approx(0.4), 1.25)
+    )
+    assert got.events[1][1] == i.Listed(
+        True, (i.Entry(0x03124A07, 0, 0, 0, i.READY, 1.0, 0), i.Entry(0x2C9011F2, 1, 0, 0, i.READY, 1.5, 0x5D1420))
+    )
 
 
 def test_worked_actions():
-    got = wire.encode_reply(12, [(3, i.Send(0x5D3A91C4, 0x03124A07, 80000)), (3, i.SetTimer(77, 500000)),
-                                 (5, i.Report("two servers known"))])
+    got = wire.encode_reply(
+        12,
+        [(3, i.Send(0x5D3A91C4, 0x03124A07, 80000)), (3, i.SetTimer(77, 500000)), (5, i.Report("two servers known"))],
+    )
     assert got == bytes.fromhex(
         "0c000000 05000000 48000000 4f 04000000 03000000 40 0c000000 c4913a5d 074a1203 80380100"
         "44 08000000 4d000000 20a10700 4f 04000000 05000000"
-        "48 13000000 1100 74776f2073657276657273206b6e6f776e")
-
-
-@pytest.mark.parametrize("action,code,fields", [
-    (i.CallOff(7, 2), 67, "<IH"), (i.Refuse(7, 9), 65, "<II"), (i.Fail(7), 66, "<I"), (i.Release(7), 78, "<I"),
-    (i.Move(7), 76, "<I")])
+        "48 13000000 1100 74776f2073657276657273206b6e6f776e"
+    )
+
+
+@pytest.mark.parametrize(
+    "action,code,fields",
+    [
+        (i.CallOff(7, 2), 67, "<IH"),
+        (i.Refuse(7, 9), 65, "<II"),
+        (i.Fail(7), 66, "<I"),
+        (i.Release(7), 78, "<I"),
+        (i.Move(7), 76, "<I"),
+    ],
+)
 def test_every_other_action_reads_back(action, code, fields):
     raw = wire.encode_action(action)
     assert struct.unpack("<BI", raw[:5]) == (code, struct.calcsize(fields))
@@ -98,9 +123,20 @@
     assert wire.encode_action(wire.Fault("KeyError: 3")) == record(73, b"\x0b\0KeyError: 3")
 
 
-@pytest.mark.parametrize("verdict,detail,outcome", [
-    (102, 40, i.READ), (503, 0, i.FULL), (503, 1, i.NO_STATE), (504, 0, i.TIMEOUT), (502, 0, i.UNREACHABLE),
-    (598, 0, i.BROKEN), (499, 0, i.CANCELLED), (410, 0, i.MOOT), (500, 0, i.ERROR)])
+@pytest.mark.parametrize(
+    "verdict,detail,outcome",
+    [
+        (102, 40, i.READ),
+        (503, 0, i.FULL),
+        (503, 1, i.NO_STATE),
+        (504, 0, i.TIMEOUT),
+        (502, 0, i.UNREACHABLE),
+        (598, 0, i.BROKEN),
+        (499, 0, i.CANCELLED),
+        (410, 0, i.MOOT),
+        (500, 0, i.ERROR),
+    ],
+)
 def test_outcomes(verdict, detail, outcome):
     body = struct.pack("<IIHBIIHB", 1, detail, verdict, 0, 9, 4, 0, 0)
     event = read(frame(record(5, b"\0\0\0\0") + record(8, body), 2)).events[0][1]
@@ -126,19 +162,23 @@
     assert done.stdout == struct.pack("<III", 1, 0, 0) * 3
 
 
-@pytest.mark.parametrize("raw,says", [
-    (frame(start(), 2)[:-3], "ends after"),
-    (frame(start(), 2)[:9], "header"),
-    (frame(record(5, b"\0\0\0\0") + record(99, b""), 2), "unknown event code 99"),
-    (frame(struct.pack("<BI", 1, 50) + b"\0\0", 1), "50 bytes stated"),
-    (frame(record(5, b"\0\0\0\0") + record(1, b"\0"), 2), "record 1"),
-    (frame(record(1, b"\0\0\0\0"), 1), "no instance"),
-    (frame(record(5, b"\0\0\0\0") + record(1, b"\0\0\0\0"), 2), "instance 0 was never started"),
-    (frame(start(b"{no json"), 2), "settings"),
-    (frame(start({k: v for k, v in SETTINGS.items() if k != "rules"}), 2), "rules is missing"),
-    (frame(start({**SETTINGS, "classes": []}), 2), "classes"),
-    (frame(b"", 0) + b"\1", "header"),
-    (struct.pack("<IQII", 1, 5, 2, 0), "too small")])
+@pytest.mark.parametrize(
+    "raw,says",
+    [
+        (frame(start(), 2)[:-3], "ends after"),
+        (frame(start(), 2)[:9], "header"),
+        (frame(record(5, b"\0\0\0\0") + record(99, b""), 2), "unknown event code 99"),
+        (frame(struct.pack("<BI", 1, 50) + b"\0\0", 1), "50 bytes stated"),
+        (frame(record(5, b"\0\0\0\0") + record(1, b"\0"), 2), "record 1"),
+        (frame(record(1, b"\0\0\0\0"), 1), "no instance"),
+        (frame(record(5, b"\0\0\0\0") + record(1, b"\0\0\0\0"), 2), "instance 0 was never started"),
+        (frame(start(b"{no json"), 2), "settings"),
+        (frame(start({k: v for k, v in SETTINGS.items() if k != "rules"}), 2), "rules is missing"),
+        (frame(start({**SETTINGS, "classes": []}), 2), "classes"),
+        (frame(b"", 0) + b"\1", "header"),
+        (struct.pack("<IQII", 1, 5, 2, 0), "too small"),
+    ],
+)
 def test_malformed_input_is_one_plain_line_and_a_failure(raw, says):
     done = run(raw)
     text = done.stderr.decode()
@@ -146,8 +186,9 @@
     assert text.count("\n") == 1 and "Traceback" not in text
 
 
-@pytest.mark.parametrize("change,field", [
-    ({"role-by-kind": ["read", "juggle"]}, "role"), ({"release-within": 0}, "release_within")])
+@pytest.mark.parametrize(
+    "change,field", [({"role-by-kind": ["read", "juggle"]}, "role"), ({"release-within": 0}, "release_within")]
+)
 def test_settings_without_sense_name_the_field(change, field):
     with pytest.raises(wire.WireError, match=field):
         settings_of(json.dumps({**SETTINGS, "extra": {**SETTINGS["extra"], **change}}).encode())
