A held state is released in time when its fetch shows no sign, and again after a late end

Cause: a fetch that was written counted as out, although its connection may have fallen silent (HttpBackend.cancel was the first that let go, after the attempt's patience); and the release that follows the close of a fetch goes another way and may arrive before it, when it lets go of nothing.

Change: Send.held_until carries the moment at which the state has to be let go; an attempt that has not begun by then has its holders released, while it goes on (a replica that waits with an attempt keeps the state). A release after an interrupted attempt is said once more 150 ms later. Releases leave net/backend.py for net/releases.py, Request and Attempt leave core/dispatcher.py for core/request.py. Counter: unconfirmed.

--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -36,7 +36,8 @@
 from pearhill.chat.servers import ChatPayload
 from pearhill.chat.setup import Model, Reading
 from pearhill.chat.spending import Desk, Spender, turned_away
-from pearhill.core.dispatcher import Ask, Dispatcher, Request
+from pearhill.core.dispatcher import Dispatcher
+from pearhill.core.request import Ask, Request
 from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
 
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -7,107 +7,19 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
 
 from pearhill import interface as i
-from pearhill.core.deadlines import Deadlines, Key
+from pearhill.core.deadlines import Deadlines
 from pearhill.core.ports import Backend, Client
+from pearhill.core.request import Ask, Attempt, Request
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
 from pearhill.settings import Deployment
 from pearhill.spread.scout import Scout
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """What a front has read off a request: the fields of `Arrived` that describe it."""
-
-    cls: int
-    ttl: int
-    prompt: int
-    max_out: int
-    session: int = 0
-    prefix: int = 0
-    prefix_len: int = 0
-    tenant: int = 0
-    repeat: bool = False
-    resumed: bool = False
-    kinds: tuple[int, ...] = ()
-    standing: str = ""
-    away: int = 0
-
-
-class Request:
-    """One request from its arrival to its final answer and the end of its last attempt."""
-
-    __slots__ = (
-        "number",
-        "cls",
-        "client",
-        "payload",
-        "end",
-        "sends",
-        "current",
-        "answered",
-        "holders",
-        "reader",
-        "backstop",
-    )
-
-    def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int) -> None:
-        self.number, self.cls, self.client, self.payload, self.end = number, cls, client, payload, end
-        self.sends = 0
-        self.current: Attempt | None = None
-        self.answered = False  # nothing more is owed: answered, broken after its start, or the client has gone
-        self.holders: set[int] = set()  # engines that may hold a state for it
-        self.reader = 0  # the one that has read it last
-        self.backstop: Key | None = None
-
-
-class Attempt:
-    """One send of a request to one engine. The backend reports through `begin` and `end`."""
-
-    __slots__ = ("request", "index", "engine", "sent_at", "deadline", "by", "began", "over", "_owner", "_expiry")
-
-    def __init__(
-        self, owner: Dispatcher, request: Request, index: int, engine: int, sent_at: int, deadline: int, by: int = 0
-    ) -> None:
-        self.request, self.index, self.engine = request, index, engine
-        self.sent_at, self.deadline = sent_at, deadline
-        self.by = by  # its last byte has to be written by then; 0: whenever
-        self.began = self.over = False
-        self._owner = owner
-        self._expiry: Key | None = owner.deadlines.at(deadline, lambda: owner.expire(self))
-
-    @property
-    def patience(self) -> int:
-        return self.deadline - self.sent_at
-
-    def may_begin(self) -> bool:
-        """The last look, right before the first byte. False: the attempt is over, and nothing of it goes out."""
-        return self._owner.may_begin(self)
-
-    def withdraw(self) -> None:
-        """It has not been written whole, and no longer may be."""
-        self._owner.withdraw(self)
-
-    def begin(self) -> bool:
-        """The first event of the answer is here. False: the attempt is over, the event must not be passed on."""
-        return self._owner.begin(self)
-
-    def end(self, outcome: str, kept: int = 0, may_hold: bool = False, rest: int = 0, said: Any = None) -> None:
-        """The attempt is over. `may_hold`: the engine may hold a state for the request, however it ended. `rest`: for
-        how long, in microseconds, it wants nothing more. `said`: words of the engine that are the client's final
-        answer; what they are is a matter between the backend's dialect and the front."""
-        self._owner.end(self, outcome, kept, may_hold, rest, said)
-
-    def stop_clock(self) -> None:
-        self._owner.deadlines.cancel(self._expiry)
-        self._expiry = None
-
-
 class Dispatcher:
     def __init__(self, deployment: Deployment, seed: int, deadlines: Deadlines, counters: Counters) -> None:
         self.deployment, self.deadlines, self.counters = deployment, deadlines, counters
@@ -265,6 +177,7 @@
         )
         if may_hold and not attempt.began:
             request.holders.add(attempt.engine)
+            request.interrupted = request.interrupted or outcome not in (i.READ, i.ERROR)
         if outcome == i.READ:
             request.reader = attempt.engine
         if not request.answered and (attempt.began or outcome == i.ANSWERED):
@@ -289,6 +202,21 @@
         since = self._probing.pop(engine, self.clock())
         self._feed(i.Probed(engine, outcome, self.clock() - since, load))
 
+    def release_unless_fetched(self, attempt: Attempt) -> None:
+        """No sign of its replica yet. What was written on a connection that has fallen silent has not arrived, and does
+        not stop the clock of what is held: it has to be let go of now. Where the attempt did arrive, the holders keep
+        the state for it whatever they are told."""
+        request = attempt.request
+        if not attempt.over and self._backend.begun(attempt) and request.holders:
+            self.counters.unconfirmed += 1
+            logger.debug(
+                "attempt request={request} n={n} engine={engine} shows no sign: what is held for it is released",
+                request=request.number,
+                n=attempt.index,
+                engine=attempt.engine,
+            )
+            self._backend.release_unless_fetched(request, set(request.holders))
+
     def expire(self, attempt: Attempt) -> None:
         """Its time is over. Danger: the connection goes first, or the next send would be a second copy."""
         self._stop(attempt, i.TIMEOUT)
@@ -376,8 +304,8 @@
         if request is None:
             return
         match action:
-            case i.Send(_, engine, patience, by):
-                self._send(request, engine, patience, by)
+            case i.Send():
+                self._send(request, action)
             case i.CallOff(_, index):
                 attempt = request.current
                 if attempt and attempt.index == index and not attempt.began:
@@ -397,12 +325,13 @@
             case i.Move():
                 logger.warning("request {request}: streams are not moved here", request=request.number)
 
-    def _send(self, request: Request, engine: int, patience: int, by: int) -> None:
-        now = self.clock()
+    def _send(self, request: Request, send: i.Send) -> None:
+        now, engine = self.clock(), send.engine
         if not request.answered and request.client.gone():  # before a connection is opened for nobody
             self.leave(request)
         index, request.sends = request.sends, request.sends + 1
-        attempt = Attempt(self, request, index, engine, now, min(now + patience, request.end), by)
+        deadline = min(now + send.patience, request.end)
+        attempt = Attempt(self, request, index, engine, now, deadline, send.by, send.held_until)
         # The last word on where nothing new may go; from here on `listed` takes back what is not under way.
         may = self._wanted(engine) and index < self.deployment.router.max_attempts
         if request.answered or request.current or not may:
--- a/pearhill/core/ports.py
+++ b/pearhill/core/ports.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
-    from pearhill.core.dispatcher import Attempt, Request
+    from pearhill.core.request import Attempt, Request
 
 
 class Client(Protocol):
@@ -51,3 +51,6 @@
 
     def release(self, request: Request, engines: Collection[int]) -> None:
         """Let go of what the engines may hold for the request, trying again as need be."""
+
+    def release_unless_fetched(self, request: Request, engines: Collection[int]) -> None:
+        """The same while an attempt is out that may never have arrived. Where it has, nothing is let go of."""
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -49,6 +49,7 @@
     rejected: int = 0  # bad input, answered 4xx and not taken
     released: int = 0  # calls to let go of what an engine may hold
     release_retries: int = 0
+    unconfirmed: int = 0  # fetches with no sign of their replica when what is held for them had to be let go
     lists: int = 0  # lists of engines applied
     faults: int = 0  # exceptions out of the router
     replayed: int = 0  # answers repeated from the idempotency store
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -218,12 +218,14 @@
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send the request to an engine; the attempt ends as TIMEOUT after `patience`. Where the whole of it has not been
-    written by the time `by`, it is WITHDRAWN; 0: whenever."""
+    written by the time `by`, it is WITHDRAWN; 0: whenever. `held_until`: it fetches a state, which has to be let go of
+    at this time if the attempt has not arrived; 0: it fetches none."""
 
     request: int
     engine: int
     patience: int
     by: int = 0
+    held_until: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearhill/lab/capacity.py
+++ b/pearhill/lab/capacity.py
@@ -48,9 +48,9 @@
     AggregatorSite,
     Reporter,
 )
-from pearhill.net.backend import UNANSWERED as RELEASES
 from pearhill.net.pool import MAX_ANSWER
 from pearhill.net.probes import MOST_OUT
+from pearhill.net.releases import UNANSWERED as RELEASES
 from pearhill.node import SPARE
 from pearhill.platform.schedule import BETWEEN, SHARE, SHARED_WAIT, WAIT
 from pearhill.rules import KEEP, KEYS, RATIO_MAX, SHED, STEP_EVERY
--- a/pearhill/lab/scale/work.py
+++ b/pearhill/lab/scale/work.py
@@ -10,7 +10,8 @@
 
 from pearhill import interface as i
 from pearhill.core.deadlines import Deadlines
-from pearhill.core.dispatcher import Ask, Attempt, Dispatcher, Request
+from pearhill.core.dispatcher import Dispatcher
+from pearhill.core.request import Ask, Attempt, Request
 from pearhill.rules import Engine, Router
 
 SETS = 24  # of drawn gauges, of which each beat takes one, turned by a drawn number of engines
@@ -118,6 +119,9 @@
     def release(self, request: Request, engines: Collection[int]) -> None:
         pass
 
+    def release_unless_fetched(self, request: Request, engines: Collection[int]) -> None:
+        pass
+
 
 class Arrivals:
     """Requests at a hollow dispatcher by an event clock of its own: a Poisson stream, openings and talks drawn."""
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import json
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Any, Protocol
@@ -14,21 +14,15 @@
 
 from pearhill import interface as i
 from pearhill.core.deadlines import Key
-from pearhill.core.dispatcher import Attempt, Request
+from pearhill.core.request import Attempt, Request
 from pearhill.http1.client import MAX_CHUNK, Data, End, Event, Head, Lost
 from pearhill.net.address import Address
-from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, NoRoom, Pool, call
+from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, NoRoom, Pool
 from pearhill.net.probes import ProbeDialect, Probes, Told
-from pearhill.net.turns import pause
+from pearhill.net.releases import ReleaseDialect, Releases
 
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
-RELEASE_FOR = 20_000_000  # how long a release is tried again
 KEEP_LEFT = 60_000_000  # the address of an engine that has left the list: attempts and releases may still need it
-# For the answer to a release, and for its connection, before it is tried again on a new one: the first waits least. One
-# that stood idle may have fallen silent, and the time in which the state has to be let go runs on.
-FIRST_RELEASE_WAIT, RELEASE_WAIT = 50_000, 250_000
-UNANSWERED = 8  # releases written and never answered, each on a connection that came up
-FIRST_RETRY, LAST_RETRY = 20_000, 500_000  # between tries of a release
 # For a connection while a state is held: the Router begins none after its time, and 350 ms more are allowed.
 HELD_CONNECT = 250_000
 END_WITHIN = 1_000_000  # for the last chunk of an answer that is whole without it
@@ -67,12 +61,9 @@
     said: Any = None
 
 
-class Dialect(ProbeDialect, Protocol):
+class Dialect(ProbeDialect, ReleaseDialect, Protocol):
     def request(self, payload: Any, engine: int, wait_ms: int) -> bytes: ...
 
-    def release(self, payload: Any, engine: int) -> bytes:
-        """The call that lets go of what is held for a request."""
-
     def stream(self, payload: Any) -> Stream: ...
 
     def accepts(self, headers: Mapping[str, str]) -> bool:
@@ -82,15 +73,6 @@
         """What an answer other than 200 and 202 means. None: as the platform's protocol has it."""
 
 
-class Unread:
-    """The exchange of an attempt that was given up and whose connection stays open for now: nobody reads what comes."""
-
-    most_chunk = MAX_CHUNK
-
-    async def handle(self, event: Event) -> None:
-        pass
-
-
 class Call:
     """One attempt on its connection."""
 
@@ -115,7 +97,7 @@
         try:
             if address is None:
                 raise CannotConnect("the engine has no address")
-            if not await self.backend.may_replace(attempt.request):
+            if not await self.backend.releases.may_replace(attempt.request):
                 return self.over(i.MOOT)
             connection = self.connection = await pool.acquire(
                 address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT
@@ -126,7 +108,7 @@
             return self.over(i.UNREACHABLE)
         if not attempt.may_begin():
             return
-        self.backend.give_up_unread(attempt.request)  # Danger: or it were a second copy
+        self.backend.releases.close_unread(attempt.request)  # Danger: or it were a second copy
         wait = max(1, (attempt.deadline - pool.deadlines.clock()) // 1000)
         data = self.backend.dialect.request(attempt.request.payload, attempt.engine, wait)
         self.tried = True
@@ -254,7 +236,7 @@
                 and connection.exchange is self
                 and not self.attempt.began
             ):
-                self.backend.keep_open(self.attempt.request, connection)
+                self.backend.releases.keep_open(self.attempt.request, connection)
             else:
                 connection.close("called-off")
         return self.tried
@@ -267,10 +249,7 @@
         self.probe = Probes(pool, dialect, self.addresses, probed).send
         self.leaving: dict[int, Key] = {}  # engines off the list, whose addresses go when their time is over
         self.calls: dict[Attempt, Call] = {}
-        # By the request's number. Danger: the request itself holds its prompt, and through a cut there are hundreds.
-        self.unread: dict[int, list[tuple[Connection, Unread]]] = {}
-        self.releasing = 0
-        self.owed: dict[int, Collection[int]] = {}  # by the request's number: engines that have yet to let go for it
+        self.releases = Releases(pool, dialect, self.addresses)
 
     def locate(self, addresses: dict[int, Address], gone: Collection[int], full: bool) -> None:
         """Where engines listen; those that are gone, or missing from a full list, have left. No connections are
@@ -292,50 +271,6 @@
     def send(self, attempt: Attempt) -> None:
         self.calls[attempt] = Call(self, attempt)
 
-    def keep_open(self, request: Request, connection: Connection) -> None:
-        """Until the request is sent on, or everything that is held for it is let go: one of these always follows."""
-        connection.exchange = exchange = Unread()
-        self.unread.setdefault(request.number, []).append((connection, exchange))
-        self.pool.unread[connection] = None
-
-    async def may_replace(self, request: Request) -> bool:
-        """Whether another fetch may take the place of one that was given up and is still out. Danger: if that one finds
-        no state, what is held is held for nobody, and where it is held may be cut off, or silent. So the reader has to
-        answer now; a writer that was asked hangs, as a rule, and answers nothing, but it has to be there."""
-        if not self.unread.get(request.number):
-            return True
-        holders = {*request.holders, *self.owed.get(request.number, ())}
-        found = await asyncio.gather(*(self._reaches(request, engine) for engine in holders))
-        return all(found)
-
-    async def _reaches(self, request: Request, engine: int) -> bool:
-        """A release shows it; while an attempt is out for what is held it lets go of nothing."""
-        address = self.addresses.get(engine)
-        if address is None:
-            return False
-        for within, fresh in ((FIRST_RELEASE_WAIT, False), (2 * FIRST_RELEASE_WAIT, True)):
-            try:
-                await call(self.pool, address, self.dialect.release(request.payload, engine), within, fresh=fresh)
-                return True
-            except TimeoutError:  # a connection was there, and nothing came on it
-                if fresh and engine != request.reader:
-                    return True
-            except (OSError, ValueError, CannotConnect):
-                pass
-        return False
-
-    def give_up_unread(self, request: Request) -> None:
-        self._give_up(request.number, self.unread.get(request.number, ()))
-
-    def _give_up(self, number: int, unread: Iterable[tuple[Connection, Unread]]) -> None:
-        for connection, exchange in list(unread):
-            self.pool.unread.pop(connection, None)
-            if connection.exchange is exchange:  # else it has been answered, and may serve another request
-                connection.close("called-off")
-            self.unread[number].remove((connection, exchange))
-        if not self.unread.get(number, True):
-            del self.unread[number]
-
     def begun(self, attempt: Attempt) -> bool:
         call = self.calls.get(attempt)
         return call is not None and call.tried
@@ -344,42 +279,13 @@
         call = self.calls.pop(attempt, None)
         return call.cancel() if call else False
 
+    @property
+    def releasing(self) -> int:
+        """Releases that are being tried."""
+        return self.releases.pending
+
     def release(self, request: Request, engines: Collection[int]) -> None:
-        calls = [
-            (address, self.dialect.release(request.payload, engine))
-            for engine in engines
-            if (address := self.addresses.get(engine))
-        ]
-        self.releasing += 1
-        self.owed[request.number] = engines
-        self.pool.spawn(self._release_all(request.number, calls))
-
-    async def _release_all(self, number: int, calls: list[tuple[Address, bytes]]) -> None:
-        try:
-            unread = tuple(self.unread.get(number, ()))
-            await asyncio.gather(*(self._release(*call) for call in calls))
-            if unread:
-                # Danger: what an attempt waits for is not let go of. These calls only showed that all can be reached.
-                self._give_up(number, [kept for kept in unread if kept in self.unread.get(number, ())])
-                await asyncio.gather(*(self._release(*call) for call in calls))
-        finally:
-            self.releasing -= 1
-            self.owed.pop(number, None)
-
-    async def _release(self, address: Address, data: bytes) -> None:
-        """Danger: one call that is lost leaves the state pinned. Any answer shows that it has arrived; without one
-        it may be on its way to a machine that is cut off, or to one that is slow, so it is said again."""
-        pool, wait, unanswered, answer_within = self.pool, FIRST_RETRY, 0, FIRST_RELEASE_WAIT
-        until = pool.deadlines.clock() + RELEASE_FOR
-        while unanswered < UNANSWERED and pool.deadlines.clock() < until:
-            try:
-                await call(pool, address, data, answer_within, fresh=answer_within > FIRST_RELEASE_WAIT)
-                return
-            except TimeoutError:
-                unanswered += 1
-            except (OSError, ValueError, CannotConnect):
-                pass
-            pool.counters.release_retries += 1
-            await pause(pool.deadlines, wait)
-            wait, answer_within = min(2 * wait, LAST_RETRY), min(2 * answer_within, RELEASE_WAIT)
-        logger.warning("a release at {peer} is given up", peer="{}:{}".format(*address))
+        self.releases.release(request, engines)
+
+    def release_unless_fetched(self, request: Request, engines: Collection[int]) -> None:
+        self.releases.release_unless_fetched(request, engines)
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pearhill.core.dispatcher import Ask, Dispatcher, Request
+from pearhill.core.dispatcher import Dispatcher
+from pearhill.core.request import Ask, Request
 from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
 
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -425,10 +425,11 @@
         # client's time is too short: many short attempts would all be in vain.
         wait = max(PATIENCE * self._takes(e, job.weight, not job.fetches), job.aim / (2 - job.fetches))
         last = job.attempt + 1 >= self.s.max_attempts or wait > left
-        by = [job.held_at + self.s.release_within] if job.held else []  # its connection may come up late
+        held_until = job.held_at + self.s.release_within if job.held else 0
+        by = [held_until] if held_until else []  # its connection may come up late
         by += [job.ran[1] + spec.window] if job.ran and spec.effect == i.KEYED and not job.reading else []
         patience = max(1, int(left if last else min(wait, left / 2)))
-        self.actions.append(i.Send(req.request, e.id, patience, min(by, default=0)))
+        self.actions.append(i.Send(req.request, e.id, patience, min(by, default=0), held_until))
 
     def _began(self, event: i.Began) -> None:
         if (job := self.jobs.get(event.request)) and job.out and job.engine and job.engine.id == event.engine:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -8,9 +8,10 @@
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
-from pearhill.net.backend import FIRST_RELEASE_WAIT, FIRST_RETRY, HttpBackend
+from pearhill.net.backend import HttpBackend
 from pearhill.net.clock import start_clock
 from pearhill.net.pool import BOOKS, REQUESTS, REST, Pool
+from pearhill.net.releases import FIRST_RELEASE_WAIT, FIRST_RETRY
 from pearhill.platform.front import Payload
 from pearhill.platform.replica import ReplicaDialect
 
@@ -94,7 +95,7 @@
             pool.put_back(connection)
         backend = HttpBackend(pool, ReplicaDialect())
         backend.locate({1: address}, [], full=True)
-        backend.release(SimpleNamespace(number=7, payload=Payload("r7", "POST", "/", b"", "")), {1})
+        backend.release(SimpleNamespace(number=7, interrupted=False, payload=Payload("r7", "POST", "/", b"", "")), {1})
         for wait in (FIRST_RELEASE_WAIT, FIRST_RETRY):
             pending = len(deadlines)
             while not heard or deadlines.earliest != now + wait:
--- a/tests/platform/test_held_states.py
+++ b/tests/platform/test_held_states.py
@@ -18,10 +18,12 @@
     is out changes nothing, so it is said long before the attempt times out."""
     reader, writer, over = Standin(), Standin(), threading.Event()
     outcomes: list[dict[str, int]] = []
+    released = threading.Event()
 
     def read(handler: Any, body: bytes) -> None:
-        if handler.command == "DELETE" and not outcomes:
+        if handler.command == "DELETE":
             outcomes.append(program.counters()["outcomes"])
+            released.set()
         answer_reads(handler, body)
 
     reader.respond = read
@@ -31,7 +33,7 @@
     program = day.start((reader, "reader"), (writer, "writer"))
     client = day.connect()
     client.sendall(request("h1", "advice", 20_000))
-    reader.wait_for("DELETE")
+    assert released.wait(20)
     over.set()
     assert "timeout" not in outcomes[0] and "cancelled" not in outcomes[0], outcomes
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,8 @@
 from pearhill import interface as i
 from pearhill import settings
 from pearhill.core.deadlines import Deadlines
-from pearhill.core.dispatcher import Ask, Attempt, Dispatcher
+from pearhill.core.dispatcher import Dispatcher
+from pearhill.core.request import Ask, Attempt
 from pearhill.counters import Counters
 from pearhill.http1.client import ClientConnection, Data, End, Head, Lost
 from pearhill.http1.messages import RequestMessage
@@ -56,6 +57,7 @@
 class Core(unittest.TestCase):
     def setUp(self) -> None:
         self.now, self.sent, self.released, self.reached = 10**12, list[Attempt](), list[set[int]](), True
+        self.reminded = list[set[int]]()
         self.on_cancel: Any = lambda attempt: None
         self.deadlines = Deadlines(lambda: self.now)
         self.core = Dispatcher(settings.parse(SETTINGS), 1, self.deadlines, Counters())
@@ -75,6 +77,9 @@
     def release(self, request: Any, engines: set[int]) -> None:
         self.released.append(set(engines))
 
+    def release_unless_fetched(self, request: Any, engines: set[int]) -> None:
+        self.reminded.append(set(engines))
+
     def take(self, cls: int = ADVICE, ttl: int = 5_000_000) -> Client:
         client = Client()
         client.request = self.core.take(Ask(cls, ttl, prompt=3000, max_out=100), client, None)
@@ -153,6 +158,24 @@
         self.assertEqual((client.told, len(self.sent), self.released), (["fail"], 2, [{1, self.sent[1].engine}]))
         self.assertEqual(self.core.counters.outcomes[i.WITHDRAWN], 0)
 
+    def test_what_a_fetch_without_a_sign_is_for_is_let_go_of_in_time_and_once_more_at_its_end(self):
+        within = SETTINGS["extra"]["release-within"]
+        client = self.take()
+        self.sent[0].end(i.READ, may_hold=True)
+        self.wait(within - 1)
+        self.assertEqual(self.reminded, [])
+        self.wait(1)
+        self.assertEqual((self.reminded, self.released, len(self.sent)), ([{1}], [], 2))
+        self.core.leave(client.request)
+        self.assertEqual((self.released, client.request.interrupted), ([{1, self.sent[1].engine}], True))
+
+    def test_a_fetch_that_has_begun_in_time_needs_no_release(self):
+        self.take()
+        self.sent[0].end(i.READ, may_hold=True)
+        self.sent[1].begin()
+        self.wait(SETTINGS["extra"]["release-within"])
+        self.assertEqual((self.reminded, self.released), ([], []))
+
     def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_wants(self):
         handle = self.core.router.handle
         self.core.router.handle = lambda now, event: [  # type: ignore[method-assign]
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from pearhill import interface as i
-from pearhill.core.dispatcher import Ask
+from pearhill.core.request import Ask
 from tests import test_core
 from tests.test_core import ADVICE, BOOKING
 
