Failing tests: the wall clock is stepped before a cold start, or between two processes

A replica that restarts after the clock was set back tells a start that lies before its last one: it was taken for a warm one and got 8 or 9 of 17 requests at once, where its slow start allows this dispatcher one at a time. Two processes of one dispatcher compare wall-clock times in their notes: after a step of an hour between their starts neither knows of the other, and what operators took out by hand is forgotten.

--- /dev/null
+++ b/tests/platform/test_clock_steps.py
@@ -0,0 +1,116 @@
+"""The wall clock is stepped while the program runs, or between the starts of two processes. Replicas' starts are told
+in its time. The program runs under the soak's shim, which steps it."""
+
+import functools
+import json
+import os
+import subprocess
+import threading
+import time
+import unittest.mock
+from typing import Any
+
+import pytest
+
+from tests.platform.test_owed import BODY, PATH
+from tests.standins import LAST, SETTINGS, TOKENS, Discovery, Program, Standin, platform_file
+from tests.test_upgrade import UpgradeCase
+
+HOUR_S = 3600
+ASKED = 24
+PATIENT = {**SETTINGS, "classes": [{**spec, "aim": 30_000_000, "deadline": 60_000_000} for spec in SETTINGS["classes"]]}
+
+
+class Shimmed(Program):
+    """The program under the shim, which takes its commands from a pipe."""
+
+    LAUNCH = ("-m", "pearhill.lab.soak.shim")
+
+
+class Timed(Discovery):
+    """Lists replicas with their last starts, in Unix milliseconds."""
+
+    def __init__(self, *targets: tuple[str, str, str]) -> None:
+        self.boot_ms: dict[str, int] = {}
+        super().__init__(*targets)
+
+    def answer(self) -> dict[str, Any]:
+        told = super().answer()
+        for target in told["targets"]:
+            target["boot_ms"] = self.boot_ms.get(target["uid"], 0)
+        return told
+
+
+def start(folder: Any, discovery: Discovery, monkeypatch: pytest.MonkeyPatch) -> tuple[Program, Any]:
+    """The program, and what sends a command to its shim."""
+    read_end, write_end = os.pipe()
+    monkeypatch.setattr("subprocess.Popen", _with_stdin(read_end))
+    path = folder / "config.json"
+    path.write_text(platform_file(discovery.address, settings=PATIENT))
+    program = Shimmed(RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address)
+    os.close(read_end)
+    return program, lambda line: os.write(write_end, line.encode() + b"\n")
+
+
+def _with_stdin(number: int) -> Any:
+    return functools.partial(subprocess.Popen, stdin=number)
+
+
+@pytest.mark.parametrize("step_s", [-HOUR_S, -20])
+def test_a_replica_that_restarts_after_the_clock_was_set_back_is_started_slowly(tmp_path, monkeypatch, step_s):
+    """Its start lies before the last one, by the new clock: taken for the old one, it would get its whole share."""
+    warm, cold, go = Standin(), Standin(), threading.Event()
+    discovery = Timed(("s-0", warm.address, "all-in-one"), ("s-1", cold.address, "all-in-one"))
+    discovery.boot_ms = {"s-1": int((time.time() - 15) * 1000)}
+    for server in (warm, cold):
+        server.respond = lambda handler, body: (go.wait(20), handler.chunks(*TOKENS, LAST))
+    program, command = start(tmp_path, discovery, monkeypatch)
+    try:
+        program.wait_ready()
+        command(f"wall {step_s}")
+        lists = program.counters()["lists"]
+        discovery.boot_ms = {"s-1": int((time.time() + step_s) * 1000)}
+        discovery.update(*discovery.targets)
+        end = time.monotonic() + 20
+        while program.counters()["lists"] == lists:
+            assert time.monotonic() < end
+        clients = []
+        for number in range(ASKED):
+            connection = program.connect()
+            connection.request("POST", PATH, BODY, _headers(f"c{number}"))
+            clients.append(connection)
+        while warm.runs + cold.runs + program.counters()["refused"] < ASKED:
+            assert time.monotonic() < end, (warm.runs, cold.runs, program.counters())
+        # 0.28 of its capacity, of which this dispatcher's bucket holds one request at a time.
+        assert cold.runs <= 3 < warm.runs, (warm.runs, cold.runs)
+    finally:
+        go.set()
+        program.kill()
+        for thing in (warm, cold, discovery):
+            thing.close()
+
+
+def _headers(id: str) -> dict[str, str]:
+    return {
+        "Request-Id": id,
+        "Request-Class": "advice",
+        "Request-Timeout-Ms": "60000",
+        "Request-Info": "prompt_len=3000,max_out=100",
+    }
+
+
+class AnUpgradeAfterAStep(UpgradeCase):
+    def test_the_elder_gives_way_and_what_is_out_by_hand_stays_out(self):
+        for step_s in (-HOUR_S, HOUR_S):
+            with self.subTest(step_s=step_s):
+                old = self.process()
+                old.wait_ready()
+                self.assertEqual(self.ops(old, "POST", "/ops/replicas/down?target=s-0")[0], 200)
+                with unittest.mock.patch.object(Program, "LAUNCH", Shimmed.LAUNCH):
+                    new = self.process(SOAK_WALL_S=str(step_s))
+                old.wait_line("another takes the clients")
+                self.wait_for(lambda new=new: self.yes(new))
+                self.assertEqual(json.loads(self.ops(new, "GET", "/ops/stats")[1])["hosts_down"], 1)
+                old.stop()
+                self.assertEqual(self.ops(new, "POST", "/ops/replicas/up?target=s-0")[0], 200)
+                new.kill()
