Steps of the wall clock: starts are placed on the own clock, notes are read by it

Cause: Node.listed passed starts on as the list tells them, in wall-clock time, and Router._cold_part and Router._listed compared them with a clock whose origin was taken once, at the process's start. After a step back a restarted replica was warm, and not even seen to have restarted; after a step forward it stayed cold for as long as the step. Notes between two processes of one dispatcher carried times of two such clocks: an hour between them, and each took the other's note for one of a dead process.

Change: routing/start_times.py remembers steps (looked for every 0.5 s and at each list) and places each start once, at the latest moment that it can have been. Notes say by which origin and in which boot they were written, under two more keys, and are read shifted; notes without them are read as before.

--- a/pearhill/net/clock.py
+++ b/pearhill/net/clock.py
@@ -7,7 +7,17 @@
 
 
 def start_clock() -> Callable[[], int]:
-    """Danger: list entries tell starts in Unix time. On one origin, taken once, the same start reads the same
-    for ever; a conversion at each list would make every engine look restarted."""
+    """The origin is taken once: the wall clock may be stepped later, and every deadline is a span of real time. Starts
+    that a list tells in wall-clock time are placed on this clock by `pearhill.routing.start_times`."""
     origin = time.time_ns() - time.monotonic_ns()
     return lambda: (time.monotonic_ns() + origin) // 1000
+
+
+def wall_clock() -> int:
+    """The system's wall clock, in microseconds of Unix time. It may be stepped at any moment."""
+    return time.time_ns() // 1000
+
+
+def origin(clock: Callable[[], int]) -> int:
+    """How far a clock of `start_clock` is ahead of the system's monotonic clock, which all processes share."""
+    return clock() - time.monotonic_ns() // 1000
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -20,10 +20,11 @@
 from pearhill.http1.server import MAX_BODY
 from pearhill.net.address import Address
 from pearhill.net.backend import Dialect, HttpBackend
-from pearhill.net.clock import start_clock
+from pearhill.net.clock import start_clock, wall_clock
 from pearhill.net.listener import Listener
 from pearhill.net.pool import Pool
 from pearhill.net.turns import Turns, pause
+from pearhill.routing.start_times import StartTimes
 from pearhill.service.drain import NO_IDLE, OPEN, Drain
 from pearhill.service.roster import Roster
 from pearhill.service.wishes import Wishes
@@ -37,6 +38,7 @@
 LEAST_TERM = 3_000_000
 LEAST_ROOM = 8
 LOOK_AGAIN = 20_000
+OBSERVE_WALL_CLOCK = 500_000  # between two looks for a step of the wall clock
 DOOR_BODY = 4096  # bytes of a call that has no use for any
 
 
@@ -63,6 +65,8 @@
         self.counters = Counters()
         self.deadlines = Deadlines(start_clock())
         self.turns = Turns(loop, self.deadlines)
+        self.start_times = StartTimes(self.deadlines.clock(), wall_clock())
+        self._observe_wall_clock()
         self.limits = limits
         self.dispatchers = 0  # that share the work, where somebody here counts them; 0: as the settings say
         self.parts = 1  # processes that share the limits and this dispatcher's part of all else
@@ -141,9 +145,20 @@
     def listed(self, full: bool, entries: tuple[i.Entry, ...], addresses: dict[int, Address]) -> None:
         """A list of servers, to be in force before the next send."""
         self.counters.lists += 1
+        self._note_step()
+        entries = self.start_times.place(self.deadlines.clock(), full, entries)
         self.backend.locate(addresses, [entry.engine for entry in entries if entry.phase == i.GONE], full)
         self.dispatcher.listed(full, self.roster.listed(full, entries))
 
+    def _observe_wall_clock(self) -> None:
+        self._note_step()
+        self.deadlines.after(OBSERVE_WALL_CLOCK, self._observe_wall_clock)
+
+    def _note_step(self) -> None:
+        if step := self.start_times.observe(self.deadlines.clock(), wall_clock()):
+            self.counters.clock_steps += 1
+            logger.warning("clock: the wall clock was stepped by {ms} ms", ms=step // 1000)
+
     # Operators' calls.
 
     def figures(self) -> Figures:
--- a/pearhill/service/handover.py
+++ b/pearhill/service/handover.py
@@ -38,6 +38,22 @@
     ended: bool
     out: dict[int, Wish]
     drain: Wish | None
+    origin: int = 0  # how far its writer's clock is ahead of the monotonic clock that all processes of a boot share
+    boot: str = ""  # which boot; empty: the writer could not tell
+
+    def aligned(self, origin: int, boot: str) -> Note:
+        """Its times by the reader's clock. The wall clock may have been stepped between the starts of the two."""
+        by = origin - self.origin
+        if not boot or boot != self.boot or not by:
+            return self
+        return replace(
+            self,
+            start=self.start + by,
+            at=self.at + by,
+            out={engine: wish.shifted(by) for engine, wish in self.out.items()},
+            drain=self.drain and self.drain.shifted(by),
+            origin=origin,
+        )
 
     def encode(self) -> bytes:
         told = {
@@ -49,6 +65,8 @@
             "ended": self.ended,
             "out": {f"{engine:x}": [w.at, w.on, w.since] for engine, w in self.out.items()},
             "drain": self.drain and [self.drain.at, self.drain.on, self.drain.since],
+            "origin": self.origin,
+            "boot": self.boot,
         }
         body = json.dumps(told).encode()
         return MARK + b"%08x\n" % zlib.crc32(body) + body
@@ -81,8 +99,10 @@
             told["ended"] is True,
             out,
             drain or None,
+            int(told.get("origin", 0)),  # notes of versions before 0.3 lack both
+            str(told.get("boot", "")),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as e:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError, OverflowError) as e:
         raise BadNote(f"unreadable: {e!r}") from None
     if note.name != name:
         raise BadNote("of another dispatcher")
@@ -96,8 +116,8 @@
     later takes clients' connections, so that none need be taken here; `elder`: an earlier one still lives, `awaited`:
     and still answers."""
 
-    def __init__(self, name: str, start: int, wishes: Wishes) -> None:
-        self.name, self.start, self.wishes = name, start, wishes
+    def __init__(self, name: str, start: int, wishes: Wishes, origin: int = 0, boot: str = "") -> None:
+        self.name, self.start, self.wishes, self.origin, self.boot = name, start, wishes, origin, boot
         self.parts, self.succeeded, self.elder, self.awaited = 1, False, False, False
         self._written: Note | None = None
 
@@ -132,7 +152,8 @@
 
     def note(self, now: int, serving: bool, quiet: bool, ended: bool = False) -> Note | None:
         """What to write now; None: what was last written will do."""
-        note = Note(self.name, self.start, now, serving, quiet, ended, dict(self.wishes.out), self.wishes.drain)
+        out, drain = dict(self.wishes.out), self.wishes.drain
+        note = Note(self.name, self.start, now, serving, quiet, ended, out, drain, self.origin, self.boot)
         last = self._written
         if last and now - last.at < BEAT and replace(note, at=last.at) == last:
             return None
--- a/pearhill/service/wishes.py
+++ b/pearhill/service/wishes.py
@@ -16,6 +16,10 @@
     on: bool
     since: int
 
+    def shifted(self, by: int) -> Wish:
+        """The same by a clock that is so far ahead."""
+        return Wish(self.at + by, self.on, self.since + by)
+
 
 class Wishes:
     """`out`: by engine, whether it is out by hand. `drain`: whether this dispatcher is to drain; None: never said."""
--- a/pearhill/upgrade.py
+++ b/pearhill/upgrade.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from pearhill.durable.notes import Notes
+from pearhill.net.clock import origin
 from pearhill.net.turns import pause
 from pearhill.node import Node
 from pearhill.service.handover import BadNote, Handover, Note, decode
@@ -28,6 +29,14 @@
         return sys.maxsize
 
 
+def _boot() -> str:
+    """Which boot of the machine this is; empty where the system does not tell."""
+    try:
+        return pathlib.Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 class Upgrade:
     """Looks once when it is made, so that what is out is known before the first list. Nothing needs the folder: without
     it the process serves alone. Danger: a disk may take a second over a small file, and the loop would stand still;
@@ -36,7 +45,7 @@
     def __init__(self, node: Node, folder: str, name: str) -> None:
         self.node, self.start = node, node.deadlines.clock()
         self.notes = Notes(folder, name, self.start)
-        self.handover = Handover(name, self.start, node.wishes)
+        self.handover = Handover(name, self.start, node.wishes, origin(node.deadlines.clock), _boot())
         self.told_to_serve = False  # others can read by now that this process takes the clients
         self._complaints = set[str]()
         node.succeeded = self._succeeded
@@ -77,7 +86,7 @@
         found: list[tuple[pathlib.Path, Note]] = []
         for path, data in files:
             try:
-                found.append((path, decode(data, handover.name)))
+                found.append((path, decode(data, handover.name).aligned(handover.origin, handover.boot)))
             except BadNote as e:
                 self._complain(f"{path.name} is left aside: {e}")
         before = handover.parts, handover.succeeded
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -46,6 +46,7 @@
                     "operations",
                     "platform",
                     "process",
+                    "routing",
                     "rules",
                     "service",
                     "settings",
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,75 @@
+"""Starts that are told in wall-clock time, placed on the own clock through steps of the wall clock."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearhill import interface as i
+from pearhill.routing.start_times import STEP, StartTimes
+from tests.driver import S
+
+NOW = 1_000_000 * S
+HOUR = 3600 * S
+
+
+def entry(started: int, engine: int = 1, phase: str = i.READY) -> i.Entry:
+    return i.Entry(engine, 0, 0, 0, phase, 1.0, started)
+
+
+def started(times: StartTimes, now: int, told: int, full: bool = False) -> int:
+    (placed,) = times.place(now, full, (entry(told),))
+    return placed.started
+
+
+@given(
+    step=st.one_of(st.integers(-2 * HOUR, -STEP - 1), st.integers(STEP + 1, 2 * HOUR)),
+    before=st.integers(0, 30 * S),
+    after=st.integers(0, 30 * S),
+    late=st.integers(0, 5 * S),
+)
+def test_no_start_is_taken_for_older_than_it_is(step: int, before: int, after: int, late: int):
+    """One replica starts before the step and one after it; both are told of later."""
+    times = StartTimes(NOW, NOW)
+    first = NOW + 1
+    stepped = first + before
+    second = stepped + after + 1
+    now = second + late
+    times.observe(now, now + step)
+    assert started(times, now, first) >= first
+    assert started(times, now, second + step) >= second
+    assert started(times, now, second + step) <= now
+
+
+@pytest.mark.parametrize("step", [-HOUR, -7 * S, 7 * S, HOUR])
+def test_a_start_right_after_a_step_is_placed_exactly_and_stays_there(step: int):
+    times = StartTimes(NOW, NOW)
+    times.observe(NOW + 9 * S, NOW + 9 * S)
+    assert times.observe(NOW + 10 * S, NOW + 10 * S + step) == step
+    told = NOW + 10 * S + step + 5
+    assert started(times, NOW + 10 * S + 5, told) == NOW + 10 * S + 5
+    times.observe(NOW + 40 * S, NOW + 40 * S - step)
+    assert started(times, NOW + 41 * S, told, full=True) == NOW + 10 * S + 5
+
+
+def test_a_restart_after_the_clock_was_set_back_is_later_than_the_start_before_it():
+    times = StartTimes(NOW, NOW)
+    before = started(times, NOW, NOW - 20 * S)
+    times.observe(NOW + S, NOW + S - HOUR)
+    assert started(times, NOW + S, NOW + S - HOUR) > before
+
+
+def test_small_adjustments_are_no_steps_and_what_is_long_past_stays_so():
+    times = StartTimes(NOW, NOW)
+    for second in range(1, 100):
+        assert times.observe(NOW + second * S, NOW + second * (S + STEP)) == 0
+    assert started(times, NOW + 100 * S, 0) == 0
+    assert started(times, NOW + 100 * S, NOW + 1000 * S) == NOW + 100 * S
+
+
+def test_replicas_that_are_gone_are_forgotten():
+    times = StartTimes(NOW, NOW)
+    times.place(NOW, True, [entry(NOW - S, n) for n in range(5)])
+    times.place(NOW, False, [entry(NOW - S, 0, i.GONE)])
+    assert set(times._placed) == {1, 2, 3, 4}
+    times.place(NOW, True, [entry(NOW - S, 4)])
+    assert set(times._placed) == {4}
