--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -1,6 +1,8 @@
 """The listener's bound on connections, with real sockets and a handler that answers nothing."""
 
 import asyncio
+import errno
+import os
 import socket
 import unittest
 from typing import Any
@@ -78,3 +80,68 @@
         self.assertFalse(any(each.link.closed for each in found))
         for each in found:
             each.link.answering = False
+
+    async def connect(self, count: int) -> list[socket.socket]:
+        """So many more clients, all accepted."""
+        before = len(self.listener.links)
+        clients = [socket.create_connection(self.address) for _ in range(count)]
+        for client in clients:
+            client.setblocking(False)
+            self.addCleanup(client.close)
+        while len(self.listener.links) < before + count:
+            await asyncio.sleep(0)
+        return clients
+
+    async def test_a_full_table_of_files_elsewhere_ends_no_connection_here(self):
+        """ENFILE, ENOBUFS and ENOMEM are the system's: whoever is connected may have a request on its way."""
+        for number in (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE):
+            with self.subTest(errno=errno.errorcode[number]):
+                clients = await self.connect(3)
+                real = self.listener._sock
+                self.listener._sock = FailingAccept(number, real.fileno())  # type: ignore[assignment]
+                try:
+                    self.listener._accept()
+                finally:
+                    self.listener._sock = real
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                for client in clients:
+                    with self.assertRaises(BlockingIOError):
+                        client.recv(1)
+                    client.close()
+
+    async def test_a_request_that_is_half_read_does_not_make_room_while_others_can(self):
+        """Its last byte is on its way: closed now, it would be read and lost."""
+        half, silent = await self.connect(2)
+        half.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+        while not any(link.machine.in_message for link in self.listener.links):
+            await asyncio.sleep(0)
+        for _ in range(MOST + 8):
+            self.addCleanup(socket.create_connection(self.address).close)
+            await asyncio.sleep(0)
+        while not self.listener.counters.connections["client room-needed"]:
+            await asyncio.sleep(0)
+        self.assertEqual(silent.recv(1), b"")
+        with self.assertRaises(BlockingIOError):
+            half.recv(1)
+
+    async def test_a_silent_client_is_not_sent_away_over_a_request_that_waits_to_be_read(self):
+        """It came in the very moment in which its time was over, and the loop was late."""
+        (client,) = await self.connect(1)
+        (link,) = (link for link in self.listener.links if not link.closed)
+        client.sendall(b"GET / HTTP/1.1\r\n")
+        link._too_slow()
+        self.assertFalse(link.closed)
+
+
+class FailingAccept:
+    """A listening socket on which every accept fails."""
+
+    def __init__(self, number: int, descriptor: int) -> None:
+        self.number, self.descriptor = number, descriptor
+
+    def fileno(self) -> int:
+        return self.descriptor
+
+    def accept(self) -> None:
+        raise OSError(self.number, os.strerror(self.number))
