No client is ended over a request on its way: accept failures, half requests, late looks

Cause: Listener._accept made room after every failed accept, ENFILE and ENOBUFS of the whole system included, among connections that had not asked yet; Link.use counted half a request like a client that never asked; Link._too_slow closed a silent client without a look at its socket; a failed setsockopt on an accepted socket threw the client away.

Only EMFILE, which is ours, makes room; others wait at the door. Half a request goes last and not within its first second. A first request gets 2 s from its first byte, 2.8 s from its accept at most. Counter: accept_failures.

--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -51,6 +51,7 @@
     release_retries: int = 0
     unconfirmed: int = 0  # fetches with no sign of their replica when what is held for them had to be let go
     lists: int = 0  # lists of engines applied
+    accept_failures: int = 0  # accepts that failed for want of descriptors or memory
     clock_steps: int = 0  # of the wall clock, while the process runs
     faults: int = 0  # exceptions out of the router
     replayed: int = 0  # answers repeated from the idempotency store
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -21,11 +21,14 @@
 from pearhill.net.address import Address
 from pearhill.net.incoming import Incoming
 from pearhill.net.tasks import Tasks
+from pearhill.routing.permissions import Use, may_close
 
 FIRST_READ, READ = 2 * 1024, 64 * 1024  # at once, of what may begin a request, and of what goes on with one
 ROOM = 64 * 1024  # bytes of an answer that may wait for a slow client before its server is held back
 PIPELINED = 4  # requests that may wait on one connection behind the one being answered, and no more bytes than one
-MESSAGE_WITHIN = 2_000_000  # a request is whole by then, from its first byte; the first one from its accept
+MESSAGE_WITHIN = 2_000_000  # a request is whole by then, from its first byte
+# The first one's time begins so long after its accept at the latest. Bad clients are owed their end within 3 s.
+FIRST_LATER = 800_000
 IDLE_WITHIN = 5_000_000
 LINGER, LINGER_BYTES = 1_000_000, 256 * 1024  # how long, and how much, is read past the last answer
 LOOK_BYTES = 4 << 20  # read at once to see whether a client that has sent so much is still there
@@ -35,9 +38,6 @@
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-NEEDED, SPENT, OWING, IDLE = range(4)  # answered now; had its last answer; never asked, or half a request; between two
-
-
 def listening(number: int) -> socket.socket:
     """A socket that whoever started this process has left open for it. ValueError: it is none to take clients from."""
     try:
@@ -88,22 +88,26 @@
         return not (self.answering or self.waiting or self._out or (self._writer and not self._writer.done()))
 
     @property
-    def use(self) -> int:
-        """What losing it would cost."""
+    def use(self) -> Use:
+        """What it is good for now."""
         if self.closed or not self.idle_but_reading:
-            return NEEDED
-        return SPENT if self.ending else OWING if self.owes_a_request else IDLE
+            return Use.NEEDED
+        if self.ending:
+            return Use.SPENT
+        if self.machine.in_message:
+            return Use.HALF
+        return Use.IDLE if self.requests else Use.SILENT
+
+    @property
+    def may_close(self) -> bool:
+        """Whether it may make room for another."""
+        return may_close(self.use, self.has_bytes, self.listener.deadlines.clock() - self.since)
 
     @property
     def owes_a_request(self) -> bool:
         """Nothing was ever asked on it, or a request has begun and is not whole."""
         return self.machine.in_message or not self.requests
 
-    @property
-    def unread(self) -> bool:
-        """Its next request waits, or the rest of one. Danger: closed now, it would be lost on its way."""
-        return not self.ending and self.has_bytes
-
     @property
     def has_bytes(self) -> bool:
         """Something waits to be read. Danger: a request that crosses the end of its connection is lost on its way."""
@@ -240,7 +244,7 @@
 
     def _too_slow(self) -> None:
         if not self.machine.in_message:
-            return self.close("silent")
+            return self.close_unless_asked("silent")
         self.waiting.append(Rejected(408, "the request did not arrive in time"))
         self._advance()
 
@@ -289,8 +293,8 @@
         if self.waiting:
             self._advance()
         elif self.machine.in_message != began:
-            if self.requests:
-                self.since = self.listener.deadlines.clock()
+            now = self.listener.deadlines.clock()
+            self.since = now if self.requests else min(now, self.since + FIRST_LATER)
             self._watch()
 
     @property
@@ -368,7 +372,7 @@
     """One that can go, as it was when it was found; `at_once`: so many of its kind in one go."""
 
     link: Link
-    use: int
+    use: Use
     since: int
     at_once: int
 
@@ -459,18 +463,28 @@
                 return self._accept_later()
             try:
                 client, peer = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
             except OSError as e:
-                # Danger: out of descriptors for a moment, a loop that ends here never accepts again.
-                if e.errno in EXHAUSTED:
-                    logger.warning("accepting pauses: {error}", error=str(e))
+                if e.errno not in EXHAUSTED:
+                    continue  # this connection has failed before it was taken; the next may be well
+                self.counters.accept_failures += 1
+                logger.warning("accepting pauses: {error}", error=str(e))
+                if e.errno == errno.EMFILE:
                     self._make_room()
+                else:
+                    # The system's tables are full, not ours: whoever is ended here may have a request on its way, and
+                    # those at the door can wait there.
+                    self._close_spent()
                 return self._accept_later()
             self._take(client, peer)
             if full:  # Danger: those who made room are gone with the next turn; until then more would have to go
                 return
 
+    def _close_spent(self) -> None:
+        for link in [link for link in self.links if link.use == Use.SPENT]:
+            link.close("room-needed")
+
     def _accept_later(self) -> None:
         """Danger: polled while there is no room, a door with somebody before it would spin the loop."""
         self._unpoll()
@@ -483,16 +497,17 @@
 
     def _take(self, client: socket.socket, peer: Any) -> None:
         client.setblocking(False)
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.send_buffer:
-            # Danger: left to itself the system grows it to megabytes for a client that reads nothing, out of anyone's
-            # sight, and the server behind it is never held back.
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
+        with contextlib.suppress(OSError):  # its client may have gone: its reader will tell
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.send_buffer:
+                # Left to itself the system grows it to megabytes for a client that reads nothing, out of anyone's
+                # sight, and the server behind it is never held back.
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
         self.links.add(Link(self, client, f"{peer[0]}:{peer[1]}"))
 
     def _make_room(self) -> bool:
-        """First go those that have had their last answer, then those that still owe a request: hundreds of them
-        would shut everyone out. Then whoever has idled longest. One that is being answered never goes."""
+        """In the order of `Use`: first go those that have had their last answer, then those that never asked, of which
+        hundreds would shut everyone out, then whoever has idled longest, and half a request last of all."""
         # Danger: a crowd that comes and stays costs a walk over all at each accept; most of a core went into it. What
         # one walk has found serves for some that follow, as long as it still holds of each.
         closed, fresh = 0, False
@@ -501,21 +516,20 @@
                 self._spare.extend(self._least_useful())
             while self._spare and closed < self._spare[0].at_once:
                 found = self._spare.popleft()
-                if found.link.use == found.use and found.link.since == found.since and not found.link.unread:
+                if found.link.use == found.use and found.link.since == found.since and found.link.may_close:
                     found.link.close("room-needed")
                     closed += 1
         return closed > 0
 
     def _least_useful(self) -> list[Found]:
         """Of one kind, the first of which there are any that can go."""
-        kinds: dict[int, list[Link]] = {SPENT: [], OWING: [], IDLE: []}
+        kinds: dict[Use, list[Link]] = {use: [] for use in Use}
         for link in self.links:
-            if (use := link.use) in kinds:
-                kinds[use].append(link)
+            kinds[link.use].append(link)
         some = max(2, min(ACCEPT_AT_ONCE, self.most // 8))  # several at once where they are cheap to lose
-        for use, at_once in (SPENT, some), (OWING, some), (IDLE, 1):
+        for use, at_once in (Use.SPENT, some), (Use.SILENT, some), (Use.IDLE, 1), (Use.HALF, 1):
             oldest = nsmallest(4 * some, kinds[use], key=lambda link: link.since)
-            if found := [Found(link, use, link.since, at_once) for link in oldest if not link.unread]:
+            if found := [Found(link, use, link.since, at_once) for link in oldest if link.may_close]:
                 return found
         return []
 
