Failing tests: pipelined requests' time and drain, and the last accepts

Reading the ways to an end of a connection for the same mistake: in a drain, or after an idle close that found bytes, what was read behind the last answered request is dropped; and ECONNABORTED in the last accepts resets everybody behind it.

--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -133,6 +133,17 @@
         link._too_slow()
         self.assertFalse(link.closed)
 
+    async def test_a_connection_that_fails_in_the_last_accepts_takes_nobody_behind_it_along(self):
+        """ECONNABORTED is that one connection's; those behind it would be reset with the socket."""
+        real = self.listener._sock
+        assert real
+        self.listener.pause(True)
+        client = socket.create_connection(self.address)
+        self.addCleanup(client.close)
+        self.listener._sock = AbortedFirst(real)  # type: ignore[assignment]
+        self.listener.stop_accepting()
+        self.assertIn("{}:{}".format(*client.getsockname()), {link.peer for link in self.listener.links})
+
 
 class FailingAccept:
     """A listening socket on which every accept fails."""
@@ -145,3 +156,22 @@
 
     def accept(self) -> None:
         raise OSError(self.number, os.strerror(self.number))
+
+
+class AbortedFirst:
+    """A listening socket whose next accept fails, as for a client that has gone already."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.failed = sock, False
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def accept(self) -> Any:
+        if not self.failed:
+            self.failed = True
+            raise ConnectionAbortedError(errno.ECONNABORTED, os.strerror(errno.ECONNABORTED))
+        return self.sock.accept()
+
+    def close(self) -> None:
+        self.sock.close()
--- /dev/null
+++ b/tests/platform/test_pipelined.py
@@ -0,0 +1,51 @@
+"""Requests read behind another one on the same connection: their time runs, and they are answered in a drain."""
+
+import signal
+import threading
+import time
+from typing import Any
+
+from tests.platform.test_owed import SERVED, answer, day, request  # noqa: F401
+from tests.standins import LAST, TOKENS, Standin
+
+WAITED_S = 2.0
+TTL_MS = 3000
+
+
+def test_a_replica_is_told_no_more_than_what_the_client_has_left(day):  # noqa: F811
+    """Those behind wait for the first one's answer, and their time runs from their last byte. One whose time is over
+    before its turn is refused, and not sent."""
+    server = Standin()
+
+    def respond(handler: Any, body: bytes) -> None:
+        if handler.headers["Request-Id"] == "p1":
+            server.go.wait(20)
+        handler.chunks(*TOKENS, LAST)
+
+    server.respond = respond
+    day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("p1", "advice", 20_000) + request("p2", "advice", TTL_MS) + request("p3", "advice", 500))
+    server.wait_for("POST")
+    began = time.monotonic()
+    while time.monotonic() < began + WAITED_S:
+        pass
+    server.go.set()
+    assert [answer(client)[0] for _ in range(3)] == [200, 200, 503]
+    told = int(server.headers[1]["Request-Timeout-Ms"])
+    assert told <= TTL_MS - WAITED_S * 1000, told
+
+
+def test_what_was_read_before_a_drain_is_answered_in_it(day):  # noqa: F811
+    """The first answer came while the process was ending, ended the connection, and the others were dropped."""
+    server, ending = Standin(), threading.Event()
+    server.respond = lambda handler, body: (ending.wait(20), handler.chunks(*TOKENS, LAST))
+    program = day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("d1") + request("d2") + request("d3"))
+    server.wait_for("POST")
+    program.process.send_signal(signal.SIGTERM)
+    program.wait_line("draining")
+    ending.set()
+    assert [answer(client) for _ in range(3)] == [(200, SERVED)] * 3
+    assert program.process.wait(20) == 0
