One place for what may be sent, repeated, refused; the core checks it and counts violations

Cause of the three red tests: a request's time ran from its turn on its connection, not from its last byte (Dispatcher.take got no arrival from either front); Link._done ended a connection in a drain with requests read and unanswered behind; Listener.stop_accepting took any error for an empty door.

Change: RequestMessage.arrived carries when the last byte was read; a request whose time is over at its turn is refused and never sent. A connection that is to end answers what was read first. The last accepts pass over connections that failed and try again for a second where descriptors have run out. Router and core ask the same functions of routing/permissions.py: the core asks again at each send and each refusal, does not do what is forbidden, counts it (violations) and logs the request's id. Found on the way: a client that left while its connection came up was booked as the replica's failure (Dispatcher._stop); now moot. Refusals, failures and retries are counted by reason, and each request's way is logged at DEBUG under its client's id.

tests/test_wire.py compares the fields that are on the wire: why of Refuse and Fail is for the log alone.

--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -249,7 +249,7 @@
             direct = _Direct(self.dispatcher, answer)
             ask, client, payload = self._reserve(asked, ask, answer, answer)
             direct.spender = client if isinstance(client, Spender) else None
-            direct.request = self.dispatcher.take(ask, client, payload)
+            direct.request = self.dispatcher.take(ask, client, payload, message.arrived)
             return direct
         return self._run(Record(asked.id, b"", self.spawn), asked, ask, answer)
 
@@ -318,7 +318,7 @@
         """Danger: a booking whose client leaves in mid-stream may have run. It is seen through to one outcome."""
         follower = record.follow(answer)
         ask, client, payload = self._reserve(asked, ask, answer, record)
-        self.dispatcher.take(ask, client, payload)
+        self.dispatcher.take(ask, client, payload, asked.message.arrived)
         return follower
 
     def _once(self, key: str, asked: _Asked, ask: Ask, answer: Answer) -> Pending | None:
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -16,9 +16,15 @@
 from pearhill.core.ports import Backend, Client
 from pearhill.core.request import Ask, Attempt, Request
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
+from pearhill.routing.permissions import Denied, Ran, may_begin, may_refuse, may_repeat, may_send
 from pearhill.settings import Deployment
 from pearhill.spread.scout import Scout
 
+EXPIRED, OVERDUE = "expired", "overdue"  # its time was over before its turn; the router has not answered in time
+REFUSED_AFTER_EFFECT = "refused-after-effect"
+# Whoever asks for these has lost count. The others are crossings of events, and no fault.
+VIOLATIONS = (Denied.ATTEMPT_OUT, Denied.MAY_HAVE_RUN, Denied.OTHER_GROUP)
+
 
 class Dispatcher:
     def __init__(self, deployment: Deployment, seed: int, deadlines: Deadlines, counters: Counters) -> None:
@@ -44,11 +50,15 @@
         """Take a request. `arrived` is the time of its last byte: its deadline runs from there."""
         now = self.clock()
         end = (now if arrived is None else arrived) + ask.ttl
-        request = Request(self._next, ask.cls, client, payload, end)
+        request = Request(self._next, ask.cls, client, payload, end, ask.id)
         self._next += 1
         self.requests[request.number] = request
         self.counters.taken += 1
         self.inflight += 1
+        if end <= now:  # it was read long before its turn: whatever was begun for it now would come too late
+            self._refuse(request, 0, EXPIRED)
+            del self.requests[request.number]
+            return request
         request.backstop = self.deadlines.at(end, lambda: self._overdue(request))
         self._feed(
             i.Arrived(
@@ -79,9 +89,11 @@
         """The client has gone. Its attempt is called off, even one whose answer has begun: nobody reads it."""
         if request.answered:
             return
+        request.left = True
         self._settle(request, "")
         self.counters.left += 1
         attempt = request.current
+        self._log(request, "left", "")
         self._feed(i.Left(request.number))
         if attempt and not attempt.over:
             self._call_off(attempt)
@@ -129,7 +141,7 @@
         (What the list takes away meanwhile is withdrawn by `listed`.)"""
         if not attempt.over and attempt.request.client.gone():
             self.leave(attempt.request)
-        if attempt.by and self.clock() >= attempt.by:
+        if may_begin(self.clock(), attempt.by):
             self.withdraw(attempt)
         return not attempt.over
 
@@ -180,6 +192,9 @@
             request.interrupted = request.interrupted or outcome not in (i.READ, i.ERROR)
         if outcome == i.READ:
             request.reader = attempt.engine
+        if outcome not in i.NEVER_RAN and self._has_effect(attempt) and request.ran is None and attempt.entry:
+            request.ran = Ran(attempt.entry.zone, attempt.entry.cell, attempt.sent_at)
+        request.outcome = outcome
         if not request.answered and (attempt.began or outcome == i.ANSWERED):
             self._settle(request, SUCCESS if outcome == i.ANSWERED else FAILURE)
             if outcome == i.ANSWERED:
@@ -229,9 +244,10 @@
     def _stop(self, attempt: Attempt, outcome: str) -> None:
         if attempt.over:
             return
+        request = attempt.request
         sent = self._backend.cancel(attempt)
-        if not sent:  # Danger: an engine that the list took away is not to blame, though its call was given up.
-            outcome = i.UNREACHABLE if self._wanted(attempt.engine) else i.WITHDRAWN
+        if not sent:  # a replica that the list took away is not to blame, nor is any for a client that has gone
+            outcome = i.WITHDRAWN if not self._wanted(attempt.engine) else i.MOOT if request.left else i.UNREACHABLE
         # Danger: a read may have ended well at the very moment of its closing, and its state stays pinned.
         self.end(attempt, outcome, may_hold=sent)
 
@@ -253,9 +269,7 @@
         if request.answered:
             return
         logger.error("request {request} reached its deadline without an answer from the router", request=request.number)
-        self._settle(request, FAILURE)
-        self.counters.failed += 1
-        request.client.fail()
+        self._fail(request, OVERDUE)
         self._feed(i.Left(request.number))
 
     def _feed(self, event: i.Event) -> None:
@@ -310,16 +324,12 @@
                 attempt = request.current
                 if attempt and attempt.index == index and not attempt.began:
                     self._call_off(attempt)
-            case i.Refuse(_, stay_away):
+            case i.Refuse(_, stay_away, why):
                 if not request.answered:
-                    self._settle(request, BUSY)
-                    self.counters.refused += 1
-                    request.client.refuse(stay_away)
-            case i.Fail():
+                    self._refuse(request, stay_away, why)
+            case i.Fail(_, why):
                 if not request.answered:
-                    self._settle(request, FAILURE)
-                    self.counters.failed += 1
-                    request.client.fail()
+                    self._fail(request, why)
             case i.Release():
                 self._release(request)
             case i.Move():
@@ -331,15 +341,67 @@
             self.leave(request)
         index, request.sends = request.sends, request.sends + 1
         deadline = min(now + send.patience, request.end)
-        attempt = Attempt(self, request, index, engine, now, deadline, send.by, send.held_until)
-        # The last word on where nothing new may go; from here on `listed` takes back what is not under way.
-        may = self._wanted(engine) and index < self.deployment.router.max_attempts
-        if request.answered or request.current or not may:
+        entry = self.engines.get(engine)
+        attempt = Attempt(self, request, index, engine, now, deadline, send.by, send.held_until, entry)
+        if denied := self._denied(attempt):
+            if denied in VIOLATIONS:
+                self._violated(request, denied)
             return self.end_unsent(attempt)
         request.current = attempt
         self.counters.sent += 1
+        if index:
+            self.counters.retries[request.outcome] += 1
+        self._log(request, "sent", f"n={index} engine={engine} after={request.outcome or 'arrival'}")
         self._backend.send(attempt)
 
+    def _denied(self, attempt: Attempt) -> Denied | None:
+        """Why an attempt may not be made, whatever was chosen: the last word on where nothing new may go. From here on
+        `listed` takes back what is not under way."""
+        request, router = attempt.request, self.deployment.router
+        if denied := may_send(
+            request.answered,
+            request.current is not None,
+            self._wanted(attempt.engine),
+            router.max_attempts - attempt.index,
+        ):
+            return denied
+        entry = attempt.entry
+        if entry is None or not self._has_effect(attempt):
+            return None
+        return may_repeat(router.classes[request.cls], request.ran, entry.zone, entry.cell, self.clock())
+
+    def _has_effect(self, attempt: Attempt) -> bool:
+        """Whether the replica answers the request: reading a prompt is no effect."""
+        return attempt.entry is not None and self.deployment.router.kinds[attempt.entry.kind].role != i.READER
+
+    def _refuse(self, request: Request, stay_away: int, why: str) -> None:
+        may_have_run = request.ran is not None or request.current is not None
+        if not may_refuse(self.deployment.router.classes[request.cls], may_have_run):
+            self._violated(request, REFUSED_AFTER_EFFECT)
+            return self._fail(request, why)
+        self._settle(request, BUSY)
+        self.counters.refused += 1
+        self.counters.refusals[why] += 1
+        self._log(request, "refused", why)
+        request.client.refuse(stay_away)
+
+    def _fail(self, request: Request, why: str) -> None:
+        self._settle(request, FAILURE)
+        self.counters.failed += 1
+        self.counters.failures[why] += 1
+        self._log(request, "failed", why)
+        request.client.fail()
+
+    def _violated(self, request: Request, rule: str) -> None:
+        """Something was asked for that no rule allows, and is not done. The log names the request."""
+        self.counters.violations[rule] += 1
+        logger.error("violation rule={rule} request={number} id={id}", rule=rule, number=request.number, id=request.id)
+
+    def _log(self, request: Request, state: str, why: str) -> None:
+        logger.debug(
+            "request={number} id={id} state={state} {why}", number=request.number, id=request.id, state=state, why=why
+        )
+
     def end_unsent(self, attempt: Attempt) -> None:
         """Not sent: the request is over, bound to another attempt, or out of attempts."""
         attempt.over = True
--- a/pearhill/core/request.py
+++ b/pearhill/core/request.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from pearhill import interface as i
 from pearhill.core.deadlines import Key
 from pearhill.core.ports import Client
+from pearhill.routing.permissions import Ran
 
 if TYPE_CHECKING:
     from pearhill.core.dispatcher import Dispatcher
@@ -29,6 +31,7 @@
     kinds: tuple[int, ...] = ()
     standing: str = ""
     away: int = 0
+    id: str = ""  # the client's, for the log
 
 
 class Request:
@@ -45,13 +48,21 @@
         "answered",
         "holders",
         "interrupted",
+        "id",
+        "ran",
+        "left",
+        "outcome",
         "reader",
         "backstop",
     )
 
-    def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int) -> None:
+    def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int, id: str = "") -> None:
         self.number, self.cls, self.client, self.payload, self.end = number, cls, client, payload, end
+        self.id = id
+        self.ran: Ran | None = None  # the first attempt that may have had the request's effect
+        self.left = False  # its client has gone
         self.sends = 0
+        self.outcome = ""  # of its last attempt
         self.current: Attempt | None = None
         self.answered = False  # nothing more is owed: answered, broken after its start, or the client has gone
         self.holders: set[int] = set()  # engines that may hold a state for it
@@ -70,6 +81,7 @@
         "sent_at",
         "deadline",
         "by",
+        "entry",
         "began",
         "over",
         "_owner",
@@ -87,10 +99,12 @@
         deadline: int,
         by: int = 0,
         held_until: int = 0,
+        entry: i.Entry | None = None,
     ) -> None:
         self.request, self.index, self.engine = request, index, engine
         self.sent_at, self.deadline = sent_at, deadline
         self.by = by  # its last byte has to be written by then; 0: whenever
+        self.entry = entry  # as the list had the replica then
         self.began = self.over = False
         self._owner = owner
         self._expiry: Key | None = owner.deadlines.at(deadline, lambda: owner.expire(self))
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -55,6 +55,10 @@
     clock_steps: int = 0  # of the wall clock, while the process runs
     faults: int = 0  # exceptions out of the router
     replayed: int = 0  # answers repeated from the idempotency store
+    refusals: Counter[str] = field(default_factory=Counter)  # by reason
+    failures: Counter[str] = field(default_factory=Counter)  # by reason
+    retries: Counter[str] = field(default_factory=Counter)  # further attempts, by the outcome of the one before
+    violations: Counter[str] = field(default_factory=Counter)  # by rule: what the core had to forbid; should be empty
     outcomes: Counter[str] = field(default_factory=Counter)  # of attempts
     probes: Counter[str] = field(default_factory=Counter)  # by outcome
     connections: Counter[str] = field(default_factory=Counter)  # ended, by side and reason code
--- a/pearhill/http1/messages.py
+++ b/pearhill/http1/messages.py
@@ -19,6 +19,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    arrived: int | None = None  # when its last byte was read, in microseconds of the process's clock; None: not told
 
     @property
     def path(self) -> str:
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -238,17 +238,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: not done, and trying again is harmless (after `stay_away`, where above 0)."""
+    """Final answer: not done, and trying again is harmless (after `stay_away`, where above 0). `why`: for the log."""
 
     request: int
     stay_away: int
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: failed, nothing is promised."""
+    """Final answer: failed, nothing is promised. `why`: for the log."""
 
     request: int
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -33,6 +33,7 @@
 LINGER, LINGER_BYTES = 1_000_000, 256 * 1024  # how long, and how much, is read past the last answer
 LOOK_BYTES = 4 << 20  # read at once to see whether a client that has sent so much is still there
 WRITE_WITHIN = 20_000_000  # a client that takes no byte for so long is gone
+BACKLOG = 1024  # connections that may wait at the door
 ACCEPT_AT_ONCE = 16  # connections taken in one turn
 LOOK_AGAIN = 20_000  # at the door, once there was no room
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -66,8 +67,9 @@
         self.answering = self.closed = self.ending = False
         self.requests = 0
         self.since = listener.deadlines.clock()  # its accept, the first byte of what is being read, the last answer
-        self._keep = True
+        self._keep = True  # its client lets it live on, and nothing on it has gone wrong
         self._last = False  # the next answer ends it, whatever its request says
+        self._told_last = False  # the client was told that this answer is the last one
         self._out = bytearray()
         self._past = 0  # bytes read behind its last answer
         self._room = asyncio.Event()
@@ -164,9 +166,10 @@
     # Inside.
 
     def _keeps(self) -> bool:
-        """Whether the connection outlives this answer. Told to the client, so settled once."""
-        self._keep = self._keep and not self.listener.draining
-        return self._keep
+        """Whether the connection outlives this answer. Told to the client, so settled once. Requests that were read
+        behind it are owed their answers, whoever wants the connection to end."""
+        self._told_last = not self._keep or ((self.listener.draining or self._last) and not self.waiting)
+        return not self._told_last
 
     def _put(self, data: bytes) -> None:
         if not self.closed:
@@ -186,7 +189,7 @@
 
     def _done(self) -> None:
         self.answering, self.pending = False, None
-        if not self._keep or self.listener.closing:
+        if not self._keep or ((self._told_last or self.listener.closing) and not self.waiting):
             self.ending = True
             self._flush()
             return
@@ -207,7 +210,7 @@
                 self._reject(message)
                 break
             self.requests += 1
-            self._keep = message.keep_alive and not self._last
+            self._keep, self._told_last = message.keep_alive, False
             turn = self.requests
             try:
                 pending = self.listener.handler.handle(message, self)
@@ -289,6 +292,8 @@
                 self.waiting.append(Rejected(429, "too many requests at once on one connection"))
                 self.machine.close()
                 break
+            if isinstance(event, RequestMessage):
+                event.arrived = self.listener.deadlines.clock()
             self.waiting.append(event)
         if self.waiting:
             self._advance()
@@ -409,7 +414,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind(address)
-            sock.listen(1024)
+            sock.listen(BACKLOG)
         except OSError:
             sock.close()
             raise
@@ -556,19 +561,31 @@
                 link.close_unless_asked("drained")
 
     def stop_accepting(self, leave: bool = False) -> None:
-        """Shut the door. `leave` whoever waits behind it to another process that accepts from the same socket.
-        Danger: with nobody else there they are reset, and what they have sent is lost."""
+        """Shut the door. `leave` whoever waits behind it to another process that accepts from the same socket: with
+        nobody else there they are reset, and what they have sent is lost."""
         if not self._sock:
             return
         self.pause(True)
-        while not leave:
+        if not leave:
+            self.accept_all()
+        self._sock.close()
+        self._sock = None
+
+    def accept_all(self) -> bool:
+        """Take whoever waits at the door now. False: descriptors or memory have run out, and somebody may wait on."""
+        for _ in range(BACKLOG if self._sock else 0):
+            assert self._sock
             try:
                 client, peer = self._sock.accept()
-            except OSError:
+            except BlockingIOError:
                 break
+            except OSError as e:
+                if e.errno in EXHAUSTED:
+                    self.counters.accept_failures += 1
+                    return False
+                continue  # that one has gone; those behind it have not
             self._take(client, peer)
-        self._sock.close()
-        self._sock = None
+        return True
 
     async def close(self) -> None:
         self.stop_accepting()
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -276,6 +276,9 @@
         if leaving:
             await leaving()
         await pause(self.deadlines, ACCEPT_FOR)
+        last = self.deadlines.clock() + ACCEPT_FOR
+        while not self.succeeded() and not listener.accept_all() and self.deadlines.clock() < last:
+            await pause(self.deadlines, LOOK_AGAIN)
         listener.stop_accepting(leave=self.succeeded())
         await self.until(lambda: not listener.open, listener.close_idle)
         await listener.close()
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -158,7 +158,7 @@
             message.headers.get("content-type", "application/json"),
             message.headers.get("idempotency-key", ""),
         )
-        request = dispatcher.take(ask, client, payload)
+        request = dispatcher.take(ask, client, payload, message.arrived)
         client.request = None if request.answered else request
         return client
 
@@ -202,4 +202,5 @@
             tenant=tenant,
             repeat=headers.get("client-retry") == "1",
             resumed=headers.get("client-retry") == "again",
+            id=id,
         )
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from pearhill import interface as i
+from pearhill.routing.permissions import Ran, may_refuse, may_repeat
 
 STEP_EVERY = 2_000_000  # design: the ratio moves every two seconds
 RATIO_START, RATIO_STEP, RATIO_MAX = 0.2, 0.1, 0.3  # design
@@ -99,7 +100,7 @@
         self.sent_at = self.weight = self.cost = self.load = self.known = self.held_at = 0
         self.reading = self.fetches = self.streaming = self.closed = self.out = False
         self.held: Engine | None = None
-        self.ran: tuple[Engine, int] | None = None
+        self.ran: Ran | None = None
         self.tried: list[int] = []
         self.looked, self.among = (-2, False), list[Engine]()  # the choice asked for, and between whom
 
@@ -226,15 +227,11 @@
         return [e for e in well if e.id not in job.tried] or well
 
     def _legal(self, job: Job, e: Engine) -> bool:
-        """Danger: an effect that happens twice. Once it may have run, a keyed request stays in its group."""
-        spec = self.s.classes[job.req.cls]
+        """Whether this request may be sent to this replica at all."""
         if job.req.kinds and e.entry.kind not in job.req.kinds:
             return False
-        if job.ran is None or spec.effect == i.SAFE:
-            return True
-        a, b, at = e.entry, job.ran[0].entry, job.ran[1]
-        near = {"all": True, "zone": a.zone == b.zone, "cell": a.cell == b.cell}
-        return spec.effect == i.KEYED and near[spec.group] and self.now < at + spec.window
+        spec = self.s.classes[job.req.cls]
+        return may_repeat(spec, job.ran, e.entry.zone, e.entry.cell, self.now) is None
 
     def _held(self, e: Engine, tokens: int) -> float:
         """The share of its memory held there: as reported, the older the more its kind's, and sent since.
@@ -275,7 +272,7 @@
 
     def _arrived(self, req: i.Arrived) -> None:
         if req.standing in (i.OVER, i.DEBT):
-            return self.actions.append(i.Refuse(req.request, req.away if self.s.retry_hints else 0))
+            return self.actions.append(i.Refuse(req.request, req.away if self.s.retry_hints else 0, "over-budget"))
         aim = self.s.classes[req.cls].aim + self.s.classes[req.cls].aim_per_1000 * req.prompt / 1000
         job = self.jobs[req.request] = Job(req, self.now + req.ttl, int(self.now + aim))
         self.lengths.setdefault(req.cls, Faded(2 * STEP_EVERY, 30)).add(self.now, req.prompt)
@@ -293,7 +290,7 @@
         mixed = [e for e in self._order(self.ready[i.MIXED], job) if self._held(e, fair) < FULL_MEMORY]
         # Load shedding. Danger: a prompt that is read with no writer in sight is read for nothing.
         if job.attempt < 0 and not roomy and not mixed:
-            return self._close(job)
+            return self._close(job, "no-room")
         if mixed and self._quick(whole := min(mixed[:2], key=lambda e: self._held(e, 0)), job):
             return None if self._look(job, mixed[:2]) else self._send(job, whole)  # long reads stall streams
         if roomy and self.s.local_read and self.ratio and (local := self._local(job, roomy)):
@@ -319,11 +316,11 @@
                 reader, job.home = other, -1
             # Load shedding, least worth first. Danger: work that is late anyway delays what could be in time.
             elif takes > line and job.attempt < 0:
-                return self._close(job)
+                return self._close(job, "slow-reads")
             return self._send(job, reader)
         # No reader is left: the exception reads at a writer or mixed server, whatever the prompt's length.
         rest = mixed + (roomy if self.s.local_read else [])
-        self._pick(job, rest) if rest else self._close(job)
+        self._pick(job, rest) if rest else self._close(job, "no-replica")
 
     def _look(self, job: Job, pool: list[Engine]) -> bool:
         """Ask what the engines of a choice tell of themselves, once before each that is worth it."""
@@ -405,7 +402,7 @@
         calm = [e for e in roomy if e.load <= line]
         cell = [e for e in calm if e.entry.cell == at.cell]
         near = cell or [e for e in calm if e.entry.zone == at.zone] or calm or roomy
-        self._pick(job, near) if near else self._close(job)
+        self._pick(job, near) if near else self._close(job, "no-writer")
 
     def _send(self, job: Job, e: Engine) -> None:
         req, left, spec = job.req, job.end - self.now, self.s.classes[job.req.cls]
@@ -427,7 +424,7 @@
         last = job.attempt + 1 >= self.s.max_attempts or wait > left
         held_until = job.held_at + self.s.release_within if job.held else 0
         by = [held_until] if held_until else []  # its connection may come up late
-        by += [job.ran[1] + spec.window] if job.ran and spec.effect == i.KEYED and not job.reading else []
+        by += [job.ran.at + spec.window] if job.ran and spec.effect == i.KEYED and not job.reading else []
         patience = max(1, int(left if last else min(wait, left / 2)))
         self.actions.append(i.Send(req.request, e.id, patience, min(by, default=0), held_until))
 
@@ -475,7 +472,7 @@
         if event.outcome not in (i.UNREACHABLE, i.WITHDRAWN, i.MOOT):  # else the time of what is held runs on
             job.held_at = self.now
         if event.outcome not in i.NEVER_RAN and not job.reading:
-            job.ran = job.ran or (e, job.sent_at)
+            job.ran = job.ran or Ran(e.entry.zone, e.entry.cell, job.sent_at)
         if event.outcome == i.ANSWERED:
             mean = self.lasts.setdefault(job.req.cls, Faded(2 * STEP_EVERY, 20, event.rtt))
             mean.add(self.now, event.rtt)
@@ -493,8 +490,10 @@
     def _again(self, job: Job) -> None:
         """An attempt has failed: try elsewhere while that is allowed and of use."""
         # Retry budget. Danger: attempts that fail under load add to it. _legal stops unsafe ones.
-        if job.attempt + 1 >= self.s.max_attempts or self.retries < 1:
-            return self._close(job)
+        if job.attempt + 1 >= self.s.max_attempts:
+            return self._close(job, "attempts-used")
+        if self.retries < 1:
+            return self._close(job, "retry-budget")
         self.retries -= 1
         if job.held and self.now < job.held_at + self.s.release_within:
             return self._write(job)
@@ -503,14 +502,15 @@
         self.actions.append(i.Release(job.req.request))
         self._place(job)
 
-    def _close(self, job: Job) -> None:
+    def _close(self, job: Job, why: str) -> None:
         """The final answer, and whatever is held goes with it. A refused client is told to stay away for as
         long as it heeds. Danger: those who come back at once add to the jam that they were refused for."""
-        # Danger: even a read counts as one that may run until it has ended, and a refusal would be a lie.
-        spec, ran = self.s.classes[job.req.cls], job.ran is not None or job.out
-        harmless = not ran or spec.effect == i.SAFE or (spec.effect == i.KEYED and spec.group == "all")
-        away = self.s.max_retry_after if self.s.retry_hints else 0
-        self.actions.append(i.Refuse(job.req.request, away) if harmless else i.Fail(job.req.request))
+        # Even a read counts as one that may run until it has ended, and a refusal would be a lie.
+        spec, away = self.s.classes[job.req.cls], self.s.max_retry_after if self.s.retry_hints else 0
+        if may_refuse(spec, job.ran is not None or job.out):
+            self.actions.append(i.Refuse(job.req.request, away, why))
+        else:
+            self.actions.append(i.Fail(job.req.request, why))
         self._drop(job)
 
     def _drop(self, job: Job) -> None:
@@ -567,7 +567,7 @@
         if (what := self.timers.pop(event.timer, -2)) == -1:
             self._step()
         elif (job := self.jobs.get(what)) and not job.closed and not job.streaming:
-            self._close(job)
+            self._close(job, "deadline")
 
     def _step(self) -> None:
         """The ratio's step. Reads still out count with their age. Danger: a hung reader looks fast."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -186,6 +186,34 @@
         self.take(BOOKING)
         self.assertEqual(len(self.sent), 1)
 
+    def test_an_effect_is_not_repeated_nor_its_request_refused_whatever_the_router_wants(self):
+        """Both are counted as violations; the client hears that it failed."""
+        client = self.take(BOOKING)
+        self.sent[0].end(i.READ, may_hold=True)
+        number, writer = client.request.number, self.sent[1].engine
+        wanted: list[i.Action] = [i.Send(number, writer, 10**6)]
+        self.core.router.handle = lambda now, event: [wanted.pop()] if wanted else []  # type: ignore[method-assign]
+        self.sent[1].end(i.BROKEN, may_hold=True)
+        self.assertEqual(len(self.sent), 2)
+        wanted.append(i.Refuse(number, 0))
+        self.core.listed(False, ())
+        self.assertEqual(client.told, ["fail"])
+        self.assertEqual(dict(self.core.counters.violations), {"may-have-run": 1, "refused-after-effect": 1})
+
+    def test_a_client_that_leaves_while_its_connection_comes_up_blames_no_engine(self):
+        self.reached = False
+        for _ in range(5):
+            client = self.take()
+            self.core.leave(client.request)
+        self.assertEqual(self.core.counters.outcomes, {i.MOOT: 5})
+        self.assertFalse([e.id for e in self.core.router.router.engines.values() if e.fails.weight])
+
+    def test_a_request_whose_time_was_over_before_its_turn_is_refused_and_not_sent(self):
+        client = Client()
+        self.core.take(Ask(BOOKING, 1000, prompt=3000, max_out=100), client, None, arrived=self.now - 1000)
+        self.assertEqual((client.told, self.sent, self.core.requests), (["refuse"], [], {}))
+        self.assertEqual(self.core.counters.refusals, {"expired": 1})
+
     def test_an_engine_that_the_list_does_not_name_as_ready_gets_nothing_whatever_the_router_wants(self):
         for phase in (i.DRAINING, i.GONE):
             self.setUp()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -116,7 +116,11 @@
 def test_every_other_action_reads_back(action, code, fields):
     raw = wire.encode_action(action)
     assert struct.unpack("<BI", raw[:5]) == (code, struct.calcsize(fields))
-    assert list(struct.unpack(fields, raw[5:])) == [getattr(action, name) for name in action.__slots__]
+    assert list(struct.unpack(fields, raw[5:])) == [
+        getattr(action, name)
+        for name in action.__slots__
+        if name != "why"  # for the log alone, on no wire
+    ]
 
 
 def test_fault_carries_its_text():
