--- a/tests/platform/test_watch_way.py
+++ b/tests/platform/test_watch_way.py
@@ -168,3 +168,39 @@
     # Danger: a program that asks every few milliseconds would pass too.
     seconds = 15 + sum(wait for wait, _ in script) / 1000
     assert agent.calls <= 5 * seconds * S / min(grace, S // 2) + 2 * len(script) + 10
+
+
+NONSENSE = (b"[" * 100_000, b'{"rev": 1e999, "all": true, "targets": []}', b"7", b"\xff")
+
+
+@pytest.mark.parametrize("shared", [True, False])
+def test_a_list_that_is_nonsense_of_any_kind_ends_no_watch(shared):
+    """The calls go on, and the next list is taken."""
+
+    async def day(loop: VirtualLoop) -> int:
+        bodies = [*NONSENSE, json.dumps({"rev": 2, "all": True, "targets": [ENTRY]}).encode()]
+        lists = list[bool]()
+
+        async def call(*args: object, **more: object) -> tuple[int, bytes]:
+            if not bodies:
+                await asyncio.sleep(3600)
+            return 200, bodies.pop(0)
+
+        deadlines = Deadlines(loop.micros)
+        turns = Turns(loop, deadlines)
+        pool = SimpleNamespace(deadlines=deadlines, spawn=Tasks(loop, "a call").spawn, drop_idle=lambda address: None)
+        schedule = CallSchedule(shared, 3, 500_000, random.Random(1))
+        deployment = deployments.parse(SETTINGS)
+        with patch.object(discovery, "call", call):
+            watch = discovery.Watch(pool, ("127.0.0.1", 1), deployment, lambda *a: lists.append(True), schedule, {})
+            watch.start()
+            await asyncio.sleep(30)
+            watch.stop()
+        turns.close()
+        return len(lists)
+
+    loop = VirtualLoop()
+    try:
+        assert loop.run_until_complete(day(loop)) == 1
+    finally:
+        loop.close()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,13 +1,15 @@
 """The core and the state machines by themselves: no socket, no process, a clock by hand."""
 
 import asyncio
+import errno
 import gc
+import os
 import sys
 import unittest
 import weakref
 from dataclasses import replace
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from pearhill import interface as i
 from pearhill import settings
@@ -477,6 +479,24 @@
         await backend.calls[attempt].task
         attempt.end.assert_called_once_with(i.MOOT, 0, False, 0, None)
 
+    async def test_a_system_out_of_descriptors_or_ports_is_no_fault_of_the_engines(self):
+        """Neither is an attempt spent on it at once: it may be over in a moment."""
+        backend = HttpBackend(self.pool, ReplicaDialect())
+        backend.locate({1: self.address}, [], full=True)
+        for number in (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL):
+            attempt = Mock(engine=1, deadline=self.now + 10**7, by=0, over=False, may_begin=lambda: False)
+            with patch("pearhill.net.pool.socket.socket", side_effect=OSError(number, os.strerror(number))):
+                backend.send(attempt)
+                task = backend.calls[attempt].task
+                for _ in range(100):
+                    await asyncio.sleep(0)
+                self.assertFalse(task.done(), errno.errorcode[number])
+                self.now += 10**6  # the time for a connection is over
+                while not task.done():
+                    self.deadlines.sweep()
+                    await asyncio.sleep(0)
+            attempt.end.assert_called_once_with(i.MOOT, 0, False, 0, None)
+
     async def test_an_attempt_whose_last_byte_is_not_written_when_its_time_is_over_is_taken_back(self):
         """A server that reads slowly would run it only then."""
         backend = HttpBackend(self.pool, ReplicaDialect())
