Shortages of the system blame no replica; the watch and the log outlive what fails them

Cause: Pool.acquire told a refused socket or connect of the system apart from the replica's only by its own bound; Watch._ask caught five kinds of errors and left its task with any other, after which a shared discovery is never called again; LogThread._run returned at the first OSError.

Change: ENFILE, EMFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are Exhausted, tried again every 20 ms for connect-timeout, and moot then; any error over an answer of discovery is a failed call; a line that cannot be written is lost and counted, the next one is tried. Counter: shortages. The soak's log check matched the word violations in the counters line: it reads violation rule= now.

--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -52,6 +52,7 @@
     unconfirmed: int = 0  # fetches with no sign of their replica when what is held for them had to be let go
     lists: int = 0  # lists of engines applied
     accept_failures: int = 0  # accepts that failed for want of descriptors or memory
+    shortages: int = 0  # connections to servers that the system had no descriptor, memory or port for
     clock_steps: int = 0  # of the wall clock, while the process runs
     faults: int = 0  # exceptions out of the router
     replayed: int = 0  # answers repeated from the idempotency store
--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -18,7 +18,7 @@
 READY_WITHIN_S = 30.0
 KEPT_LINES = 400
 _LISTENS = re.compile(r"listens on ([\d.]+):(\d+)")
-_FAULTS = re.compile(r"Traceback|task failed|failed on|reached its deadline without an answer|violation")
+_FAULTS = re.compile(r"Traceback|task failed|failed on|reached its deadline without an answer|violation rule=")
 
 
 class Dispatcher:
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -17,14 +17,16 @@
 from pearhill.core.request import Attempt, Request
 from pearhill.http1.client import MAX_CHUNK, Data, End, Event, Head, Lost
 from pearhill.net.address import Address
-from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, NoRoom, Pool
+from pearhill.net.pool import MAX_CONNECT, CannotConnect, Connection, Exhausted, NoRoom, Pool
 from pearhill.net.probes import ProbeDialect, Probes, Told
 from pearhill.net.releases import ReleaseDialect, Releases
+from pearhill.net.turns import pause
 
 STALL = 4_500_000  # a stream that is silent for so long is given up: its client may not wait 5 s for nothing
 KEEP_LEFT = 60_000_000  # the address of an engine that has left the list: attempts and releases may still need it
 # For a connection while a state is held: the Router begins none after its time, and 350 ms more are allowed.
 HELD_CONNECT = 250_000
+SHORTAGE_AGAIN = 20_000  # between two tries of a connection while the system is short of something
 END_WITHIN = 1_000_000  # for the last chunk of an answer that is whole without it
 MAX_BODY = 64 * 1024  # of an answer that is no stream
 
@@ -99,9 +101,7 @@
                 raise CannotConnect("the engine has no address")
             if not await self.backend.releases.may_replace(attempt.request):
                 return self.over(i.MOOT)
-            connection = self.connection = await pool.acquire(
-                address, within=HELD_CONNECT if attempt.request.holders else MAX_CONNECT
-            )
+            connection = self.connection = await self._connect(address)
         except NoRoom:  # Danger: taken for the engine's failure, a crowd here would eject every engine in turn.
             return self.over(i.MOOT)
         except CannotConnect:
@@ -121,6 +121,19 @@
         if connection.closed:
             self.over(i.BROKEN, may_hold=True)
 
+    async def _connect(self, address: Address) -> Connection:
+        """A shortage of the system may be over in a moment: what is spent on it is time, as on a connection that comes
+        up late, and not an attempt. CannotConnect: it is not over in that time."""
+        pool = self.backend.pool
+        give_up = pool.deadlines.clock() + pool.connect_timeout
+        while True:
+            try:
+                return await pool.acquire(address, within=HELD_CONNECT if self.attempt.request.holders else MAX_CONNECT)
+            except Exhausted:
+                if pool.deadlines.clock() >= give_up:
+                    raise
+            await pause(pool.deadlines, SHORTAGE_AGAIN)
+
     def _too_late(self) -> None:
         """Danger: its connection may come up long after the choice, and a server that reads slowly has the last byte
         long after the first, and runs it only then."""
--- a/pearhill/net/log.py
+++ b/pearhill/net/log.py
@@ -46,6 +46,7 @@
         self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         self._form = FORMS[form]
+        self.lost = 0  # lines that could not be written
         logger.remove()
         # The line's own form is made here: loguru's way with times costs as much as all the rest of a line.
         logger.add(self._put, format="{message}", level=level, backtrace=False, diagnose=False)
@@ -60,8 +61,8 @@
             try:
                 sys.stderr.write(line)
                 sys.stderr.flush()
-            except OSError:
-                return
+            except (OSError, ValueError):
+                self.lost += 1  # the disk is full, or the reader has gone: later lines may get through again
 
     def close(self) -> None:
         """Write what waits, within a second."""
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from typing import Protocol
 
@@ -35,6 +36,13 @@
     """It was not even tried: this process has no descriptor for it. That says nothing of the server."""
 
 
+class Exhausted(NoRoom):
+    """The system has no descriptor, memory or port for it at this moment."""
+
+
+SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+
 class Exchange(Protocol):
     """One request on a connection. `handle` gets each piece of the answer, a `Lost` at the latest."""
 
@@ -205,6 +213,9 @@
         except (OSError, TimeoutError) as e:
             if sock:
                 sock.close()
+            if isinstance(e, OSError) and e.errno in SHORTAGES:
+                self.counters.shortages += 1
+                raise Exhausted(str(e)) from None
             raise CannotConnect(f"{address[0]}:{address[1]}: {e or 'timed out'}") from None
         except asyncio.CancelledError:
             if sock:
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -24,6 +24,8 @@
 PATH = "/v1/endpoints"
 STATES = {"active": i.READY, "leaving": i.DRAINING, "left": i.GONE}
 
+EXPECTED = (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect)  # ways in which a call fails
+
 OnList = Callable[[bool, tuple[i.Entry, ...], dict[int, Address]], None]
 
 
@@ -61,7 +63,7 @@
             )
             addresses[engine] = parse_address(target["endpoint"])
             entries.append(entry)
-        except (KeyError, ValueError, TypeError, AttributeError) as e:
+        except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as e:
             left_out.append((e, target))
             # Danger: left out of a change that says that it leaves, one would go on getting requests.
             old = known.get(engine_of(str(target.get("uid")))) if isinstance(target, Mapping) else None
@@ -179,7 +181,10 @@
             if status != 200:
                 raise ValueError(f"status {status}")
             self.apply(json.loads(body))
-        except (OSError, TimeoutError, ValueError, KeyError, TypeError, CannotConnect) as e:
+        except Exception as e:
+            # Whatever a body makes the parse do, the calls have to go on: nobody else would make the next one.
+            if not isinstance(e, EXPECTED):
+                logger.opt(exception=e).error("discovery: an answer to {target} could not be read", target=target)
             if task in self._out:
                 self._out.remove(task)
                 self._failed(f"{target}: {e!r}")
