Failing tests: a note nobody can read, an idle connection past its time, an early SIGUSR1

Read on the ways of restart, hand-over and idle close: Upgrade counts a note as told though its write failed with ENOSPC; an idle connection to a server past its time is used if the loop comes late to its deadline; SIGUSR1 before the handlers are there ends the process.

--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import re
@@ -275,9 +276,9 @@
         if found := REQUEST_TARGET.search(target):
             after, wait_s = int(found[1]), int(found[2] or 0) / 1000
             async with self._changed:
-                try:
+                with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait_for(lambda: self.rev > after), wait_s)
-                except TimeoutError:
+                if self.rev == after:  # a change may have come in the moment in which the wait was over
                     return json.dumps({"rev": self.rev, "all": False, "targets": []}).encode()
         return json.dumps({"rev": self.rev, "all": True, "targets": list(self.targets.values())}).encode()
 
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -112,3 +112,25 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(asyncio.wait_for(day(), 20))
+
+
+def test_a_connection_that_idled_too_long_is_not_used_though_a_late_loop_has_not_ended_it():
+    """The server may have forgotten it without a word: what is sent there ends as a reset, and may have run."""
+
+    async def day() -> None:
+        now, loop = 0, asyncio.get_running_loop()
+        pool = Pool(
+            loop, Deadlines(lambda: now), Counters(), connect_timeout=10**6, keep_idle=5_000_000, most=4, spare=9
+        )
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        first = await pool.acquire(address)
+        pool.put_back(first)
+        now += 5_000_000
+        assert await pool.acquire(address) is not first
+        pool.close()
+        server.close()
+        await asyncio.sleep(0)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(day(), 20))
--- a/tests/platform/test_clock_steps.py
+++ b/tests/platform/test_clock_steps.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from pearhill.service.handover import YES_BY
 from tests.platform.test_owed import BODY, PATH
 from tests.standins import LAST, SETTINGS, TOKENS, Discovery, Program, Standin, platform_file
 from tests.test_upgrade import UpgradeCase
@@ -107,10 +108,22 @@
                 old.wait_ready()
                 self.assertEqual(self.ops(old, "POST", "/ops/replicas/down?target=s-0")[0], 200)
                 with unittest.mock.patch.object(Program, "LAUNCH", Shimmed.LAUNCH):
-                    new = self.process(SOAK_WALL_S=str(step_s))
+                    new = self.process(SOAK_COMMANDS=f"wall {step_s}")
                 old.wait_line("another takes the clients")
                 self.wait_for(lambda new=new: self.yes(new))
                 self.assertEqual(json.loads(self.ops(new, "GET", "/ops/stats")[1])["hosts_down"], 1)
                 old.stop()
                 self.assertEqual(self.ops(new, "POST", "/ops/replicas/up?target=s-0")[0], 200)
                 new.kill()
+
+
+class AnUpgradeOnAFullDisk(UpgradeCase):
+    def test_a_successor_whose_note_nobody_can_read_leaves_its_elder_the_time(self):
+        """The elder cannot know of it, and would be ended while it still takes clients; in the end it must say yes."""
+        old = self.process()
+        old.wait_ready()
+        began = time.monotonic()
+        with unittest.mock.patch.object(Program, "LAUNCH", Shimmed.LAUNCH):
+            new = self.process(SOAK_COMMANDS="fail write-file ENOSPC 1")
+        self.wait_for(lambda: self.yes(new))
+        self.assertGreater(time.monotonic() - began, YES_BY / 1e6)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,24 @@
+"""What a daemon's process does before and after its loop runs."""
+
+import subprocess
+import sys
+
+from tests.standins import ROOT
+
+EARLY = """
+import os, signal
+from pearhill.config import ConfigError
+from pearhill.process import run
+
+def work():
+    for number in (signal.SIGHUP, signal.SIGUSR1):
+        os.kill(os.getpid(), number)
+    raise ConfigError("far enough")
+
+raise SystemExit(run(work, "INFO"))
+"""
+
+
+def test_a_signal_that_asks_for_a_report_or_a_reload_ends_no_process_that_is_starting():
+    done = subprocess.run([sys.executable, "-c", EARLY], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert (done.returncode, done.stderr) == (2, "pearhill: far enough\n")
