Notes count once written; idle connections end on time; SIGUSR1 waits for its handler

A connection past its idle time is closed where it would be used. SIGUSR1 is held back like SIGHUP, at the start and at the end.

--- a/pearhill/lab/soak/shim.py
+++ b/pearhill/lab/soak/shim.py
@@ -6,8 +6,8 @@
     fail CALL ERRNO SHARE     CALL (accept, socket, connect, write-file, write-log) fails so in this share of cases
     pieces BYTES              reads and writes on sockets are cut to at most so many bytes; 0: whole again
 
-`SOAK_COMMANDS` holds commands, divided by `;`, that count before the program starts. Python's own functions are replaced
-before the program is imported, so that the program itself is the real one.
+`SOAK_COMMANDS` holds commands, divided by `;`, that count before the program starts. Python's own functions are
+replaced before the program is imported, so that the program itself is the real one.
 """
 
 from __future__ import annotations
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -194,7 +194,11 @@
         for connection in [] if fresh else reversed(self.idle.get(address, []).copy()):
             if use == REQUESTS and connection.rests_until > now:
                 continue
+            expired = connection.idle_key is not None and connection.idle_key[0] <= now
             self._leave_idle(connection)
+            if expired:  # the sweep comes late: the server may have forgotten it without a word
+                connection.close("idle")
+                continue
             if connection.usable:
                 return connection
             connection.close("stale")
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -255,7 +255,7 @@
             self.loop.add_signal_handler(number, stopped.set)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload, reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGUSR1})
         operators = self._open_door(*door) if door else None
         listener = self.listener = Listener(
             self.loop, self.deadlines, self.counters, handler, self.room, self.limits.max_body, self.limits.send_buffer
@@ -284,8 +284,8 @@
         await listener.close()
         if operators:
             await operators.close()
-        # Danger: as the loop closes, the system's own handling comes back, and a late SIGHUP would end the process.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+        # As the loop closes, the system's own handling comes back, and a late signal would end the process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGUSR1})
 
     async def until(
         self,
--- a/pearhill/process.py
+++ b/pearhill/process.py
@@ -14,12 +14,14 @@
 from pearhill.config import ConfigError
 from pearhill.net.log import LogThread
 
+REQUESTS_BY_SIGNAL = {signal.SIGHUP, signal.SIGUSR1}  # to reload, and to log the counters
+
 
 def run(work: Callable[[], Coroutine[Any, Any, None]], log_level: str, log_format: str = "text") -> int:
     """Make the work and see it through. The exit code: 0, 1 where the system refused something, 2 for bad
     configuration, which is told in one line."""
-    # Danger: until there is a handler a SIGHUP would end the process. It waits; threads started here never get it.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Until there are handlers these would end the process. They wait; threads started here never get them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, REQUESTS_BY_SIGNAL)
     try:
         coroutine = work()
     except ConfigError as e:
--- a/pearhill/service/handover.py
+++ b/pearhill/service/handover.py
@@ -150,6 +150,10 @@
         """Whether a process of this age, which serves, lets the platform go on: that ends the elder."""
         return not self.awaited or age >= YES_BY
 
+    def not_written(self) -> None:
+        """The last note did not reach the folder: the next one has to be written whatever it says."""
+        self._written = None
+
     def note(self, now: int, serving: bool, quiet: bool, ended: bool = False) -> Note | None:
         """What to write now; None: what was last written will do."""
         out, drain = dict(self.wishes.out), self.wishes.drain
--- a/pearhill/upgrade.py
+++ b/pearhill/upgrade.py
@@ -13,7 +13,7 @@
 from pearhill.net.clock import origin
 from pearhill.net.turns import pause
 from pearhill.node import Node
-from pearhill.service.handover import BadNote, Handover, Note, decode
+from pearhill.service.handover import YES_BY, BadNote, Handover, Note, decode
 
 LOOK_EVERY = 100_000  # a call at either process holds for both within this
 
@@ -47,6 +47,7 @@
         self.notes = Notes(folder, name, self.start)
         self.handover = Handover(name, self.start, node.wishes, origin(node.deadlines.clock), _boot())
         self.told_to_serve = False  # others can read by now that this process takes the clients
+        self._failed = False  # the last note could not be written
         self._complaints = set[str]()
         node.succeeded = self._succeeded
         self._heard(self._exchange(self._note()))
@@ -57,7 +58,7 @@
             await pause(self.node.deadlines, LOOK_EVERY)
             note = self._note()
             self._heard(await self.node.loop.run_in_executor(None, self._exchange, note))
-            self.told_to_serve = self.told_to_serve or (note is not None and note.serving)
+            self.told_to_serve = self.told_to_serve or (note is not None and note.serving and not self._failed)
 
     def _note(self, ended: bool = False) -> Note | None:
         return self.handover.note(self.node.deadlines.clock(), self.node.accepting, self.node.quiet, ended)
@@ -66,8 +67,11 @@
         """Write ours, read theirs. Runs in the thread: it touches files and nothing else."""
         try:
             if note:
+                self._failed = True
                 self.notes.write(note.encode())
+                self._failed = False
         except OSError as e:
+            self.handover.not_written()
             self._complain(f"the note cannot be written, so another process will not know of this one: {e}")
         try:
             return list(self.notes.others())
@@ -114,7 +118,8 @@
         return can_serve or not self.handover.elder
 
     def says_yes(self) -> bool:
-        return self.told_to_serve and self.handover.says_yes(_age())
+        age = _age()
+        return (self.told_to_serve or age >= YES_BY) and self.handover.says_yes(age)
 
     def end(self) -> None:
         self._task.cancel()
