Failing tests: reloads in a row put the next call off, late requests in a drain

Read on the ways of reload and shutdown. A request that arrives 0.7 s after SIGTERM on a connection that is still busy was taken and forwarded; under way at SIGKILL it is lost.

--- a/tests/platform/test_pipelined.py
+++ b/tests/platform/test_pipelined.py
@@ -49,3 +49,23 @@
     ending.set()
     assert [answer(client) for _ in range(3)] == [(200, SERVED)] * 3
     assert program.process.wait(20) == 0
+
+
+def test_what_arrives_long_after_the_signal_to_end_is_refused(day):  # noqa: F811
+    """Under way when the platform kills, it would be lost; refused, it is served elsewhere."""
+    server, over = Standin(), threading.Event()
+    server.respond = lambda handler, body: (over.wait(20), handler.chunks(*TOKENS, LAST))
+    program = day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("e1"))
+    server.wait_for("POST")
+    program.process.send_signal(signal.SIGTERM)
+    program.wait_line("draining")
+    began = time.monotonic()
+    while time.monotonic() < began + 0.7:
+        pass
+    client.sendall(request("e2"))
+    over.set()
+    assert answer(client) == (200, SERVED)
+    assert answer(client)[0] in (0, 503)
+    assert server.runs == 1
--- a/tests/platform/test_watch_way.py
+++ b/tests/platform/test_watch_way.py
@@ -4,6 +4,7 @@
 misses 6 s after it fell silent, or 2 s after that call's wait is over. The Watch is the real one."""
 
 import asyncio
+import itertools
 import json
 import random
 import re
@@ -204,3 +205,38 @@
         assert loop.run_until_complete(day(loop)) == 1
     finally:
         loop.close()
+
+
+def test_new_configurations_in_a_row_put_no_call_off():
+    """Each names another discovery, and each draws the time of its first call anew. What has changed meanwhile counts
+    as told after 6 s all the same."""
+
+    async def day(loop: VirtualLoop, seed: int, every_s: float) -> float:
+        calls = [loop.now]
+
+        async def call(*args: object, **more: object) -> tuple[int, bytes]:
+            calls.append(loop.now)
+            raise OSError("not now")
+
+        deadlines = Deadlines(loop.micros)
+        turns = Turns(loop, deadlines)
+        pool = SimpleNamespace(deadlines=deadlines, spawn=Tasks(loop, "a call").spawn, drop_idle=lambda address: None)
+        schedule = CallSchedule(True, 200, 500_000, random.Random(seed))
+        deployment = deployments.parse(SETTINGS)
+        with patch.object(discovery, "call", call):
+            watch = discovery.Watch(pool, ("127.0.0.1", 1), deployment, lambda *a: None, schedule, {})
+            watch.start()
+            for number in range(int(30 / every_s)):
+                await asyncio.sleep(every_s)
+                watch.move(("127.0.0.1", 2 + number))
+            watch.stop()
+        turns.close()
+        calls.append(loop.now)
+        return max(later - sooner for sooner, later in zip(calls, calls[1:], strict=False))
+
+    for seed, every_s in itertools.product(range(20), (0.5, 1.0, 3.0)):
+        loop = VirtualLoop()
+        try:
+            assert loop.run_until_complete(day(loop, seed, every_s)) <= 3.6, f"seed {seed}, every {every_s} s"
+        finally:
+            loop.close()
