Reloads in a row put no call at discovery off; what comes late in a drain is refused

Cause: Watch.move drew the time of its first call anew each time; and a call that was due in the moment of a move ended before it had begun, yet would have counted as made. The platform's front took requests until the last connection had ended.

Change: the first call after a move comes 3.5 s after the last call that began, at the latest. A request whose last byte is read 0.6 s after SIGTERM or later is refused (refusals: ending), as harmless: it would be cut off by SIGKILL.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -80,8 +80,9 @@
         )
         return request
 
-    def turned_away(self, cls: int) -> None:
-        """A front has refused a request that it had no room to take."""
+    def turned_away(self, cls: int, why: str) -> None:
+        """A front has refused a request that it did not take."""
+        self.counters.refusals[why] += 1
         self.counters.refused += 1
         self._count(cls, BUSY)
 
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -78,7 +78,12 @@
     door = (config.admin, Door(Operations(node, says_yes))) if config.admin else None
     clients = config.listen if config.passed is None else listening(config.passed)
     await node.serve(
-        clients, PlatformFront(node.dispatcher, is_ready), config.name, reload, door=door, may_accept=may_accept
+        clients,
+        PlatformFront(node.dispatcher, is_ready, node.drain.refuses),
+        config.name,
+        reload,
+        door=door,
+        may_accept=may_accept,
     )
     if upgrade:
         upgrade.end()
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -104,6 +104,7 @@
         self._told = bool(known.get("targets")) and schedule.shared  # a list, to which what comes next applies
         self._out: list[asyncio.Task[None]] = []  # calls, the oldest first
         self._next: Key | None = None  # when the next goes out, whatever becomes of these
+        self._called = pool.deadlines.clock()  # when the last one went out, or since when one is awaited
         self._silent_since, self._why = 0, ""  # of the failures since the last answer
 
     def start(self) -> None:
@@ -122,7 +123,8 @@
         self.stop()
         self.pool.drop_idle(self.address)
         self.address, self._told = address, False
-        self.start()  # Danger: a reload reaches the whole fleet at once, and so would whole lists be asked for
+        # A reload reaches the whole fleet at once, and so would whole lists be asked for: they are spread.
+        self._after(self.schedule.moved(self.pool.deadlines.clock() - self._called))
 
     def apply(self, answer: Mapping[str, Any]) -> None:
         """KeyError, TypeError or ValueError: it is no list, and nothing of it is taken."""
@@ -169,7 +171,7 @@
         target = f"{PATH}?after={self.rev}&wait_ms={max(1, wait // 1000)}" if self._told else PATH
         task = asyncio.current_task()
         clock, rev = self.pool.deadlines.clock, self.rev
-        began = clock()
+        began = self._called = clock()  # not sooner: a move in the same moment ends a call before it has begun
         try:
             status, body = await call(
                 self.pool,
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -107,8 +107,15 @@
 
 
 class PlatformFront:
-    def __init__(self, dispatcher: Dispatcher, is_ready: Callable[[], bool]) -> None:
-        self.dispatcher, self.is_ready = dispatcher, is_ready
+    """`refuses`: whether a request that was read at this time is to be refused, since the process ends."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        is_ready: Callable[[], bool],
+        refuses: Callable[[int], bool] = lambda arrived: False,
+    ) -> None:
+        self.dispatcher, self.is_ready, self.refuses = dispatcher, is_ready, refuses
         self.open: set[str] = set()
         names = dispatcher.deployment.class_names
         self._classes = {name: k for k, name in enumerate(names)}
@@ -145,9 +152,13 @@
             reply.turn_away(409, TEXT, b"a request with this Request-Id is open\n")
             return None
         if len(dispatcher.requests) >= dispatcher.deployment.most_held:
-            dispatcher.turned_away(ask.cls)
+            dispatcher.turned_away(ask.cls, "too-many-open")
             reply.answer(503, (*TEXT, *retry_after(dispatcher.deployment.router.max_retry_after)), b"too many open\n")
             return None
+        if message.arrived is not None and self.refuses(message.arrived):
+            dispatcher.turned_away(ask.cls, "ending")
+            reply.answer(503, (*TEXT, *retry_after(0)), b"this process ends: trying again elsewhere is harmless\n")
+            return None
         self.open.add(id)
         client = PlatformClient(dispatcher, reply, lambda: self.open.discard(id))
         payload = Payload(
--- a/pearhill/platform/schedule.py
+++ b/pearhill/platform/schedule.py
@@ -46,6 +46,11 @@
         """How long after the start, or after discovery has moved, the first call is made."""
         return int(self.rng.uniform(0, min(self.span, BETWEEN))) if self.shared else 0
 
+    def moved(self, since_call: int) -> int:
+        """How long after discovery has moved the first call there is made, so long after the last call anywhere. News
+        grow old whoever has them: moves in a row must not put the call off."""
+        return min(self.first(), max(0, BETWEEN - since_call))
+
     def wait(self, listed: bool) -> int:
         """How long the next call lets discovery wait for news. `listed`: there is a list to which news applies."""
         # Danger: a call that may wait cannot show that an agent which was silent is back.
--- a/pearhill/service/drain.py
+++ b/pearhill/service/drain.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 OPEN, LAST_ANSWERS, NO_IDLE = range(3)  # each answer ends its connection; idle connections end too
+TAKEN_FOR = 600_000  # after the signal to end; what comes more than 0.7 s after it and is not answered is lost
 KEEP_OPEN = 500_000  # clients still use the connections they have, and new ones still come
 
 
@@ -35,6 +36,11 @@
         of it, the front would leave its successor too."""
         return self.by_hand is not None or (self.ending is not None and self.yielding is None)
 
+    def refuses(self, arrived: int) -> bool:
+        """Whether a request that was read then comes too late: the process has been told to end, and the platform kills
+        it before a long answer would be whole."""
+        return self.ending is not None and arrived >= self.ending + TAKEN_FOR
+
     @property
     def since(self) -> int | None:
         return min((at for at in (self.by_hand, self.ending, self.yielding) if at is not None), default=None)
