--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -81,7 +81,9 @@
     @property
     def may_close(self) -> bool:
         """Whether it may make room for another."""
-        return may_close(self.use, self.has_bytes, self.listener.deadlines.clock() - self.since)
+        use = self.use
+        unread = use not in (Use.SPENT, Use.NEEDED) and self.has_bytes  # a system call: only where it can matter
+        return may_close(use, unread, self.listener.deadlines.clock() - self.since)
 
     @property
     def owes_a_request(self) -> bool:
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -198,7 +198,7 @@
 
     def _least_useful(self) -> list[Found]:
         """Of one kind, the first of which there are any that can go."""
-        kinds: dict[Use, list[AcceptedConnection]] = {use: [] for use in Use}
+        kinds: list[list[AcceptedConnection]] = [[] for _ in Use]  # by index: a walk over a crowd hashes no member
         for link in self.links:
             kinds[link.use].append(link)
         some = max(2, min(ACCEPT_AT_ONCE, self.most // 8))  # several at once where they are cheap to lose
