--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 
--- a/pearhill/admin/door.py
+++ b/pearhill/admin/door.py
@@ -34,8 +34,9 @@
 
 def _target(query: str) -> str:
     try:
-        values = [value for name, value in parse_qsl(query, keep_blank_values=True, max_num_fields=16)
-                  if name == "target"]
+        values = [
+            value for name, value in parse_qsl(query, keep_blank_values=True, max_num_fields=16) if name == "target"
+        ]
     except ValueError:
         raise BadCall("too many parameters; allowed: one, target=ID") from None
     if len(values) != 1 or not values[0]:
@@ -73,13 +74,17 @@
 class Door(Calls):
     def __init__(self, operated: Operated) -> None:
         self.operated = operated
-        super().__init__({
-            "/ops/readiness": ("GET", self._readiness), "/ops/stats": ("GET", self._stats),
-            "/ops/replicas/down": ("POST", lambda query, reply: self._replica(query, reply, True)),
-            "/ops/replicas/up": ("POST", lambda query, reply: self._replica(query, reply, False)),
-            "/ops/fleet": ("GET", self._fleet),
-            "/ops/drain/start": ("POST", lambda query, reply: self._drain(reply, True)),
-            "/ops/drain/stop": ("POST", lambda query, reply: self._drain(reply, False))})
+        super().__init__(
+            {
+                "/ops/readiness": ("GET", self._readiness),
+                "/ops/stats": ("GET", self._stats),
+                "/ops/replicas/down": ("POST", lambda query, reply: self._replica(query, reply, True)),
+                "/ops/replicas/up": ("POST", lambda query, reply: self._replica(query, reply, False)),
+                "/ops/fleet": ("GET", self._fleet),
+                "/ops/drain/start": ("POST", lambda query, reply: self._drain(reply, True)),
+                "/ops/drain/stop": ("POST", lambda query, reply: self._drain(reply, False)),
+            }
+        )
 
     def _readiness(self, query: str, reply: Reply) -> None:
         yes = self.operated.can_serve()
--- a/pearhill/aggregator/daemon.py
+++ b/pearhill/aggregator/daemon.py
@@ -40,13 +40,15 @@
         self.datagrams = Datagrams(self.deadlines, "aggregator", RECEIVE_BUFFER)
         started = self.deadlines.clock()  # its incarnation too
         self.aggregator = Aggregator(setup.name, setup.peers, started, random.Random(started))
-        self.aggregation = Aggregation(self.aggregator, FrameCodec(list(setup.keys)), setup.peers, self.deadlines,
-                                       self.datagrams)
+        self.aggregation = Aggregation(
+            self.aggregator, FrameCodec(list(setup.keys)), setup.peers, self.deadlines, self.datagrams
+        )
         self.aggregation.on_beat = self._look
         self.stopped = asyncio.Event()
         self._looked_at, self._counted, self._silent = 0, 0, set[str]()
-        super().__init__({"/ready": ("GET", self._ready), "/counters": ("GET", self._counters),
-                          "/ops/fleet": ("GET", self._fleet)})
+        super().__init__(
+            {"/ready": ("GET", self._ready), "/counters": ("GET", self._counters), "/ops/fleet": ("GET", self._fleet)}
+        )
 
     # Operators' calls.
 
@@ -68,8 +70,12 @@
         self._looked_at, figures = now, self.aggregator.figures(now)
         if figures["counted"] != self._counted:
             self._counted = figures["counted"]
-            logger.info("aggregator: {counted} dispatchers are counted, {heard} of them are heard of, {members} report "
-                        "here", counted=self._counted, heard=figures["heard"], members=figures["members"])
+            logger.info(
+                "aggregator: {counted} dispatchers are counted, {heard} of them are heard of, {members} report " "here",
+                counted=self._counted,
+                heard=figures["heard"],
+                members=figures["members"],
+            )
         ages = {name: peer["age_s"] for name, peer in figures["peers"].items()}
         silent = {name for name, age_s in ages.items() if age_s is None or age_s * 1e6 > SILENT}
         for name in sorted(silent - self._silent):
@@ -93,9 +99,15 @@
             return
         before, self.setup = self.setup, fresh
         self.aggregation.reconfigure(FrameCodec(list(fresh.keys)), fresh.peers)
-        logger.info("reload: done, {result}", result=f"{len(fresh.peers)} other aggregators" + for_next_start(
-            ("aggregator.name", before.name, fresh.name), ("aggregator.listen", before.listen, fresh.listen),
-            ("aggregator.admin_addr", before.admin, fresh.admin)))
+        logger.info(
+            "reload: done, {result}",
+            result=f"{len(fresh.peers)} other aggregators"
+            + for_next_start(
+                ("aggregator.name", before.name, fresh.name),
+                ("aggregator.listen", before.listen, fresh.listen),
+                ("aggregator.admin_addr", before.admin, fresh.admin),
+            ),
+        )
 
     def _open_door(self, address: tuple[str, int]) -> Listener:
         door = Listener(self.loop, self.deadlines, Counters(), self, DOOR, DOOR_BODY, side="operator")
--- a/pearhill/aggregator/setup.py
+++ b/pearhill/aggregator/setup.py
@@ -45,9 +45,11 @@
     table = typed.load(path, AggregatorFile)[0].aggregator
     try:
         return AggregatorSetup(
-            table.name, values.address("aggregator.listen", table.listen),
+            table.name,
+            values.address("aggregator.listen", table.listen),
             values.talk_keys("aggregator.key_files", table.key_files),
             values.addresses("aggregator.peer", table.peer, table.name),
-            values.address("aggregator.admin_addr", table.admin_addr) if table.admin_addr else None)
+            values.address("aggregator.admin_addr", table.admin_addr) if table.admin_addr else None,
+        )
     except ConfigError as e:
         raise ConfigError(f"{path}: {e}") from None
--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -49,8 +49,13 @@
         self.answer(status, (*headers, ("Connection", "close")), body)
 
     def start(self, status: int, headers: Headers = ()) -> None:
-        self.messages.put_nowait({"type": "http.response.start", "status": status, "headers": [
-            (name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers]})
+        self.messages.put_nowait(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers],
+            }
+        )
 
     async def write(self, data: bytes) -> None:
         self.messages.put_nowait({"type": "http.response.body", "body": data, "more_body": True})
@@ -149,7 +154,7 @@
             message = await receive()
             if message["type"] == "http.disconnect":
                 return None
-            body = (body + message.get("body", b""))[:most + 1]
+            body = (body + message.get("body", b""))[: most + 1]
             if not message.get("more_body", False):
                 return body
 
--- a/pearhill/bill/files.py
+++ b/pearhill/bill/files.py
@@ -14,19 +14,33 @@
 
 _KINDS = {int: pyarrow.int64(), str: pyarrow.string(), bool: pyarrow.bool_()}
 SCHEMA = pyarrow.schema([(f.name, _KINDS[f.type]) for f in msgspec.structs.fields(Charge)])
-HEADINGS = {"tenant": "Tenant", "requests": "Requests", "prompt": "Prompt tokens", "cached": "of them cached",
-            "answer": "Answer tokens", "refused": "Refused", "failed": "Failed", "debt": "Tokens past reservations",
-            "milli": "Charged tokens"}
+HEADINGS = {
+    "tenant": "Tenant",
+    "requests": "Requests",
+    "prompt": "Prompt tokens",
+    "cached": "of them cached",
+    "answer": "Answer tokens",
+    "refused": "Refused",
+    "failed": "Failed",
+    "debt": "Tokens past reservations",
+    "milli": "Charged tokens",
+}
 
 
 def table(bill: Bill) -> pyarrow.Table:
-    return pyarrow.table({name: [getattr(charge, name) for charge in bill.charges] for name in SCHEMA.names},
-                         schema=SCHEMA)
+    return pyarrow.table(
+        {name: [getattr(charge, name) for charge in bill.charges] for name in SCHEMA.names}, schema=SCHEMA
+    )
 
 
 def html(bill: Bill) -> str:
-    environment = jinja2.Environment(loader=jinja2.PackageLoader("pearhill.bill", "."), autoescape=True,
-                                     undefined=jinja2.StrictUndefined, trim_blocks=True, lstrip_blocks=True)
+    environment = jinja2.Environment(
+        loader=jinja2.PackageLoader("pearhill.bill", "."),
+        autoescape=True,
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+    )
     return environment.get_template("statement.html.j2").render(bill=bill, columns=COLUMNS, headings=HEADINGS)
 
 
--- a/pearhill/budgets/__init__.py
+++ b/pearhill/budgets/__init__.py
@@ -2,18 +2,30 @@
 
 from pearhill.budgets.budgets import Budgets
 from pearhill.budgets.limits import (
-           DEBT,
-           OVER,
-           SPARE,
-           WITHIN,
-           Limit,
-           Plan,
-           Prices,
-           Reservation,
-           Standing,
-           TenantPlan,
-           Used,
+    DEBT,
+    OVER,
+    SPARE,
+    WITHIN,
+    Limit,
+    Plan,
+    Prices,
+    Reservation,
+    Standing,
+    TenantPlan,
+    Used,
 )
 
-__all__ = ["DEBT", "OVER", "SPARE", "WITHIN", "Budgets", "Limit", "Plan", "Prices", "Reservation", "Standing",
-           "TenantPlan", "Used"]
+__all__ = [
+    "DEBT",
+    "OVER",
+    "SPARE",
+    "WITHIN",
+    "Budgets",
+    "Limit",
+    "Plan",
+    "Prices",
+    "Reservation",
+    "Standing",
+    "TenantPlan",
+    "Used",
+]
--- a/pearhill/budgets/budgets.py
+++ b/pearhill/budgets/budgets.py
@@ -105,9 +105,12 @@
         grains, wait = amount * GRAINS, 0
         for node in path:
             short = node.rate and node.level < grains
-            if (short or node.open >= node.max_open or node.day_used + amount > node.day_cap
-                    or node.month_used + amount > node.month_cap) and (
-                    standing := _spent(node, amount, worst, wall, day)):
+            if (
+                short
+                or node.open >= node.max_open
+                or node.day_used + amount > node.day_cap
+                or node.month_used + amount > node.month_cap
+            ) and (standing := _spent(node, amount, worst, wall, day)):
                 return standing
             if short and (later := node.wait_for(amount)):
                 if node is not path[0]:
@@ -126,8 +129,9 @@
             self.spare.guaranteed(amount)
         number = self._next
         self._next = number + 1
-        made = self.open[number] = Reservation(number, tenant, key, plan.account, amount, worst, borrows, day, month,
-                                               path)
+        made = self.open[number] = Reservation(
+            number, tenant, key, plan.account, amount, worst, borrows, day, month, path
+        )
         beyond = worst - amount
         for node in path:
             if node.rate and not (borrows and node is path[0]):  # spare capacity is not out of its own bucket
@@ -175,12 +179,19 @@
         node.refill(now)
         node.turn(*self.period(wall))
         lacking = node.cap - node.level
-        return {"limit_tokens": plan.limit.burst, "remaining_tokens": max(0, node.level // (MILLI * GRAINS)),
-                "reset_us": -(-lacking // node.rate) if node.rate else 0, "limit_requests": plan.limit.open,
-                "remaining_requests": max(0, plan.limit.open - node.open), "open_requests": node.open,
-                "debt_tokens": max(0, -node.level // (MILLI * GRAINS)), "day_tokens": node.day_used // MILLI,
-                "month_tokens": node.month_used // MILLI, "day_limit": plan.limit.day,
-                "month_limit": plan.limit.month}
+        return {
+            "limit_tokens": plan.limit.burst,
+            "remaining_tokens": max(0, node.level // (MILLI * GRAINS)),
+            "reset_us": -(-lacking // node.rate) if node.rate else 0,
+            "limit_requests": plan.limit.open,
+            "remaining_requests": max(0, plan.limit.open - node.open),
+            "open_requests": node.open,
+            "debt_tokens": max(0, -node.level // (MILLI * GRAINS)),
+            "day_tokens": node.day_used // MILLI,
+            "month_tokens": node.month_used // MILLI,
+            "day_limit": plan.limit.day,
+            "month_limit": plan.limit.month,
+        }
 
     def top(self, most: int = 10) -> list[Hitter[str]]:
         """The tenants that have asked for most of late, in milli."""
@@ -216,8 +227,11 @@
 
     def reconfigure(self, plan: Plan, now: int) -> None:
         """Other limits. Danger: what is reserved belongs to those that it was taken from; it settles there."""
-        for index, limit in ((self.tenants, self._tenant_limit(plan)), (self.accounts, self._account_limit(plan)),
-                             (self.keys, self._key_limit(plan))):
+        for index, limit in (
+            (self.tenants, self._tenant_limit(plan)),
+            (self.accounts, self._account_limit(plan)),
+            (self.keys, self._key_limit(plan)),
+        ):
             for key, node in index.items():
                 node.refill(now)
                 node.set_limit(limit(key))
@@ -260,17 +274,32 @@
             for key, node in index.items():
                 own, of_day, of_month = held.get(id(node), (0, 0, 0))
                 level = min(node.cap, node.level + own * GRAINS) if node.rate else node.level
-                rows.append([list(key) if isinstance(key, tuple) else key, level, node.at, node.day,
-                             node.day_used - of_day, node.month, node.month_used - of_month])
-        return {"version": 1, **told, "answers": {name: [a.count, a.mean, a.spread]
-                                                  for name, a in self.answers.items()}}
+                rows.append(
+                    [
+                        list(key) if isinstance(key, tuple) else key,
+                        level,
+                        node.at,
+                        node.day,
+                        node.day_used - of_day,
+                        node.month,
+                        node.month_used - of_month,
+                    ]
+                )
+        return {
+            "version": 1,
+            **told,
+            "answers": {name: [a.count, a.mean, a.spread] for name, a in self.answers.items()},
+        }
 
     def restore(self, told: dict[str, Any], now: int) -> None:
         """Balances as `state` told them, for a new object. ValueError: they are not of this version."""
         if told.get("version") != 1:
             raise ValueError(f"balances of version {told.get('version')!r} cannot be read")
-        limits = {"tenants": self._tenant_limit(self.plan), "accounts": self._account_limit(self.plan),
-                  "keys": self._key_limit(self.plan)}
+        limits = {
+            "tenants": self._tenant_limit(self.plan),
+            "accounts": self._account_limit(self.plan),
+            "keys": self._key_limit(self.plan),
+        }
         for name, index in (("tenants", self.tenants), ("accounts", self.accounts), ("keys", self.keys)):
             for key, level, at, day, day_used, month, month_used in told[name]:
                 key = tuple(key) if isinstance(key, list) else key
@@ -283,8 +312,9 @@
             answers.count, answers.mean, answers.spread = count, mean, spread
             answers.settle()
 
-    def replay(self, now: int, tenant: str, key: str, account: str, charge: int, spare: bool, day: int, month: int,
-               answer: int) -> None:
+    def replay(
+        self, now: int, tenant: str, key: str, account: str, charge: int, spare: bool, day: int, month: int, answer: int
+    ) -> None:
         """A charge out of the journal, made before a crash: as if it had been reserved and settled at its time."""
         plan = replace(self.plan.tenant(tenant), account=account if account in self.plan.accounts else "")
         for k, node in enumerate(self._path(tenant, key, plan, now)):
@@ -315,6 +345,10 @@
         return Standing(OVER, max(1, (day + 1) * DAY - wall) * 1_000_000, f"{node.name}: tokens a month", True)
     # What is larger than the burst is let in on a full bucket, as far as the debt allows.
     if node.rate and amount * GRAINS > node.cap and worst + node.exposure > limit.burst * MILLI + node.debt:
-        return Standing(OVER, OPEN_WAIT if node.exposure else 0, f"{node.name}: more than the burst and the debt allow",
-                        not node.exposure)
+        return Standing(
+            OVER,
+            OPEN_WAIT if node.exposure else 0,
+            f"{node.name}: more than the burst and the debt allow",
+            not node.exposure,
+        )
     return None
--- a/pearhill/budgets/charges.py
+++ b/pearhill/budgets/charges.py
@@ -62,7 +62,16 @@
     for body in bodies:
         charge = unpack(body)
         if charge.outcome != REFUSED:
-            budgets.replay(min(charge.at, now), charge.tenant, charge.key, charge.account, charge.milli, charge.spare,
-                           charge.day, charge.month, charge.answer)
+            budgets.replay(
+                min(charge.at, now),
+                charge.tenant,
+                charge.key,
+                charge.account,
+                charge.milli,
+                charge.spare,
+                charge.day,
+                charge.month,
+                charge.answer,
+            )
         count += 1
     return count
--- a/pearhill/budgets/limits.py
+++ b/pearhill/budgets/limits.py
@@ -16,7 +16,6 @@
 DAY = 86_400  # seconds
 
 
-
 @dataclass(frozen=True, slots=True)
 class Limit:
     """One level's limits. 0: no limit of that sort. Tokens; `debt` bounds what answers may outgrow their
@@ -146,11 +145,35 @@
 def month_of(name: str) -> int:
     """The number of a month given as YYYY-MM. ValueError: it is none."""
     year, dash, month = name.partition("-")
-    if not (dash and len(year) == 4 and len(month) == 2 and year.isdecimal() and month.isdecimal()
-            and 1 <= int(month) <= 12 and int(year) >= 1970):
+    if not (
+        dash
+        and len(year) == 4
+        and len(month) == 2
+        and year.isdecimal()
+        and month.isdecimal()
+        and 1 <= int(month) <= 12
+        and int(year) >= 1970
+    ):
         raise ValueError(f"{name!r} is no month as in 2026-12")
     return (int(year) - 1970) * 12 + int(month) - 1
 
 
-__all__ = ["DAY", "DEBT", "GRAINS", "MILLI", "OVER", "SPARE", "WITHIN", "Limit", "Plan", "Prices", "Reservation",
-           "Standing", "TenantPlan", "Used", "month_name", "month_of", "periods"]
+__all__ = [
+    "DAY",
+    "DEBT",
+    "GRAINS",
+    "MILLI",
+    "OVER",
+    "SPARE",
+    "WITHIN",
+    "Limit",
+    "Plan",
+    "Prices",
+    "Reservation",
+    "Standing",
+    "TenantPlan",
+    "Used",
+    "month_name",
+    "month_of",
+    "periods",
+]
--- a/pearhill/budgets/node.py
+++ b/pearhill/budgets/node.py
@@ -10,8 +10,24 @@
 class Node:
     """Its bucket, its counts by period, and what is open. Amounts are milli, the bucket's level is grains."""
 
-    __slots__ = ("name", "limit", "rate", "cap", "debt", "level", "at", "open", "exposure", "day", "day_used", "month",
-                 "month_used", "max_open", "day_cap", "month_cap")
+    __slots__ = (
+        "name",
+        "limit",
+        "rate",
+        "cap",
+        "debt",
+        "level",
+        "at",
+        "open",
+        "exposure",
+        "day",
+        "day_used",
+        "month",
+        "month_used",
+        "max_open",
+        "day_cap",
+        "month_cap",
+    )
 
     def __init__(self, name: str, limit: Limit, now: int) -> None:
         self.name = name
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -61,8 +61,16 @@
     """One client of the chat API, as the core sees it. `headers` go with every answer; `repeatable`: a failed request
     may be sent again; `on_over` is told the status, once."""
 
-    def __init__(self, reply: Reply, words: Words, stream: bool, repeatable: bool, headers: Headers, heart: Heart,
-                 on_over: Callable[[int, str], None]) -> None:
+    def __init__(
+        self,
+        reply: Reply,
+        words: Words,
+        stream: bool,
+        repeatable: bool,
+        headers: Headers,
+        heart: Heart,
+        on_over: Callable[[int, str], None],
+    ) -> None:
         self.reply, self.words, self.stream, self.repeatable = reply, words, stream, repeatable
         self.headers, self.heart, self._on_over = tuple(headers), heart, on_over
         self.started = self.over = False
--- a/pearhill/chat/collected.py
+++ b/pearhill/chat/collected.py
@@ -74,8 +74,7 @@
         message = dict(self.message)
         if self.calls:
             message["tool_calls"] = [self.calls[index] for index in sorted(self.calls)]
-        return {"index": self.index, "message": message, "logprobs": self.logprobs,
-                "finish_reason": self.finish_reason}
+        return {"index": self.index, "message": message, "logprobs": self.logprobs, "finish_reason": self.finish_reason}
 
 
 class Collected:
--- a/pearhill/chat/endpoints/__init__.py
+++ b/pearhill/chat/endpoints/__init__.py
@@ -8,4 +8,7 @@
 from pearhill.chat.prompt import Prompt
 
 ENDPOINTS: dict[str, Callable[[bytes], Prompt]] = {
-    "/v1/chat/completions": chat.read, "/v1/completions": completions.read, "/v1/responses": responses.read}
+    "/v1/chat/completions": chat.read,
+    "/v1/completions": completions.read,
+    "/v1/responses": responses.read,
+}
--- a/pearhill/chat/endpoints/chat.py
+++ b/pearhill/chat/endpoints/chat.py
@@ -36,6 +36,14 @@
     asked, fields = _reader.read(body)
     asked.check()
     usage = asked.stream_options is not None and asked.stream_options.include_usage is True
-    return Prompt(asked.model, asked.stream is True, asked.stream is not True or usage,
-                  [turn_of(message) for message in asked.messages], asked.max_completion_tokens or asked.max_tokens,
-                  asked.metadata or {}, fields, ChatWords, asked.n or 1)
+    return Prompt(
+        asked.model,
+        asked.stream is True,
+        asked.stream is not True or usage,
+        [turn_of(message) for message in asked.messages],
+        asked.max_completion_tokens or asked.max_tokens,
+        asked.metadata or {},
+        fields,
+        ChatWords,
+        asked.n or 1,
+    )
--- a/pearhill/chat/endpoints/completions.py
+++ b/pearhill/chat/endpoints/completions.py
@@ -44,8 +44,15 @@
                 out += event.raw
             elif event.data is not None:
                 chunk = _decoder.decode(event.data)
-                choices = [self._choice(c.get("index", 0), c["delta"].get("content") or c["delta"].get("refusal") or "",
-                                        c.get("logprobs"), c.get("finish_reason")) for c in chunk["choices"]]
+                choices = [
+                    self._choice(
+                        c.get("index", 0),
+                        c["delta"].get("content") or c["delta"].get("refusal") or "",
+                        c.get("logprobs"),
+                        c.get("finish_reason"),
+                    )
+                    for c in chunk["choices"]
+                ]
                 told = {**self._top(), "choices": choices}
                 if self._usage:
                     told["usage"] = chunk.get("usage")
@@ -77,6 +84,14 @@
     asked.check()
     options = asked.stream_options
     usage = asked.stream is not True or (options is not None and options.include_usage is True)
-    return Prompt(asked.model, asked.stream is True, usage, [Turn("user", asked.text)], asked.max_tokens, {},
-                  completion_to_chat(asked, fields), partial(TextWords, asked.text if asked.echo else "", usage),
-                  asked.n or 1)
+    return Prompt(
+        asked.model,
+        asked.stream is True,
+        usage,
+        [Turn("user", asked.text)],
+        asked.max_tokens,
+        {},
+        completion_to_chat(asked, fields),
+        partial(TextWords, asked.text if asked.echo else "", usage),
+        asked.n or 1,
+    )
--- a/pearhill/chat/endpoints/responses.py
+++ b/pearhill/chat/endpoints/responses.py
@@ -21,8 +21,20 @@
 
 _reader = Reader(r.ResponseRequest)
 INCOMPLETE = {"length": "max_output_tokens", "content_filter": "content_filter"}
-ECHOED = ("instructions", "max_output_tokens", "temperature", "top_p", "tool_choice", "tools", "text", "metadata",
-          "user", "parallel_tool_calls", "reasoning", "truncation")
+ECHOED = (
+    "instructions",
+    "max_output_tokens",
+    "temperature",
+    "top_p",
+    "tool_choice",
+    "tools",
+    "text",
+    "metadata",
+    "user",
+    "parallel_tool_calls",
+    "reasoning",
+    "truncation",
+)
 
 
 class ResponseWords:
@@ -41,15 +53,37 @@
 
     def _response(self, status: str, **more: Any) -> dict[str, Any]:
         asked = msgspec.to_builtins(self._asked)
-        told: dict[str, Any] = {"tool_choice": "auto", "tools": [], "parallel_tool_calls": True, "metadata": {},
-                                "text": {"format": {"type": "text"}}, "truncation": "disabled"}
+        told: dict[str, Any] = {
+            "tool_choice": "auto",
+            "tools": [],
+            "parallel_tool_calls": True,
+            "metadata": {},
+            "text": {"format": {"type": "text"}},
+            "truncation": "disabled",
+        }
         told |= {name: asked[name] for name in ECHOED if asked.get(name) is not None}
-        return {"id": f"resp_{self._made.id}", "object": "response", "created_at": self._made.created,
-                "status": status, "error": None, "incomplete_details": None, "instructions": None,
-                "max_output_tokens": None, "temperature": None, "top_p": None, "reasoning": None, "user": None,
-                "previous_response_id": None, "store": False, "background": False, **told, "model": self._made.model,
-                "output": self._items if status != "in_progress" else [],
-                "usage": response_usage(self._usage), **more}
+        return {
+            "id": f"resp_{self._made.id}",
+            "object": "response",
+            "created_at": self._made.created,
+            "status": status,
+            "error": None,
+            "incomplete_details": None,
+            "instructions": None,
+            "max_output_tokens": None,
+            "temperature": None,
+            "top_p": None,
+            "reasoning": None,
+            "user": None,
+            "previous_response_id": None,
+            "store": False,
+            "background": False,
+            **told,
+            "model": self._made.model,
+            "output": self._items if status != "in_progress" else [],
+            "usage": response_usage(self._usage),
+            **more,
+        }
 
     def _final(self) -> tuple[str, dict[str, Any]]:
         if reason := INCOMPLETE.get(self._finish or ""):
@@ -98,15 +132,21 @@
             out += self._begin("msg", {"type": "message", "role": "assistant", "content": []})
             part: dict[str, Any] = {"type": kind, key: "", **({"annotations": [], "logprobs": []} if spoken else {})}
             self._open = kind
-            out += self._event("response.content_part.added", **self._place(len(self._items) - 1), content_index=0,
-                               part=part)
+            out += self._event(
+                "response.content_part.added", **self._place(len(self._items) - 1), content_index=0, part=part
+            )
             self._items[-1]["content"].append(part)
         part = self._items[-1]["content"][0]
         part[key] += text
         if spoken:
             part["logprobs"] += logprobs
-        return out + self._event(f"response.{kind}.delta", **self._place(len(self._items) - 1), content_index=0,
-                                 delta=text, **({"logprobs": logprobs} if spoken else {}))
+        return out + self._event(
+            f"response.{kind}.delta",
+            **self._place(len(self._items) - 1),
+            content_index=0,
+            delta=text,
+            **({"logprobs": logprobs} if spoken else {}),
+        )
 
     def _call(self, call: dict[str, Any]) -> bytes:
         index, function, out = call["index"], call.get("function") or {}, b""
@@ -114,8 +154,15 @@
             raise ValueError("a tool call's index is out of range")
         if index not in self._calls:
             self._calls[index] = len(self._items)
-            out += self._begin("fc", {"type": "function_call", "arguments": "", "name": function.get("name") or "",
-                                      "call_id": call.get("id") or f"call_{self._made.id}_{index}"})
+            out += self._begin(
+                "fc",
+                {
+                    "type": "function_call",
+                    "arguments": "",
+                    "name": function.get("name") or "",
+                    "call_id": call.get("id") or f"call_{self._made.id}_{index}",
+                },
+            )
         at = self._calls[index]
         if text := function.get("arguments"):
             self._items[at]["arguments"] += text
@@ -128,8 +175,11 @@
         at, kind, self._open = len(self._items) - 1, self._open, ""
         item, place = self._items[at], self._place(at)
         item["status"], part = status, item["content"][0]
-        told = ({"text": part["text"], "logprobs": part["logprobs"]} if kind == "output_text"
-                else {"refusal": part["refusal"]})
+        told = (
+            {"text": part["text"], "logprobs": part["logprobs"]}
+            if kind == "output_text"
+            else {"refusal": part["refusal"]}
+        )
         out = self._event(f"response.{kind}.done", **place, content_index=0, **told)
         out += self._event("response.content_part.done", **place, content_index=0, part=part)
         return out + self._event("response.output_item.done", output_index=at, item=item)
@@ -141,8 +191,12 @@
         for at in self._calls.values():
             item = self._items[at]
             item["status"] = status
-            out += self._event("response.function_call_arguments.done", **self._place(at), name=item["name"],
-                               arguments=item["arguments"])
+            out += self._event(
+                "response.function_call_arguments.done",
+                **self._place(at),
+                name=item["name"],
+                arguments=item["arguments"],
+            )
             out += self._event("response.output_item.done", output_index=at, item=item)
         return out
 
@@ -159,8 +213,9 @@
     def broken(self, error: ApiError) -> bytes:
         for item in self._items:
             item["status"] = "completed" if item["status"] == "completed" else "incomplete"
-        return self._event("response.failed", response=self._response(
-            "failed", error={"code": error.code, "message": error.message}))
+        return self._event(
+            "response.failed", response=self._response("failed", error={"code": error.code, "message": error.message})
+        )
 
     def collect(self, data: bytes) -> None:
         for chunk in self._chunks.feed(data):
@@ -175,8 +230,11 @@
     turns = []
     for message in messages:
         content = message.get("content") or ""
-        texts = [content] if isinstance(content, str) else [
-            part.get("text") or part.get("refusal") or msgspec.json.encode(part).decode() for part in content]
+        texts = (
+            [content]
+            if isinstance(content, str)
+            else [part.get("text") or part.get("refusal") or msgspec.json.encode(part).decode() for part in content]
+        )
         calls = [f"{c['function']['name']}({c['function']['arguments']})" for c in message.get("tool_calls", ())]
         turns.append(Turn(message["role"], "".join(texts + calls)))
     return turns
@@ -189,5 +247,13 @@
     messages = items_to_messages(asked)
     if not messages:
         raise invalid("The input holds no message.", "input")
-    return Prompt(asked.model, asked.stream is True, True, _turns(messages), asked.max_output_tokens,
-                  asked.metadata or {}, response_to_chat(asked, messages, fields), partial(ResponseWords, asked))
+    return Prompt(
+        asked.model,
+        asked.stream is True,
+        True,
+        _turns(messages),
+        asked.max_output_tokens,
+        asked.metadata or {},
+        response_to_chat(asked, messages, fields),
+        partial(ResponseWords, asked),
+    )
--- a/pearhill/chat/errors.py
+++ b/pearhill/chat/errors.py
@@ -10,7 +10,12 @@
 
 JSON: Headers = (("Content-Type", "application/json"),)
 INVALID, AUTHENTICATION, PERMISSION, RATE, SERVER = (
-    "invalid_request_error", "authentication_error", "permission_error", "rate_limit_error", "server_error")
+    "invalid_request_error",
+    "authentication_error",
+    "permission_error",
+    "rate_limit_error",
+    "server_error",
+)
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -107,16 +107,32 @@
         client = self.message.headers.get("x-client-request-id", "")
         client = client if _CLIENT_ID.fullmatch(client) else ""
         took = self.front.dispatcher.clock() - self.since
-        logger.log("INFO" if client or status != 200 else "DEBUG",
-                   "request id={id} client_id={client!r} tenant={tenant!r} path={path} model={model!r} status={status} "
-                   "code={code} took_us={took}", id=self.id, client=client, tenant=self.tenant.name,
-                   path=self.message.path[:64], model=self.model.name if self.model else "", status=status,
-                   code=code or "-", took=took)
+        logger.log(
+            "INFO" if client or status != 200 else "DEBUG",
+            "request id={id} client_id={client!r} tenant={tenant!r} path={path} model={model!r} status={status} "
+            "code={code} took_us={took}",
+            id=self.id,
+            client=client,
+            tenant=self.tenant.name,
+            path=self.message.path[:64],
+            model=self.model.name if self.model else "",
+            status=status,
+            code=code or "-",
+            took=took,
+        )
 
 
 class ChatFront:
-    def __init__(self, dispatcher: Dispatcher, reading: Reading, keyring: Keyring, store: Store, spawn: Spawn,
-                 is_ready: Callable[[], bool], desk: Desk | None = None) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        reading: Reading,
+        keyring: Keyring,
+        store: Store,
+        spawn: Spawn,
+        is_ready: Callable[[], bool],
+        desk: Desk | None = None,
+    ) -> None:
         self.dispatcher, self.reading, self.keyring, self.store = dispatcher, reading, keyring, store
         self.spawn, self.is_ready, self.desk = spawn, is_ready, desk
         self._classes = {name: k for k, name in enumerate(dispatcher.deployment.class_names)}
@@ -179,21 +195,32 @@
             return asked.count_in()
         key = key_told(asked.message.headers)
         if not key:
-            raise ApiError(401, "You didn't provide an API key: send Authorization: Bearer KEY.", "invalid_api_key",
-                           type=AUTHENTICATION, headers=(("WWW-Authenticate", "Bearer"),))
+            raise ApiError(
+                401,
+                "You didn't provide an API key: send Authorization: Bearer KEY.",
+                "invalid_api_key",
+                type=AUTHENTICATION,
+                headers=(("WWW-Authenticate", "Bearer"),),
+            )
         if tenant := self.keyring.owner(key):
             asked.tenant, asked.key = tenant, key_number(key)
             return asked.count_in()
-        raise ApiError(401, "The API key is not valid here.", "invalid_api_key", type=AUTHENTICATION,
-                       headers=(("WWW-Authenticate", "Bearer"),))
+        raise ApiError(
+            401,
+            "The API key is not valid here.",
+            "invalid_api_key",
+            type=AUTHENTICATION,
+            headers=(("WWW-Authenticate", "Bearer"),),
+        )
 
     def _model(self, name: str, tenant: Tenant) -> Model:
         model = self.reading.model(name)
         if model is None:
             raise ApiError(404, f"The model {name[:200]!r} does not exist.", "model_not_found", "model")
         if not tenant.may_use(model.name):
-            raise ApiError(403, f"The model {name[:200]!r} is not allowed for this key.", "model_not_allowed", "model",
-                           PERMISSION)
+            raise ApiError(
+                403, f"The model {name[:200]!r} is not allowed for this key.", "model_not_allowed", "model", PERMISSION
+            )
         return model
 
     # What is dispatched.
@@ -203,8 +230,9 @@
         message = asked.message
         self._identify(asked)
         if message.headers.get("content-encoding", "identity").lower() != "identity":
-            raise invalid("Bodies are taken as they are: leave Content-Encoding out.", code="unsupported_encoding",
-                          status=415)
+            raise invalid(
+                "Bodies are taken as they are: leave Content-Encoding out.", code="unsupported_encoding", status=415
+            )
         prompt = asked.prompt = ENDPOINTS[message.path](message.body)
         model = asked.model = self._model(prompt.model, asked.tenant)
         ask = self._ask(asked, prompt, model)
@@ -224,8 +252,13 @@
             return direct
         return self._run(Record(asked.id, b"", self.spawn), asked, ask, answer)
 
-    def _reserve(self, asked: _Asked, ask: Ask, answer: Answer, inner: Answer | Record,
-                 ) -> tuple[Ask, Answer | Record | Spender, ChatPayload]:
+    def _reserve(
+        self,
+        asked: _Asked,
+        ask: Ask,
+        answer: Answer,
+        inner: Answer | Record,
+    ) -> tuple[Ask, Answer | Record | Spender, ChatPayload]:
         """What its budget says goes with the request, as a fact. The Router refuses what is not to be let in."""
         desk, model = self.desk, asked.model
         if desk is None:
@@ -257,8 +290,12 @@
         assert prompt and model
         options = prompt.fields.get("stream_options")
         options = msgspec.json.decode(options) if isinstance(options, msgspec.Raw) else options
-        fields = {**prompt.fields, "model": model.served_as, "stream": True,
-                  "stream_options": {**(options or {}), "include_usage": True}}
+        fields = {
+            **prompt.fields,
+            "model": model.served_as,
+            "stream": True,
+            "stream_options": {**(options or {}), "include_usage": True},
+        }
         if meter and prompt.max_out is None:  # Danger: an answer without a limit would be a debt without one.
             fields["max_completion_tokens"] = model.max_out or self.reading.max_out
         return ChatPayload(asked.id, msgspec.json.encode(fields), prompt.wants_usage, self.reading.max_answer, meter)
@@ -271,8 +308,9 @@
         dispatcher.turned_away(cls)
         error = ApiError(429, "Too many requests are open.", "rate_limit_exceeded", type=RATE)
         asked.over(429, error.code)
-        asked.reply.answer(429, (*JSON, *asked.headers, *retry_headers(dispatcher.deployment.router.max_retry_after)),
-                           error.body())
+        asked.reply.answer(
+            429, (*JSON, *asked.headers, *retry_headers(dispatcher.deployment.router.max_retry_after)), error.body()
+        )
         return False
 
     def _run(self, record: Record, asked: _Asked, ask: Ask, answer: Answer) -> Pending:
@@ -292,11 +330,15 @@
         digest = hashlib.blake2b(b"%b\n%b" % (message.path.encode(), message.body), digest_size=16).digest()
         if record := self.store.get(name):
             if record.digest != digest:
-                raise invalid("This Idempotency-Key was used with another request.", code="idempotency_key_reused",
-                              status=422)
+                raise invalid(
+                    "This Idempotency-Key was used with another request.", code="idempotency_key_reused", status=422
+                )
             if record.dropped:
-                raise invalid(f"The request has ended ({record.state}) and is not run again; its answer is not kept "
-                              "any more.", code="answer_not_kept", status=409)
+                raise invalid(
+                    f"The request has ended ({record.state}) and is not run again; its answer is not kept " "any more.",
+                    code="answer_not_kept",
+                    status=409,
+                )
             self.dispatcher.counters.replayed += 1
             return record.follow(answer)
         if not self._has_room(asked, ask.cls):
@@ -315,8 +357,15 @@
         named = headers.get(reading.class_header) or prompt.metadata.get(reading.class_field)
         if named and named not in self._classes:
             raise invalid(f"There is no class {named[:64]!r}.", f"metadata.{reading.class_field}")
-        cls = (self._classes[named] if named else rule.cls if rule else model.cls if model.cls >= 0
-               else reading.default_class)
+        cls = (
+            self._classes[named]
+            if named
+            else rule.cls
+            if rule
+            else model.cls
+            if model.cls >= 0
+            else reading.default_class
+        )
         opening, talk, most = "", "", model.max_out
         for turn in prompt.turns:
             talk += f"{turn.role}\n{turn.text}\n"
@@ -325,17 +374,27 @@
             opening += turn.text
         tokens = prompt.tokens(reading.chars_per_token)
         if model.max_prompt and tokens > model.max_prompt:
-            raise invalid(f"The prompt has about {tokens} tokens; {model.name} takes {model.max_prompt}.", "messages",
-                          "context_length_exceeded")
+            raise invalid(
+                f"The prompt has about {tokens} tokens; {model.name} takes {model.max_prompt}.",
+                "messages",
+                "context_length_exceeded",
+            )
         if most and prompt.max_out and prompt.max_out > most:
             raise invalid(f"{model.name} writes {most} tokens at most.", "max_tokens")
-        conversation = (headers.get(reading.conversation_header) or prompt.metadata.get(reading.conversation_field)
-                        or talk)
-        return Ask(cls, self._time(headers, cls, rule.deadline if rule else 0), tokens,
-                   prompt.count * (prompt.max_out or most or reading.max_out), session=_number_of(conversation),
-                   prefix=_number_of(opening) if opening else 0,
-                   prefix_len=int(len(opening) / reading.chars_per_token), tenant=asked.tenant.number,
-                   kinds=model.kinds)
+        conversation = (
+            headers.get(reading.conversation_header) or prompt.metadata.get(reading.conversation_field) or talk
+        )
+        return Ask(
+            cls,
+            self._time(headers, cls, rule.deadline if rule else 0),
+            tokens,
+            prompt.count * (prompt.max_out or most or reading.max_out),
+            session=_number_of(conversation),
+            prefix=_number_of(opening) if opening else 0,
+            prefix_len=int(len(opening) / reading.chars_per_token),
+            tenant=asked.tenant.number,
+            kinds=model.kinds,
+        )
 
     def _time(self, headers: dict[str, str], cls: int, rule: int) -> int:
         most = self.dispatcher.deployment.router.classes[cls].deadline
--- a/pearhill/chat/prompt.py
+++ b/pearhill/chat/prompt.py
@@ -104,6 +104,9 @@
     if isinstance(message, chat.AssistantMessage):
         turn.text += message.refusal or ""
         for call in message.tool_calls or ():
-            turn.text += (f"{call.function.name}({call.function.arguments})" if isinstance(call, chat.FunctionToolCall)
-                          else f"{call.custom.name}({call.custom.input})")
+            turn.text += (
+                f"{call.function.name}({call.function.arguments})"
+                if isinstance(call, chat.FunctionToolCall)
+                else f"{call.custom.name}({call.custom.input})"
+            )
     return turn
--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -71,8 +71,13 @@
 
     def _end(self, state: str) -> None:
         self.state = state
-        logger.info("outcome request={id} state={state} bytes={size} followers={followers}", id=self.id, state=state,
-                    size=self.size, followers=self.followers)
+        logger.info(
+            "outcome request={id} state={state} bytes={size} followers={followers}",
+            id=self.id,
+            state=state,
+            size=self.size,
+            followers=self.followers,
+        )
         if self.store:
             self.store.ended(self)
         self._wake()
--- a/pearhill/chat/schema/chat.py
+++ b/pearhill/chat/schema/chat.py
@@ -16,8 +16,9 @@
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern="^[a-zA-Z0-9_.-]+$")]
 Penalty = Annotated[float, Meta(ge=-2, le=2)]
 Bias = Annotated[float, Meta(ge=-100, le=100)]
-Metadata = Annotated[dict[Annotated[str, Meta(max_length=64)], Annotated[str, Meta(max_length=512)]],
-                     Meta(max_length=16)]
+Metadata = Annotated[
+    dict[Annotated[str, Meta(max_length=64)], Annotated[str, Meta(max_length=512)]], Meta(max_length=16)
+]
 Stop = str | Annotated[list[str], Meta(max_length=4)]
 Effort = Literal["none", "minimal", "low", "medium", "high", "xhigh"]
 
@@ -234,41 +235,78 @@
 
     def check(self) -> None:
         """What no single field can tell. ApiError: two fields do not go together."""
-        refuse_unless(self.stream_options is None or self.stream is True,
-                      "stream_options is only allowed when stream is true.", "stream_options")
-        refuse_unless(self.top_logprobs is None or self.logprobs is True,
-                      "top_logprobs is only allowed when logprobs is true.", "top_logprobs")
-        refuse_unless(not self.store, "Answers are not stored here; leave store out or set it to false.", "store",
-                      "unsupported_value")
-        refuse_unless(self.audio is not None or "audio" not in (self.modalities or ()),
-                      "audio is needed when modalities name it.", "audio", "missing_required_parameter")
+        refuse_unless(
+            self.stream_options is None or self.stream is True,
+            "stream_options is only allowed when stream is true.",
+            "stream_options",
+        )
+        refuse_unless(
+            self.top_logprobs is None or self.logprobs is True,
+            "top_logprobs is only allowed when logprobs is true.",
+            "top_logprobs",
+        )
+        refuse_unless(
+            not self.store,
+            "Answers are not stored here; leave store out or set it to false.",
+            "store",
+            "unsupported_value",
+        )
+        refuse_unless(
+            self.audio is not None or "audio" not in (self.modalities or ()),
+            "audio is needed when modalities name it.",
+            "audio",
+            "missing_required_parameter",
+        )
         for k, message in enumerate(self.messages):
             if isinstance(message, AssistantMessage):
-                refuse_unless(bool(message.content is not None or message.tool_calls or message.function_call
-                                   or message.refusal is not None or message.audio),
-                              "An assistant message needs content, a refusal, audio or tool calls.",
-                              f"messages[{k}].content", "missing_required_parameter")
+                refuse_unless(
+                    bool(
+                        message.content is not None
+                        or message.tool_calls
+                        or message.function_call
+                        or message.refusal is not None
+                        or message.audio
+                    ),
+                    "An assistant message needs content, a refusal, audio or tool calls.",
+                    f"messages[{k}].content",
+                    "missing_required_parameter",
+                )
             elif isinstance(message, UserMessage) and isinstance(message.content, list):
                 for at, part in enumerate(message.content):
-                    refuse_unless(not isinstance(part, FilePart) or bool(part.file.file_id or part.file.file_data),
-                                  "A file needs file_id or file_data.", f"messages[{k}].content[{at}].file",
-                                  "missing_required_parameter")
+                    refuse_unless(
+                        not isinstance(part, FilePart) or bool(part.file.file_id or part.file.file_data),
+                        "A file needs file_id or file_data.",
+                        f"messages[{k}].content[{at}].file",
+                        "missing_required_parameter",
+                    )
         self._check_choice()
 
     def _check_choice(self) -> None:
         choice, tools = self.tool_choice, self.tools or []
-        refuse_unless(choice is None or choice == "none" or bool(tools),
-                      "tool_choice is only allowed when tools are given.", "tool_choice")
-        refuse_unless(self.parallel_tool_calls is None or bool(tools),
-                      "parallel_tool_calls is only allowed when tools are given.", "parallel_tool_calls")
+        refuse_unless(
+            choice is None or choice == "none" or bool(tools),
+            "tool_choice is only allowed when tools are given.",
+            "tool_choice",
+        )
+        refuse_unless(
+            self.parallel_tool_calls is None or bool(tools),
+            "parallel_tool_calls is only allowed when tools are given.",
+            "parallel_tool_calls",
+        )
         if isinstance(choice, FunctionChoice):
             named = {tool.function.name for tool in tools if isinstance(tool, FunctionTool)}
-            refuse_unless(choice.function.name in named, f"There is no function {choice.function.name!r} among tools.",
-                          "tool_choice.function.name")
+            refuse_unless(
+                choice.function.name in named,
+                f"There is no function {choice.function.name!r} among tools.",
+                "tool_choice.function.name",
+            )
         elif isinstance(choice, CustomChoice):
             named = {tool.custom.name for tool in tools if isinstance(tool, CustomTool)}
-            refuse_unless(choice.custom.name in named, f"There is no custom tool {choice.custom.name!r} among tools.",
-                          "tool_choice.custom.name")
+            refuse_unless(
+                choice.custom.name in named,
+                f"There is no custom tool {choice.custom.name!r} among tools.",
+                "tool_choice.custom.name",
+            )
 
 
 # What comes back. Only what is looked at is typed; the rest goes on, or into a whole answer, as it is.
--- a/pearhill/chat/schema/completions.py
+++ b/pearhill/chat/schema/completions.py
@@ -36,10 +36,21 @@
 
     def check(self) -> None:
         """ApiError: what is asked for can't be had by one run at a server that speaks chat."""
-        refuse_unless(self.stream_options is None or self.stream is True,
-                      "stream_options is only allowed when stream is true.", "stream_options")
-        refuse_unless(isinstance(self.prompt, str) or len(self.prompt) == 1,
-                      "One prompt a request: each prompt is a run of its own.", "prompt", "unsupported_value")
+        refuse_unless(
+            self.stream_options is None or self.stream is True,
+            "stream_options is only allowed when stream is true.",
+            "stream_options",
+        )
+        refuse_unless(
+            isinstance(self.prompt, str) or len(self.prompt) == 1,
+            "One prompt a request: each prompt is a run of its own.",
+            "prompt",
+            "unsupported_value",
+        )
         refuse_unless(not self.suffix, "suffix is not supported here.", "suffix", "unsupported_parameter")
-        refuse_unless(self.best_of is None or self.best_of == (self.n or 1),
-                      "best_of is not supported here; leave it out or set it to n.", "best_of", "unsupported_value")
+        refuse_unless(
+            self.best_of is None or self.best_of == (self.n or 1),
+            "best_of is not supported here; leave it out or set it to n.",
+            "best_of",
+            "unsupported_value",
+        )
--- a/pearhill/chat/schema/responses.py
+++ b/pearhill/chat/schema/responses.py
@@ -55,13 +55,24 @@
     output: str | list[InputText] | None = None
 
     def check(self, at: str) -> None:
-        refuse_unless(self.type in ITEMS, f"Items of type {self.type!r} are not supported here; allowed: "
-                      f"{', '.join(ITEMS)}.", f"{at}.type")
-        needed = {"message": ("role", "content"), "function_call": ("call_id", "name", "arguments"),
-                  "function_call_output": ("call_id", "output"), "reasoning": ()}[self.type]
+        refuse_unless(
+            self.type in ITEMS,
+            f"Items of type {self.type!r} are not supported here; allowed: " f"{', '.join(ITEMS)}.",
+            f"{at}.type",
+        )
+        needed = {
+            "message": ("role", "content"),
+            "function_call": ("call_id", "name", "arguments"),
+            "function_call_output": ("call_id", "output"),
+            "reasoning": (),
+        }[self.type]
         for name in needed:
-            refuse_unless(getattr(self, name) is not None, f"Missing required parameter: '{at}.{name}'.",
-                          f"{at}.{name}", "missing_required_parameter")
+            refuse_unless(
+                getattr(self, name) is not None,
+                f"Missing required parameter: '{at}.{name}'.",
+                f"{at}.{name}",
+                "missing_required_parameter",
+            )
         if self.type != "message" or not isinstance(self.content, list):
             return
         refuse_unless(bool(self.content), "A message needs content.", f"{at}.content")
@@ -69,18 +80,29 @@
         for k, part in enumerate(self.content):
             where = f"{at}.content[{k}]"
             if self.role == "assistant":
-                refuse_unless(isinstance(part, said), "An assistant's message takes output_text and refusal parts.",
-                              f"{where}.type")
+                refuse_unless(
+                    isinstance(part, said),
+                    "An assistant's message takes output_text and refusal parts.",
+                    f"{where}.type",
+                )
             elif self.role == "user":
                 refuse_unless(not isinstance(part, said), "A user's message takes input parts.", f"{where}.type")
             else:
                 refuse_unless(isinstance(part, InputText), "Instructions take input_text parts.", f"{where}.type")
             if isinstance(part, InputImage):
-                refuse_unless(bool(part.image_url), "Images come as image_url; files are not kept here.",
-                              f"{where}.image_url", "missing_required_parameter")
+                refuse_unless(
+                    bool(part.image_url),
+                    "Images come as image_url; files are not kept here.",
+                    f"{where}.image_url",
+                    "missing_required_parameter",
+                )
             if isinstance(part, InputFile):
-                refuse_unless(bool(part.file_data or part.file_id) and not part.file_url,
-                              "A file comes as file_data or file_id.", where, "unsupported_value")
+                refuse_unless(
+                    bool(part.file_data or part.file_id) and not part.file_url,
+                    "A file comes as file_data or file_id.",
+                    where,
+                    "unsupported_value",
+                )
 
 
 class FunctionTool(Struct, tag_field="type", tag="function"):
@@ -138,27 +160,47 @@
 
     def check(self) -> None:
         """ApiError: two fields do not go together, or what is asked for needs a state that is not kept here."""
-        for name, why in (("previous_response_id", "send the whole conversation as input"),
-                          ("conversation", "send the whole conversation as input"),
-                          ("prompt", "send instructions and input")):
-            refuse_unless(getattr(self, name) is None, f"{name} is not supported: no state is stored here; {why}.",
-                          name, "unsupported_parameter")
-        refuse_unless(not self.store, "store: true is not supported: no state is stored here.", "store",
-                      "unsupported_value")
-        refuse_unless(not self.background, "background is not supported: no state is stored here.", "background",
-                      "unsupported_value")
+        for name, why in (
+            ("previous_response_id", "send the whole conversation as input"),
+            ("conversation", "send the whole conversation as input"),
+            ("prompt", "send instructions and input"),
+        ):
+            refuse_unless(
+                getattr(self, name) is None,
+                f"{name} is not supported: no state is stored here; {why}.",
+                name,
+                "unsupported_parameter",
+            )
+        refuse_unless(
+            not self.store, "store: true is not supported: no state is stored here.", "store", "unsupported_value"
+        )
+        refuse_unless(
+            not self.background,
+            "background is not supported: no state is stored here.",
+            "background",
+            "unsupported_value",
+        )
         refuse_unless(self.truncation != "auto", "truncation is not done here.", "truncation", "unsupported_value")
-        refuse_unless(self.stream_options is None or self.stream is True,
-                      "stream_options is only allowed when stream is true.", "stream_options")
+        refuse_unless(
+            self.stream_options is None or self.stream is True,
+            "stream_options is only allowed when stream is true.",
+            "stream_options",
+        )
         for k, name in enumerate(self.include or ()):
-            refuse_unless(name == "message.output_text.logprobs", f"{name!r} can't be included here.", f"include[{k}]",
-                          "unsupported_value")
+            refuse_unless(
+                name == "message.output_text.logprobs",
+                f"{name!r} can't be included here.",
+                f"include[{k}]",
+                "unsupported_value",
+            )
         if isinstance(self.input, list):
             for k, item in enumerate(self.input):
                 item.check(f"input[{k}]")
         choice, names = self.tool_choice, {tool.name for tool in self.tools or ()}
-        refuse_unless(choice in (None, "none") or bool(names), "tool_choice is only allowed when tools are given.",
-                      "tool_choice")
+        refuse_unless(
+            choice in (None, "none") or bool(names), "tool_choice is only allowed when tools are given.", "tool_choice"
+        )
         if isinstance(choice, FunctionChoice):
-            refuse_unless(choice.name in names, f"There is no function {choice.name!r} among tools.",
-                          "tool_choice.name")
+            refuse_unless(
+                choice.name in names, f"There is no function {choice.name!r} among tools.", "tool_choice.name"
+            )
--- a/pearhill/chat/servers.py
+++ b/pearhill/chat/servers.py
@@ -126,9 +126,13 @@
         return [("Authorization", f"Bearer {key}")] if key else []
 
     def request(self, payload: ChatPayload, engine: int, wait_ms: int) -> bytes:
-        headers = [("Request-Id", payload.id), ("Request-Timeout-Ms", str(wait_ms)),
-                   ("Content-Type", "application/json"), ("Accept", "text/event-stream"),
-                   *self._authorization(engine)]
+        headers = [
+            ("Request-Id", payload.id),
+            ("Request-Timeout-Ms", str(wait_ms)),
+            ("Content-Type", "application/json"),
+            ("Accept", "text/event-stream"),
+            *self._authorization(engine),
+        ]
         return messages.request("POST", PATH, HOST, headers, payload.body)
 
     def probe(self) -> bytes:
@@ -158,9 +162,14 @@
         if status == 429:
             return Verdict(i.FULL, rest=rest_of(headers))
         if status in BARRED:
-            logger.error("a server answers {status}: its key in the operator's file is wrong, or missing",
-                         status=status)
-            error = ApiError(502, "The server did not let this service in; its operators have been told.",
-                             "server_credentials", type=SERVER)
+            logger.error(
+                "a server answers {status}: its key in the operator's file is wrong, or missing", status=status
+            )
+            error = ApiError(
+                502,
+                "The server did not let this service in; its operators have been told.",
+                "server_credentials",
+                type=SERVER,
+            )
             return Verdict(i.ERROR, said=Said(error.status, error.body()))
         return None
--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -34,8 +34,9 @@
         self.node = node = Node(setup.deployment, self.dialect, limits)
         self.store = Store(node.deadlines, setup.store_bytes, setup.store_keep)
         self.desk = Desk(setup.spending, node.deadlines) if setup.spending else None
-        self.front = ChatFront(node.dispatcher, setup.reading, setup.keyring, self.store, node.pool.spawn,
-                               self.is_ready, self.desk)
+        self.front = ChatFront(
+            node.dispatcher, setup.reading, setup.keyring, self.store, node.pool.spawn, self.is_ready, self.desk
+        )
         if self.desk:
             node.on_report = self.desk.report
         self.fleet = Fleet(setup.fleet, setup.seed, node.deadlines, self._work) if setup.fleet else None
@@ -105,7 +106,8 @@
         if not fresh.eureka:
             node.listed(True, fresh.entries, fresh.addresses)
         return f"{len(fresh.reading.rules)} rules, {len(fresh.keyring.tenants)} tenants" + for_next_start(
-            ("chat.listen", before.listen, fresh.listen), ("chat.admin_addr", before.admin, fresh.admin),
+            ("chat.listen", before.listen, fresh.listen),
+            ("chat.admin_addr", before.admin, fresh.admin),
             ("chat.sockets", before.sockets, fresh.sockets),
             ("fleet", before.fleet is None, fresh.fleet is None),
             ("fleet.name", before.fleet and before.fleet.name, fresh.fleet and fresh.fleet.name),
@@ -114,7 +116,8 @@
             ("chat.seed", before.seed, fresh.seed),
             ("chat.max_body_bytes", before.max_body, fresh.max_body),
             ("budgets", before.spending is None, fresh.spending is None),
-            ("budgets.folder", before.spending and before.spending.folder, fresh.spending and fresh.spending.folder))
+            ("budgets.folder", before.spending and before.spending.folder, fresh.spending and fresh.spending.folder),
+        )
 
     def _move(self, fresh: ChatSetup) -> None:
         """Another registry, or none: the old one is left, and the list is taken from the new one."""
@@ -151,8 +154,18 @@
     service = ChatService(setup)
     await service.open()
     node = service.node
-    operations = Operations(node, lambda: node.accepting and node.dispatcher.can_answer,
-                            lambda: service.fleet.told(node) if service.fleet else None)
-    await node.serve(setup.listen, service.front, "chat front", lambda: service.reload(read_anew()), service.register,
-                     service.deregister, door=(setup.admin, Door(operations)) if setup.admin else None)
+    operations = Operations(
+        node,
+        lambda: node.accepting and node.dispatcher.can_answer,
+        lambda: service.fleet.told(node) if service.fleet else None,
+    )
+    await node.serve(
+        setup.listen,
+        service.front,
+        "chat front",
+        lambda: service.reload(read_anew()),
+        service.register,
+        service.deregister,
+        door=(setup.admin, Door(operations)) if setup.admin else None,
+    )
     await service.close()
--- a/pearhill/chat/setup.py
+++ b/pearhill/chat/setup.py
@@ -35,8 +35,9 @@
 
     def fits(self, model: str, headers: Mapping[str, str]) -> bool:
         told = headers.get(self.header) if self.header else ""
-        return told is not None and fnmatchcase(model, self.model) and (
-            not self.header or fnmatchcase(told, self.value))
+        return (
+            told is not None and fnmatchcase(model, self.model) and (not self.header or fnmatchcase(told, self.value))
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,11 +114,16 @@
         declare(f"chat.models[{k}]", name, Model(name, name))
     for k, table in enumerate(chat.model):
         path = f"chat.model[{k}]"
-        model = Model(table.name, table.served_as or table.name,
-                      _choice(f"{path}.class", table.cls, deployment.class_names) if table.cls else -1,
-                      tuple(_choice(f"{path}.kinds[{n}]", kind, deployment.kind_names)
-                            for n, kind in enumerate(table.kinds)),
-                      table.max_out_tokens, table.max_prompt_tokens, table.owned_by, table.created)
+        model = Model(
+            table.name,
+            table.served_as or table.name,
+            _choice(f"{path}.class", table.cls, deployment.class_names) if table.cls else -1,
+            tuple(_choice(f"{path}.kinds[{n}]", kind, deployment.kind_names) for n, kind in enumerate(table.kinds)),
+            table.max_out_tokens,
+            table.max_prompt_tokens,
+            table.owned_by,
+            table.created,
+        )
         writes = any(deployment.router.kinds[kind].role != i.READER for kind in model.kinds)
         if model.kinds and not writes:
             raise typed.complaint(f"{path}.kinds", table.kinds, "at least one kind that writes answers")
@@ -138,26 +144,49 @@
         seen.add(table.name)
         for n, name in enumerate(table.models):
             _choice(f"{path}.models[{n}]", name, list(models))
-        tenant = Tenant(table.name, numbers.setdefault(table.name, len(numbers)),
-                        frozenset(models[name].name for name in table.models))
+        tenant = Tenant(
+            table.name,
+            numbers.setdefault(table.name, len(numbers)),
+            frozenset(models[name].name for name in table.models),
+        )
         tenants.append((tenant, table.keys))
         for n, record in enumerate(table.keys):
             try:
                 Keyring([(tenant, [record])])
             except BadKey:  # Danger: a key that stands there as it is must not be shown, nor taken for its record.
-                raise ConfigError(f"{path}.keys[{n}]: found something else; allowed: a record as `pearhill key` "
-                                  "prints it") from None
+                raise ConfigError(
+                    f"{path}.keys[{n}]: found something else; allowed: a record as `pearhill key` " "prints it"
+                ) from None
     return Keyring(tenants)
 
 
 def _reading(chat: f.ChatTable, models: Mapping[str, Model], deployment: settings.Deployment) -> Reading:
     names = deployment.class_names
-    rules = tuple(Rule(_choice(f"chat.rule[{k}].class", rule.cls, names), rule.model, rule.header.lower(), rule.value,
-                       int(rule.deadline_s * 1e6)) for k, rule in enumerate(chat.rule))
+    rules = tuple(
+        Rule(
+            _choice(f"chat.rule[{k}].class", rule.cls, names),
+            rule.model,
+            rule.header.lower(),
+            rule.value,
+            int(rule.deadline_s * 1e6),
+        )
+        for k, rule in enumerate(chat.rule)
+    )
     default = _choice("chat.default_class", chat.default_class, names) if chat.default_class else 0
-    return Reading(rules, default, chat.class_header.lower(), chat.class_field, chat.conversation_header.lower(),
-                   chat.conversation_field, chat.timeout_header.lower(), chat.max_out, chat.chars_per_token, models,
-                   int(chat.heartbeat_s * 1e6), chat.max_answer_bytes)
+    return Reading(
+        rules,
+        default,
+        chat.class_header.lower(),
+        chat.class_field,
+        chat.conversation_header.lower(),
+        chat.conversation_field,
+        chat.timeout_header.lower(),
+        chat.max_out,
+        chat.chars_per_token,
+        models,
+        int(chat.heartbeat_s * 1e6),
+        chat.max_answer_bytes,
+    )
 
 
 def _fleet(table: f.FleetTable) -> FleetSetup:
@@ -170,14 +199,28 @@
     for k, aggregator in enumerate(table.aggregator):
         if aggregator.name == table.name or aggregator.name in peers:
             raise typed.complaint(f"fleet.aggregator[{k}].name", aggregator.name, "a name that no dispatcher has")
-    return FleetSetup(table.name, values.address("fleet.listen", table.listen),
-                      values.talk_keys("fleet.key_files", table.key_files), peers, table.region,
-                      tuple(AggregatorSite(a.name, a.region) for a in table.aggregator), aggregators)
+    return FleetSetup(
+        table.name,
+        values.address("fleet.listen", table.listen),
+        values.talk_keys("fleet.key_files", table.key_files),
+        peers,
+        table.region,
+        tuple(AggregatorSite(a.name, a.region) for a in table.aggregator),
+        aggregators,
+    )
 
 
 def _eureka(table: f.EurekaTable) -> EurekaSetup:
-    return EurekaSetup(values.address("eureka.address", table.address), table.base.rstrip("/"), table.servers.upper(),
-                       table.register_as.upper(), table.instance, table.lease_s, table.renew_s, table.fetch_s)
+    return EurekaSetup(
+        values.address("eureka.address", table.address),
+        table.base.rstrip("/"),
+        table.servers.upper(),
+        table.register_as.upper(),
+        table.instance,
+        table.lease_s,
+        table.renew_s,
+        table.fetch_s,
+    )
 
 
 def _limit(path: str, told: f.LimitsTable, instances: int, prefix: str = "") -> Limit:
@@ -186,8 +229,14 @@
     if figures["tokens_per_min"] and not figures["burst_tokens"]:
         raise typed.complaint(f"{path}.{prefix}burst_tokens", 0, "a whole number above 0, where a rate is given")
     parts = {name: -(-value // instances) for name, value in figures.items()}
-    return Limit(parts["tokens_per_min"], parts["burst_tokens"], parts["day_tokens"], parts["month_tokens"],
-                 parts["open_requests"], parts["debt_tokens"])
+    return Limit(
+        parts["tokens_per_min"],
+        parts["burst_tokens"],
+        parts["day_tokens"],
+        parts["month_tokens"],
+        parts["open_requests"],
+        parts["debt_tokens"],
+    )
 
 
 def _spending(table: f.BudgetsTable, deployment: settings.Deployment) -> SpendingSetup:
@@ -204,16 +253,22 @@
             raise typed.complaint(f"{path}.name", tenant.name, "a name that no other budget has")
         if tenant.account:
             _choice(f"{path}.account", tenant.account, list(accounts))
-        tenants[tenant.name] = TenantPlan(_limit(path, tenant, n), tenant.account, tenant.weight,
-                                          _limit(path, tenant, n, "key_"))
-    default = TenantPlan(_limit("budgets.default", table.default, n), "", table.default.weight,
-                         _limit("budgets.default", table.default, n, "key_"))
+        tenants[tenant.name] = TenantPlan(
+            _limit(path, tenant, n), tenant.account, tenant.weight, _limit(path, tenant, n, "key_")
+        )
+    default = TenantPlan(
+        _limit("budgets.default", table.default, n),
+        "",
+        table.default.weight,
+        _limit("budgets.default", table.default, n, "key_"),
+    )
     for name, quota in zip(deployment.tenant_names, deployment.router.quotas, strict=True):
         # The platform's own shares: a tenant that has no budget here gets the default one, and its quota as its weight.
         tenants.setdefault(name, TenantPlan(default.limit, "", quota, default.key_limit))
     prices = Prices(round(table.cached_price * 1000), round(table.answer_price * 1000))
-    plan = Plan(tenants, accounts, default, prices, table.capacity_tokens_per_min // n,
-                table.capacity_burst_tokens // n)
+    plan = Plan(
+        tenants, accounts, default, prices, table.capacity_tokens_per_min // n, table.capacity_burst_tokens // n
+    )
     return SpendingSetup(plan, pathlib.Path(table.folder) if table.folder else None, table.uncounted_tokens)
 
 
@@ -236,9 +291,17 @@
         path, engine = f"server[{k}]", engine_of(server.uid)
         if engine in addresses:
             raise typed.complaint(f"{path}.uid", server.uid, "a uid that no other server has")
-        entries.append(i.Entry(engine, _choice(f"{path}.zone", server.zone or zones[0], zones),
-                               _choice(f"{path}.kind", server.kind, deployment.kind_names), server.cell, i.READY,
-                               server.capacity, 0))
+        entries.append(
+            i.Entry(
+                engine,
+                _choice(f"{path}.zone", server.zone or zones[0], zones),
+                _choice(f"{path}.kind", server.kind, deployment.kind_names),
+                server.cell,
+                i.READY,
+                server.capacity,
+                0,
+            )
+        )
         addresses[engine] = values.address(f"{path}.address", server.address)
         if key := values.secret(f"{path}.key_file", server.key_file):
             keys[engine] = key
@@ -246,13 +309,24 @@
         raise ConfigError("server: found no servers, and no [eureka] to ask for them; allowed: either, or both")
     models, budgets = _models(chat, deployment), _budgets(told)
     return ChatSetup(
-        values.address("chat.listen", chat.listen), chat.sockets, chat.seed, deployment,
-        _reading(chat, models, deployment), _keyring(chat, deployment, models), told.idempotency.max_bytes,
-        told.idempotency.keep_s * 1_000_000, tuple(entries), addresses, keys,
-        values.secret("chat.server_key_file", chat.server_key_file), chat.max_body_bytes,
-        _eureka(told.eureka) if told.eureka else None, _spending(budgets, deployment) if budgets else None,
+        values.address("chat.listen", chat.listen),
+        chat.sockets,
+        chat.seed,
+        deployment,
+        _reading(chat, models, deployment),
+        _keyring(chat, deployment, models),
+        told.idempotency.max_bytes,
+        told.idempotency.keep_s * 1_000_000,
+        tuple(entries),
+        addresses,
+        keys,
+        values.secret("chat.server_key_file", chat.server_key_file),
+        chat.max_body_bytes,
+        _eureka(told.eureka) if told.eureka else None,
+        _spending(budgets, deployment) if budgets else None,
         values.address("chat.admin_addr", chat.admin_addr) if chat.admin_addr else None,
-        _fleet(told.fleet) if told.fleet else None)
+        _fleet(told.fleet) if told.fleet else None,
+    )
 
 
 def load(path: str) -> ChatSetup:
--- a/pearhill/chat/spending.py
+++ b/pearhill/chat/spending.py
@@ -41,8 +41,17 @@
     """The core's client for one request with a budget: settles it, then passes the answer on. Settles once, however
     the request ends."""
 
-    def __init__(self, desk: Desk, held: Reservation, meter: Meter, prompt: int, id: str, model: str, path: str,
-                 inner: Answer | Record) -> None:
+    def __init__(
+        self,
+        desk: Desk,
+        held: Reservation,
+        meter: Meter,
+        prompt: int,
+        id: str,
+        model: str,
+        path: str,
+        inner: Answer | Record,
+    ) -> None:
         self._desk, self._held, self._meter, self._prompt = desk, held, meter, prompt
         self._id, self._model, self._path, self.inner = id, model, path, inner
 
@@ -99,8 +108,12 @@
 class Desk:
     """The budgets of one process, their journal and their clock."""
 
-    def __init__(self, setup: SpendingSetup, deadlines: Deadlines, wall: Callable[[], int] = lambda: int(time.time()),
-                 ) -> None:
+    def __init__(
+        self,
+        setup: SpendingSetup,
+        deadlines: Deadlines,
+        wall: Callable[[], int] = lambda: int(time.time()),
+    ) -> None:
         self.setup, self._deadlines, self._wall = setup, deadlines, wall
         self.budgets = Budgets(setup.plan, deadlines.clock())
         self.journal: Journal | None = None
@@ -114,8 +127,12 @@
         if folder := self.setup.folder:
             found = recover(folder)
             count = c.rebuild(self.budgets, found.state, (f.body for f in found.frames), self._deadlines.clock())
-            logger.info("budgets: {count} charges replayed behind snapshot {snapshot}, {cut} torn bytes cut",
-                        count=count, snapshot=found.state_seq, cut=found.cut)
+            logger.info(
+                "budgets: {count} charges replayed behind snapshot {snapshot}, {cut} torn bytes cut",
+                count=count,
+                snapshot=found.state_seq,
+                cut=found.cut,
+            )
             loop = asyncio.get_running_loop()
 
             def told(error: OSError | None) -> None:
@@ -128,12 +145,17 @@
     def _disk(self, error: OSError | None) -> None:
         self.failing = error is not None
         if error is not None:
-            logger.error("budgets: the journal cannot be written: {error}; {mode}", error=str(error),
-                         mode=f"{self.setup.uncounted} tokens are served uncounted" if self.setup.uncounted
-                         else "requests are refused")
+            logger.error(
+                "budgets: the journal cannot be written: {error}; {mode}",
+                error=str(error),
+                mode=f"{self.setup.uncounted} tokens are served uncounted"
+                if self.setup.uncounted
+                else "requests are refused",
+            )
         else:
-            logger.warning("budgets: the journal works again; {milli} thousandths of a token waited for it",
-                           milli=self.uncounted)
+            logger.warning(
+                "budgets: the journal works again; {milli} thousandths of a token waited for it", milli=self.uncounted
+            )
             self.uncounted = 0
 
     def _tick(self) -> None:
@@ -151,8 +173,28 @@
         for (tenant, key), count in self._refused.items():
             now, wall = self._deadlines.clock(), self._wall()
             day, month = self.budgets.period(wall)
-            self._put(c.Charge(now, wall, "", tenant, key, self.setup.plan.tenant(tenant).account, "", "", c.REFUSED,
-                               0, 0, 0, 0, False, day, month, 0, count))
+            self._put(
+                c.Charge(
+                    now,
+                    wall,
+                    "",
+                    tenant,
+                    key,
+                    self.setup.plan.tenant(tenant).account,
+                    "",
+                    "",
+                    c.REFUSED,
+                    0,
+                    0,
+                    0,
+                    0,
+                    False,
+                    day,
+                    month,
+                    0,
+                    count,
+                )
+            )
         self._refused.clear()
 
     # For the front.
@@ -165,8 +207,9 @@
     def refused(self, tenant: str, key: str) -> None:
         self._refused[tenant, key] += 1
 
-    def spender(self, held: Reservation, meter: Meter, prompt: int, id: str, model: str, path: str,
-                inner: Answer | Record) -> Spender:
+    def spender(
+        self, held: Reservation, meter: Meter, prompt: int, id: str, model: str, path: str, inner: Answer | Record
+    ) -> Spender:
         return Spender(self, held, meter, prompt, id, model, path, inner)
 
     def settle(self, held: Reservation, used: Used | None, outcome: str, id: str, model: str, path: str) -> None:
@@ -177,9 +220,27 @@
         used = used or Used()
         if self.failing:
             self.uncounted += milli
-        self._put(c.Charge(now, self._wall(), id, held.tenant, held.key, held.account, model, path, outcome,
-                           used.prompt, used.cached, used.answer, milli, held.spare, held.day, held.month,
-                           max(0, milli - held.amount) // 1000))
+        self._put(
+            c.Charge(
+                now,
+                self._wall(),
+                id,
+                held.tenant,
+                held.key,
+                held.account,
+                model,
+                path,
+                outcome,
+                used.prompt,
+                used.cached,
+                used.answer,
+                milli,
+                held.spare,
+                held.day,
+                held.month,
+                max(0, milli - held.amount) // 1000,
+            )
+        )
 
     def _put(self, charge: c.Charge) -> None:
         if self.journal is None:
@@ -200,22 +261,34 @@
         told = self.budgets.balance(self._deadlines.clock(), self._wall(), tenant)
         made = []
         if told["limit_requests"]:
-            made += [("x-ratelimit-limit-requests", str(told["limit_requests"])),
-                     ("x-ratelimit-remaining-requests", str(told["remaining_requests"])),
-                     ("x-ratelimit-reset-requests", duration(1_000_000 if not told["remaining_requests"] else 0))]
+            made += [
+                ("x-ratelimit-limit-requests", str(told["limit_requests"])),
+                ("x-ratelimit-remaining-requests", str(told["remaining_requests"])),
+                ("x-ratelimit-reset-requests", duration(1_000_000 if not told["remaining_requests"] else 0)),
+            ]
         if told["limit_tokens"]:
-            made += [("x-ratelimit-limit-tokens", str(told["limit_tokens"])),
-                     ("x-ratelimit-remaining-tokens", str(told["remaining_tokens"])),
-                     ("x-ratelimit-reset-tokens", duration(told["reset_us"]))]
+            made += [
+                ("x-ratelimit-limit-tokens", str(told["limit_tokens"])),
+                ("x-ratelimit-remaining-tokens", str(told["remaining_tokens"])),
+                ("x-ratelimit-reset-tokens", duration(told["reset_us"])),
+            ]
         return made
 
     def usage(self, tenant: str) -> UsageReport:
         """The answer to GET /v1/usage."""
         told = self.budgets.balance(self._deadlines.clock(), self._wall(), tenant)
-        return UsageReport(tenant, TokensUsed(
-            told["day_tokens"], told["month_tokens"], told["day_limit"] or None, told["month_limit"] or None,
-            told["debt_tokens"], told["remaining_tokens"] if told["limit_tokens"] else None),
-            RequestsUsed(told["open_requests"], told["limit_requests"] or None))
+        return UsageReport(
+            tenant,
+            TokensUsed(
+                told["day_tokens"],
+                told["month_tokens"],
+                told["day_limit"] or None,
+                told["month_limit"] or None,
+                told["debt_tokens"],
+                told["remaining_tokens"] if told["limit_tokens"] else None,
+            ),
+            RequestsUsed(told["open_requests"], told["limit_requests"] or None),
+        )
 
     def report(self) -> None:
         """Who hammers, for on-call."""
@@ -242,10 +315,20 @@
 def turned_away(standing: Standing, headers: Headers = ()) -> ApiError:
     """The answer to a request that its budget does not let in."""
     if standing.lasting:
-        return ApiError(429, f"The quota is used up ({standing.why}); nothing was done.", "insufficient_quota",
-                        type="insufficient_quota", headers=headers)
-    return ApiError(429, f"The rate limit is reached ({standing.why}); nothing was done.", "rate_limit_exceeded",
-                    type=RATE, headers=headers)
+        return ApiError(
+            429,
+            f"The quota is used up ({standing.why}); nothing was done.",
+            "insufficient_quota",
+            type="insufficient_quota",
+            headers=headers,
+        )
+    return ApiError(
+        429,
+        f"The rate limit is reached ({standing.why}); nothing was done.",
+        "rate_limit_exceeded",
+        type=RATE,
+        headers=headers,
+    )
 
 
 __all__ = ["Corrupt", "Desk", "Meter", "Spender", "SpendingSetup", "turned_away"]
--- a/pearhill/chat/translate.py
+++ b/pearhill/chat/translate.py
@@ -13,9 +13,24 @@
 
 # Fields with another name, another form or no meaning in chat's words. All others go on unchanged.
 _OF_COMPLETIONS = ("prompt", "echo", "suffix", "best_of", "logprobs")
-_OF_RESPONSES = ("input", "instructions", "max_output_tokens", "text", "reasoning", "include", "truncation", "store",
-                 "background", "previous_response_id", "conversation", "prompt", "tools", "tool_choice", "top_logprobs",
-                 "stream_options")
+_OF_RESPONSES = (
+    "input",
+    "instructions",
+    "max_output_tokens",
+    "text",
+    "reasoning",
+    "include",
+    "truncation",
+    "store",
+    "background",
+    "previous_response_id",
+    "conversation",
+    "prompt",
+    "tools",
+    "tool_choice",
+    "top_logprobs",
+    "stream_options",
+)
 
 
 def completion_to_chat(asked: CompletionRequest, fields: dict[str, Any]) -> dict[str, Any]:
@@ -35,9 +50,12 @@
     for entry in entries:
         offsets.append(offset)
         offset += len(entry["token"])
-    return {"tokens": [entry["token"] for entry in entries], "token_logprobs": [e.get("logprob") for e in entries],
-            "top_logprobs": [{top["token"]: top["logprob"] for top in e.get("top_logprobs") or ()} for e in entries],
-            "text_offset": offsets}
+    return {
+        "tokens": [entry["token"] for entry in entries],
+        "token_logprobs": [e.get("logprob") for e in entries],
+        "top_logprobs": [{top["token"]: top["logprob"] for top in e.get("top_logprobs") or ()} for e in entries],
+        "text_offset": offsets,
+    }
 
 
 def _part(part: r.InPart) -> dict[str, Any]:
@@ -73,7 +91,8 @@
             if not messages or messages[-1]["role"] != "assistant":
                 messages.append({"role": "assistant", "content": None})
             messages[-1].setdefault("tool_calls", []).append(
-                {"id": item.call_id, "type": "function", "function": {"name": item.name, "arguments": item.arguments}})
+                {"id": item.call_id, "type": "function", "function": {"name": item.name, "arguments": item.arguments}}
+            )
         elif item.type == "function_call_output":
             messages.append({"role": "tool", "tool_call_id": item.call_id, "content": _content(item.output)})
     return messages
@@ -91,8 +110,11 @@
     return {"type": "json_schema", "json_schema": {name: value for name, value in told.items() if value is not None}}
 
 
-def response_to_chat(asked: r.ResponseRequest, messages: list[dict[str, Any]], fields: dict[str, Any],
-                     ) -> dict[str, Any]:
+def response_to_chat(
+    asked: r.ResponseRequest,
+    messages: list[dict[str, Any]],
+    fields: dict[str, Any],
+) -> dict[str, Any]:
     chat = {name: value for name, value in fields.items() if name not in _OF_RESPONSES}
     chat["messages"] = messages
     if asked.max_output_tokens is not None:
@@ -121,5 +143,10 @@
     before, after = usage.get("prompt_tokens") or 0, usage.get("completion_tokens") or 0
     cached = (usage.get("prompt_tokens_details") or {}).get("cached_tokens") or 0
     thought = (usage.get("completion_tokens_details") or {}).get("reasoning_tokens") or 0
-    return {"input_tokens": before, "input_tokens_details": {"cached_tokens": cached}, "output_tokens": after,
-            "output_tokens_details": {"reasoning_tokens": thought}, "total_tokens": before + after}
+    return {
+        "input_tokens": before,
+        "input_tokens_details": {"cached_tokens": cached},
+        "output_tokens": after,
+        "output_tokens_details": {"reasoning_tokens": thought},
+        "total_tokens": before + after,
+    }
--- a/pearhill/cli/fleet.py
+++ b/pearhill/cli/fleet.py
@@ -44,13 +44,21 @@
             continue
         if "aggregator" in told:
             aggregators[told["aggregator"]] = {
-                "door": door, "members": told["members"], "heard": told["heard"], "count": told["counted"],
-                "peers": {name: peer["age_s"] for name, peer in told["peers"].items()}}
+                "door": door,
+                "members": told["members"],
+                "heard": told["heard"],
+                "count": told["counted"],
+                "peers": {name: peer["age_s"] for name, peer in told["peers"].items()},
+            }
             continue
         there, reports = sum(m["state"] != "dead" for m in told["members"].values()), told.get("reports")
         dispatchers[told["name"]] = {
-            "door": door, "count": told["count"], "there": there, "source": told.get("source", "talk"),
-            "reports": reports and {key: reports[key] for key in ("aggregator", "age_s", "heard")}}
+            "door": door,
+            "count": told["count"],
+            "there": there,
+            "source": told.get("source", "talk"),
+            "reports": reports and {key: reports[key] for key in ("aggregator", "age_s", "heard")},
+        }
         for e in told["engines"]:
             row = engines.setdefault(e["address"], {"waiting": 0, "load": 0, "dispatchers": 0, "avoided_by": 0})
             row["waiting"] += e["mine"]["waiting"]
@@ -58,9 +66,13 @@
             row["dispatchers"] += e["mine"]["load"] > 0
             row["avoided_by"] += e["avoided"]
     even = evenness({name: row["load"] for name, row in engines.items()})
-    return {"dispatchers": dispatchers, "aggregators": aggregators, "silent": silent,
-            "engines": dict(sorted(engines.items())),
-            "evenness": {"peak_over_mean": round(even.peak, 3), "gini": round(even.gini, 3), "idle": list(even.idle)}}
+    return {
+        "dispatchers": dispatchers,
+        "aggregators": aggregators,
+        "silent": silent,
+        "engines": dict(sorted(engines.items())),
+        "evenness": {"peak_over_mean": round(even.peak, 3), "gini": round(even.gini, 3), "idle": list(even.idle)},
+    }
 
 
 def look(doors: list[str], wait_s: float) -> dict[str, Any]:
--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -82,8 +82,12 @@
     file: Annotated[Path | None, typer.Argument(help="the plan (TOML)", show_default=False)] = None,
     json_file: Annotated[Path | None, typer.Option("--json", help="write the results to this file")] = None,
     report_file: Annotated[Path | None, typer.Option("--report", help="write the page to this file")] = None,
-    page: Annotated[bool, typer.Option("--page", help="no run: make docs/CAPACITY.md anew from docs/capacity/*.json, "
-                                                      "in the project's folder")] = False,
+    page: Annotated[
+        bool,
+        typer.Option(
+            "--page", help="no run: make docs/CAPACITY.md anew from docs/capacity/*.json, " "in the project's folder"
+        ),
+    ] = False,
 ) -> None:
     """Measure what the fleet's control costs over a grid of sizes, with hollow dispatchers beside real ones."""
     from pearhill.config import ConfigError
@@ -118,8 +122,10 @@
             print(path)
     for slope in results["slopes"]:
         over = f", {slope['need_over_bound']:.2f} of its bound" if slope["bound"] else ""
-        print(f"{slope['way']}, {slope['role']}, {slope['quantity']}: {slope['at_size']:.4g} at the size{over} "
-              f"({slope['form']}, stretched {slope['stretched']} times)")
+        print(
+            f"{slope['way']}, {slope['role']}, {slope['quantity']}: {slope['at_size']:.4g} at the size{over} "
+            f"({slope['form']}, stretched {slope['stretched']} times)"
+        )
     if stopped:
         _fail(stopped)
 
--- a/pearhill/cli/main.py
+++ b/pearhill/cli/main.py
@@ -21,8 +21,13 @@
 from pearhill.config import ConfigError
 from pearhill.process import run
 
-app = typer.Typer(name="pearhill", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
-                  help="A dispatcher for language-model servers.")
+app = typer.Typer(
+    name="pearhill",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="A dispatcher for language-model servers.",
+)
 app.add_typer(lab.app, name="lab")
 File = Annotated[Path, typer.Argument(help="the operator's file (TOML)", show_default=False)]
 
@@ -71,8 +76,10 @@
         found = aggregator_setup.load(path)
     except ConfigError as e:
         _fail(str(e))
-    print(f"{file}: good. {found.name} listens on {found.listen[0]}:{found.listen[1]}, "
-          f"{len(found.peers)} other aggregators")
+    print(
+        f"{file}: good. {found.name} listens on {found.listen[0]}:{found.listen[1]}, "
+        f"{len(found.peers)} other aggregators"
+    )
 
 
 @app.command()
@@ -83,11 +90,17 @@
     except ConfigError as e:
         _fail(str(e))
     models = {model.name for model in found.reading.models.values()}
-    print(f"{file}: good. {len(found.entries)} servers{', eureka' if found.eureka else ''}, {len(models)} models, "
-          f"{len(found.keyring.tenants)} tenants, {len(found.reading.rules)} rules, "
-          f"classes {', '.join(found.deployment.class_names)}"
-          + (f", talks to {len(found.fleet.peers)} dispatchers and {len(found.fleet.sites)} aggregators as "
-             f"{found.fleet.name}" if found.fleet else ""))
+    print(
+        f"{file}: good. {len(found.entries)} servers{', eureka' if found.eureka else ''}, {len(models)} models, "
+        f"{len(found.keyring.tenants)} tenants, {len(found.reading.rules)} rules, "
+        f"classes {', '.join(found.deployment.class_names)}"
+        + (
+            f", talks to {len(found.fleet.peers)} dispatchers and {len(found.fleet.sites)} aggregators as "
+            f"{found.fleet.name}"
+            if found.fleet
+            else ""
+        )
+    )
     if not found.keyring:
         print("  note: no tenants are declared, so everyone who reaches the port may ask")
     if not models:
@@ -98,8 +111,11 @@
 def schema() -> None:
     """Print the JSON Schema of the operator's file."""
     made = msgspec.json.schema(OperatorFile)
-    print(msgspec.json.format(msgspec.json.encode({"$schema": "https://json-schema.org/draft/2020-12/schema", **made}),
-                              indent=2).decode())
+    print(
+        msgspec.json.format(
+            msgspec.json.encode({"$schema": "https://json-schema.org/draft/2020-12/schema", **made}), indent=2
+        ).decode()
+    )
 
 
 @app.command()
@@ -121,8 +137,9 @@
 @app.command()
 def conform(
     url: Annotated[str, typer.Argument(help="the front's base URL; none: this version's own daemon")] = "",
-    listen: Annotated[str, typer.Option(help="where the scripted server listens; the front must have it as its only "
-                                             "server")] = "127.0.0.1:0",
+    listen: Annotated[
+        str, typer.Option(help="where the scripted server listens; the front must have it as its only " "server")
+    ] = "127.0.0.1:0",
     key: Annotated[str, typer.Option(help="an API key for the front", envvar="PEARHILL_KEY")] = "",
     only: Annotated[str, typer.Option(help="only cases whose name contains this")] = "",
     write: Annotated[str, typer.Option(help="write the report to this Markdown file")] = "",
@@ -171,8 +188,10 @@
 
 @app.command()
 def fleet(
-    doors: Annotated[list[str], typer.Argument(help="operators' addresses of dispatchers and aggregators, HOST:PORT",
-                                               show_default=False)],
+    doors: Annotated[
+        list[str],
+        typer.Argument(help="operators' addresses of dispatchers and aggregators, HOST:PORT", show_default=False),
+    ],
     as_json: Annotated[bool, typer.Option("--json", help="one JSON object")] = False,
     wait_s: Annotated[float, typer.Option(help="for each answer, in seconds", min=0.1, max=60)] = 2.0,
 ) -> None:
@@ -187,17 +206,27 @@
         for name, row in told["engines"].items():
             print(f"{name:24} {row['waiting']:>10} {row['load']:>10} {row['dispatchers']:>11} {row['avoided_by']:>10}")
         even = told["evenness"]
-        print(f"peak over mean {even['peak_over_mean']}, gini {even['gini']}, "
-              f"idle: {', '.join(even['idle']) or 'none'}")
+        print(
+            f"peak over mean {even['peak_over_mean']}, gini {even['gini']}, "
+            f"idle: {', '.join(even['idle']) or 'none'}"
+        )
         for name, d in told["dispatchers"].items():
             reports = d["reports"]
-            print(f"{name:24} counts {d['count']} dispatchers, goes by {d['source'] or 'nobody'}; the talk hears "
-                  f"{d['there']} others" + (f"; sums of {reports['aggregator']}, {ages(reports['age_s'])}, hold "
-                                            f"{reports['heard']}" if reports else ""))
+            print(
+                f"{name:24} counts {d['count']} dispatchers, goes by {d['source'] or 'nobody'}; the talk hears "
+                f"{d['there']} others"
+                + (
+                    f"; sums of {reports['aggregator']}, {ages(reports['age_s'])}, hold " f"{reports['heard']}"
+                    if reports
+                    else ""
+                )
+            )
         for name, a in told["aggregators"].items():
             others = ", ".join(f"{peer} {ages(age_s)}" for peer, age_s in a["peers"].items())
-            print(f"{name:24} aggregator: counts {a['count']} dispatchers, hears {a['heard']}, {a['members']} report "
-                  f"to it; {others or 'no other is named'}")
+            print(
+                f"{name:24} aggregator: counts {a['count']} dispatchers, hears {a['heard']}, {a['members']} report "
+                f"to it; {others or 'no other is named'}"
+            )
         for door, why in told["silent"].items():
             print(f"NO ANSWER from {door}: {why}", file=sys.stderr)
     raise typer.Exit(1 if told["silent"] else 0)
--- a/pearhill/config/platform.py
+++ b/pearhill/config/platform.py
@@ -95,6 +95,13 @@
     return Config(
         name=environ.get("RELAY_NAME") or str(told.get("name", "pearhill")),
         listen=_address("listen", environ.get("RELAY_LISTEN") or told.get("listen")),
-        discovery=found, discovery_in_file=discovery, seed=seed, sockets=sockets, known=told.get("known") or {},
-        deployment=deployment, admin=None if admin is None else _address("admin_addr", admin), passed=passed,
-        notes=environ.get("TMPDIR") or None)
+        discovery=found,
+        discovery_in_file=discovery,
+        seed=seed,
+        sockets=sockets,
+        known=told.get("known") or {},
+        deployment=deployment,
+        admin=None if admin is None else _address("admin_addr", admin),
+        passed=passed,
+        notes=environ.get("TMPDIR") or None,
+    )
--- a/pearhill/config/typed.py
+++ b/pearhill/config/typed.py
@@ -17,11 +17,23 @@
 _STEP = re.compile(r"\.([^.\[]+)|\[(\d+|\.\.\.)\]")
 _UNKNOWN = re.compile(r"unknown field `([^`]*)`")
 _MISSING = re.compile(r"missing required field `([^`]*)`")
-_WORDS = {"int": "a whole number", "float": "a number", "str": "text", "bool": "true or false", "array": "a list",
-          "object": "a table", "null": "nothing"}
-
-_SORTS: dict[type, str] = {inspect.IntType: "a whole number", inspect.FloatType: "a number",
-                           inspect.StrType: "text", inspect.ListType: "a list", inspect.StructType: "a table"}
+_WORDS = {
+    "int": "a whole number",
+    "float": "a number",
+    "str": "text",
+    "bool": "true or false",
+    "array": "a list",
+    "object": "a table",
+    "null": "nothing",
+}
+
+_SORTS: dict[type, str] = {
+    inspect.IntType: "a whole number",
+    inspect.FloatType: "a number",
+    inspect.StrType: "text",
+    inspect.ListType: "a list",
+    inspect.StructType: "a table",
+}
 
 
 class Place(msgspec.Struct):
@@ -85,8 +97,9 @@
         if unknown := _UNKNOWN.search(what):
             near = difflib.get_close_matches(unknown[1], names, 1)
             hint = f" (did you mean {near[0]}?)" if near else ""
-            raise ConfigError(f"{dot}{unknown[1]}: found a key that is not known{hint}; allowed: "
-                              f"{', '.join(names)}") from None
+            raise ConfigError(
+                f"{dot}{unknown[1]}: found a key that is not known{hint}; allowed: " f"{', '.join(names)}"
+            ) from None
         if missing := _MISSING.search(what):
             kind = _place(record, told, f"{at.rstrip('`')}.{missing[1]}").type
             wanted = _SORTS.get(type(kind), "a value")
--- a/pearhill/config/values.py
+++ b/pearhill/config/values.py
@@ -51,8 +51,10 @@
     except (OSError, UnicodeDecodeError) as e:
         raise typed.complaint(path, name, f"a readable file that holds one key ({type(e).__name__})") from None
     if not text or any(not "\x21" <= char <= "\x7e" for char in text):
-        raise ConfigError(f"{path}: found a file without one key in it; allowed: a file that holds one key, printable "
-                          "and without spaces")
+        raise ConfigError(
+            f"{path}: found a file without one key in it; allowed: a file that holds one key, printable "
+            "and without spaces"
+        )
     return text
 
 
--- a/pearhill/conformance/case.py
+++ b/pearhill/conformance/case.py
@@ -104,8 +104,11 @@
 
 
 def head(status: int = 200, **headers: str) -> Step:
-    told = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
-            **{name.replace("_", "-"): value for name, value in headers.items()}}
+    told = {
+        "Content-Type": "text/event-stream",
+        "Transfer-Encoding": "chunked",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
     lines = "".join(f"{name}: {value}\r\n" for name, value in told.items() if value)
     return raw(f"HTTP/1.1 {status} Scripted\r\n{lines}\r\n".encode())
 
@@ -130,8 +133,16 @@
     return {**TOP, "choices": [{**choice, **({"logprobs": logprobs} if logprobs else {})}]}
 
 
-USAGE = {**TOP, "choices": [], "usage": {"prompt_tokens": 9, "completion_tokens": 2, "total_tokens": 11,
-                                         "prompt_tokens_details": {"cached_tokens": 4}}}
+USAGE = {
+    **TOP,
+    "choices": [],
+    "usage": {
+        "prompt_tokens": 9,
+        "completion_tokens": 2,
+        "total_tokens": 11,
+        "prompt_tokens_details": {"cached_tokens": 4},
+    },
+}
 WORDS = (delta(role="assistant", content="one "), delta(content="two"), delta(finish="stop"))
 ANSWER = (*map(event, WORDS), event(USAGE), DONE)
 
@@ -147,8 +158,11 @@
 def plain(status: int, body: Any = b"", **headers: str) -> Script:
     """An answer in one piece."""
     data = body if isinstance(body, bytes) else msgspec.json.encode(body)
-    told = {"Content-Type": "application/json", "Content-Length": str(len(data)),
-            **{name.replace("_", "-"): value for name, value in headers.items()}}
+    told = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(data)),
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
     lines = "".join(f"{name}: {value}\r\n" for name, value in told.items())
     return (raw(f"HTTP/1.1 {status} Scripted\r\n{lines}\r\n".encode() + data),)
 
--- a/pearhill/conformance/client.py
+++ b/pearhill/conformance/client.py
@@ -52,8 +52,15 @@
     async def open(self) -> None:
         self._reader, self._writer = await asyncio.open_connection(self.host, self.port)
 
-    async def ask(self, method: str, path: str, headers: dict[str, str], body: bytes | None, timeout: float,
-                  on_first: Callable[[], bool] = lambda: False) -> Got:
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout: float,
+        on_first: Callable[[], bool] = lambda: False,
+    ) -> Got:
         """`on_first` is called at the first piece of the body; True from it: leave there. TimeoutError: no end
         within so many seconds."""
         assert self._reader and self._writer
--- a/pearhill/conformance/runner.py
+++ b/pearhill/conformance/runner.py
@@ -55,9 +55,17 @@
     def markdown(self) -> str:
         """The page docs/CONFORMANCE.md."""
         groups = Counter(result.case.group for result in self.results)
-        lines = ["# Conformance", "", "Written by `pearhill conform --write docs/CONFORMANCE.md`; not by hand.", "",
-                 f"{len(self.held)} of {len(self.results)} cases hold.", "", "| group | cases |", "| --- | --- |",
-                 *(f"| {group} | {count} |" for group, count in groups.items())]
+        lines = [
+            "# Conformance",
+            "",
+            "Written by `pearhill conform --write docs/CONFORMANCE.md`; not by hand.",
+            "",
+            f"{len(self.held)} of {len(self.results)} cases hold.",
+            "",
+            "| group | cases |",
+            "| --- | --- |",
+            *(f"| {group} | {count} |" for group, count in groups.items()),
+        ]
         for group in groups:
             lines += ["", f"## {group}", "", "| case | guards against | holds |", "| --- | --- | --- |"]
             for r in self.results:
@@ -86,8 +94,11 @@
 
 
 # What a good answer, and an event of a stream, must read as, by endpoint.
-TYPES: dict[str, tuple[type, type]] = {CHAT: (a.ChatCompletion, Chunk), TEXT: (a.TextCompletion, a.TextCompletion),
-                                       RESPONSES: (a.Response, a.ResponseEvent)}
+TYPES: dict[str, tuple[type, type]] = {
+    CHAT: (a.ChatCompletion, Chunk),
+    TEXT: (a.TextCompletion, a.TextCompletion),
+    RESPONSES: (a.Response, a.ResponseEvent),
+}
 
 
 def typed(got: Got, path: str) -> str:
@@ -95,8 +106,11 @@
     whole, event = TYPES.get(path, (None, None))
     whole = whole or (a.ModelList if path == MODELS else a.ModelCard)
     streamed = got.headers.get("content-type", "").startswith("text/event-stream")
-    pieces = [e.data for e in EventParser(64 << 20).feed(got.body)
-              if e.data is not None and e.data != b"[DONE]"] if streamed else [got.body]
+    pieces = (
+        [e.data for e in EventParser(64 << 20).feed(got.body) if e.data is not None and e.data != b"[DONE]"]
+        if streamed
+        else [got.body]
+    )
     try:
         for piece in pieces:
             if streamed and b'"error"' in piece[:12]:
@@ -203,8 +217,13 @@
         return False
 
 
-async def run_cases(url: str, server: ScriptedServer, key: str = "", only: str = "", embedded: bool = False,
-                    ) -> Report:
+async def run_cases(
+    url: str,
+    server: ScriptedServer,
+    key: str = "",
+    only: str = "",
+    embedded: bool = False,
+) -> Report:
     """`embedded`: the front is inside an application. Unreachable: nothing listens there, or no case has
     such a name."""
     parts = urlsplit(url if "//" in url else f"http://{url}")
@@ -249,8 +268,14 @@
         path = pathlib.Path(folder) / "front.toml"
         path.write_text(text, encoding="utf-8")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "pearhill", "--chat", str(path), stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "PEARHILL_LOG": "INFO"})
+            sys.executable,
+            "-m",
+            "pearhill",
+            "--chat",
+            str(path),
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PEARHILL_LOG": "INFO"},
+        )
         assert process.stderr
         try:
             async with asyncio.timeout(20):
@@ -278,5 +303,3 @@
             return await run_cases(url, server, only=only)
     finally:
         await server.close()
-
-
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -42,8 +42,19 @@
 class Request:
     """One request from its arrival to its final answer and the end of its last attempt."""
 
-    __slots__ = ("number", "cls", "client", "payload", "end", "sends", "current", "answered", "holders", "reader",
-                 "backstop")
+    __slots__ = (
+        "number",
+        "cls",
+        "client",
+        "payload",
+        "end",
+        "sends",
+        "current",
+        "answered",
+        "holders",
+        "reader",
+        "backstop",
+    )
 
     def __init__(self, number: int, cls: int, client: Client, payload: Any, end: int) -> None:
         self.number, self.cls, self.client, self.payload, self.end = number, cls, client, payload, end
@@ -60,8 +71,9 @@
 
     __slots__ = ("request", "index", "engine", "sent_at", "deadline", "by", "began", "over", "_owner", "_expiry")
 
-    def __init__(self, owner: Dispatcher, request: Request, index: int, engine: int, sent_at: int, deadline: int,
-                 by: int = 0) -> None:
+    def __init__(
+        self, owner: Dispatcher, request: Request, index: int, engine: int, sent_at: int, deadline: int, by: int = 0
+    ) -> None:
         self.request, self.index, self.engine = request, index, engine
         self.sent_at, self.deadline = sent_at, deadline
         self.by = by  # its last byte has to be written by then; 0: whenever
@@ -126,9 +138,24 @@
         self.counters.taken += 1
         self.inflight += 1
         request.backstop = self.deadlines.at(end, lambda: self._overdue(request))
-        self._feed(i.Arrived(request.number, ask.cls, ask.tenant, ask.session, ask.prefix, ask.prefix_len,
-                             ask.prompt, ask.max_out, max(1, end - now), ask.repeat, ask.resumed, ask.kinds,
-                             ask.standing, ask.away))
+        self._feed(
+            i.Arrived(
+                request.number,
+                ask.cls,
+                ask.tenant,
+                ask.session,
+                ask.prefix,
+                ask.prefix_len,
+                ask.prompt,
+                ask.max_out,
+                max(1, end - now),
+                ask.repeat,
+                ask.resumed,
+                ask.kinds,
+                ask.standing,
+                ask.away,
+            )
+        )
         return request
 
     def turned_away(self, cls: int) -> None:
@@ -157,8 +184,11 @@
             if entry.phase == i.GONE:
                 del self.engines[entry.engine]
         # Danger: what was chosen before this list and waits for its connection would be sent long after it.
-        withdrawn = [a for r in self.requests.values() if (a := r.current) and not self._wanted(a.engine)
-                     and not self._backend.begun(a)]
+        withdrawn = [
+            a
+            for r in self.requests.values()
+            if (a := r.current) and not self._wanted(a.engine) and not self._backend.begun(a)
+        ]
         self._feed(i.Listed(full, entries))
         for attempt in withdrawn:
             self._stop(attempt, i.WITHDRAWN)
@@ -209,8 +239,9 @@
             self._feed(i.Began(attempt.request.number, attempt.index, attempt.engine, self.clock() - attempt.sent_at))
         return True
 
-    def end(self, attempt: Attempt, outcome: str, kept: int = 0, may_hold: bool = False, rest: int = 0,
-            said: Any = None) -> None:
+    def end(
+        self, attempt: Attempt, outcome: str, kept: int = 0, may_hold: bool = False, rest: int = 0, said: Any = None
+    ) -> None:
         if attempt.over:
             return
         attempt.over = True
@@ -221,9 +252,17 @@
             request.sends -= 1  # it was none
         self.counters.outcomes[outcome] += 1
         rtt = self.clock() - attempt.sent_at
-        logger.debug("attempt request={request} n={n} engine={engine} outcome={outcome} began={began} rtt_us={rtt_us} "
-                     "patience_us={patience_us}", request=request.number, n=attempt.index, engine=attempt.engine,
-                     outcome=outcome, began=attempt.began, rtt_us=rtt, patience_us=attempt.patience)
+        logger.debug(
+            "attempt request={request} n={n} engine={engine} outcome={outcome} began={began} rtt_us={rtt_us} "
+            "patience_us={patience_us}",
+            request=request.number,
+            n=attempt.index,
+            engine=attempt.engine,
+            outcome=outcome,
+            began=attempt.began,
+            rtt_us=rtt,
+            patience_us=attempt.patience,
+        )
         if may_hold and not attempt.began:
             request.holders.add(attempt.engine)
         if outcome == i.READ:
@@ -240,8 +279,9 @@
             self._settle(request, FAILURE)
             self.counters.declined += 1
             request.client.decline(said)
-        self._feed(i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept,
-                           rtt, None, rest))
+        self._feed(
+            i.Ended(request.number, attempt.index, attempt.engine, outcome, request.answered, kept, rtt, None, rest)
+        )
 
     def probed(self, engine: int, outcome: str, load: tuple[float, float] | None) -> None:
         """A probe has ended. The Router hears of it before this returns, unless it is busy: then after that."""
@@ -284,8 +324,7 @@
         client that has left, since nothing is owed any more."""
         if request.answered:
             return
-        logger.error("request {request} reached its deadline without an answer from the router",
-                     request=request.number)
+        logger.error("request {request} reached its deadline without an answer from the router", request=request.number)
         self._settle(request, FAILURE)
         self.counters.failed += 1
         request.client.fail()
@@ -376,8 +415,9 @@
         """Not sent: the request is over, bound to another attempt, or out of attempts."""
         attempt.over = True
         attempt.stop_clock()
-        self._feed(i.Ended(attempt.request.number, attempt.index, attempt.engine, i.MOOT, attempt.request.answered,
-                           0, 0, None))
+        self._feed(
+            i.Ended(attempt.request.number, attempt.index, attempt.engine, i.MOOT, attempt.request.answered, 0, 0, None)
+        )
 
     def _release(self, request: Request) -> None:
         engines, request.holders = request.holders, set()
--- a/pearhill/durable/frames.py
+++ b/pearhill/durable/frames.py
@@ -44,7 +44,7 @@
         if len(data) - at < HEAD.size:
             raise Torn(at, "the head of a frame is not whole")
         length, digest, seq = HEAD.unpack_from(data, at)
-        body = data[at + HEAD.size:at + HEAD.size + length]
+        body = data[at + HEAD.size : at + HEAD.size + length]
         if length > largest or len(body) < length:
             raise Torn(at, "a frame is not whole")
         if xxhash.xxh3_64_intdigest(_SEQ.pack(seq) + body) != digest:
--- a/pearhill/durable/journal.py
+++ b/pearhill/durable/journal.py
@@ -87,7 +87,7 @@
         except Torn as e:
             cut = len(data) - e.at
             with open(paths[-1].with_suffix(".torn"), "ab") as aside:
-                aside.write(data[e.at:])
+                aside.write(data[e.at :])
             os.truncate(paths[-1], e.at)
     state, state_seq = None, 0
     for path in sorted(folder.glob("[0-9]" * 20 + ".state"), reverse=True):
@@ -114,8 +114,15 @@
     """`append` never waits. `on_synced(seq)` and `on_failure(error)` are called on the writing thread; None as the
     error: it works again."""
 
-    def __init__(self, folder: pathlib.Path, seq: int, on_synced: Callable[[int], None],
-                 on_failure: Callable[[OSError | None], None], segment: int = SEGMENT, waiting: int = WAITING) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seq: int,
+        on_synced: Callable[[int], None],
+        on_failure: Callable[[OSError | None], None],
+        segment: int = SEGMENT,
+        waiting: int = WAITING,
+    ) -> None:
         self.folder, self.seq, self._segment, self._most = folder, seq, segment, waiting
         self._on_synced, self._on_failure = on_synced, on_failure
         self._lock, self._news = threading.Lock(), threading.Condition()
@@ -234,7 +241,7 @@
         try:
             data = memoryview(frame(seq, state, LARGEST_STATE))
             while data:
-                data = data[os.write(number, data):]
+                data = data[os.write(number, data) :]
             os.fsync(number)
         finally:
             os.close(number)
--- a/pearhill/eureka/client.py
+++ b/pearhill/eureka/client.py
@@ -41,8 +41,12 @@
         if body is not None:
             headers.append(("Content-Type", "application/json"))
             data = json.dumps(body).encode()
-        return await call(self.pool, self.setup.address, messages.request(
-            method, self.setup.base + path, self._host, headers, data), within)
+        return await call(
+            self.pool,
+            self.setup.address,
+            messages.request(method, self.setup.base + path, self._host, headers, data),
+            within,
+        )
 
     async def _fetch(self, path: str) -> Any:
         status, body = await self._call("GET", path)
@@ -71,14 +75,26 @@
     def _own(self, address: Address) -> dict[str, Any]:
         setup, (host, port) = self.setup, address
         now = int(time.time() * 1000)
-        return {"instance": {
-            "instanceId": self._instance, "hostName": host, "app": setup.app, "ipAddr": host, "status": "UP",
-            "overriddenstatus": "UNKNOWN", "port": {"$": port, "@enabled": "true"},
-            "securePort": {"$": 443, "@enabled": "false"}, "countryId": 1,
-            "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
-            "leaseInfo": {"renewalIntervalInSecs": setup.renew_s, "durationInSecs": setup.lease_s},
-            "metadata": {"role": "dispatcher"}, "vipAddress": setup.app.lower(), "healthCheckUrl":
-            f"http://{host}:{port}/ready", "lastUpdatedTimestamp": str(now), "lastDirtyTimestamp": str(now)}}
+        return {
+            "instance": {
+                "instanceId": self._instance,
+                "hostName": host,
+                "app": setup.app,
+                "ipAddr": host,
+                "status": "UP",
+                "overriddenstatus": "UNKNOWN",
+                "port": {"$": port, "@enabled": "true"},
+                "securePort": {"$": 443, "@enabled": "false"},
+                "countryId": 1,
+                "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+                "leaseInfo": {"renewalIntervalInSecs": setup.renew_s, "durationInSecs": setup.lease_s},
+                "metadata": {"role": "dispatcher"},
+                "vipAddress": setup.app.lower(),
+                "healthCheckUrl": f"http://{host}:{port}/ready",
+                "lastUpdatedTimestamp": str(now),
+                "lastDirtyTimestamp": str(now),
+            }
+        }
 
     @property
     def _path(self) -> str:
--- a/pearhill/eureka/registry.py
+++ b/pearhill/eureka/registry.py
@@ -40,9 +40,14 @@
     port = row.get("port")
     number = port.get("$") if isinstance(port, dict) else port
     lease, metadata = row.get("leaseInfo") or {}, row.get("metadata") or {}
-    return Instance(app, str(row.get("instanceId") or row.get("hostName")), str(row.get("status", "UNKNOWN")),
-                    f"{row.get('ipAddr') or row.get('hostName')}:{number}", int(lease.get("serviceUpTimestamp") or 0),
-                    {str(k): str(v) for k, v in metadata.items()})
+    return Instance(
+        app,
+        str(row.get("instanceId") or row.get("hostName")),
+        str(row.get("status", "UNKNOWN")),
+        f"{row.get('ipAddr') or row.get('hostName')}:{number}",
+        int(lease.get("serviceUpTimestamp") or 0),
+        {str(k): str(v) for k, v in metadata.items()},
+    )
 
 
 class Registry:
@@ -55,8 +60,11 @@
     def _parse(answer: Any) -> tuple[str, list[tuple[str, Instance]]]:
         try:
             told = answer["applications"]
-            rows = [(str(row.get("actionType", "ADDED")), _instance(row, str(app["name"]).upper()))
-                    for app in _rows(told.get("application")) for row in _rows(app.get("instance"))]
+            rows = [
+                (str(row.get("actionType", "ADDED")), _instance(row, str(app["name"]).upper()))
+                for app in _rows(told.get("application"))
+                for row in _rows(app.get("instance"))
+            ]
             return str(told.get("apps__hashcode", "")), rows
         except (KeyError, TypeError, AttributeError, ValueError) as e:
             raise BadRegistry(f"no list of applications: {e!r}") from None
@@ -96,8 +104,14 @@
 
 
 def _entry(engine: int, row: Instance, deployment: Deployment) -> i.Entry:
-    roles = {"reader": i.READER, "read": i.READER, "writer": i.WRITER, "write": i.WRITER, "mixed": i.MIXED,
-             "both": i.MIXED}
+    roles = {
+        "reader": i.READER,
+        "read": i.READER,
+        "writer": i.WRITER,
+        "write": i.WRITER,
+        "mixed": i.MIXED,
+        "both": i.MIXED,
+    }
     metadata, kinds = row.metadata, deployment.router.kinds
     if (name := metadata.get("kind")) in deployment.kind_names:
         kind = deployment.kind_names.index(name)
@@ -109,6 +123,12 @@
     zone = metadata.get("zone", deployment.zone_names[0])
     if zone not in deployment.zone_names:
         raise ValueError(f"the zone {zone!r} is not in the settings")
-    return i.Entry(engine, deployment.zone_names.index(zone), kind, int(metadata.get("cell", "0")),
-                   i.READY if row.status == "UP" else i.DRAINING, float(metadata.get("capacity", "1")),
-                   row.started_ms * 1000)
+    return i.Entry(
+        engine,
+        deployment.zone_names.index(zone),
+        kind,
+        int(metadata.get("cell", "0")),
+        i.READY if row.status == "UP" else i.DRAINING,
+        float(metadata.get("capacity", "1")),
+        row.started_ms * 1000,
+    )
--- a/pearhill/http1/sse.py
+++ b/pearhill/http1/sse.py
@@ -46,13 +46,13 @@
         events = []
         self._buffer += data
         while end := _LINE_END.search(self._buffer, self._at):
-            line, self._at = self._buffer[self._at:end.start()], end.end()
+            line, self._at = self._buffer[self._at : end.start()], end.end()
             if not self._begun:
                 self._begun, line = True, line.removeprefix(_BOM)
             if line:
                 self._field(line)
                 continue
-            raw, self._buffer, self._at = self._buffer[:self._at], self._buffer[self._at:], 0
+            raw, self._buffer, self._at = self._buffer[: self._at], self._buffer[self._at :], 0
             if len(raw) > self.most:  # Danger: else whether it passes would depend on where reads happen to end.
                 raise BadEvents("an event is too large")
             events.append(ServerEvent(raw, b"\n".join(self._data) if self._data else None, self._name or "message"))
--- a/pearhill/interface.py
+++ b/pearhill/interface.py
@@ -13,8 +13,7 @@
 READY, DRAINING, GONE = "ready", "draining", "gone"
 
 # How an attempt ends. READ: the prompt is read and its state waits at the reader; nothing was answered.
-ANSWERED, READ, ERROR, TIMEOUT, BROKEN, CANCELLED = (
-    "answered", "read", "error", "timeout", "broken", "cancelled")
+ANSWERED, READ, ERROR, TIMEOUT, BROKEN, CANCELLED = ("answered", "read", "error", "timeout", "broken", "cancelled")
 # How a request stands with its budget: guaranteed, out of what is spare, or not to be let in.
 WITHIN, SPARE, OVER, DEBT = "within", "spare", "over", "debt"
 # DECLINED: the server found fault with the request itself; its words are the answer, and tell nothing of its health.
--- a/pearhill/lab/run.py
+++ b/pearhill/lab/run.py
@@ -24,8 +24,9 @@
 @contextlib.asynccontextmanager
 async def servers(scenario: Scenario, work: list[list[tuple[float, float]]] | None = None) -> AsyncIterator[list[str]]:
     """Their addresses. `work` gets, at the end, when each began and ended each request, of the monotonic clock."""
-    process = await asyncio.create_subprocess_exec(sys.executable, "-m", "pearhill.lab.servers",
-                                                   stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "pearhill.lab.servers", stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
     assert process.stdin and process.stdout
     try:
         told = {"servers": msgspec.to_builtins(scenario.server), "seed": scenario.lab.seed}
