Log who cut an answer, how long it was silent, and which request a connection carried

New: 'answer cut ..' at INFO, cut=ID on server connections, unsent=BYTES on client connections, the counter left_in_answer; a reset under a request is lost-ConnectionResetError and no longer lost-eof.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -96,6 +96,9 @@
         self.counters.left += 1
         attempt = request.current
         self._log(request, "left", "")
+        if attempt and attempt.began:
+            self.counters.left_in_answer += 1
+            self._log_cut_answer(attempt, "client-left")
         self._feed(i.Left(request.number))
         if attempt and not attempt.over:
             self._call_off(attempt)
@@ -204,6 +207,7 @@
                 request.client.finish()
             else:  # Danger: a broken answer that is ended in good order would pass for a whole one.
                 self.counters.broken += 1
+                self._log_cut_answer(attempt, outcome)
                 request.client.abort()
         elif not request.answered and said is not None:
             self._settle(request, FAILURE)
@@ -404,6 +408,17 @@
             "request={number} id={id} state={state} {why}", number=request.number, id=request.id, state=state, why=why
         )
 
+    def _log_cut_answer(self, attempt: Attempt, why: str) -> None:
+        """An answer that began and is not whole: who ended it, and for how long nothing of it had been passed on."""
+        logger.info(
+            "answer cut request={request} id={id} engine={engine} why={why} silent_us={silent_us}",
+            request=attempt.request.number,
+            id=attempt.request.id,
+            engine=attempt.engine,
+            why=why,
+            silent_us=self.clock() - attempt.passed_at if attempt.passed_at else 0,
+        )
+
     def end_unsent(self, attempt: Attempt) -> None:
         """Not sent: the request is over, bound to another attempt, or out of attempts."""
         attempt.over = True
--- a/pearhill/core/request.py
+++ b/pearhill/core/request.py
@@ -84,6 +84,7 @@
         "entry",
         "began",
         "over",
+        "passed_at",
         "_owner",
         "_expiry",
         "_confirmation",
@@ -106,6 +107,7 @@
         self.by = by  # its last byte has to be written by then; 0: whenever
         self.entry = entry  # as the list had the replica then
         self.began = self.over = False
+        self.passed_at = 0  # when a piece of its answer was last passed on to the client; 0: never
         self._owner = owner
         self._expiry: Key | None = owner.deadlines.at(deadline, lambda: owner.expire(self))
         self._confirmation: Key | None = None
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -45,7 +45,8 @@
     failed: int = 0
     declined: int = 0  # answered in a server's own words: the request itself was at fault
     broken: int = 0  # answers that ended after their start
-    left: int = 0  # clients that went before their answer
+    left: int = 0  # clients that went before their answer was whole
+    left_in_answer: int = 0  # of them, those that had a part of it
     rejected: int = 0  # bad input, answered 4xx and not taken
     released: int = 0  # calls to let go of what an engine may hold
     release_retries: int = 0
--- a/pearhill/http1/client.py
+++ b/pearhill/http1/client.py
@@ -75,12 +75,12 @@
                 self._lost(f"malformed: {e.__context__ or e}")
         return self._taken()
 
-    def eof(self) -> list[Event]:
-        """The server has ended its sending."""
+    def eof(self, why: str = "eof") -> list[Event]:
+        """The server has ended its sending, or the connection broke: `why`."""
         if self.awaiting:
             # An answer without a length ends with its connection; no server here may send one, since its end
             # could not be told from a break.
-            self._lost("eof")
+            self._lost(why)
         return self._taken()
 
     def close(self) -> None:
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -342,11 +342,12 @@
                 task.cancel()
         self.listener.counters.connections[f"{self.listener.side} {reason}"] += 1
         logger.info(
-            "connection side={side} peer={peer} reason={reason} requests={requests}",
+            "connection side={side} peer={peer} reason={reason} requests={requests} unsent={unsent}",
             side=self.listener.side,
             peer=self.peer,
             reason=reason,
             requests=self.requests,
+            unsent=len(self._out),
         )
         pending, self.pending = self.pending, None
         if pending:
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -82,11 +82,12 @@
 
     def __init__(self, backend: HttpBackend, attempt: Attempt) -> None:
         self.backend, self.attempt = backend, attempt
+        self.request_id = attempt.request.id
         self.connection: Connection | None = None
         self.tried = False  # from here on the server may have the whole request
         self.status, self.never_ran = 0, False
         self.headers: Mapping[str, str] = {}
-        self.progress, self.passing = 0, False  # when events were last passed on; they wait for a slow client
+        self.passing = False  # events wait for a slow client
         self.body = bytearray()
         self.stream = backend.dialect.stream(attempt.request.payload)
         self.stall: Key | None = None
@@ -171,9 +172,9 @@
             self.passing = True
             await self.attempt.request.client.pass_on(ready)
             # Counted from here, so a slow client is not taken for a silent server.
-            self.passing, self.progress = False, deadlines.clock()
+            self.passing, self.attempt.passed_at = False, deadlines.clock()
             if self.stall is None and not self.attempt.over:
-                self.stall = deadlines.at(self.progress + STALL, self._silent)
+                self.stall = deadlines.at(self.attempt.passed_at + STALL, self._silent)
         if self.stream.whole and not self.attempt.over:
             self.over(i.ANSWERED, self.stream.kept)
             deadlines.after(END_WITHIN, self._no_end)
@@ -183,9 +184,9 @@
         self.stall = None
         if self.attempt.over or self.passing:
             return
-        if self.backend.pool.deadlines.clock() >= self.progress + STALL:
+        if self.backend.pool.deadlines.clock() >= self.attempt.passed_at + STALL:
             return self._give_up("stalled", i.BROKEN)
-        self.stall = self.backend.pool.deadlines.at(self.progress + STALL, self._silent)
+        self.stall = self.backend.pool.deadlines.at(self.attempt.passed_at + STALL, self._silent)
 
     def _no_end(self) -> None:
         """Danger: a server that never sends the last chunk would keep this connection for good."""
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -46,6 +46,10 @@
 class Exchange(Protocol):
     """One request on a connection. `handle` gets each piece of the answer, a `Lost` at the latest."""
 
+    @property
+    def request_id(self) -> str:
+        """The client's id of the request, for the log; empty for calls that serve no request."""
+
     @property
     def most_chunk(self) -> int:
         """Bytes of a chunk of the answer. Danger: it is gathered until it is whole."""
@@ -101,7 +105,8 @@
                     events = self.machine.feed(view[:size]) if size else self.machine.eof()
                     reason = "server-eof"
                 except OSError as e:
-                    size, events, reason = 0, self.machine.eof(), f"server-{type(e).__name__}"
+                    name = type(e).__name__
+                    size, events, reason = 0, self.machine.eof(name), f"server-{name}"
                 for event in events:
                     await self._deliver(event)
                 if not size:
@@ -145,6 +150,7 @@
         """End it now: the sending side is shut before this returns, whatever the loop still holds of the socket."""
         if self.closed:
             return
+        request_id = self.exchange.request_id if self.exchange else ""
         self.closed, self.exchange = True, None
         with contextlib.suppress(OSError):  # it was never up, or is down already
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -153,11 +159,12 @@
         self.pool.forget(self)
         self.pool.counters.connections[f"server {reason}"] += 1
         logger.info(
-            "connection side={side} peer={peer} reason={reason} exchanges={exchanges}",
+            "connection side={side} peer={peer} reason={reason} exchanges={exchanges} cut={request_id}",
             side="server",
             peer="{}:{}".format(*self.address),
             reason=reason,
             exchanges=self.exchanges,
+            request_id=request_id or "-",
         )
 
 
@@ -282,6 +289,8 @@
 class Gathered:
     """An exchange whose whole answer is wanted, up to a size."""
 
+    request_id = ""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int) -> None:
         self.status, self.body, self.most = 0, bytearray(), most
         self.most_chunk = most  # a list of a thousand servers may be one
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -39,6 +39,7 @@
     """The exchange of an attempt that was given up and whose connection stays open for now: nobody reads what comes."""
 
     most_chunk = MAX_CHUNK
+    request_id = ""
 
     async def handle(self, event: Event) -> None:
         pass
--- /dev/null
+++ b/tests/platform/test_cut_answers.py
@@ -0,0 +1,41 @@
+"""What the log tells of an answer that is not whole: whose it was, who ended it, and what was still under way."""
+
+import threading
+from typing import Any
+
+import pytest
+
+from tests.platform.test_owed import day, request
+from tests.standins import TOKENS, Standin
+
+__all__ = ["day"]
+
+
+def half_an_answer(end: threading.Event) -> Standin:
+    """A server that writes one event and closes its connection at `end`."""
+    server = Standin()
+
+    def respond(handler: Any, body: bytes) -> None:
+        handler.chunks(TOKENS[0], last=False)
+        end.wait(20)
+        handler.close_connection = True
+
+    server.respond = respond
+    return server
+
+
+@pytest.mark.parametrize(
+    ("client_leaves", "why", "counter", "reason"),
+    [(True, "client-left", "left_in_answer", "called-off"), (False, "broken", "broken", "lost-eof")],
+)
+def test_an_answer_that_is_cut_is_logged_with_its_request_and_connection(day, client_leaves, why, counter, reason):
+    end = threading.Event()
+    program = day.start((half_an_answer(end), "all-in-one"))
+    client = day.connect()
+    client.sendall(request("cut-1"))
+    assert TOKENS[0] in client.recv(65_536)
+    client.close() if client_leaves else end.set()
+    program.wait_line(rf"answer cut request=\d+ id=cut-1 engine=\d+ why={why} silent_us=\d+")
+    program.wait_line(rf"side=server .* reason={reason} exchanges=1 cut=cut-1")
+    assert program.counters()[counter] == 1
+    end.set()
