--- /dev/null
+++ b/tests/platform/test_reset_behind_bytes.py
@@ -0,0 +1,102 @@
+"""A connection that is reset right behind its last bytes, by the real program on loopback.
+
+While the program is stopped (SIGSTOP) the system takes the bytes and the reset, in that order, so that one wake-up of
+its loop brings both. No test here rests on a time: each asks what ended the connection."""
+
+import socket
+import threading
+from typing import Any
+
+from tests.platform.test_owed import Stopped, answer, day, request, reset
+from tests.standins import LAST, TOKENS, Standin
+
+__all__ = ["day"]
+RESET_SEEN = "server lost-ConnectionResetError"
+
+
+def reset_from(handler: Any) -> None:
+    """Reset the connection of a stand-in's handler."""
+    handler.close_connection = True
+    handler.rfile.close()  # it keeps the socket open
+    reset(handler.connection)
+
+
+def ended_by(day: Any, *reasons: str) -> str:
+    """The first of these reasons for which the program has ended a connection."""
+    day.until(lambda counters: any(counters["connections"].get(reason) for reason in reasons))
+    connections = day.program.counters()["connections"]
+    return next(reason for reason in reasons if connections.get(reason))
+
+
+def body_until_its_end(sock: socket.socket) -> bytes:
+    """All that comes of an answer, whether whole or not."""
+    got = b""
+    while data := sock.recv(65_536):
+        got += data
+    return got
+
+
+def test_a_reset_behind_an_event_ends_the_answer_of_its_client(day):
+    """Incident 40: it was never seen, and the client was left waiting for the rest."""
+    server, stopped, gone = Standin(), threading.Event(), threading.Event()
+
+    def respond(handler: Any, body: bytes) -> None:
+        handler.chunks(TOKENS[0], last=False)
+        stopped.wait(20)
+        handler.more(TOKENS[1])
+        reset_from(handler)
+        gone.set()
+
+    server.respond = respond
+    program = day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("s1"))
+    assert TOKENS[0] in client.recv(65_536)
+    with Stopped(program):
+        stopped.set()
+        assert gone.wait(20)
+    assert ended_by(day, "server stalled", RESET_SEEN) == RESET_SEEN
+    rest = body_until_its_end(client)
+    assert TOKENS[1] in rest
+    assert not rest.endswith(b"0\r\n\r\n")  # nothing says that it is whole
+
+
+def test_a_reset_behind_half_a_list_is_seen_and_the_list_asked_for_again(day):
+    """What discovery has counts as told; the call was given up only at the end of its time."""
+    server, called, stopped, gone = Standin(), threading.Event(), threading.Event(), threading.Event()
+    program = day.start((server, "all-in-one"))
+    list_as_usual = day.discovery.respond
+
+    def respond(handler: Any, body: bytes) -> None:
+        day.discovery.respond = list_as_usual
+        called.set()
+        stopped.wait(20)
+        handler.wfile.write(b'HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{"rev":')
+        reset_from(handler)
+        gone.set()
+
+    day.discovery.respond = respond
+    day.discovery.update(*day.discovery.targets)
+    assert called.wait(20)
+    with Stopped(program):
+        stopped.set()
+        assert gone.wait(20)
+    assert ended_by(day, "server call-failed", RESET_SEEN) == RESET_SEEN
+
+
+def test_a_client_that_resets_behind_more_bytes_is_seen_while_its_request_is_out(day):
+    server = Standin()
+    server.respond = lambda handler, body: (server.go.wait(20), handler.chunks(*TOKENS, LAST))
+    program = day.start((server, "all-in-one"))
+    client = day.connect()
+    client.sendall(request("c1", "advice", 3000))
+    server.wait_for("POST")
+    with Stopped(program):
+        client.sendall(request("c2"))
+        reset(client)
+    day.until(lambda counters: counters["outcomes"].get("cancelled") or counters["outcomes"].get("timeout"))
+    assert program.counters()["outcomes"] == {"cancelled": 1}
+    other = day.connect()
+    server.go.set()
+    other.sendall(request("c1", "advice"))  # nothing is left of it, not even its name
+    assert answer(other)[0] == 200
