A socket is read until it is empty before its poll is waited on; shortages end no connection

A stream whose replica resets behind its last event went on for its client until 4.5 s of silence; discovery's lists and clients' own resets went the same way.

Now a wake-up obliges to read until the socket says that nothing is there; a wake-up that brought nothing has its poll armed anew. EINTR, ENOMEM and ENOBUFS on reads and writes end no connection: writing has a module of its own (net/outgoing.py), which knows how much has gone out.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -15,7 +15,8 @@
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import ContinueWanted, Rejected, ServerConnection
-from pearhill.net.incoming import Incoming
+from pearhill.net.incoming import Incoming, passes
+from pearhill.net.outgoing import Outgoing
 from pearhill.routing.permissions import Use, may_close
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
     def __init__(self, listener: Listener, sock: socket.socket, peer: Any) -> None:
         self.listener, self.sock, self.peer = listener, sock, peer
         self.machine = ServerConnection(listener.max_body)
-        self.incoming = Incoming(listener.loop, sock)
+        self.incoming, self.outgoing = Incoming(listener.loop, sock), Outgoing(listener.loop, sock)
         self.waiting: deque[RequestMessage | Rejected] = deque()
         self.pending: Pending | None = None
         self.answering = self.closed = self.ending = False
@@ -95,8 +96,10 @@
         """Something waits to be read. Danger: a request that crosses the end of its connection is lost on its way."""
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
+        except BlockingIOError:
             return False
+        except OSError as e:
+            return passes(e)  # whoever could not look must not say that there is nothing
 
     # Reply.
 
@@ -112,9 +115,9 @@
                     self._took(memoryview(data))
                     continue
                 self.close("client-closed")
-            except (BlockingIOError, InterruptedError):
-                break
             except OSError as e:
+                if passes(e):
+                    break
                 self.close(f"client-{type(e).__name__}")
         return self.closed
 
@@ -298,20 +301,27 @@
             self._reader = self._writer = None
 
     async def _write(self) -> None:
-        loop = self.listener.loop
         while self._out and not self.closed:
-            data, self._out = self._out, bytearray()
             stuck = self.listener.deadlines.after(WRITE_WITHIN, lambda: self.close("client-stuck"))
             try:
-                await loop.sock_sendall(self.sock, data)
+                await self._write_some()
             except OSError as e:
                 return self.close(f"client-{type(e).__name__}")
             finally:
                 self.listener.deadlines.cancel(stuck)
-            self._room.set()
         if self.ending and not self.closed:
             self._linger()
 
+    async def _write_some(self) -> None:
+        """All that waits, or as much as may wait. OSError: the connection broke."""
+        taken = 0
+        while self._out and not self.closed and taken < ROOM:
+            size = await self.outgoing.send_some(self._out)
+            taken += size
+            del self._out[:size]
+            if len(self._out) <= ROOM:
+                self._room.set()
+
     def _linger(self) -> None:
         """Danger: closed with input unread, the connection is reset and the answer lost on its way."""
         try:
--- a/pearhill/net/incoming.py
+++ b/pearhill/net/incoming.py
@@ -4,13 +4,28 @@
 whose events come one by one that is three calls beside the read itself. Here the socket stays in the poll between
 reads, and is taken out only while nobody waits for it, so that bytes that must wait for a slow client do not spin the
 loop.
+
+A poll that stays is no promise of a further wake-up. libuv stops polling a socket on which the system reports an error
+and says so once, in the same wake-up as the bytes before it (`uv__poll_io`: POLLERR); asyncio's own loop goes on. So
+after a wake-up the socket is read until it says itself that nothing is there, and only then is the poll waited on.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
+# The system has no memory or buffer for a call at this moment: the connection is as it was.
+SHORTAGES = frozenset((errno.ENOBUFS, errno.ENOMEM))
+SHORTAGE_AGAIN_S = 0.02
+READS_A_TURN = 2  # then others have their turn, or a fast sender would keep the loop to itself
+
+
+def passes(error: OSError) -> bool:
+    """Whether a failed read or write says nothing of the connection: it can be tried again."""
+    return isinstance(error, BlockingIOError | InterruptedError) or error.errno in SHORTAGES
+
 
 class Incoming:
     """One reader at a time. Close it before the socket: a closed number that is still polled may be another's."""
@@ -19,24 +34,49 @@
         self._loop, self._sock, self._number = loop, sock, sock.fileno()
         self._waiter: asyncio.Future[None] | None = None
         self._polled = False
+        self._empty = True  # since the last wake-up the socket has had nothing to read; before the first, it may wait
+        self._reads = 0  # since it last was empty, or since others had their turn
 
     async def recv_into(self, buffer: bytearray | memoryview) -> int:
         """As `loop.sock_recv_into`: bytes read, 0 at the end. OSError: the connection broke."""
+        if self._reads >= READS_A_TURN:
+            self._reads = 0
+            await asyncio.sleep(0)
         while True:
-            if not self._polled:
-                self._loop.add_reader(self._number, self._readable)
-                self._polled = True
-            waiter = self._waiter = self._loop.create_future()
+            if self._empty:
+                await self._wake_up()
             try:
-                await waiter
-            finally:
-                self._waiter = None
-            try:
-                return self._sock.recv_into(buffer)
-            except (BlockingIOError, InterruptedError):
+                size = self._sock.recv_into(buffer)
+            except InterruptedError:
                 continue
+            except BlockingIOError:
+                self._wait_next()
+            except OSError as e:
+                if not passes(e):
+                    raise
+                await asyncio.sleep(SHORTAGE_AGAIN_S)
+            else:
+                self._reads += 1
+                return size
+
+    async def _wake_up(self) -> None:
+        if not self._polled:
+            self._loop.add_reader(self._number, self._readable)
+            self._polled = True
+        waiter = self._waiter = self._loop.create_future()
+        try:
+            await waiter
+        finally:
+            self._waiter = None
+
+    def _wait_next(self) -> None:
+        """The socket is empty. If the last wake-up brought nothing at all, nobody knows what became of its poll."""
+        if not self._reads:
+            self._stop()
+        self._empty, self._reads = True, 0
 
     def _readable(self) -> None:
+        self._empty = False  # even if whoever waits is cancelled before its turn
         if self._waiter is None:
             self._stop()
         elif not self._waiter.done():
--- /dev/null
+++ b/pearhill/net/outgoing.py
@@ -0,0 +1,47 @@
+"""What goes out on a socket: as much as the system takes, and the wait until it takes more."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from pearhill.net.incoming import SHORTAGE_AGAIN_S, passes
+
+
+class Outgoing:
+    """One writer at a time. `loop.sock_sendall` would not tell how much had gone out when a call failed."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        self._loop, self._sock, self._number = loop, sock, sock.fileno()
+
+    async def send_some(self, data: bytes | bytearray | memoryview) -> int:
+        """How many bytes the system has taken, one at least. OSError: the connection broke."""
+        while True:
+            try:
+                return self._sock.send(data)
+            except BlockingIOError:
+                await self._writable()
+            except OSError as e:
+                if not passes(e):
+                    raise
+                await asyncio.sleep(SHORTAGE_AGAIN_S)
+
+    async def send_all(self, data: bytes) -> None:
+        """OSError: the connection broke, and the last byte has not gone out."""
+        view = memoryview(data)
+        while view:
+            view = view[await self.send_some(view) :]
+
+    async def _writable(self) -> None:
+        """The poll is armed anew for each wait: libuv stops one on which an error was reported."""
+        waiter: asyncio.Future[None] = self._loop.create_future()
+
+        def wake_up() -> None:
+            if not waiter.done():
+                waiter.set_result(None)
+
+        self._loop.add_writer(self._number, wake_up)
+        try:
+            await waiter
+        finally:
+            self._loop.remove_writer(self._number)
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -15,6 +15,7 @@
 from pearhill.http1.client import ClientConnection, Data, End, Event, Head, Lost
 from pearhill.net.address import Address
 from pearhill.net.incoming import Incoming
+from pearhill.net.outgoing import Outgoing
 from pearhill.net.tasks import Tasks
 from pearhill.net.turns import time_limit
 
@@ -63,6 +64,7 @@
     def __init__(self, pool: Pool, address: Address, sock: socket.socket) -> None:
         self.pool, self.address, self.sock = pool, address, sock
         self.machine = ClientConnection()
+        self.outgoing = Outgoing(pool.loop, sock)
         self.exchange: Exchange | None = None
         self.writing = self.sent = False  # the exchange's request is being written; its last byte is written
         self.exchanges = 0
@@ -91,7 +93,7 @@
         self.exchange, self.writing, self.sent = exchange, True, False
         self.exchanges += 1
         self.machine.expect(exchange.most_chunk)
-        await self.pool.loop.sock_sendall(self.sock, data)
+        await self.outgoing.send_all(data)
         self.writing, self.sent = False, True
 
     async def _read(self) -> None:
