A shutdown's stages follow from the longest deadline, so that it is over by the earliest kill

The drain waited 1 s for new connections and 3 s at least for releases, whatever the deadlines: with 0.25 s the platform kills after 0.95 s, and connections were still open then.

--- a/pearhill/chat/service.py
+++ b/pearhill/chat/service.py
@@ -138,7 +138,7 @@
 
     async def close(self) -> None:
         """See through what was taken, then end."""
-        self.node.drain.end_process(self.node.deadlines.clock())
+        self.node.end_process()
         await self.deregister()
         await self.node.until()
         self._leave_registry()
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -234,6 +234,11 @@
         self.waiting.append(Rejected(408, "the request did not arrive in time"))
         self._advance()
 
+    def refuse_half_request(self) -> None:
+        """The process ends before the rest of it can be waited for. Nothing of it was done."""
+        self.waiting.append(Rejected(503, "this process ends: trying again elsewhere is harmless"))
+        self._advance()
+
     async def _read(self) -> None:
         """Danger: a read that the loop does ahead of this task's turn is lost with the task when the connection is
         closed in between: a request read, and dropped. So bytes are taken off the socket only here and in `gone`."""
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -230,6 +230,12 @@
             if link.idle:
                 link.close_unless_asked("drained")
 
+    def refuse_half_requests(self) -> None:
+        """Whoever has sent a part of a request gets its refusal, and its connection ends."""
+        for link in list(self.links):
+            if link.use == Use.HALF:
+                link.refuse_half_request()
+
     def stop_accepting(self, leave: bool = False) -> None:
         """Shut the door. `leave` whoever waits behind it to another process that accepts from the same socket: with
         nobody else there they are reset, and what they have sent is lost."""
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -33,9 +33,7 @@
 SPARE = 48  # descriptors for the log, the loop, the listener, and
 FOR_BOOKS = 24  # of them for releases and the list of servers
 DOOR = 16  # and for operators' calls, where there is a door for them
-ACCEPT_FOR = 1_000_000  # after SIGTERM new connections still come
-RELEASES_FOR = 1_000_000  # at the end, for releases that are still being tried; and all through the time to end in
-LEAST_TERM = 3_000_000
+RELEASES_FOR = 1_000_000  # after the last request, for releases; and all through the time to end in
 LEAST_ROOM = 8
 LOOK_AGAIN = 20_000
 OBSERVE_WALL_CLOCK = 500_000  # between two looks for a step of the wall clock
@@ -215,6 +213,8 @@
         if unlike := [key for key in old if old[key] != new[key]]:
             raise ConfigError(f"settings.{unlike[0]}: cannot change while running")
         self.settings = deployment
+        if self.drain.ending is not None:  # the platform may go by the new deadlines, and kill sooner
+            self.end_process()
         self._settle()
         self.pool.reconfigure(deployment.connect_timeout, _keep_idle(deployment))
 
@@ -269,24 +269,40 @@
             opened((host, port))
         await stopped.wait()
         logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
-        self.drain.end_process(self.deadlines.clock())
+        self.end_process()
         self._drained()
         if self.succeeded():
             listener.stop_accepting(leave=True)
         if leaving:
             await leaving()
-        await pause(self.deadlines, ACCEPT_FOR)
-        last = self.deadlines.clock() + ACCEPT_FOR
-        while not self.succeeded() and not listener.accept_all() and self.deadlines.clock() < last:
+        while not self._since_term(self.drain.times.accept_for):
+            await pause(self.deadlines, LOOK_AGAIN)
+        while not self.succeeded() and not listener.accept_all() and not self._since_term(self.drain.times.end_by):
             await pause(self.deadlines, LOOK_AGAIN)
         listener.stop_accepting(leave=self.succeeded())
-        await self.until(lambda: not listener.open, listener.close_idle)
+        await self.until(lambda: not listener.open, lambda: self._send_away(listener))
         await listener.close()
         if operators:
             await operators.close()
         # As the loop closes, the system's own handling comes back, and a late signal would end the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGUSR1})
 
+    def end_process(self) -> None:
+        """The process is to end, in the time that the platform leaves it."""
+        longest = max((spec.deadline for spec in self.settings.router.classes), default=0)
+        self.drain.end_process(self.deadlines.clock(), longest)
+
+    def _since_term(self, span: int) -> bool:
+        """Whether so many microseconds have gone by since the process was told to end."""
+        assert self.drain.ending is not None
+        return self.deadlines.clock() >= self.drain.ending + span
+
+    def _send_away(self, listener: Listener) -> None:
+        """Nobody is taken any more: end what is owed nothing, and in the end half requests too."""
+        listener.close_idle()
+        if self.drain.ends_all(self.deadlines.clock()):
+            listener.refuse_half_requests()
+
     async def until(
         self,
         quiet: Callable[[], bool] = lambda: True,
@@ -300,16 +316,12 @@
             meanwhile()
             if self.dispatcher.requests or not quiet():
                 last = self.deadlines.clock() + RELEASES_FOR
-            elif not self.backend.releasing or self.deadlines.clock() >= max(last, self._release_until):
+            elif not self.backend.releasing or (
+                self.deadlines.clock() >= last and self._since_term(self.drain.times.kill_after)
+            ):
                 return
             await pause(self.deadlines, LOOK_AGAIN)
 
-    @property
-    def _release_until(self) -> int:
-        """After SIGTERM the platform waits for its longest deadline, and 3 s at least, before it kills."""
-        longest = max((spec.deadline for spec in self.settings.router.classes), default=0)
-        return (self.drain.ending or 0) + max(LEAST_TERM, longest)
-
     def close(self) -> None:
         self.pool.close()
         self.turns.close()
