Failing test: a cold server beside peers that get lighter requests is sent too much

On a cold server each request weighs as the mean work of its class; what it bears is taken from the count of answers of warm peers, and mixed servers get short prompts above all.

--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -14,6 +14,11 @@
 WARM, RAMP = 30 * S, 14 * S
 
 
+MIXED = 4
+SHORT, LONG, SHORT_SHARE = 300, 8_000, 0.75  # prompts of the days with mixed servers
+PAD = 500  # tokens that a step costs even for the shortest prompt
+
+
 class Fleet:
     """`count` processes; one of four gets several times what the others do."""
 
@@ -107,3 +112,48 @@
     # A warm one would have had `capacity` all the while. A process started anew knows of no peers' work, and lends one
     # request a window with all others together.
     assert len([at for at in fleet.sent[1] if start <= at < start + RAMP]) > least * capacity * RAMP
+
+
+class MixedFleet(Fleet):
+    """Mixed servers get the short prompts above all, which are lighter than the mean of their class."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        super().__init__(count, seed)
+        self.work: dict[int, float] = {}  # of each server, in tokens
+        self.all_work, self.requests = 0.0, 0
+        self.change(*(entry(n, 2, cell=n % 2) for n in range(21, 21 + MIXED)))
+
+    def run(self, until: int) -> None:
+        while self.now < until:
+            self.now += int(self.rng.expovariate(RATE) * S)
+            node = self.rng.choices(self.nodes, self.shares)[0]
+            node.wait(self.now - node.now)
+            prompt = SHORT if self.rng.random() < SHORT_SHARE else LONG
+            r, out = node.arrive(prompt=prompt, session=self.rng.randrange(1, 1 << 60))
+            self.all_work, self.requests = self.all_work + prompt + PAD, self.requests + 1
+            if of(i.Send, out):
+                engine = node.sent[r].engine
+                self.sent.setdefault(engine, []).append(self.now)
+                self.work[engine] = self.work.get(engine, 0.0) + prompt + PAD
+                node.serve(r)
+
+    def capacity(self, span: int) -> float:
+        """Requests of mean work a microsecond that a warm mixed server has borne through the whole span so far."""
+        mean = self.all_work / self.requests
+        return sum(self.work.get(n, 0.0) for n in range(21, 21 + MIXED)) / MIXED / mean / span
+
+
+@pytest.mark.parametrize("count", [3, 32])
+def test_a_cold_server_bears_so_many_requests_of_mean_work_though_its_peers_get_lighter_ones(count: int):
+    """On a cold server each request weighs as the mean of its class (bench souss-helpdesk, throng, 506155874871)."""
+    seed = count * 1000 + 7
+    print(f"seed {seed}")
+    fleet = MixedFleet(count, seed)
+    start = fleet.now + WARM
+    fleet.run(start)
+    capacity = fleet.capacity(WARM)
+    fleet.change(entry(21, 2, cell=1, started=start))
+    fleet.run(start + RAMP)
+    over, fullest = breaches(fleet, 21, start, capacity)
+    assert not over, (over, fullest)
+    assert len([at for at in fleet.sent[21] if start <= at < start + RAMP]) > 0.1 * capacity * RAMP
