A cold server is sent what it bears in requests of mean work

An answer now counts for as much of the class's mean work as its prompt is long, one at most; a fetch counts whole.

--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -534,11 +534,18 @@
         # Danger: shared out later, over the few that a deploy leaves warm, past answers would overrate each.
         if self._cold_part(e) >= 1:
             warm = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._cold_part(p) >= 1)
-            self.served[e.role] += 0.2 / STEP_EVERY / max(1, warm)
+            self.served[e.role] += self._mean_requests(job) * 0.2 / STEP_EVERY / max(1, warm)
         if not e.fails.value or job.sent_at > e.fails.at:  # an older answer is no sign of recovery
             self._judged(e, 0.0, "")
         self._paced(e, job, rtt)
 
+    def _mean_requests(self, job: Job) -> float:
+        """How many requests of its class's mean work this one is, one at most. On a cold engine each weighs as that
+        mean, while warm ones of a role may get light ones above all: what they answer is not what a cold one bears."""
+        if job.fetches:  # writing an answer takes what it takes, whatever was read before it
+            return 1.0
+        return min(1.0, (job.req.prompt + PAD) / (self.lengths[job.req.cls].value + PAD))
+
     def _filled(self, e: Engine, job: Job) -> None:
         """No slot or no memory came free in time: with less of my work there it may. One jam cuts once."""
         if job.sent_at >= e.cut_at:
