--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -110,11 +110,9 @@
         if not attempt.may_begin():
             return
         self.backend.releases.close_unread(attempt.request)  # Danger: or it were a second copy
-        wait = max(1, (attempt.deadline - pool.deadlines.clock()) // 1000)
-        data = self.backend.dialect.request(attempt.request.payload, attempt.engine, wait)
         self.tried = True
         try:
-            await connection.send(self, data)
+            await connection.send(self, self._request)
         except OSError:  # its last byte was never written
             connection.close("send-failed")
             return self.over(i.UNREACHABLE)
@@ -122,6 +120,12 @@
         if connection.closed:
             self.over(i.BROKEN, may_hold=True)
 
+    def _request(self) -> bytes:
+        """What is written, with the time that is left now."""
+        attempt = self.attempt
+        wait_ms = max(1, (attempt.deadline - self.backend.pool.deadlines.clock()) // 1000)
+        return self.backend.dialect.request(attempt.request.payload, attempt.engine, wait_ms)
+
     async def _connect(self, address: Address) -> Connection:
         """A shortage of the system may be over in a moment: what is spent on it is time, as on a connection that comes
         up late, and not an attempt. CannotConnect: it is not over in that time."""
--- a/pearhill/net/incoming.py
+++ b/pearhill/net/incoming.py
@@ -48,7 +48,7 @@
             try:
                 size = self._sock.recv_into(buffer)
             except InterruptedError:
-                continue
+                await asyncio.sleep(0)
             except BlockingIOError:
                 self._wait_next()
             except OSError as e:
--- a/pearhill/net/outgoing.py
+++ b/pearhill/net/outgoing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from pearhill.net.incoming import SHORTAGE_AGAIN_S, passes
 
@@ -19,19 +20,34 @@
         while True:
             try:
                 return self._sock.send(data)
-            except BlockingIOError:
-                await self._writable()
             except OSError as e:
-                if not passes(e):
-                    raise
-                await asyncio.sleep(SHORTAGE_AGAIN_S)
+                await self._after(e)
 
-    async def send_all(self, data: bytes) -> None:
-        """OSError: the connection broke, and the last byte has not gone out."""
-        view = memoryview(data)
+    async def send_all(self, make: Callable[[], bytes]) -> None:
+        """Write what `make` gives, made anew until its first byte has gone out. OSError: the connection broke, and the
+        last byte has not gone out."""
+        while True:
+            data = make()
+            try:
+                sent = self._sock.send(data)
+                break
+            except OSError as e:
+                await self._after(e)
+        view = memoryview(data)[sent:]
         while view:
             view = view[await self.send_some(view) :]
 
+    async def _after(self, error: OSError) -> None:
+        """Wait until it is worth another try. The error itself, if the connection is over."""
+        if isinstance(error, BlockingIOError):
+            await self._writable()
+        elif isinstance(error, InterruptedError):
+            await asyncio.sleep(0)
+        elif passes(error):
+            await asyncio.sleep(SHORTAGE_AGAIN_S)
+        else:
+            raise error
+
     async def _writable(self) -> None:
         """The poll is armed anew for each wait: libuv stops one on which an error was reported."""
         waiter: asyncio.Future[None] = self._loop.create_future()
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from loguru import logger
@@ -88,12 +89,12 @@
             return False
         return False
 
-    async def send(self, exchange: Exchange, data: bytes) -> None:
-        """Write one request. OSError: its last byte was not written."""
+    async def send(self, exchange: Exchange, make: Callable[[], bytes]) -> None:
+        """Write one request, made anew until its first byte goes out. OSError: its last byte was not written."""
         self.exchange, self.writing, self.sent = exchange, True, False
         self.exchanges += 1
         self.machine.expect(exchange.most_chunk)
-        await self.outgoing.send_all(data)
+        await self.outgoing.send_all(make)
         self.writing, self.sent = False, True
 
     async def _read(self) -> None:
@@ -332,7 +333,7 @@
     gathered = Gathered(pool.loop, most)
     try:
         async with time_limit(pool.deadlines, timeout):
-            await connection.send(gathered, data)
+            await connection.send(gathered, lambda: data)
             if error := await gathered.done:
                 raise error
     except BaseException:
--- a/tests/net/test_outgoing.py
+++ b/tests/net/test_outgoing.py
@@ -41,12 +41,12 @@
         self.scripted.most = 3
         for number in (errno.EINTR, errno.EAGAIN, errno.ENOMEM, errno.ENOBUFS):
             self.scripted.errors = [number, number]
-            await asyncio.wait_for(self.outgoing.send_all(b"one two three"), 20)
+            await asyncio.wait_for(self.outgoing.send_all(lambda: b"one two three"), 20)
             self.assertEqual(self.theirs.recv(100), b"one two three", errno.errorcode[number])
 
     async def test_what_does_not_fit_waits_until_it_is_taken(self):
         data = bytes(range(256)) * 8192
-        sending = asyncio.create_task(self.outgoing.send_all(data))
+        sending = asyncio.create_task(self.outgoing.send_all(lambda: data))
         await asyncio.sleep(0)
         self.assertFalse(sending.done())
         got = bytearray()
@@ -57,8 +57,29 @@
         self.assertEqual(bytes(got), data)
 
     async def test_a_connection_that_ends_while_it_takes_nothing_is_an_error(self):
-        sending = asyncio.create_task(self.outgoing.send_all(b"x" * (1 << 22)))
+        sending = asyncio.create_task(self.outgoing.send_all(lambda: b"x" * (1 << 22)))
         await asyncio.sleep(0)
         self.theirs.close()
         with self.assertRaises(OSError):
             await asyncio.wait_for(sending, 20)
+
+    async def test_what_is_written_is_made_anew_until_its_first_byte_goes_out(self):
+        """A request tells how much time is left, and may have to wait before anything of it is taken."""
+        made = 0
+
+        def make() -> bytes:
+            nonlocal made
+            made += 1
+            return b"%d left" % (9 - made)
+
+        self.scripted.most = 3
+        self.scripted.errors = [errno.ENOBUFS, errno.EINTR, errno.EAGAIN]
+        await asyncio.wait_for(self.outgoing.send_all(make), 20)
+        self.assertEqual((self.theirs.recv(100), made), (b"5 left", 4))
+
+    async def test_an_interrupted_write_waits_for_nothing(self):
+        self.scripted.errors = [errno.EINTR] * 5
+        turns = asyncio.ensure_future(self.outgoing.send_all(lambda: b"x"))
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertTrue(turns.done())
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -155,7 +155,7 @@
             connection = await pool.acquire(server.getsockname())
             there, _ = server.accept()
             number = connection.sock.fileno()
-            writing = asyncio.ensure_future(connection.send(Gathered(loop, 100), MUCH))
+            writing = asyncio.ensure_future(connection.send(Gathered(loop, 100), lambda: MUCH))
             await asyncio.sleep(0)
             if how == "answered early":
                 there.sendall(EARLY)
