--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -289,7 +289,7 @@
                 self.machine.close()
                 break
             if isinstance(event, RequestMessage):
-                event.arrived = self.listener.deadlines.clock()
+                event.arrived = self.listener.deadlines.clock() - int(self.incoming.delayed_s * 1e6)
             self.waiting.append(event)
         if self.waiting:
             self._advance()
--- a/pearhill/net/incoming.py
+++ b/pearhill/net/incoming.py
@@ -18,7 +18,7 @@
 
 # The system has no memory or buffer for a call at this moment: the connection is as it was.
 SHORTAGES = frozenset((errno.ENOBUFS, errno.ENOMEM))
-SHORTAGE_AGAIN_S = 0.02
+SHORTAGE_AGAIN_S = 0.005  # clients' time runs on meanwhile
 READS_A_TURN = 2  # then others have their turn, or a fast sender would keep the loop to itself
 
 
@@ -36,12 +36,14 @@
         self._polled = False
         self._empty = True  # since the last wake-up the socket has had nothing to read; before the first, it may wait
         self._reads = 0  # since it last was empty, or since others had their turn
+        self.delayed_s = 0.0  # for so long the bytes read last had been there, and could not be read
 
     async def recv_into(self, buffer: bytearray | memoryview) -> int:
         """As `loop.sock_recv_into`: bytes read, 0 at the end. OSError: the connection broke."""
         if self._reads >= READS_A_TURN:
             self._reads = 0
             await asyncio.sleep(0)
+        failing_since: float | None = None
         while True:
             if self._empty:
                 await self._wake_up()
@@ -54,8 +56,11 @@
             except OSError as e:
                 if not passes(e):
                     raise
+                if failing_since is None:
+                    failing_since = self._loop.time()
                 await asyncio.sleep(SHORTAGE_AGAIN_S)
             else:
+                self.delayed_s = 0.0 if failing_since is None else self._loop.time() - failing_since
                 self._reads += 1
                 return size
 
--- a/tests/net/test_incoming.py
+++ b/tests/net/test_incoming.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from pearhill.net.incoming import READS_A_TURN, Incoming
+from pearhill.net.incoming import READS_A_TURN, SHORTAGE_AGAIN_S, Incoming
 
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -95,6 +95,16 @@
             self.theirs.sendall(b"kept")
             self.assertEqual(await self.read(), b"kept", errno.errorcode[number])
 
+    async def test_how_long_bytes_could_not_be_read_is_told(self):
+        """A request's time runs from its last byte, and not from when the system had memory to read it."""
+        self.scripted.errors = [errno.ENOMEM] * 4
+        self.theirs.sendall(b"kept")
+        await self.read()
+        self.assertGreaterEqual(self.incoming.delayed_s, 3 * SHORTAGE_AGAIN_S)
+        self.theirs.sendall(b"next")
+        await self.read()
+        self.assertEqual(self.incoming.delayed_s, 0.0)
+
     async def test_a_reset_is_seen_though_the_read_of_its_wake_up_failed(self):
         for number in (errno.EINTR, errno.EAGAIN, errno.ENOMEM):
             with self.subTest(errno.errorcode[number]):
