Slow start has a module of its own; sentences instead of 'Danger:' in the modules touched

rules.py falls into modules by decision, as the layout plans: routing/slow_start.py holds the token buckets of cold replicas and the rate by which warm ones answer, free of I/O; no judgement changes.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -112,7 +112,7 @@
             self.engines[entry.engine] = entry
             if entry.phase == i.GONE:
                 del self.engines[entry.engine]
-        # Danger: what was chosen before this list and waits for its connection would be sent long after it.
+        # What was chosen before this list and waits for its connection would be sent long after it.
         withdrawn = [
             a
             for r in self.requests.values()
@@ -141,7 +141,7 @@
     # From a backend.
 
     def may_begin(self, attempt: Attempt) -> bool:
-        """Danger: between a choice and the first byte a connection comes up. Meanwhile the client goes, or the window
+        """Between a choice and the first byte a connection comes up. Meanwhile the client goes, or the window
         ends in which the effect may be repeated; and a busy loop has read neither the one nor the other's deadline.
         (What the list takes away meanwhile is withdrawn by `listed`.)"""
         if not attempt.over and attempt.request.client.gone():
@@ -151,7 +151,7 @@
         return not attempt.over
 
     def withdraw(self, attempt: Attempt) -> None:
-        """Danger: its last byte may have gone out in the loop's own turn, before whoever waits for that hears of it. Of
+        """Its last byte may have gone out in the loop's own turn, before whoever waits for that hears of it. Of
         one that has begun to be written nobody can say that it never ran."""
         if not attempt.over:
             sent = self._backend.cancel(attempt)
@@ -205,7 +205,7 @@
             if outcome == i.ANSWERED:
                 self.counters.served += 1
                 request.client.finish()
-            else:  # Danger: a broken answer that is ended in good order would pass for a whole one.
+            else:  # A broken answer that is ended in good order would pass for a whole one.
                 self.counters.broken += 1
                 self._log_cut_answer(attempt, outcome)
                 request.client.abort()
@@ -239,7 +239,7 @@
             self._backend.release_unless_fetched(request, set(request.holders))
 
     def expire(self, attempt: Attempt) -> None:
-        """Its time is over. Danger: the connection goes first, or the next send would be a second copy."""
+        """Its time is over. The connection goes first, or the next send would be a second copy."""
         self._stop(attempt, i.TIMEOUT)
 
     # Inside.
@@ -254,7 +254,7 @@
         sent = self._backend.cancel(attempt)
         if not sent:  # a replica that the list took away is not to blame, nor is any for a client that has gone
             outcome = i.WITHDRAWN if not self._wanted(attempt.engine) else i.MOOT if request.left else i.UNREACHABLE
-        # Danger: a read may have ended well at the very moment of its closing, and its state stays pinned.
+        # A read may have ended well at the very moment of its closing, and its state stays pinned.
         self.end(attempt, outcome, may_hold=sent)
 
     def _count(self, cls: int, end: str) -> None:
@@ -270,7 +270,7 @@
         self.deadlines.cancel(request.backstop)
 
     def _overdue(self, request: Request) -> None:
-        """Danger: a fault elsewhere must not leave a client without an answer. The Router is told as of a
+        """A fault elsewhere must not leave a client without an answer. The Router is told as of a
         client that has left, since nothing is owed any more."""
         if request.answered:
             return
@@ -290,7 +290,7 @@
                 try:
                     actions = self.router.handle(self.clock(), event)
                 except Exception:
-                    # Danger: one fault of the module must not end the process and all that it has taken.
+                    # One fault of the module must not end the process and all that it has taken.
                     self.counters.faults += 1
                     logger.exception("the router failed on {event}", event=event)
                     continue
@@ -305,7 +305,7 @@
         request = self.requests.get(number)
         if request and request.answered and request.current is None:
             del self.requests[number]
-            if request.holders:  # Danger: whatever path led here, a state must not stay pinned.
+            if request.holders:  # Whatever path led here, a state must not stay pinned.
                 self._release(request)
 
     def _act(self, action: i.Action) -> None:
--- a/pearhill/lab/capacity.py
+++ b/pearhill/lab/capacity.py
@@ -53,7 +53,8 @@
 from pearhill.net.releases import UNANSWERED as RELEASES
 from pearhill.node import SPARE
 from pearhill.platform.schedule import BETWEEN, SHARE, SHARED_WAIT, WAIT
-from pearhill.rules import KEEP, KEYS, RATIO_MAX, SHED, STEP_EVERY
+from pearhill.routing.slow_start import STEP_EVERY
+from pearhill.rules import KEEP, KEYS, RATIO_MAX, SHED
 from pearhill.spread.digests import ROWS, Row
 from pearhill.spread.reports import FRESH
 
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -112,7 +112,7 @@
     # Reply.
 
     def gone(self) -> bool:
-        """Whether the client has closed, half-closed or reset its connection, by the socket itself. Danger: a busy loop
+        """Whether the client has closed, half-closed or reset its connection, by the socket itself. A busy loop
         has not come to read it, or its end stands behind more that it has sent, and its request would be sent on."""
         looked = 0
         while not self.closed and looked < LOOK_BYTES:
@@ -206,7 +206,7 @@
             try:
                 pending = self.listener.handler.handle(message, self)
             except Exception:
-                # Danger: a fault in a handler must not leave its client without an answer.
+                # A fault in a handler must not leave its client without an answer.
                 logger.exception("a handler failed on {method} {path}", method=message.method, path=message.path)
                 if self.answering and self.requests == turn:
                     self._keep = False
@@ -225,7 +225,7 @@
         self.turn_away(message.status, *self.listener.handler.rejected(message.status, message.why))
 
     def _watch(self) -> None:
-        """One deadline a connection: for a half-sent request, or for the next one to begin. Danger: were it set anew
+        """One deadline a connection: for a half-sent request, or for the next one to begin. Were it set anew
         by each byte, or only by the first, a client that trickles or says nothing would hold its place for good."""
         self.listener.deadlines.cancel(self._timer)
         self._timer = None
@@ -248,12 +248,12 @@
         self._advance()
 
     async def _read(self) -> None:
-        """Danger: a read that the loop does ahead of this task's turn is lost with the task when the connection is
+        """A read that the loop does ahead of this task's turn is lost with the task when the connection is
         closed in between: a request read, and dropped. So bytes are taken off the socket only here and in `gone`."""
         reason = "client-closed"
         try:
             while not self.closed:
-                # Danger: clients by the hundred that ask once and stay would each hold a large buffer.
+                # Clients by the hundred that ask once and stay would each hold a large buffer.
                 buffer = bytearray(READ if self.machine.in_message else FIRST_READ)
                 try:
                     size = await self.incoming.recv_into(buffer)
@@ -270,20 +270,20 @@
         """What was read. False: enough of it, behind the last answer."""
         if self.ending:
             self._past += len(data)
-            return self._past <= LINGER_BYTES  # Danger: whoever sends megabytes after its answer is read to the end.
+            return self._past <= LINGER_BYTES  # Whoever sends megabytes after its answer is read to the end.
         self._feed(data)
         return True
 
     def _feed(self, data: memoryview) -> None:
-        """Danger: a name in the reader's own frame would keep the last request for as long as its client stays."""
+        """A name in the reader's own frame would keep the last request for as long as its client stays."""
         began = self.machine.in_message
         for event in self.machine.feed(data):
             if isinstance(event, ContinueWanted):
-                if not (self.answering or self.waiting):  # Danger: it would land inside another's answer.
+                if not (self.answering or self.waiting):  # It would land inside another's answer.
                     self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
                 continue
             if self._floods:
-                # Danger: left unread, a flood hides its client's end, and the requests of one that has gone would be
+                # Left unread, a flood hides its client's end, and the requests of one that has gone would be
                 # sent on. So reading goes on: nothing more of it is kept, and the answers to the first of it end it.
                 self.waiting.append(Rejected(429, "too many requests at once on one connection"))
                 self.machine.close()
@@ -306,7 +306,7 @@
         )
 
     def _task_over(self, task: asyncio.Task[None]) -> None:
-        """Danger: a socket that is closed while the loop still polls it may hand its number to another. A task that
+        """A socket that is closed while the loop still polls it may hand its number to another. A task that
         was cancelled holds its frame, and that this link: they go when the collector comes, unless let go of here."""
         if self._reader and self._reader.done() and (self._writer is None or self._writer.done()):
             self.sock.close()
@@ -336,7 +336,7 @@
                 self._room.set()
 
     def _linger(self) -> None:
-        """Danger: closed with input unread, the connection is reset and the answer lost on its way."""
+        """Closed with input unread, the connection is reset and the answer lost on its way."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -103,13 +103,13 @@
             if not await self.backend.releases.may_replace(attempt.request):
                 return self.over(i.MOOT)
             connection = self.connection = await self._connect(address)
-        except NoRoom:  # Danger: taken for the engine's failure, a crowd here would eject every engine in turn.
+        except NoRoom:  # Taken for the engine's failure, a crowd here would eject every engine in turn.
             return self.over(i.MOOT)
         except CannotConnect:
             return self.over(i.UNREACHABLE)
         if not attempt.may_begin():
             return
-        self.backend.releases.close_unread(attempt.request)  # Danger: or it were a second copy
+        self.backend.releases.close_unread(attempt.request)  # Or it were a second copy
         self.tried = True
         try:
             await connection.send(self, self._request)
@@ -140,7 +140,7 @@
             await pause(pool.deadlines, SHORTAGE_AGAIN)
 
     def _too_late(self) -> None:
-        """Danger: its connection may come up long after the choice, and a server that reads slowly has the last byte
+        """Its connection may come up long after the choice, and a server that reads slowly has the last byte
         long after the first, and runs it only then."""
         if not (self.connection and self.connection.sent):
             self.attempt.withdraw()
@@ -170,7 +170,7 @@
         except Malformed as e:
             return self._give_up("malformed", i.BROKEN if self.attempt.began else i.ERROR, str(e))
         if ready and not self.attempt.over:
-            # Danger: only what is passed on shows progress; bytes that never make an event could trickle for ever.
+            # Only what is passed on shows progress; bytes that never make an event could trickle for ever.
             if not self.attempt.begin():
                 return
             self.passing = True
@@ -193,12 +193,12 @@
         self.stall = self.backend.pool.deadlines.at(self.attempt.passed_at + STALL, self._silent)
 
     def _no_end(self) -> None:
-        """Danger: a server that never sends the last chunk would keep this connection for good."""
+        """A server that never sends the last chunk would keep this connection for good."""
         if self.connection and self.connection.exchange is self:
             self.connection.close("no-last-chunk")
 
     def _give_up(self, reason: str, outcome: str, detail: str = "") -> None:
-        """Danger: a machine that vanished in mid-stream says nothing, and its client would wait for ever; one that
+        """A machine that vanished in mid-stream says nothing, and its client would wait for ever; one that
         talks nonsense may go on for as long."""
         if detail:
             logger.warning("engine {engine}: {reason}: {why}", engine=self.attempt.engine, reason=reason, why=detail)
@@ -207,7 +207,7 @@
         self.over(outcome)
 
     def _ended(self, clean: bool) -> None:
-        """Danger: of an answer that another one follows, or of another length than told, nothing can be believed."""
+        """Of an answer that another one follows, or of another length than told, nothing can be believed."""
         dialect = self.backend.dialect
         plain = clean and self.status not in (200, 202)
         if plain and (v := dialect.verdict(self.status, self.headers, bytes(self.body))):
@@ -243,9 +243,9 @@
         self._forget_deadlines()
         if self.task:
             self.task.cancel()
-            self.task = None  # Danger: cancelled, it holds this call and its request's body till the collector comes
+            self.task = None  # Cancelled, it holds this call and its request's body till the collector comes
         if (connection := self.connection) and not connection.closed:
-            # Danger: what is held for the request counts from here on, and the engines that hold it may be cut off: no
+            # What is held for the request counts from here on, and the engines that hold it may be cut off: no
             # release would reach them in time. While the connection is open the attempt is out. A read, before which
             # nothing is held, has to be over: its request may be refused, and nothing that may run may be out then.
             if (
@@ -283,7 +283,7 @@
                 self.leaving[engine] = self.pool.deadlines.after(KEEP_LEFT, partial(self._forget, engine))
 
     def _forget(self, engine: int) -> None:
-        """Danger: where machines come and go all day under new names, whatever is kept of each fills the memory."""
+        """Where machines come and go all day under new names, whatever is kept of each fills the memory."""
         del self.addresses[engine], self.leaving[engine]
 
     def send(self, attempt: Attempt) -> None:
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -119,7 +119,7 @@
             link.close_unless_asked("room-needed")
 
     def _accept(self) -> None:
-        """Whoever waits at the door. Danger: an accept that is called off may have taken a connection that then
+        """Whoever waits at the door. An accept that is called off may have taken a connection that then
         nobody holds; so nothing waits in one, and each is taken in the turn that it is seen."""
         if self._later:
             self.deadlines.cancel(self._later)
@@ -129,10 +129,10 @@
         if not self._polled:
             self._polled = True
             self.loop.add_reader(self._sock.fileno(), self._accept)
-        # Danger: one a turn, those who ask would stand in line behind hundreds who only connect.
+        # One a turn, those who ask would stand in line behind hundreds who only connect.
         for taken in range(ACCEPT_AT_ONCE):
             full = len(self.links) >= self.most
-            if full and taken:  # Danger: room would be made, maybe by the last one in, for nobody at the door.
+            if full and taken:  # Room would be made, maybe by the last one in, for nobody at the door.
                 return
             if full and not self._make_room():
                 return self._accept_later()
@@ -153,7 +153,7 @@
                     self._close_spent()
                 return self._accept_later()
             self._take(client, peer)
-            if full:  # Danger: those who made room are gone with the next turn; until then more would have to go
+            if full:  # Those who made room are gone with the next turn; until then more would have to go
                 return
 
     def _close_spent(self) -> None:
@@ -161,7 +161,7 @@
             link.close("room-needed")
 
     def _accept_later(self) -> None:
-        """Danger: polled while there is no room, a door with somebody before it would spin the loop."""
+        """Polled while there is no room, a door with somebody before it would spin the loop."""
         self._unpoll()
         self._later = self.deadlines.after(LOOK_AGAIN, self._accept)
 
@@ -183,7 +183,7 @@
     def _make_room(self) -> bool:
         """In the order of `Use`: first go those that have had their last answer, then those that never asked, of which
         hundreds would shut everyone out, then whoever has idled longest, and half a request last of all."""
-        # Danger: a crowd that comes and stays costs a walk over all at each accept; most of a core went into it. What
+        # A crowd that comes and stays costs a walk over all at each accept; most of a core went into it. What
         # one walk has found serves for some that follow, as long as it still holds of each.
         closed, fresh = 0, False
         while not closed and not fresh:
@@ -210,7 +210,7 @@
 
     @property
     def open(self) -> bool:
-        """Somebody is connected. Danger: whoever only rests may send in the last moment."""
+        """Somebody is connected. Whoever only rests may send in the last moment."""
         return any(not link.closed for link in self.links)
 
     @property
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -24,7 +24,7 @@
 MAX_ANSWER = 4 << 20  # of a list of servers
 MAX_CONNECT = 75_000_000  # the system itself gives up before
 FOR_LISTS = 8  # of the descriptors kept back for the books: for the list of servers alone
-# An answer that another one follows is followed by it some milliseconds later. Danger: by then the connection may carry
+# An answer that another one follows is followed by it some milliseconds later. By then the connection may carry
 # another request, whose answer it would be taken for.
 REST = 20_000
 REQUESTS, BOOKS, LISTS = range(3)  # what a connection is for; each may take what those before it may, and more
@@ -54,7 +54,7 @@
 
     @property
     def most_chunk(self) -> int:
-        """Bytes of a chunk of the answer. Danger: it is gathered until it is whole."""
+        """Bytes of a chunk of the answer. It is gathered until it is whole."""
 
     async def handle(self, event: Event) -> None: ...
 
@@ -77,7 +77,7 @@
 
     @property
     def usable(self) -> bool:
-        """Danger: a request written to a connection that the server has closed ends as a reset, which may
+        """A request written to a connection that the server has closed ends as a reset, which may
         have run. The kernel may know of the end before the reader's turn has come."""
         if self.closed:
             return False
@@ -120,7 +120,7 @@
             self.machine.close()
 
     def _reader_over(self, task: asyncio.Task[None]) -> None:
-        """Danger: a socket that is closed while the loop still polls it may hand its number to another. And a task
+        """A socket that is closed while the loop still polls it may hand its number to another. And a task
         that was cancelled holds its frame, and that this connection, until the collector comes."""
         self.sock.close()
         self._reader = None
@@ -133,7 +133,7 @@
             self.close("unasked-bytes" if exchange is None else f"lost-{event.why.partition(':')[0]}")
         elif isinstance(event, End):
             self.exchange = None
-            # Danger: an answer that comes before the whole request was sent leaves the rest on the wire.
+            # An answer that comes before the whole request was sent leaves the rest on the wire.
             if event.reusable and self.sent and not self.closed:
                 self.pool.put_back(self, rests=not isinstance(exchange, Gathered))
             else:
@@ -143,7 +143,7 @@
         try:
             await exchange.handle(event)
         except Exception:
-            # Danger: a fault over one answer would end the reader, and its request would wait for ever.
+            # A fault over one answer would end the reader, and its request would wait for ever.
             logger.exception("an exchange failed on {event}", event=type(event).__name__)
             self.close("fault")
             if not isinstance(event, Lost):
@@ -212,7 +212,7 @@
             if connection.usable:
                 return connection
             connection.close("stale")
-        # Danger: requests by the hundred would leave no descriptor for releases and for the list of servers.
+        # Requests by the hundred would leave no descriptor for releases and for the list of servers.
         most = self.most + (0, self.spare - FOR_LISTS, self.spare)[use]
         if len(self.open) + self._connecting >= most and not self._drop_oldest():
             raise NoRoom("every descriptor set aside for servers is in use")
@@ -254,7 +254,7 @@
     def put_back(self, connection: Connection, rests: bool = False) -> None:
         self.idle.setdefault(connection.address, []).append(connection)
         connection.rests_until = self.deadlines.clock() + REST if rests else 0
-        # Danger: a server closes an idle connection without a word, and what is then sent may have run.
+        # A server closes an idle connection without a word, and what is then sent may have run.
         connection.idle_key = self.deadlines.after(self.keep_idle, lambda: connection.close("idle"))
 
     def forget(self, connection: Connection) -> None:
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -95,7 +95,7 @@
         return max(LEAST_ROOM, (self.limits.sockets // self.parts - SPARE - DOOR * self.limits.door) // 2)
 
     def share(self, parts: int) -> None:
-        """So many processes are this dispatcher now. Danger: each would hold what all of them may hold, and send a
+        """So many processes are this dispatcher now. Each would hold what all of them may hold, and send a
         cold engine what all of them may send it."""
         if parts == self.parts:
             return
@@ -187,7 +187,7 @@
             self.drain.ask(self.deadlines.clock(), wish.on)
             self._drained()
         for engine in engines:
-            # Danger: it is restarted while it is out. A request on a connection from before ends as a reset.
+            # It is restarted while it is out. A request on a connection from before ends as a reset.
             if address := self.backend.addresses.get(engine):
                 self.pool.drop_idle(address)
         if told := self.roster.again(engines):
@@ -229,7 +229,7 @@
         return operators
 
     def _reload(self, reload: Callable[[], str]) -> None:
-        """Danger: whatever a file holds, and whenever it is read, the process and all that it has taken live on."""
+        """Whatever a file holds, and whenever it is read, the process and all that it has taken live on."""
         try:
             logger.info("reload: done, {result}", result=reload())
         except ConfigError as e:
@@ -262,7 +262,7 @@
         )
         while not (free := may_accept()) and not stopped.is_set():
             await pause(self.deadlines, LOOK_AGAIN)
-        if free:  # Danger: told to end before it could serve, it would take another's clients to refuse them.
+        if free:  # Told to end before it could serve, it would take another's clients to refuse them.
             host, port = listener.listen(address) if isinstance(address, tuple) else listener.adopt(address)
             self._drained()  # one that was asked for before, maybe at another process
             logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
@@ -309,7 +309,7 @@
         meanwhile: Callable[[], None] = lambda: None,
     ) -> None:
         """Wait for the end of every request and whatever else is to be quiet, and for the releases, as long as the
-        system surely lets this process live. Danger: a replica that is gone never answers one; and what is looked at
+        system surely lets this process live. A replica that is gone never answers one; and what is looked at
         before a wait may be owed after it, so that all of it holds in the same turn of the loop."""
         last = self.deadlines.clock()
         while True:
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -66,7 +66,7 @@
         self.started = False
 
     def _over(self) -> None:
-        """Danger: client and request hold each other, and the body, until the collector comes."""
+        """Client and request hold each other, and the body, until the collector comes."""
         self.request = None
         self.on_over()
 
@@ -147,7 +147,7 @@
             dispatcher.counters.rejected += 1
             reply.turn_away(400, TEXT, f"{e}\n".encode())
             return None
-        if id in self.open:  # Danger: two requests of one id could not be told apart at a replica.
+        if id in self.open:  # Two requests of one id could not be told apart at a replica.
             dispatcher.counters.rejected += 1
             reply.turn_away(409, TEXT, b"a request with this Request-Id is open\n")
             return None
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -17,9 +17,9 @@
 
 from pearhill import interface as i
 from pearhill.routing.permissions import Ran, may_refuse, may_repeat
+from pearhill.routing.slow_start import STEP_EVERY, SlowStart, TokenBucket
 
-STEP_EVERY = 2_000_000  # design: the ratio moves every two seconds
-RATIO_START, RATIO_STEP, RATIO_MAX = 0.2, 0.1, 0.3  # design
+RATIO_START, RATIO_STEP, RATIO_MAX = 0.2, 0.1, 0.3  # design; it moves at each step, every two seconds
 SHORT = 2_000  # design: fewer uncached tokens than this may be read at a writer
 PAD = 500  # tokens that a step of an engine costs even for the shortest prompt, roughly
 PATIENCE = 4  # an attempt may take this many times what is expected of it
@@ -33,7 +33,6 @@
 GIANT = 2  # prompts of more than so many times their class's usual length are not as kept as others
 WIDE = 2  # a prefix with a reader's fair share of the reading has so many homes, and two for any less
 DRAWN_KEEP, DRAWN_LEAST = 0.9, 10  # of that share: kept by each step; from fewer requests it tells little
-COLD_RATE = 0.9  # of my part of what a cold engine bears, which is 2.5 times its share of the work
 KEYS, KEEP = 1_000, 600_000_000  # entries of an engine's table, and how long any stays: a pause in a talk
 
 
@@ -76,7 +75,7 @@
 
     def __init__(self, entry: i.Entry, kind: i.KindSpec, phase: float) -> None:
         self.id, self.role, self.memory, self.entry = entry.engine, kind.role, max(1, kind.memory), entry
-        # The prefix table. Danger: in one table for all, prompts kept by engines long gone fill the memory.
+        # The prefix table. In one table for all, prompts kept by engines long gone fill the memory.
         self.kept: OrderedDict[tuple[bool, int], tuple[int, int]] = OrderedDict()
         self.load = self.queue = self.since = 0  # my tokens: under way, to be read, sent since its report
         self.waiting: dict[int, Job] = {}
@@ -84,7 +83,7 @@
         self.fails = Faded(2 * STEP_EVERY, 2)
         self.held = Faded(2 * STEP_EVERY, 4)  # share of memory, from its reports
         self.stretch = Faded(2 * STEP_EVERY, 10)  # answers' times against the mean of their class
-        self.reported, self.heard, self.tokens, self.tokens_at = 0, 0, phase, 0
+        self.reported, self.heard, self.bucket = 0, 0, TokenBucket(phase)  # of slow start
         self.bound, self.cut_at = 0.0, 0  # my tokens there that it bore when a fetch was last late; 0: never
         self.rest = 0  # until then it wants nothing more
         self.ejected_until, self.told, self.told_at = 0, 0.0, 0  # it answers no probe; tokens it said wait
@@ -111,12 +110,13 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.rng = random.Random(seed)
         self.now, self.actions = 0, list[i.Action]()
+        self.slow_start = SlowStart(settings, (i.READER, i.WRITER, i.MIXED))
         self.reconfigure(settings)
         self.engines: dict[int, Engine] = {}
         self.ready: dict[str, list[Engine]] = {i.READER: [], i.WRITER: [], i.MIXED: []}
         self.jobs: dict[int, Job] = {}
         self.timers, self.timer = dict[int, int](), 0
-        self.ratio, self.allowed, self.retries, self.steps = RATIO_START, 0.0, float(RETRY_BURST), 0
+        self.ratio, self.allowed, self.retries = RATIO_START, 0.0, float(RETRY_BURST)
         self.read_share = Faded(STEP_EVERY, 30, 0.5)
         self.waits = {role: Faded(STEP_EVERY / 2, 6) for role in self.ready}  # tokens, as told lately
         self.looks = frozenset[str]()  # roles at which the engines of a choice are asked before it
@@ -128,7 +128,7 @@
         self.helds = [Faded(STEP_EVERY, 30) for _ in settings.kinds]
         self.zones: dict[int, Faded] = {}  # failed attempts, by zone
         self.found = [Faded(2 * STEP_EVERY, 30), Faded(2 * STEP_EVERY, 30)]  # kept share of prompts, by home
-        self.usual, self.served, self.sends = (dict.fromkeys(self.ready, 0.0) for _ in range(3))
+        self.sends = dict.fromkeys(self.ready, 0.0)
         self.lengths, self.lasts = dict[int, Faded](), dict[int, Faded]()  # by class: prompts', answers'
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Listed: self._listed,
@@ -143,6 +143,7 @@
     def reconfigure(self, settings: i.Settings) -> None:
         """Other figures for the same classes, kinds and zones."""
         self.s, self.best = settings, max(spec.worth for spec in settings.classes) or 1
+        self.slow_start.settings = settings
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         """One event in, the actions it asks for out."""
@@ -157,25 +158,25 @@
         gone = [replace(e.entry, phase=i.GONE) for e in self.engines.values() if e.id not in named]
         for entry in list(event.entries) + (gone if event.full else []):
             e = self.engines.get(entry.engine)
-            # Danger: an engine that comes back empty would be believed to keep prompts, and to be as it was.
+            # An engine that comes back empty would be believed to keep prompts, and to be as it was.
             if e is None or entry.started > e.entry.started:
                 e = self.engines[entry.engine] = Engine(entry, self.s.kinds[entry.kind], self.rng.random())
             e.entry = entry
             if entry.phase == i.GONE:
                 del self.engines[e.id]  # its attempts still out hold it until they end
-                if self.s.may_cancel:  # Danger: work at a lost engine would wait for its whole time-out.
+                if self.s.may_cancel:  # Work at a lost engine would wait for its whole time-out.
                     self.actions += [i.CallOff(job.req.request, job.attempt) for job in e.waiting.values()]
         for role in self.ready:
             ready = [e for e in self.engines.values() if e.role == role and e.entry.phase == i.READY]
             before, self.ready[role] = len(self.ready[role]), sorted(ready, key=lambda e: e.id)
-            # Danger: what fewer engines share comes in one step, and finds tokens that nobody had asked for.
+            # What fewer engines share comes in one step, and finds tokens that nobody had asked for.
             for e in self.ready[role] if self.rng.random() * before > len(self.ready[role]) else []:
-                e.tokens = min(e.tokens, self.rng.random())
+                e.bucket.tokens = min(e.bucket.tokens, self.rng.random())
 
     def _belief(self, e: Engine, req: i.Arrived, home: int = -1) -> int:
         """Prompt tokens an engine should still keep: entries that its memory's worth of new tokens has not
         pushed out, or what reads found lately at the pair (home 1: the session's own one, 0: the other)."""
-        # Danger: a prompt of many times the usual length is new text; believed kept, it jams all readers.
+        # A prompt of many times the usual length is new text; believed kept, it jams all readers.
         usual = GIANT * self.lengths[req.cls].value if req.cls in self.lengths else req.prompt
         best = int(self.found[home].value * min(req.prompt, usual)) if home >= 0 else 0
         for key, most in keys(req):
@@ -191,28 +192,15 @@
         while e.kept and (len(e.kept) > KEYS or next(iter(e.kept.values()))[1] < self.now - KEEP):
             e.kept.popitem(last=False)
 
-    def _cold_part(self, e: Engine) -> float:
-        """The share of its capacity that an engine has surely reached; 1 once it is warm."""
-        age = max(0, self.now - e.entry.started) / self.s.cold if e.entry.started else 1.0
-        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
-
-    def _admits(self, e: Engine) -> bool:
-        """Danger: all nodes together push a cold engine over. My part of what it bears, by what warm peers
-        have answered me (or one a window for all nodes), fills a token bucket from a random part on: of many
-        with too little, as many send as all may."""
-        if (part := self._cold_part(e)) >= 1:
-            return True
-        rate = max(
-            self.s.fall_multiple * part * self.usual[e.role] * (e.entry.weight or 1) * COLD_RATE,
-            COLD_RATE / self.s.fall / self.s.instances,
-        )
-        age = max(0, self.now - max(e.tokens_at, e.entry.started))
-        e.tokens, e.tokens_at = min(max(rate * self.s.fall / 2, 1), e.tokens + rate * age), self.now
-        return e.tokens >= 1
+    def _warm(self, e: Engine) -> bool:
+        return self.slow_start.is_warm(e.entry, self.now)
+
+    def _bears(self, e: Engine) -> bool:
+        return self.slow_start.admits(e.entry, e.role, e.bucket, self.now)
 
     def _open(self, pool: list[Engine], job: Job) -> list[Engine]:
         """The engines of a pool that may get this request, without those that fail more than their peers."""
-        fit = [e for e in pool if e.rest <= self.now and self._legal(job, e) and self._admits(e)]
+        fit = [e for e in pool if e.rest <= self.now and self._legal(job, e) and self._bears(e)]
         # A cut zone: each of its engines was tried too seldom to tell, all of them together were not.
         fails = {zone: fails.over(self.now, 0.0) for zone, fails in self.zones.items()}
         line = min(fails.values(), default=0.0) + OUTLIER
@@ -222,7 +210,7 @@
             for e in near
             if e.ejected_until <= self.now and e.fails.over(self.now, fails.get(e.entry.zone, 0.0)) < line
         ]
-        # Panic threshold. Danger: where most look bad the judgement is at fault; ejected, they bury the rest.
+        # Panic threshold. Where most look bad the judgement is at fault; ejected, they bury the rest.
         well = well if 2 * len(well) >= len(near) else near
         return [e for e in well if e.id not in job.tried] or well
 
@@ -235,7 +223,7 @@
 
     def _held(self, e: Engine, tokens: int) -> float:
         """The share of its memory held there: as reported, the older the more its kind's, and sent since.
-        With no reports, my work against what it last bore. Danger: memory of a jam outlives the jam."""
+        With no reports, my work against what it last bore. Memory of a jam outlives the jam."""
         bore = e.bound * 2 ** min(9.0, (self.now - e.cut_at) / REGROW)
         if bore and not self.helds[e.entry.kind].weight:
             return FULL_MEMORY * (e.load + tokens) / bore if e.load else 0.0
@@ -258,7 +246,7 @@
     def _takes(self, e: Engine, weight: float, reads: bool = True) -> float:
         """How long reading a prompt, or fetching its state, should take until the first token."""
         pool = self.paces[e.entry.kind][reads]
-        # Danger: a node that refuses all hears nothing more. What it believes of a jam must fade as well.
+        # A node that refuses all hears nothing more. What it believes of a jam must fade as well.
         usual = pool.over(self.now, self.guess[e.entry.kind][reads], 0.2)
         return weight * e.pace[reads].over(self.now, usual)
 
@@ -266,7 +254,7 @@
         return self._takes(e, self._ahead(e) + req.prompt - self._belief(e, req, home) + PAD)
 
     def _ahead(self, e: Engine) -> float:
-        """Tokens that all nodes have waiting there, as far as I am told. Danger: taken for slow reading,
+        """Tokens that all nodes have waiting there, as far as I am told. Taken for slow reading,
         others' queue at one engine has me refuse what the idle ones could read, long after it is gone."""
         return max(e.queue, e.told if e.told_at == self.now else self.waits[e.role].over(self.now, 0.0))
 
@@ -285,10 +273,10 @@
     def _place(self, job: Job) -> None:
         """The ordinary path of a prompt that is not read yet."""
         req, usual = job.req, self.lengths[job.req.cls].value
-        fair = int(min(req.prompt, usual))  # Danger: by its length what is long is refused by idle ones, too
+        fair = int(min(req.prompt, usual))  # By its length what is long is refused by idle ones, too
         roomy = [e for e in self._open(self.ready[i.WRITER], job) if self._held(e, fair) < FULL_MEMORY]
         mixed = [e for e in self._order(self.ready[i.MIXED], job) if self._held(e, fair) < FULL_MEMORY]
-        # Load shedding. Danger: a prompt that is read with no writer in sight is read for nothing.
+        # Load shedding. A prompt that is read with no writer in sight is read for nothing.
         if job.attempt < 0 and not roomy and not mixed:
             return self._close(job, "no-room")
         if mixed and self._quick(whole := min(mixed[:2], key=lambda e: self._held(e, 0)), job):
@@ -296,10 +284,10 @@
         if roomy and self.s.local_read and self.ratio and (local := self._local(job, roomy)):
             self.allowed -= req.prompt - self._belief(local, req)
             return self._send(job, local)
-        # Danger: a prompt read by the last attempt that is allowed is read for nothing.
+        # A prompt read by the last attempt that is allowed is read for nothing.
         if (order := self._order(self.ready[i.READER], job)) and job.attempt + 2 < self.s.max_attempts:
             line = (min(job.aim_at, job.end) - self.now) * SHED * (1 + self._worth(req) / self.best)
-            # Danger: all nodes send a favourite to one pair, and each sees it idle. The more it draws, the
+            # All nodes send a favourite to one pair, and each sees it idle. The more it draws, the
             # more homes; the pair among them is the session's own, so that most stay as the count changes.
             homes, session = order[: self._homes(req, len(order))], req.session or req.request
             pair = sorted(homes, key=lambda e: mix(session, e.id))[:2]
@@ -309,12 +297,12 @@
             job.home = int(reader is pair[0])
             takes = self._read_time(reader, req, job.home)
             line += self._takes(reader, max(0.0, req.prompt - self._belief(reader, req, job.home) - usual))
-            # Danger: a long prompt or a favourite jams its pair while others idle. Past a pair over the line
+            # A long prompt or a favourite jams its pair while others idle. Past a pair over the line
             # the next in order finds it kept; last come mixed servers, that it delays for half as long.
             quick = (e for e in order + mixed[:2] if self._read_time(e, req) <= line / (1 + (e in mixed)))
             if takes > line and (other := next(quick, None)):
                 reader, job.home = other, -1
-            # Load shedding, least worth first. Danger: work that is late anyway delays what could be in time.
+            # Load shedding, least worth first. Work that is late anyway delays what could be in time.
             elif takes > line and job.attempt < 0:
                 return self._close(job, "slow-reads")
             return self._send(job, reader)
@@ -365,7 +353,7 @@
 
     def _worth(self, req: i.Arrived) -> float:
         """Worth of a request, less its tenant's part beyond its share, as far as my part of it tells."""
-        # Danger: what is lent out must not crowd out a guarantee.
+        # What is lent out must not crowd out a guarantee.
         over, worth = float(req.standing == i.SPARE), self.s.classes[req.cls].worth
         if not over and req.tenant < len(self.s.quotas):  # five requests weigh, whatever my few say
             mine = self.s.quotas[req.tenant] / self.s.instances * 5 * STEP_EVERY / 1_000_000
@@ -388,7 +376,7 @@
         )
 
     def _crowd(self, req: i.Arrived) -> float:
-        """My work at a writer past which it gets no more. Danger: a favourite, or the one that a release
+        """My work at a writer past which it gets no more. A favourite, or the one that a release
         left in a cell, gets all, while others idle. How slow its answers are shows late, my work at once."""
         pool = self.ready[i.WRITER] + self.ready[i.MIXED]
         return CROWD * (sum(p.load for p in pool) / max(1, len(pool)) + req.prompt + req.max_out // 2)
@@ -417,8 +405,8 @@
         e.load, e.since = e.load + job.load, e.since + (0 if job.reading else req.prompt)
         self.sends[e.role] += job.cost * self.s.instances / max(1, len(self.ready[e.role])) * 0.2 / STEP_EVERY
         e.waiting[req.request] = job
-        e.tokens -= 1
-        # Danger: a silent engine eats the client's whole time. Leave time for another attempt, unless a hasty
+        e.bucket.tokens -= 1
+        # A silent engine eats the client's whole time. Leave time for another attempt, unless a hasty
         # client's time is too short: many short attempts would all be in vain.
         wait = max(PATIENCE * self._takes(e, job.weight, not job.fetches), job.aim / (2 - job.fetches))
         last = job.attempt + 1 >= self.s.max_attempts or wait > left
@@ -448,7 +436,7 @@
             self._reported(e, event.load[0])
         if event.outcome in (i.READ, i.ANSWERED):
             if event.kept * 2 < job.known - PAD:
-                e.kept.clear()  # Danger: it has lost what it kept, and I would read long prompts there.
+                e.kept.clear()  # It has lost what it kept, and I would read long prompts there.
             if job.reading and job.home >= 0:
                 self.found[job.home].add(self.now, min(1.0, event.kept / max(1, job.req.prompt)))
             if e.role == i.WRITER and not job.fetches:
@@ -461,7 +449,7 @@
             self.drawn[job.req.prefix] = self.drawn.get(job.req.prefix, 0.0) + drawn
             self.drawn_all += drawn
         elif event.outcome in (i.TIMEOUT, i.ERROR, i.UNREACHABLE, i.BROKEN):
-            if event.outcome == i.TIMEOUT:  # Danger: from what answers alone, a jam looks quick.
+            if event.outcome == i.TIMEOUT:  # From what answers alone, a jam looks quick.
                 self._paced(e, job, event.rtt)
                 if job.fetches:
                     e.held.add(self.now, 1.0, e.held.most)
@@ -489,7 +477,7 @@
 
     def _again(self, job: Job) -> None:
         """An attempt has failed: try elsewhere while that is allowed and of use."""
-        # Retry budget. Danger: attempts that fail under load add to it. _legal stops unsafe ones.
+        # Retry budget. Attempts that fail under load add to it. _legal stops unsafe ones.
         if job.attempt + 1 >= self.s.max_attempts:
             return self._close(job, "attempts-used")
         if self.retries < 1:
@@ -498,13 +486,13 @@
         if job.held and self.now < job.held_at + self.s.release_within:
             return self._write(job)
         job.held = None
-        # Danger: a state may wait at a reader that was cut off, or while no writer's connection comes up.
+        # A state may wait at a reader that was cut off, or while no writer's connection comes up.
         self.actions.append(i.Release(job.req.request))
         self._place(job)
 
     def _close(self, job: Job, why: str) -> None:
         """The final answer, and whatever is held goes with it. A refused client is told to stay away for as
-        long as it heeds. Danger: those who come back at once add to the jam that they were refused for."""
+        long as it heeds. Those who come back at once add to the jam that they were refused for."""
         # Even a read counts as one that may run until it has ended, and a refusal would be a lie.
         spec, away = self.s.classes[job.req.cls], self.s.max_retry_after if self.s.retry_hints else 0
         if may_refuse(spec, job.ran is not None or job.out):
@@ -514,7 +502,7 @@
         self._drop(job)
 
     def _drop(self, job: Job) -> None:
-        """Danger: a state that stays pinned. REFUSE, FAIL and a client's leaving let go of nothing."""
+        """A state that stays pinned. REFUSE, FAIL and a client's leaving let go of nothing."""
         job.closed = True
         if not job.out:
             self.actions.append(i.Release(self.jobs.pop(job.req.request).req.request))
@@ -528,13 +516,12 @@
     def _answers(self, e: Engine, job: Job, rtt: int) -> None:
         """An engine has read a prompt or begun an answer."""
         e.queue -= job.cost if e.waiting.pop(job.req.request, None) else 0
-        if not job.fetches:  # Danger: a state that was fetched is not kept there, but would be read anew.
+        if not job.fetches:  # A state that was fetched is not kept there, but would be read anew.
             self._learn(e, job.req)
         e.heard = self.now
-        # Danger: shared out later, over the few that a deploy leaves warm, past answers would overrate each.
-        if self._cold_part(e) >= 1:
-            warm = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._cold_part(p) >= 1)
-            self.served[e.role] += self._mean_requests(job) * 0.2 / STEP_EVERY / max(1, warm)
+        if self._warm(e):
+            warm_weight = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._warm(p))
+            self.slow_start.answered(e.role, warm_weight, self._mean_requests(job))
         if not e.fails.value or job.sent_at > e.fails.at:  # an older answer is no sign of recovery
             self._judged(e, 0.0, "")
         self._paced(e, job, rtt)
@@ -558,7 +545,7 @@
         pool.add(self.now, pace)
 
     def _judged(self, e: Engine, failed: float, why: str) -> None:
-        """One attempt has failed, or not. Danger: a dead engine and a cut zone go on catching requests."""
+        """One attempt has failed, or not. A dead engine and a cut zone go on catching requests."""
         bad = e.fails.value > OUTLIER
         e.fails.add(self.now, failed)
         self.zones.setdefault(e.entry.zone, Faded(STEP_EVERY, 4)).add(self.now, failed)
@@ -577,9 +564,8 @@
             self._close(job, "deadline")
 
     def _step(self) -> None:
-        """The ratio's step. Reads still out count with their age. Danger: a hung reader looks fast."""
+        """The ratio's step. Reads still out count with their age. A hung reader looks fast."""
         self._timer(-1, STEP_EVERY)
-        self.steps += 1
         for e in self.ready[i.READER]:
             if oldest := next(iter(e.waiting.values()), None):
                 self.read_share.add(self.now, (self.now - oldest.sent_at) / oldest.aim)
@@ -589,7 +575,5 @@
         self.drawn_all = sum(self.drawn.values())
         self.asked = {tenant: n * 0.8 for tenant, n in self.asked.items()}
         for role in self.ready:
-            seen, new = self.served[role] / (1 - 0.8**self.steps), max(0.3, 1 / self.steps)
-            self.usual[role] = max(0.95 * self.usual[role], (1 - new) * self.usual[role] + new * seen)
-            self.served[role] *= 0.8
             self.sends[role] *= 0.8
+        self.slow_start.step()
--- a/pearhill/service/drain.py
+++ b/pearhill/service/drain.py
@@ -71,7 +71,7 @@
 
     @property
     def away(self) -> bool:
-        """Clients are to go to other dispatchers. Danger: the one whose place is taken is still this dispatcher; said
+        """Clients are to go to other dispatchers. The one whose place is taken is still this dispatcher; said
         of it, the front would leave its successor too."""
         return self.by_hand is not None or (self.ending is not None and self.yielding is None)
 
--- a/tests/test_rules_five.py
+++ b/tests/test_rules_five.py
@@ -106,8 +106,8 @@
             storm.feed(i.Left(r))
         able.wait(50_000)
         storm.wait(50_000)
-    assert able.router.usual[i.READER] > 0
-    assert storm.router.usual[i.READER] == 0
+    assert able.router.slow_start.answer_rate[i.READER] > 0
+    assert storm.router.slow_start.answer_rate[i.READER] == 0
 
 
 def test_nothing_is_read_with_no_writer_in_sight():
