What waited at the door while accepting failed has only the rest of its time

The system tells how long ago the last data came on a connection (TCP_INFO); it is asked for those that were accepted after a failure, and for no others.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -16,6 +16,7 @@
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import ContinueWanted, Rejected, ServerConnection
+from pearhill.net.arrivals import waited_us
 from pearhill.net.incoming import Incoming, passes
 from pearhill.net.outgoing import Outgoing
 from pearhill.routing.permissions import Use, may_close
@@ -43,9 +44,10 @@
 
 
 class AcceptedConnection:
-    """One client's connection, and the Reply to the request that is being answered on it."""
+    """One client's connection, and the Reply to the request that is being answered on it. `waited`: it may have stood at
+    the door for long, and its first request with it."""
 
-    def __init__(self, listener: Listener, sock: socket.socket, peer: Any) -> None:
+    def __init__(self, listener: Listener, sock: socket.socket, peer: Any, waited: bool = False) -> None:
         self.listener, self.sock, self.peer = listener, sock, peer
         self.machine = ServerConnection(listener.max_body)
         self.incoming, self.outgoing = Incoming(listener.loop, sock), Outgoing(listener.loop, sock)
@@ -54,6 +56,7 @@
         self.answering = self.closed = self.ending = False
         self.requests = 0
         self.since = listener.deadlines.clock()  # its accept, the first byte of what is being read, the last answer
+        self._waited = waited
         self._keep = True  # its client lets it live on, and nothing on it has gone wrong
         self._last = False  # the next answer ends it, whatever its request says
         self._told_last = False  # the client was told that this answer is the last one
@@ -289,7 +292,7 @@
                 self.machine.close()
                 break
             if isinstance(event, RequestMessage):
-                event.arrived = self.listener.deadlines.clock() - int(self.incoming.delayed_s * 1e6)
+                event.arrived = self.listener.deadlines.clock() - self._unread_for()
             self.waiting.append(event)
         if self.waiting:
             self._advance()
@@ -298,6 +301,11 @@
             self.since = now if self.requests else min(now, self.since + FIRST_LATER)
             self._watch()
 
+    def _unread_for(self) -> int:
+        """How long what was read just now had been there, where it was the system that kept it from being read."""
+        waited, self._waited = self._waited, False
+        return max(int(self.incoming.delayed_s * 1e6), waited_us(self.sock) if waited else 0)
+
     @property
     def _floods(self) -> bool:
         return (
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -76,6 +76,7 @@
         self._sock: socket.socket | None = None
         self._polled = False  # connections are taken as they come
         self._later: Key | None = None
+        self._failing = False  # the last accept failed for want of something: whoever comes next may have waited
         self._spare = deque[Found]()  # who can make room next
 
     def listen(self, address: Address) -> Address:
@@ -139,11 +140,13 @@
             try:
                 client, peer = self._sock.accept()
             except BlockingIOError:
+                self._failing = False
                 return
             except OSError as e:
                 if e.errno not in EXHAUSTED:
                     continue  # this connection has failed before it was taken; the next may be well
                 self.counters.accept_failures += 1
+                self._failing = True
                 logger.warning("accepting pauses: {error}", error=str(e))
                 if e.errno == errno.EMFILE:
                     self._make_room()
@@ -178,7 +181,7 @@
                 # Left to itself the system grows it to megabytes for a client that reads nothing, out of anyone's
                 # sight, and the server behind it is never held back.
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
-        self.links.add(AcceptedConnection(self, client, f"{peer[0]}:{peer[1]}"))
+        self.links.add(AcceptedConnection(self, client, f"{peer[0]}:{peer[1]}", self._failing))
 
     def _make_room(self) -> bool:
         """In the order of `Use`: first go those that have had their last answer, then those that never asked, of which
@@ -258,6 +261,7 @@
             except OSError as e:
                 if e.errno in EXHAUSTED:
                     self.counters.accept_failures += 1
+                    self._failing = True
                     return False
                 continue  # that one has gone; those behind it have not
             self._take(client, peer)
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -1,14 +1,18 @@
 """Reads and writes that fail for want of memory, or by a signal, end no connection: the real program under the shim."""
 
+import time
 import unittest.mock
 
 import pytest
 
-from tests.platform.test_clock_steps import Shimmed
-from tests.platform.test_owed import SERVED, Day, answer, request
-from tests.standins import Program, Standin
+from tests.platform.test_clock_steps import Shimmed, start
+from tests.platform.test_owed import SERVED, Day, answer, day, request
+from tests.standins import Discovery, Program, Standin
 
+__all__ = ["day"]
 ROUNDS = 30
+PAUSES = 25  # failed accepts, one each 20 ms
+SLACK_MS = 150  # a replica may be told so much more than its client has left
 
 
 @pytest.mark.parametrize(
@@ -24,14 +28,35 @@
     monkeypatch.setenv("SOAK_COMMANDS", faults)
     monkeypatch.setenv("SOAK_SEED", "11")
     print("seed 11")
-    day, server = Day(), Standin()
+    started, server = Day(), Standin()
     try:
         with unittest.mock.patch.object(Program, "LAUNCH", Shimmed.LAUNCH):
-            day.start((server, "all-in-one"))
-        client = day.connect()
+            started.start((server, "all-in-one"))
+        client = started.connect()
         for number in range(ROUNDS):
             client.sendall(request(f"a{number}"))
             assert answer(client) == (200, SERVED)
         assert server.runs == ROUNDS
     finally:
-        day.end()
+        started.end()
+
+
+def test_a_request_that_waited_at_the_door_has_only_the_rest_of_its_time(day, tmp_path, monkeypatch):
+    """No connection could be accepted meanwhile; its request was there all the while."""
+    server, ttl_ms = Standin(), 5000
+    day.discovery = Discovery(("s-0", server.address, "all-in-one"))
+    day.things += [day.discovery, server]
+    day.program, command = start(tmp_path, day.discovery, monkeypatch)
+    day.program.wait_ready()
+    command("fail accept ENFILE 1")
+    client = day.connect()
+    asked_at = time.monotonic()
+    client.sendall(request("d1", wait_ms=ttl_ms))
+    heard, lines = day.program.heard, day.program.lines
+    with heard:
+        assert heard.wait_for(lambda: sum("accepting pauses" in line for line in lines) >= PAUSES, 20)
+    waited_ms = (time.monotonic() - asked_at) * 1000
+    command("fail accept ENFILE 0")
+    assert answer(client) == (200, SERVED)
+    told_ms = next(int(each["Request-Timeout-Ms"]) for each in server.headers if each.get("Request-Id") == "d1")
+    assert told_ms <= ttl_ms - waited_ms + SLACK_MS
