The test of requests that wait at the door waits for its fault to be in force

It failed in 18 of 25 runs: the first connection was accepted before the shim had its command, and nobody else came. It connects until the program says that accepting pauses.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -44,8 +44,8 @@
 
 
 class AcceptedConnection:
-    """One client's connection, and the Reply to the request that is being answered on it. `waited`: it may have stood at
-    the door for long, and its first request with it."""
+    """One client's connection, and the Reply to the request that is being answered on it. `waited`: it may have stood
+    at the door for long, and its first request with it."""
 
     def __init__(self, listener: Listener, sock: socket.socket, peer: Any, waited: bool = False) -> None:
         self.listener, self.sock, self.peer = listener, sock, peer
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -48,13 +48,21 @@
     day.things += [day.discovery, server]
     day.program, command = start(tmp_path, day.discovery, monkeypatch)
     day.program.wait_ready()
+    heard, lines = day.program.heard, day.program.lines
+
+    def pauses() -> int:
+        return sum("accepting pauses" in line for line in lines)
+
     command("fail accept ENFILE 1")
-    client = day.connect()
+    while not pauses():  # until the command is in force: whoever comes from here on has to wait
+        day.connect()
+        with heard:
+            heard.wait_for(pauses, 0.02)
+    client, before = day.connect(), pauses()
     asked_at = time.monotonic()
     client.sendall(request("d1", wait_ms=ttl_ms))
-    heard, lines = day.program.heard, day.program.lines
     with heard:
-        assert heard.wait_for(lambda: sum("accepting pauses" in line for line in lines) >= PAUSES, 20)
+        assert heard.wait_for(lambda: pauses() >= before + PAUSES, 20)
     waited_ms = (time.monotonic() - asked_at) * 1000
     command("fail accept ENFILE 0")
     assert answer(client) == (200, SERVED)
