--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -170,3 +170,25 @@
     over, fullest = breaches(fleet, 21, start, capacity, chance_by_the_page)
     assert not over, (over, fullest)
     assert len([at for at in fleet.sent[21] if start <= at < start + RAMP]) > 0.1 * capacity * RAMP
+
+
+@pytest.mark.parametrize("kind, first", [(1, 11), (2, 21)], ids=["writers", "mixed"])
+def test_answers_that_have_only_begun_tell_nothing_of_what_a_cold_server_bears(kind: int, first: int):
+    """Servers that were empty begin answers far faster than they finish them (bench souss-helpdesk, throng,
+    506155874871, whose burst falls into the first seconds)."""
+    fleet = (*(entry(n, 0) for n in range(1, 4)), *(entry(n, kind) for n in range(first, first + 3)))
+    node = Drive(settings(instances=1, local_read=True, fall=1_500_000, cold=RAMP), fleet, seed=5)
+    role, open_still = node.router.s.kinds[kind].role, []
+    for n in range(200):
+        r, out = node.arrive(prompt=300, session=n + 1)
+        if of(i.Send, out) and node.sent[r].engine < 11:
+            node.end(r, i.READ)
+        if r in node.sent and node.sent[r].engine >= 11:
+            node.began(r)
+            open_still.append(r)
+        node.wait(20_000)
+    assert open_still and node.router.slow_start.answer_rate[role] == 0
+    for r in open_still:
+        node.end(r, i.ANSWERED, settled=True)
+    node.wait(2 * S)
+    assert node.router.slow_start.answer_rate[role] > 0
