What a cold server bears follows from what warm ones have finished, not begun

Now a read counts when it is read, an answer when it is whole. Tests: test_cold_fleet, both cases failed before.

--- a/pearhill/routing/slow_start.py
+++ b/pearhill/routing/slow_start.py
@@ -1,8 +1,9 @@
 """How many requests a cold replica may get from this process. Free of I/O; times are microseconds.
 
 All processes together push a cold replica over, and none of them knows what the others send. So each takes its own
-part of what the replica bears, by what warm replicas of the role have answered it, as the rate of a token bucket. Each
-bucket begins with a random part of a token: of many processes with too little for one request, as many send as all may.
+part of what the replica bears, by what warm replicas of the role have finished for it, as the rate of a token bucket.
+Each bucket begins with a random part of a token: of many processes with too little for one request, as many send as
+all may.
 
 What a replica bears is counted in requests of the mean work of their class, whatever each of them weighs.
 """
@@ -32,7 +33,7 @@
 
     def __init__(self, settings: i.Settings, roles: tuple[str, ...]) -> None:
         self.settings = settings
-        # By role: requests of mean work a microsecond that a unit of a warm replica's weight has answered.
+        # By role: requests of mean work a microsecond that a unit of a warm replica's weight has finished.
         self.answer_rate = dict.fromkeys(roles, 0.0)
         self._answered = dict.fromkeys(roles, 0.0)
         self._steps = 0
@@ -61,7 +62,7 @@
         return bucket.tokens >= 1
 
     def answered(self, role: str, warm_weight: float, requests: float) -> None:
-        """A warm replica has answered so many requests of mean work. `warm_weight`: of all warm ones of its role now;
+        """A warm replica has finished so many requests of mean work. `warm_weight`: of all warm ones of its role now;
         shared out later, over the few that a release leaves warm, past answers would overrate each."""
         self._answered[role] += requests * (1 - FADES) / STEP_EVERY / max(1, warm_weight)
 
--- a/pearhill/rules.py
+++ b/pearhill/rules.py
@@ -435,6 +435,7 @@
         if event.load:
             self._reported(e, event.load[0])
         if event.outcome in (i.READ, i.ANSWERED):
+            self._finished(e, job)
             if event.kept * 2 < job.known - PAD:
                 e.kept.clear()  # It has lost what it kept, and I would read long prompts there.
             if job.reading and job.home >= 0:
@@ -519,13 +520,17 @@
         if not job.fetches:  # A state that was fetched is not kept there, but would be read anew.
             self._learn(e, job.req)
         e.heard = self.now
-        if self._warm(e):
-            warm_weight = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._warm(p))
-            self.slow_start.answered(e.role, warm_weight, self._mean_requests(job))
         if not e.fails.value or job.sent_at > e.fails.at:  # an older answer is no sign of recovery
             self._judged(e, 0.0, "")
         self._paced(e, job, rtt)
 
+    def _finished(self, e: Engine, job: Job) -> None:
+        """An engine has done what it was asked for. An empty one begins answers far faster than it finishes them: those
+        that have only begun tell nothing of what it bears."""
+        if self._warm(e):
+            warm_weight = sum(p.entry.weight or 1 for p in self.ready[e.role] if self._warm(p))
+            self.slow_start.answered(e.role, warm_weight, self._mean_requests(job))
+
     def _mean_requests(self, job: Job) -> float:
         """How many requests of its class's mean work this one is, one at most. On a cold engine each weighs as that
         mean, while warm ones of a role may get light ones above all: what they answer is not what a cold one bears."""
