--- a/pearhill/lab/soak/oracle.py
+++ b/pearhill/lab/soak/oracle.py
@@ -353,6 +353,10 @@
         else:
             self._told_away.setdefault((dispatcher, replica), at)
 
+    def not_told(self, dispatcher: str, replica: str) -> None:
+        """Its discovery fell silent before the dispatcher could ask."""
+        self._told_away.pop((dispatcher, replica), None)
+
     def started(self, at: int, replica: str) -> None:
         """A cold start that discovery has told everybody."""
         self._cold.started(at, replica)
--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -238,6 +238,7 @@
     await reader.read(1)
 
 
+ASKED_WITHIN = 250_000  # a silent agent is asked each 50 to 100 ms; one that is back has been asked by then
 REQUEST_TARGET = re.compile(r"after=(\d+)(?:&wait_ms=(\d+))?")
 
 
@@ -250,6 +251,7 @@
         self._changed = asyncio.Condition()
         self._silent: asyncio.Event | None = None
         self._late: list[dict[str, object]] = []
+        self._learned: dict[str, int] = {}  # when each target was last learned
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -274,12 +276,14 @@
     def _learn(self, target: dict[str, object]) -> None:
         uid = str(target["uid"])
         self.rev += 1
-        self.targets[uid] = target
+        self.targets[uid], self._learned[uid] = target, self.clock()
         self.oracle.told(self.clock(), self.dispatcher, uid, target["state"] == "active")
 
     async def silence(self, on: bool) -> None:
         if on:
-            self._silent = self._silent or asyncio.Event()
+            if self._silent is None:
+                self._silent = asyncio.Event()
+                self._take_back_latest()
             return
         if self._silent:
             self._silent.set()
@@ -290,6 +294,13 @@
                 self._learn(target)
             self._changed.notify_all()
 
+    def _take_back_latest(self) -> None:
+        """What it learned in the last moment nobody can have asked for: that counts as told at its return."""
+        for uid, at in self._learned.items():
+            if self.clock() < at + ASKED_WITHIN:
+                self.oracle.not_told(self.dispatcher, uid)
+                self._late.append(self.targets[uid])
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         machine = ServerConnection()
         try:
