--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -151,6 +151,12 @@
             return False
         finally:
             later.cancel()
+            await self._seen_off()
+
+    async def _seen_off(self) -> None:
+        """Its last lines are read, and its exit code, before another process takes its name."""
+        if self._follower:
+            await self._follower
 
     async def _signal_later(self, process: asyncio.subprocess.Process, others: Sequence[SignalAt]) -> None:
         for each in others:
@@ -165,5 +171,4 @@
             process.kill()
             self.oracle.killed(self.clock(), self.name)
             await process.wait()
-        if self._follower:
-            await self._follower
+        await self._seen_off()
--- a/pearhill/node.py
+++ b/pearhill/node.py
@@ -21,7 +21,7 @@
 from pearhill.net.address import Address
 from pearhill.net.backend import Dialect, HttpBackend
 from pearhill.net.clock import start_clock, wall_clock
-from pearhill.net.listener import Listener
+from pearhill.net.listener import EXHAUSTED, Listener
 from pearhill.net.pool import Pool
 from pearhill.net.turns import Turns, pause
 from pearhill.routing.start_times import StartTimes
@@ -36,6 +36,7 @@
 RELEASES_FOR = 1_000_000  # after the last request, for releases; and all through the time to end in
 LEAST_ROOM = 8
 LOOK_AGAIN = 20_000
+LISTEN_WITHIN = 20_000_000  # a start that takes longer counts as failed
 OBSERVE_WALL_CLOCK = 500_000  # between two looks for a step of the wall clock
 DOOR_BODY = 4096  # bytes of a call that has no use for any
 
@@ -263,7 +264,7 @@
         while not (free := may_accept()) and not stopped.is_set():
             await pause(self.deadlines, LOOK_AGAIN)
         if free:  # Told to end before it could serve, it would take another's clients to refuse them.
-            host, port = listener.listen(address) if isinstance(address, tuple) else listener.adopt(address)
+            host, port = await self._listen(listener, address)
             self._drained()  # one that was asked for before, maybe at another process
             logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
             opened((host, port))
@@ -287,6 +288,20 @@
         # As the loop closes, the system's own handling comes back, and a late signal would end the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGUSR1})
 
+    async def _listen(self, listener: Listener, address: Address | socket.socket) -> Address:
+        """Open the address to clients. OSError: it cannot be used, or the system has had no socket for too long."""
+        if not isinstance(address, tuple):
+            return listener.adopt(address)
+        give_up = self.deadlines.clock() + LISTEN_WITHIN
+        while True:
+            try:
+                return listener.listen(address)
+            except OSError as e:
+                if e.errno not in EXHAUSTED or self.deadlines.clock() >= give_up:
+                    raise
+                self.counters.shortages += 1
+            await pause(self.deadlines, LOOK_AGAIN)
+
     def end_process(self) -> None:
         """The process is to end, in the time that the platform leaves it."""
         longest = max((spec.deadline for spec in self.settings.router.classes), default=0)
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -68,3 +68,18 @@
     assert answer(client) == (200, SERVED)
     told_ms = next(int(each["Request-Timeout-Ms"]) for each in server.headers if each.get("Request-Id") == "d1")
     assert told_ms <= ttl_ms - waited_ms + SLACK_MS
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_start_outlasts_a_moment_in_which_the_system_has_no_sockets(monkeypatch, seed):
+    monkeypatch.setenv("SOAK_COMMANDS", "fail socket ENFILE 0.8")
+    monkeypatch.setenv("SOAK_SEED", str(seed))
+    print(f"seed {seed}")
+    started, server = Day(), Standin()
+    try:
+        with unittest.mock.patch.object(Program, "LAUNCH", Shimmed.LAUNCH):
+            started.start((server, "all-in-one"))
+    finally:
+        if hasattr(started, "program"):
+            started.end()
+        server.close()
