--- a/pearhill/upgrade.py
+++ b/pearhill/upgrade.py
@@ -20,11 +20,13 @@
 
 def _age() -> int:
     """Microseconds since the platform started this process, which an interpreter on a part of a core takes seconds to
-    load. Where the system does not tell, it is as old as can be."""
+    load. The system counts in ticks of 10 ms, rounded down: it started in the course of that one, and is taken for as
+    young as it may be. Where the system does not tell, it is as old as can be."""
     try:
         with open("/proc/self/stat", "rb") as file:
-            ticks = int(file.read().rpartition(b")")[2].split()[19])
-        return int((time.clock_gettime(time.CLOCK_BOOTTIME) - ticks / os.sysconf("SC_CLK_TCK")) * 1e6)
+            tick = int(file.read().rpartition(b")")[2].split()[19])
+        latest_start = (tick + 1) / os.sysconf("SC_CLK_TCK")
+        return max(0, int((time.clock_gettime(time.CLOCK_BOOTTIME) - latest_start) * 1e6))
     except (OSError, ValueError, IndexError):
         return sys.maxsize
 
