Discovery: an agent that is slow for its answers is heard

Callers saw a dispatcher without an endpoint list, or with an old one, for as long as its discovery agent needed more than 0.8 s for an answer (8 times the retry interval; 8 ms where drain-grace is 1 ms): not ready, or sending to replicas that were gone.

Cause: while the agent does not answer a call goes out every retry interval, and the ninth ended the oldest one, whose answer was due next.

Fix: the oldest call stays until its timeout (5 s beyond its wait); of the others the one goes whose neighbours' ages have the smallest ratio, so that open calls of all ages are kept. New calls go out as before, for an agent that was silent and answers only those.

--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -29,6 +30,14 @@
 UpdateCallback = Callable[[bool, tuple[Endpoint, ...], dict[int, Address]], None]  # (is it the whole list, ..)
 
 
+@dataclass(frozen=True)
+class OpenCall:
+    """A call that is out, and when it began, in microseconds of the process's clock."""
+
+    task: asyncio.Task[None]
+    began: int
+
+
 class Watch:
     """Keeps the endpoint list of one dispatcher up to date, for as long as the process lives.
 
@@ -58,7 +67,7 @@
         # lists would keep it busy for seconds, in which no dispatcher learns anything; changes since the known list
         # cost a line or two.
         self._has_list = bool(known.get("targets")) and schedule.shared
-        self._calls: list[asyncio.Task[None]] = []  # open ones, the oldest first
+        self._calls: list[OpenCall] = []  # the oldest first
         self._next_call: Key | None = None  # the timer of the next one, whatever becomes of the open ones
         self._last_call_at = pool.deadlines.clock()  # when the last one went out, or since when one is awaited
         self._failing_since = 0
@@ -73,9 +82,9 @@
         self.pool.deadlines.cancel(self._next_call)
         calls = self._calls
         self._calls = []
-        for task in calls:
-            if task is not asyncio.current_task():
-                task.cancel()
+        for open_call in calls:
+            if open_call.task is not asyncio.current_task():
+                open_call.task.cancel()
 
     def move(self, address: Address) -> None:
         """Discovery is elsewhere now. Its revisions may be counted otherwise, so the whole list is requested."""
@@ -120,13 +129,19 @@
         """Begin one more call. Discovery may stay silent: what was known then stays in force."""
         self.pool.deadlines.cancel(self._next_call)
         if len(self._calls) >= self.schedule.max_concurrent_calls:
-            self._calls.pop(0).cancel()
+            self._end_one_call()
         wait = self.schedule.watch_wait(self._has_list)
-        self._calls.append(self.pool.spawn(self._poll(wait)))
+        self._calls.append(OpenCall(self.pool.spawn(self._poll(wait)), self.pool.deadlines.clock()))
         overlap_delay = self.schedule.overlap_delay(wait)
         if overlap_delay:
             self._next_call = self.pool.deadlines.after(overlap_delay, partial(self._on_silence, overlap_delay))
 
+    def _end_one_call(self) -> None:
+        """End the open call that the next one replaces."""
+        begun = [open_call.began for open_call in self._calls]
+        index = self.schedule.call_to_replace(self.pool.deadlines.clock(), begun)
+        self._calls.pop(index).task.cancel()
+
     def _on_silence(self, elapsed: int) -> None:
         """The last call is unanswered for so long: another one goes out beside it."""
         if not self.schedule.failures:
@@ -148,8 +163,9 @@
             # Whatever a body makes the parser do, the calls have to go on: nothing else would make the next one.
             if not isinstance(e, EXPECTED_ERRORS):
                 logger.opt(exception=e).error("discovery: an answer to {target} could not be read", target=target)
-            if task in self._calls:
-                self._calls.remove(task)
+            still_open = [open_call for open_call in self._calls if open_call.task is not task]
+            if len(still_open) < len(self._calls):
+                self._calls = still_open
                 self._record_failure(f"{target}: {e!r}")
                 self._call_after(self.schedule.delay_after_failure(clock() - began))
             return
--- a/pearhill/platform/schedule.py
+++ b/pearhill/platform/schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 # A shared discovery service spends this much of its time on each dispatcher: by so much are their calls spread.
 SERVICE_TIME_PER_DISPATCHER_US = 150_000
@@ -13,10 +14,13 @@
 # How long a watch lets discovery wait for an event.
 WATCH_WAIT_US = 1_000_000
 SHARED_WATCH_WAIT_US = 3_000_000
-# A call is given up so long after the end of its wait; at a shared service, so long after its turn in the queue.
-ANSWER_ALLOWANCE_US = 500_000
+# An agent is called again so long after the end of an unanswered call's wait.
+SILENCE_TIMEOUT_US = 500_000
+# A call at a shared service is given up so long after its turn in the queue.
 SHARED_ANSWER_ALLOWANCE_US = 300_000
-# Calls at an agent that does not answer, each on a connection of its own; the next one replaces the oldest.
+# How long a slow agent may take for an answer beyond the wait of its call.
+AGENT_ANSWER_ALLOWANCE_US = 5_000_000
+# Calls at an agent that does not answer, each on a connection of its own; beyond that a new one replaces an open one.
 MAX_CONCURRENT_CALLS = 8
 # An agent that does not answer is called so many times within the drain grace: an answer or two may be nonsense, and
 # the parse, the update of the endpoints and other work of the event loop take time as well.
@@ -38,7 +42,8 @@
 
     An agent of this dispatcher's own may be called freely, and what it has counts as received from the moment it has
     it. It may fall silent and come back with an event that must be in force within `grace`. So while it does not answer
-    it is called several times in that span, whatever became of the calls before.
+    it is called several times in that span, whatever became of the calls before. Nor does a new call end the one that
+    has waited longest: an agent may be slow without being silent.
     """
 
     def __init__(self, shared: bool, instances: int, grace: int, rng: random.Random) -> None:
@@ -84,13 +89,24 @@
         if self.shared:
             # A call that is given up just before its turn costs the service as much as one that is answered.
             return max(wait, MAX_QUEUE_WAIT_US) + SHARED_ANSWER_ALLOWANCE_US
-        return wait + ANSWER_ALLOWANCE_US + MAX_CONCURRENT_CALLS * self.retry_interval
+        return wait + AGENT_ANSWER_ALLOWANCE_US
 
     def overlap_delay(self, wait: int) -> int:
         """After how long the next call goes out beside an unanswered one; 0: not before that one has failed."""
         if self.shared:
             return 0
-        return wait + ANSWER_ALLOWANCE_US if wait else self.retry_interval
+        return wait + SILENCE_TIMEOUT_US if wait else self.retry_interval
+
+    def call_to_replace(self, now: int, begun: Sequence[int]) -> int:
+        """Which open call the next one replaces. `begun`: when each of them began, the oldest first; not empty.
+
+        An agent that was silent answers new calls only; one that is slow answers only calls that stay open for as long
+        as it takes. So the oldest call stays, and of the others the one goes whose two neighbours' ages have the
+        smallest ratio: the ages of the open calls grow geometrically up to the timeout of the oldest.
+        """
+        ages = [now - began + self.retry_interval for began in (*begun, now)]
+        replaceable = range(1, len(begun))
+        return min(replaceable, key=lambda index: ages[index - 1] / ages[index + 1], default=0)
 
     def delay_after_answer(self, early: bool = False) -> int:
         """How long to wait after a call that was answered. `early`: without an event, long before its wait was over.
--- a/tests/platform/test_watch_way.py
+++ b/tests/platform/test_watch_way.py
@@ -265,6 +265,48 @@
         loop.close()
 
 
+@pytest.mark.parametrize("grace", [1_000, 250_000, 1_000_000])
+@pytest.mark.parametrize("latency_s", [0.02, 0.6, 1.5, 3.0])
+def test_a_slow_agent_that_was_silent_is_heard_within_three_times_its_latency(latency_s: float, grace: int) -> None:
+    """For 7 s it loses its calls; from then on it answers each new one after the same time."""
+
+    async def day(loop: VirtualLoop) -> float:
+        lists = list[float]()
+        back_at = loop.now + 7
+
+        async def call(*args: object, **more: object) -> tuple[int, bytes]:
+            if loop.now < back_at:
+                await asyncio.sleep(3600)
+            await asyncio.sleep(latency_s)
+            return 200, json.dumps({"rev": 2, "all": True, "targets": [ENTRY]}).encode()
+
+        deadlines = Deadlines(loop.micros)
+        turns = EventLoopTicks(loop, deadlines)
+        pool: Any = SimpleNamespace(
+            deadlines=deadlines, spawn=Tasks(loop, "a call").spawn, drop_idle=lambda address: None
+        )
+        schedule = CallSchedule(False, 3, grace, random.Random(1))
+        deployment = deployments.parse(SETTINGS)
+
+        def apply(*changes: object) -> None:
+            lists.append(loop.now)
+
+        with patch.object(discovery, "call", call):
+            watch = discovery.Watch(pool, ("127.0.0.1", 1), deployment, apply, schedule, {})
+            watch.start()
+            await asyncio.sleep(30)
+            watch.stop()
+        turns.close()
+        return lists[0] - back_at if lists else float("inf")
+
+    loop = VirtualLoop()
+    try:
+        delay = loop.run_until_complete(day(loop))
+    finally:
+        loop.close()
+    assert latency_s <= delay <= 3 * latency_s + 0.2
+
+
 def test_new_configurations_in_a_row_put_no_call_off() -> None:
     """Each names another discovery, and each draws the time of its first call anew. What has changed meanwhile counts
     as reported after 6 s all the same."""
