Core: the router's timers run from their event, so that it answers before the deadline

Callers saw a failure where a request that may be repeated is to be rejected, after the process had stood still for over 8 ms while accepting it.

Cause: the router answers 8 ms before a request's deadline, by a timer whose delay it reckons from the event's time; the core ran the delay from when it set the timer, so a stall in between put it behind the core's own deadline. The same with a request that waits in the event queue behind a slow event: the router took it to have arrived later than its deadline was counted from. Evidence: both on a clock that the test moves; the answers come from _deadline_exceeded.

Fix: events carry the time at which they were raised, an arrival that of its acceptance, and timers run from there.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -149,7 +149,8 @@
     def _perform_action(self, action: Action) -> None:
         match action:
             case SetTimer(timer, delay):
-                self.deadlines.after(delay, lambda: self._events.feed(TimerFired(timer)))
+                # From now on it would run out later than the router reckons, after a stall behind the core's deadline.
+                self.deadlines.at(self._events.event_time + delay, lambda: self._events.feed(TimerFired(timer)))
             case LogMessage(text):
                 logger.info("router: {text}", text=text)
             case SendHealthCheck(replica):
--- a/pearhill/core/request_lifecycle.py
+++ b/pearhill/core/request_lifecycle.py
@@ -8,10 +8,11 @@
 from pearhill.core.backend import Backend
 from pearhill.core.client import Client
 from pearhill.core.deadlines import Deadlines
+from pearhill.core.event_queue import FeedEvent
 from pearhill.core.request import Attempt, Request, RequestSpec
 from pearhill.core.request_log import log_cut_answer, log_missed_deadline, log_state, log_violation
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
-from pearhill.routing.events import ClientDisconnected, Event, RequestArrived
+from pearhill.routing.events import ClientDisconnected, RequestArrived
 from pearhill.routing.outcomes import Outcome
 from pearhill.routing.permissions import may_reject
 from pearhill.settings import Deployment
@@ -36,7 +37,7 @@
         deadlines: Deadlines,
         counters: Counters,
         backend: Callable[[], Backend],
-        feed: Callable[[Event], None],
+        feed: FeedEvent,
     ) -> None:
         self.deployment = deployment
         self.open_requests: dict[int, Request] = {}
@@ -63,7 +64,7 @@
             del self.open_requests[request.number]
             return request
         request.deadline_timer = self._deadlines.at(deadline, lambda: self._deadline_exceeded(request))
-        self._feed(_arrival(request.number, spec, max(1, deadline - now)))
+        self._feed(_arrival(request.number, spec, max(1, deadline - now)), now)
         return request
 
     def record_rejection(self, request_class: int, reason: str) -> None:
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -283,3 +283,21 @@
     h.wait(5_000_000)
     assert client.answers == ["reject"]
     assert not h.dispatcher.counters.failures
+
+
+def test_a_request_that_waits_behind_a_slow_event_is_answered_by_the_router_too(h):
+    """Its time runs from its acceptance: a router that took it to have arrived later would answer too late."""
+    handle = h.router.handle
+    waiting: list[RecordingClient] = []
+
+    def with_another_request(now, event):
+        if isinstance(event, RequestArrived) and not waiting:
+            waiting.append(h.accept())
+            h.now += 10_000
+        return handle(now, event)
+
+    h.router.handle = with_another_request
+    first = h.accept()
+    h.wait(5_000_000)
+    assert [client.answers for client in (first, *waiting)] == [["reject"], ["reject"]]
+    assert not h.dispatcher.counters.failures
--- a/tests/core/test_event_queue.py
+++ b/tests/core/test_event_queue.py
@@ -43,3 +43,24 @@
     queue.feed(ClientDisconnected(2))
     assert counters.faults == 1
     assert performed == [2]
+
+
+def test_the_time_of_an_event_is_when_it_was_raised_however_long_it_waits():
+    clock = [100]
+    handled: list[tuple[int, int]] = []
+    performed: list[tuple[int, int]] = []
+
+    def handle(now, event):
+        handled.append((event.request, now))
+        if event.request == 1:
+            queue.feed(ClientDisconnected(2))
+        clock[0] += 50
+        return []
+
+    def perform(event, actions):
+        performed.append((event.request, queue.event_time))
+
+    queue = EventQueue(SimpleNamespace(handle=handle), lambda: clock[0], Counters(), perform)
+    queue.feed(ClientDisconnected(1))
+    queue.feed(ClientDisconnected(3), at=180)
+    assert handled == performed == [(1, 100), (2, 100), (3, 180)]
