Aggregator: work of a dispatcher that restarts leaves the totals between two ticks too

Callers saw nothing in an answer; dispatchers that get the aggregator's sums took replicas for busier than they were, for as long as the aggregator ran.

Fix: a record that is replaced is withdrawn.

--- a/pearhill/membership/reported_work.py
+++ b/pearhill/membership/reported_work.py
@@ -49,6 +49,8 @@
         """A sign of life of a dispatcher that reports here. `quiet`: for how long it has reported to nobody else."""
         member = self.members.get(name)
         if member is None or (member.incarnation != incarnation and member.lease_end < now):
+            if member:  # Between two ticks, work whose lease has ended is still in the totals.
+                self._withdraw(member)
             self.members[name] = LeasedWork(incarnation, now + max(0, COMBINED_LEASE_US - quiet))
             return
         if member.incarnation.started != incarnation.started:
