Signals: a late one ends no process that has done its work; the aggregator heeds SIGUSR1

The platform saw processes end by a signal (-1, -10, -15, -2) after a graceful shutdown. An aggregator never logged at SIGUSR1.

Cause: the handlers were the loop's, which gives its signals back to the system as it closes; SIGHUP and SIGUSR1 were blocked then, but a mask holds for one thread, and libuv's workers begin while signals are let in. SIGTERM and SIGINT were not blocked. The aggregator's own copy let in SIGHUP alone. Evidence: the threads' masks in /proc; a SIGHUP each 0.5 ms ended 16 of 16 processes with -1.

Fix: handlers of the process's own, replaced by "ignore" in one step at the end of the shutdown; signals of one number that come together count as one.

--- a/pearhill/aggregator/daemon.py
+++ b/pearhill/aggregator/daemon.py
@@ -5,14 +5,13 @@
 import asyncio
 import json
 import random
-import signal
 from collections.abc import Callable
 
 from loguru import logger
 
 from pearhill.admin.call_table import JSON, TEXT, CallTable
 from pearhill.aggregator.setup import AggregatorSetup
-from pearhill.config import ConfigError, for_next_start
+from pearhill.config import for_next_start
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
 from pearhill.http1.handler import Reply
@@ -25,6 +24,7 @@
 from pearhill.net.datagrams import Datagrams
 from pearhill.net.listener import Listener
 from pearhill.net.ticks import EventLoopTicks
+from pearhill.node.signals import handled_signals
 
 RECEIVE_BUFFER_BYTES = 4 << 20  # hundreds of dispatchers report while this process stands still for a moment
 LOG_INTERVAL_US = 1_000_000  # at which the count and the other aggregators are looked at for the log
@@ -100,13 +100,9 @@
 
     # Start, reload, end.
 
-    def reload(self) -> None:
-        """Use the file as it is now. Whatever it holds, and whenever it is read, the process goes on."""
-        try:
-            new = self.reread()
-        except ConfigError as e:
-            logger.warning("reload: the old configuration stays: {error}", error=str(e))
-            return
+    def reload(self) -> str:
+        """Use the file as it is now; returns, for the log, what came of it. ConfigError: nothing has changed."""
+        new = self.reread()
         old = self.setup
         self.setup = new
         self.aggregation.reconfigure(AggregationCodec(list(new.keys)), new.peers)
@@ -115,7 +111,7 @@
             ("aggregator.listen", old.listen, new.listen),
             ("aggregator.admin_addr", old.admin, new.admin),
         )
-        logger.info("reload: done, {result}", result=f"{len(new.peers)} other aggregators{for_later}")
+        return f"{len(new.peers)} other aggregators{for_later}"
 
     def _listen_for_operators(self, address: Address) -> Listener:
         return open_admin_listener(self.loop, self.deadlines, Counters(), address, self, "aggregator.admin_addr")
@@ -129,28 +125,19 @@
         self.aggregation.start()
         logger.info("aggregator {name} listens on {host}:{port}", name=self.setup.name, host=host, port=port)
 
-    def _handle_signals(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stopped.set)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-
     async def serve(self) -> None:
         """Run until SIGTERM or SIGINT. OSError: an address cannot be used."""
-        self._handle_signals()
-        admin = self.setup.admin
-        operators = self._listen_for_operators(admin) if admin else None
-        await self._open_datagrams()
-        await self.stopped.wait()
-        self.aggregation.close()
-        self.datagrams.close()
-        if operators:
-            await operators.close()
-        self.ticks.close()
-        self.report()
-        # As the loop closes, the system's own handling comes back, and a late SIGHUP would end the process with it.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+        with handled_signals(self.loop, self.stopped.set, self.report, self.reload):
+            admin = self.setup.admin
+            operators = self._listen_for_operators(admin) if admin else None
+            await self._open_datagrams()
+            await self.stopped.wait()
+            self.aggregation.close()
+            self.datagrams.close()
+            if operators:
+                await operators.close()
+            self.ticks.close()
+            self.report()
 
 
 async def serve(setup: AggregatorSetup, reread: Callable[[], AggregatorSetup]) -> None:
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -29,7 +29,7 @@
 from pearhill.node.listeners import listen_for_clients
 from pearhill.node.override_control import OverrideControl
 from pearhill.node.shutdown import GracefulShutdown
-from pearhill.node.signals import block_requests, handle_signals
+from pearhill.node.signals import handled_signals
 from pearhill.node.wall_clock import WallClockObserver
 from pearhill.routing.topology import Endpoint, Phase
 from pearhill.settings import Deployment
@@ -180,26 +180,24 @@
         their calls. `address` may be a socket that listens already: its clients are accepted once `may_accept` says
         so, and left to another process that accepts them too."""
         stopped = asyncio.Event()
-        handle_signals(self.loop, stopped.set, self.report, reload)
-        admin_listener = (
-            open_admin_listener(self.loop, self.deadlines, self.counters, *admin) if admin is not None else None
-        )
-        listener = self._drain_control.listener = self._make_listener(handler)
-        # A process that is to end before it could serve would accept another's clients to reject them.
-        if await self._waits_until_it_may_accept(may_accept, stopped):
-            host, port = await listen_for_clients(listener, address, self.deadlines, self.counters)
-            self._drain_control.apply()  # a drain that was asked for before, maybe at another process
-            logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
-            on_listening((host, port))
-        await stopped.wait()
-        logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
-        self.end_process()
-        self._drain_control.apply()
-        await self._shutdown.run(listener, on_shutdown)
-        if admin_listener:
-            await admin_listener.close()
-        # As the loop closes, the system's own handling comes back, and a late signal would end the process.
-        block_requests()
+        with handled_signals(self.loop, stopped.set, self.report, reload):
+            admin_listener = (
+                open_admin_listener(self.loop, self.deadlines, self.counters, *admin) if admin is not None else None
+            )
+            listener = self._drain_control.listener = self._make_listener(handler)
+            # A process that is to end before it could serve would accept another's clients to reject them.
+            if await self._waits_until_it_may_accept(may_accept, stopped):
+                host, port = await listen_for_clients(listener, address, self.deadlines, self.counters)
+                self._drain_control.apply()  # a drain that was asked for before, maybe at another process
+                logger.info("{name} listens on {host}:{port}", name=name, host=host, port=port)
+                on_listening((host, port))
+            await stopped.wait()
+            logger.info("draining: {requests} requests open", requests=len(self.dispatcher.requests))
+            self.end_process()
+            self._drain_control.apply()
+            await self._shutdown.run(listener, on_shutdown)
+            if admin_listener:
+                await admin_listener.close()
 
     def end_process(self) -> None:
         """The process is to end, in the time that the platform leaves it."""
--- a/tests/platform/test_shutdown_times.py
+++ b/tests/platform/test_shutdown_times.py
@@ -182,6 +182,9 @@
     loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
     loop.close()
     asyncio.set_event_loop(None)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1):  # a node that has ended ignores them
+        signal.signal(number, signal.SIG_DFL)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGUSR1})
 
 
