Constants: the samples that estimates are worth at most have names; no tuning in code

Bare numbers with a meaning in routing (what the evidence of each running mean is worth, the first guesses of prefill speed and latency share) are named. The figures on which query_policy rests stand in docs/design/even-load.md; its docstring says what the module does.

--- a/pearhill/load_reports/query_policy.py
+++ b/pearhill/load_reports/query_policy.py
@@ -1,10 +1,7 @@
 """Whether it pays to query replicas' load before a choice: the gain against the price.
 
-A query helps in so far as the others' work is hidden from this dispatcher. Measured on drawn days of the second
-deployment's shape (two health checks a choice, their price taken off, `docs/design/even-load.md`), as a share of all
-priority weight: with 5 dispatchers nothing, with 12 some 0.010, with 60 some 0.050, for the choice of a prefill
-replica; a third of that more for the choice of a decode replica. That is a logarithm of the count, as near as the days
-tell.
+A query helps in so far as the others' work is hidden from this dispatcher: its gain grows with the logarithm of the
+number of dispatchers (`docs/design/even-load.md`).
 """
 
 from __future__ import annotations
--- a/pearhill/routing/load_estimates.py
+++ b/pearhill/routing/load_estimates.py
@@ -22,18 +22,25 @@
 MAX_LOAD_LIMIT_DOUBLINGS = 9.0
 MIN_REPORT_CONFIDENCE = 0.5
 KIND_PRIOR_WEIGHT = 0.2  # samples that the prior of a machine kind is worth
+# What an estimate's evidence is worth at most, in samples.
+KIND_MAX_SAMPLES = 30
+QUEUE_MAX_SAMPLES = 6
+ANSWER_TIME_MAX_SAMPLES = 20
+# How much faster than the slowest useful speed prefilling is taken to be before anything was observed.
+PREFILL_REPLICA_SPEED = 16
+OTHER_REPLICA_SPEED = 4
 
 
 class _KindEstimates:
     """What is known of all replicas of one machine kind."""
 
     def __init__(self, kind: MachineKind, shortest_objective: int) -> None:
-        # Until something was measured, prefilling is just quick enough.
-        usual = shortest_objective / SHORT_PROMPT_TOKENS
-        self.initial_prefill_time = usual / (16 if kind.role == Role.PREFILL else 4)
-        self.fetch_time = DecayingMean(STEP_INTERVAL_US, 30)
-        self.prefill_time = DecayingMean(STEP_INTERVAL_US, 30)
-        self.memory_used = DecayingMean(STEP_INTERVAL_US, 30)
+        slowest = shortest_objective / SHORT_PROMPT_TOKENS
+        speed = PREFILL_REPLICA_SPEED if kind.role == Role.PREFILL else OTHER_REPLICA_SPEED
+        self.initial_prefill_time = slowest / speed
+        self.fetch_time = DecayingMean(STEP_INTERVAL_US, KIND_MAX_SAMPLES)
+        self.prefill_time = DecayingMean(STEP_INTERVAL_US, KIND_MAX_SAMPLES)
+        self.memory_used = DecayingMean(STEP_INTERVAL_US, KIND_MAX_SAMPLES)
 
     def time_per_token(self, prefill: bool) -> DecayingMean:
         """As `ReplicaState.time_per_token`, for the kind."""
@@ -47,7 +54,7 @@
         shortest_objective = min(spec.latency_objective for spec in settings.classes)
         self._affinity = affinity
         self._kinds = [_KindEstimates(kind, shortest_objective) for kind in settings.kinds]
-        self._reported_queues = {role: DecayingMean(STEP_INTERVAL_US / 2, 6) for role in Role}  # tokens
+        self._reported_queues = {role: DecayingMean(STEP_INTERVAL_US / 2, QUEUE_MAX_SAMPLES) for role in Role}  # tokens
         self._answer_times: dict[int, DecayingMean] = {}  # by request class
 
     def expected_time(self, now: int, replica: ReplicaState, tokens: float, prefill: bool = True) -> float:
@@ -118,7 +125,9 @@
 
     def record_answer(self, now: int, replica: ReplicaState, request_class: int, elapsed: int) -> None:
         """The replica has finished an answer after so long."""
-        mean = self._answer_times.setdefault(request_class, DecayingMean(2 * STEP_INTERVAL_US, 20, elapsed))
+        mean = self._answer_times.setdefault(
+            request_class, DecayingMean(2 * STEP_INTERVAL_US, ANSWER_TIME_MAX_SAMPLES, elapsed)
+        )
         mean.add(now, elapsed)
         replica.answer_time_ratio.add(now, elapsed / max(1, mean.value))
 
--- a/pearhill/routing/local_prefill.py
+++ b/pearhill/routing/local_prefill.py
@@ -11,6 +11,8 @@
 HIGH_LATENCY_SHARE = 0.5  # of the latency objective: above it the ratio rises
 LOW_LATENCY_SHARE = 0.25  # below it the ratio falls
 MAX_SAVED_TOKENS = 4 * SHORT_PROMPT_TOKENS
+INITIAL_LATENCY_SHARE = 0.5
+LATENCY_MAX_SAMPLES = 30  # what the evidence is worth at most
 
 
 class LocalPrefill:
@@ -19,7 +21,8 @@
     def __init__(self) -> None:
         self.ratio = INITIAL_RATIO
         self.allowance = 0.0  # tokens
-        self.latency_share = DecayingMean(STEP_INTERVAL_US, 30, 0.5)  # of prefilling, in the latency objective
+        # Of prefilling, in the latency objective.
+        self.latency_share = DecayingMean(STEP_INTERVAL_US, LATENCY_MAX_SAMPLES, INITIAL_LATENCY_SHARE)
 
     def record_arrival(self, prompt_tokens: int) -> None:
         """A prompt has arrived, and adds its part to the allowance."""
--- a/pearhill/routing/outlier_detection.py
+++ b/pearhill/routing/outlier_detection.py
@@ -6,6 +6,7 @@
 from pearhill.routing.statistics import STEP_INTERVAL_US, DecayingMean
 
 MAX_EXCESS_FAILURE_RATE = 1 / 3  # an outlier's attempts fail by so much more often than its peers'
+ZONE_MAX_SAMPLES = 4  # what the evidence of a zone is worth at most
 
 
 class OutlierDetector:
@@ -47,7 +48,7 @@
         was_outlier = is_outlier(replica)
         sample = 1.0 if failed else 0.0
         replica.failure_rate.add(now, sample)
-        self.zones.setdefault(replica.endpoint.zone, DecayingMean(STEP_INTERVAL_US, 4)).add(now, sample)
+        self.zones.setdefault(replica.endpoint.zone, DecayingMean(STEP_INTERVAL_US, ZONE_MAX_SAMPLES)).add(now, sample)
         return was_outlier != is_outlier(replica)
 
 
--- a/pearhill/routing/prefix_affinity.py
+++ b/pearhill/routing/prefix_affinity.py
@@ -23,6 +23,7 @@
 MIN_REQUESTS_FOR_SHARE = 10  # a prefix's share of fewer requests is too uncertain
 CACHE_FILL_DECAY = 0.8  # what a step leaves of the rate at which caches fill
 MAX_CACHED_PREFIXES = 1_000  # entries of a replica's table
+MAX_SAMPLES = 30  # what the evidence of a mean is worth at most
 MAX_CACHED_AGE_US = 600_000_000  # a pause in a conversation, at most
 
 
@@ -50,8 +51,8 @@
     def __init__(self) -> None:
         # By home: the share of a prompt that prefilling found cached.
         self.cached_share = {
-            SECOND_HOME: DecayingMean(2 * STEP_INTERVAL_US, 30),
-            FIRST_HOME: DecayingMean(2 * STEP_INTERVAL_US, 30),
+            SECOND_HOME: DecayingMean(2 * STEP_INTERVAL_US, MAX_SAMPLES),
+            FIRST_HOME: DecayingMean(2 * STEP_INTERVAL_US, MAX_SAMPLES),
         }
         self.prompt_lengths: dict[int, DecayingMean] = {}  # by request class, in tokens
         # By role: tokens a microsecond that all dispatchers write into a replica's cache, pushing others out.
@@ -62,7 +63,7 @@
 
     def record_arrival(self, now: int, request: RequestArrived) -> None:
         """Count the prompt's length in the mean of its class."""
-        lengths = self.prompt_lengths.setdefault(request.request_class, DecayingMean(2 * STEP_INTERVAL_US, 30))
+        lengths = self.prompt_lengths.setdefault(request.request_class, DecayingMean(2 * STEP_INTERVAL_US, MAX_SAMPLES))
         lengths.add(now, request.prompt_tokens)
 
     def mean_prompt_tokens(self, request: RequestArrived) -> float:
--- a/pearhill/routing/replica_state.py
+++ b/pearhill/routing/replica_state.py
@@ -9,6 +9,12 @@
 from pearhill.routing.statistics import STEP_INTERVAL_US, DecayingMean
 from pearhill.routing.topology import Endpoint, MachineKind
 
+# What an estimate's evidence is worth at most, in samples.
+MEMORY_MAX_SAMPLES = 4
+SERVICE_TIME_MAX_SAMPLES = 5
+ANSWER_TIME_MAX_SAMPLES = 10
+FAILURE_MAX_SAMPLES = 2
+
 CacheKey = tuple[bool, int]  # whether it is a shared prefix, and the number of the prefix or session
 
 
@@ -47,15 +53,17 @@
 
         # What it reported.
         self.reported_at = 0
-        self.memory_used = DecayingMean(2 * STEP_INTERVAL_US, 4)  # share
+        self.memory_used = DecayingMean(2 * STEP_INTERVAL_US, MEMORY_MAX_SAMPLES)  # share
         self.reported_queue = 0.0  # tokens that wait there for all dispatchers
         self.reported_queue_at = 0
 
         # How its attempts went.
-        self.fetch_time = DecayingMean(2 * STEP_INTERVAL_US, 5)  # microseconds a token until a state is fetched
-        self.prefill_time = DecayingMean(2 * STEP_INTERVAL_US, 5)  # microseconds a token until a prompt is prefilled
-        self.answer_time_ratio = DecayingMean(2 * STEP_INTERVAL_US, 10)  # of its answers to the mean of their class
-        self.failure_rate = DecayingMean(2 * STEP_INTERVAL_US, 2)
+        # Microseconds a token until a state is fetched, and until a prompt is prefilled.
+        self.fetch_time = DecayingMean(2 * STEP_INTERVAL_US, SERVICE_TIME_MAX_SAMPLES)
+        self.prefill_time = DecayingMean(2 * STEP_INTERVAL_US, SERVICE_TIME_MAX_SAMPLES)
+        # Of its answers to the mean of their class.
+        self.answer_time_ratio = DecayingMean(2 * STEP_INTERVAL_US, ANSWER_TIME_MAX_SAMPLES)
+        self.failure_rate = DecayingMean(2 * STEP_INTERVAL_US, FAILURE_MAX_SAMPLES)
         self.last_answer_at = 0
         self.load_limit = 0.0  # tokens in flight that it bore when a fetch was last late
         self.load_limit_set_at = 0  # 0: never
