Soak: crowds while replicas are replaced and during a shutdown, exposures of every rule

Crowds met only an otherwise quiet fleet or a silent discovery; now also replicas that restart, and a SIGTERM with its series of signals. A series comes just after a change of the list too. The report counts crowds by occasion, each series, and for each rule how often it could have been broken; the command adds these up over its seeds. Seeds draw other faults than before where they had a crowd or a SIGTERM.

--- a/pearhill/cli/lab.py
+++ b/pearhill/cli/lab.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
 
@@ -204,13 +205,16 @@
     from pearhill.lab.soak import run
 
     broken = 0
+    exposure = Counter[str]()
     for seed in range(first, first + seeds):
         report = run.play(seed, seconds, dispatchers)
         print(report.text(), flush=True)
         broken += bool(report.violations)
+        exposure += report.exposure
         if logs and report.violations:
             logs.mkdir(parents=True, exist_ok=True)
             for name, lines in report.logs.items():
                 (logs / f"{seed}-{name}.log").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    print(f"could have been broken, in all: {dict(sorted(exposure.items()))}")
     print(f"{seeds} seeds from {first}, {broken} with violations")
     raise typer.Exit(1 if broken else 0)
--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -56,6 +56,9 @@
         """The final answer's first byte."""
         record = self._state.requests[request]
         record.answered, record.status = at, status
+        self._state.exposure["answers"] += 1
+        if status in REJECTION_STATUSES:
+            self._state.exposure[f"rejections, {record.idempotency}"] += 1
         record.note(at, f"answered {status}")
         limit = record.at + record.timeout + MAX_ANSWER_DELAY_US
         if at > limit and not self._state.process_ends.excuses(record, at):
--- a/pearhill/lab/soak/held_states.py
+++ b/pearhill/lab/soak/held_states.py
@@ -18,6 +18,7 @@
         """A reader has read the prompt and holds its state."""
         if record := self._state.requests.get(request):
             record.held = HeldState(replica, at)
+            self._state.exposure["states held"] += 1
             record.note(at, f"held at {replica}")
 
     def release_arrived(self, at: int, request: str, replica: str) -> None:
--- a/pearhill/lab/soak/oracle.py
+++ b/pearhill/lab/soak/oracle.py
@@ -29,6 +29,10 @@
         """The rules that were broken, as far as no lateness of this machine explains it."""
         return self.state.violations
 
+    def count(self, exposure: str) -> None:
+        """One more occasion on which rules could have been broken."""
+        self.state.exposure[exposure] += 1
+
     def scan(self, at: int) -> None:
         """Look for what is held too long while no attempt is out for it, and for ends that were not passed on."""
         self.held_states.scan(at)
@@ -58,11 +62,13 @@
     def killed(self, at: int, dispatcher: str) -> None:
         """The dispatcher's process was sent SIGKILL."""
         self.state.process_ends.killed(at, dispatcher)
+        self.count("processes that were killed")
         self.state.exposure["under way at a kill"] += self._under_way(dispatcher)
 
     def exited(self, at: int, dispatcher: str) -> None:
         """The dispatcher's process ended by itself after SIGTERM."""
         self.state.process_ends.exited(at, dispatcher)
+        self.count("processes that ended by themselves")
 
     def _under_way(self, dispatcher: str) -> int:
         return sum(self.state.requests[request].dispatcher == dispatcher for request in self.state.open_requests)
--- a/pearhill/lab/soak/plan.py
+++ b/pearhill/lab/soak/plan.py
@@ -58,7 +58,10 @@
     "recv-client",
     "send-client",
 )  # a connection that fails so is over
-SERIES = ("plain", "twice", "reload", "report", "all")  # what comes with a SIGTERM
+SERIES = ("plain", "twice", "reload", "report", "all", "list")  # what comes with a SIGTERM
+# What happens while a crowd of idle clients fills the descriptors.
+ALONE, DISCOVERY_IS_DOWN, REPLICAS_ARE_REPLACED, SHUTDOWN = "", "discovery is down", "replicas are replaced", "shutdown"
+CROWD_OCCASIONS = (ALONE, DISCOVERY_IS_DOWN, REPLICAS_ARE_REPLACED, SHUTDOWN)
 LONG_MS, SHORT_MS = (1500, 2000, 3000, 4000), (250, 400, 600, 1000)
 WALL_STEPS_S = (-3600.0, -7.0, -2.0, 2.0, 7.0, 3600.0)
 
@@ -163,7 +166,7 @@
         case "reload":
             return Fault(kind, at_s, duration_s, pick, amount=rng.choice((2, 5)))
         case "crowd":
-            return Fault(kind, at_s, duration_s, pick, rng.choice(("", "discovery is down")), FLOOD_CONNECTIONS)
+            return Fault(kind, at_s, duration_s, pick, rng.choice(CROWD_OCCASIONS), FLOOD_CONNECTIONS)
         case "resets":
             return Fault(kind, at_s, duration_s, pick, amount=0.05)
         case "pieces":
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -11,7 +11,7 @@
 from pearhill.lab.soak.connection_flood import ConnectionFlood
 from pearhill.lab.soak.lateness import Lateness, Span
 from pearhill.lab.soak.oracle import Oracle
-from pearhill.lab.soak.plan import draw
+from pearhill.lab.soak.plan import CROWD_OCCASIONS, SERIES, draw
 from pearhill.lab.soak.processes import Dispatcher
 from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, Violation
 from pearhill.lab.soak.report import Report
@@ -320,6 +320,24 @@
         assert [violation.rule for violation in oracle.violations] == found
 
 
+def test_a_drain_that_the_soak_passed_on_late_is_judged_from_then():
+    """The agents run in the soak's own loop. Lateness before or long after the news does not count."""
+    late = 300 * MS
+    for since, found in ((50 * MS, []), (-2 * S, ["drain"]), (3 * S, ["drain"])):
+        lateness = Lateness(lambda: 0)
+        lateness.loop.append(Span(since, since + late, late))
+        oracle = Oracle(RULES, lateness)
+        oracle.clients.request_sent(0, "r", "d", IDEMPOTENT, 0, 2 * S)
+        drained(oracle)
+        assert [violation.rule for violation in oracle.violations] == found
+
+
+def test_all_that_meets_a_crowd_or_follows_a_sigterm_is_drawn():
+    faults = [fault for seed in range(5001, 5051) for fault in draw(seed).faults]
+    assert {fault.variant for fault in faults if fault.kind == "crowd"} == set(CROWD_OCCASIONS)
+    assert {fault.variant for fault in faults if fault.kind == "terminate"} == set(SERIES)
+
+
 def test_a_seed_draws_the_same_every_time():
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
