--- a/pearhill/chat/charge_journal.py
+++ b/pearhill/chat/charge_journal.py
@@ -82,7 +82,13 @@
         if self._charges_since_snapshot:
             self._journal.snapshot(c.encode_state(self._budgets))
         if not self._journal.close():
-            logger.error("budgets: not every charge could be written before the end")
+            charges, size = self._journal.unwritten
+            logger.error(
+                "budgets: {charges} charges ({size} bytes) could not be written to {folder} before the end",
+                charges=charges,
+                size=size,
+                folder=str(self._journal.folder),
+            )
 
     def _disk_changed(self, error: OSError | None) -> None:
         """The disk has begun to fail, or works again (no error)."""
--- a/pearhill/durable/journal.py
+++ b/pearhill/durable/journal.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 
 SEGMENT_BYTES = 64 << 20  # after which a new segment begins
 RETRY_INTERVAL_S = 1.0  # between tries of a disk that fails
+CLOSING_RETRY_INTERVAL_S = 0.05  # the same while the journal is being closed
 MAX_WAITING_BYTES = 8 << 20  # that may wait for a disk
 CLOSE_TIMEOUT_S = 5.0
 KEPT_SNAPSHOTS = 2  # the one before the latest stays, in case the latest is damaged
@@ -53,7 +55,7 @@
         self._unsynced: deque[tuple[int, bytes]] = deque()  # written, not synced
         self._bytes = 0  # of both
         self._snapshot: tuple[int, bytes] | None = None  # that waits for the disk
-        self._closing = False
+        self._close_by: float | None = None  # of the monotonic clock, in seconds; None: nobody has closed it
         self._file: int | None = None
         self._size = 0
         self._failed = False
@@ -85,14 +87,20 @@
             self._changed.notify()
 
     def close(self, timeout: float = CLOSE_TIMEOUT_S) -> bool:
-        """Write and sync what waits. False: it could not be done in so many seconds."""
+        """Write and sync what waits, trying for so many seconds while the disk fails. False: it could not be done."""
         with self._changed:
-            self._closing = True
+            self._close_by = time.monotonic() + timeout
             self._changed.notify()
         self._retry_at_once.set()
         self._thread.join(timeout)
         return not self._thread.is_alive() and not self._bytes
 
+    @property
+    def unwritten(self) -> tuple[int, int]:
+        """How many frames are not written and synced, and their bytes."""
+        with self._changed:
+            return len(self._waiting) + len(self._unsynced), self._bytes
+
     # The writing thread.
 
     def _run(self) -> None:
@@ -104,18 +112,25 @@
             except OSError as e:
                 self._give_up_segment()
                 self._record_failure(e)
-                if self._closing:
+                if not self._wait_for_retry():
                     break
-                self._retry_at_once.wait(RETRY_INTERVAL_S)
         self._close_file()
 
     def _wait_for_work(self) -> bool:
         """Wait until something is to be written. False: nothing is, and the journal is closed."""
         with self._changed:
-            while not (self._has_work() or self._closing):
+            while not self._has_work() and self._close_by is None:
                 self._changed.wait()
             return self._has_work()
 
+    def _wait_for_retry(self) -> bool:
+        """Wait until the disk is to be tried again. False: the journal is being closed, and its time is over."""
+        if self._close_by is None:
+            self._retry_at_once.wait(RETRY_INTERVAL_S)
+            return True
+        time.sleep(CLOSING_RETRY_INTERVAL_S)
+        return time.monotonic() < self._close_by
+
     def _has_work(self) -> bool:
         return bool(self._waiting or self._snapshot or self._unsynced)
 
--- a/tests/durable/test_journal.py
+++ b/tests/durable/test_journal.py
@@ -1,5 +1,6 @@
 """The journal: cut at every byte, failing disks, and processes killed as they write."""
 
+import errno
 import os
 import pathlib
 import random
@@ -175,6 +176,31 @@
         assert recover(self.folder).seq == 6
         assert [e is None for e in self.failures] == [False, True]
 
+    @pytest.mark.parametrize(("name", "partly"), [("write", False), ("write", True), ("fsync", False), ("open", False)])
+    @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+    def test_a_close_while_the_disk_fails_for_a_moment_loses_nothing(
+        self, name: str, partly: bool, number: int
+    ) -> None:
+        """It gave up at the first failure, and what waited was lost."""
+        journal = self.open()
+        for k in range(50):
+            journal.append(b"%d" % k)
+        self.wait_synced(50)
+        self.fail(name, 5, OSError(number, os.strerror(number)), partly)
+        for k in range(50, 100):
+            journal.append(b"%d" % k)
+        assert journal.close()
+        assert self.bodies() == [b"%d" % k for k in range(100)]
+        assert journal.unwritten == (0, 0)
+
+    def test_a_close_says_what_could_not_be_written(self) -> None:
+        journal = self.open()
+        self.fail("write", -1, OSError(errno.EIO, "Input/output error"))
+        journal.append(b"x" * 50)
+        journal.append(b"x" * 50)
+        assert not journal.close(timeout=0.2)
+        assert journal.unwritten == (2, 2 * len(encode_frame(1, b"x" * 50)))
+
     def test_a_disk_that_fails_for_good_is_reported_and_takes_no_more_than_its_bound(self) -> None:
         self.fail("write", -1, OSError(5, "Input/output error"))
         journal = self.open(max_waiting_bytes=300)
