--- a/pearhill/chat/file.py
+++ b/pearhill/chat/file.py
@@ -269,7 +269,7 @@
 
 
 class BudgetsFile(Struct, forbid_unknown_fields=True):
-    """A file with budgets only, which `chat.budgets_file` names."""
+    """A file with budgets only, which the key "chat.budgets_file" names."""
 
     budgets: BudgetsTable
 
--- a/pearhill/conformance/client.py
+++ b/pearhill/conformance/client.py
@@ -25,7 +25,7 @@
 
 
 class _ResponseParser:
-    """Collects one response. The `on_` methods are called by httptools."""
+    """Collects one response. httptools calls the methods that begin with "on_"."""
 
     def __init__(self) -> None:
         self.response = ReceivedResponse()
--- a/pearhill/lab/soak/lateness.py
+++ b/pearhill/lab/soak/lateness.py
@@ -72,7 +72,7 @@
 
 
 def record_sleep(spans: list[Span], since: int, until: int) -> None:
-    """A sleep of `EVERY_S` began and ended then."""
+    """A sleep of `PROBE_INTERVAL_S` began and ended then."""
     late = until - since - int(PROBE_INTERVAL_S * 1e6)
     if late >= MIN_LATENESS_US:
         spans.append(Span(since, until, late))
--- a/pearhill/lab/soak/plan.py
+++ b/pearhill/lab/soak/plan.py
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """`at` and `lasts` in seconds from the first request; `pick` chooses whom it meets."""
+    """`at_s` counts from the first request; `pick` chooses whom it meets."""
 
     kind: str
     at_s: float
--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -47,7 +47,7 @@
 
 
 class Replica:
-    """One replica behind its proxy. `misbehaves`: the share of requests on which it does what `how` says."""
+    """One replica behind its proxy. `misbehaving_share` is that of requests on which it does as `misbehaviour` says."""
 
     def __init__(
         self,
--- a/pearhill/platform/endpoint_list.py
+++ b/pearhill/platform/endpoint_list.py
@@ -73,7 +73,7 @@
 
 
 def _index(value: Any, names: tuple[str, ...], bound: int) -> int:
-    """The position of a name among the settings' names; else the one that it carries: `b` and `m1` are the second.
+    """The position of a name among the settings' names; else the one that it carries: "b" and "m1" are the second.
 
     ValueError: it is below 0, or not below `bound`.
     """
--- a/pearhill/routing/retry_policy.py
+++ b/pearhill/routing/retry_policy.py
@@ -1,6 +1,6 @@
 """Retries: the retry budget, the time an attempt gets, until when it may be sent, and the final answer.
 
-`permissions.may_retry` decides whether a request that may have been executed may be sent again at all.
+`permissions.retry_denial` decides whether a request that may have been executed may be sent again at all.
 """
 
 from __future__ import annotations
