--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -52,6 +52,10 @@
         record.ended = record.ended or at
         self._state.open_requests.discard(request)
 
+    def note(self, at: int, request: str, what: str) -> None:
+        """For the request's trace alone."""
+        self._state.requests[request].note(at, what)
+
     def answer_started(self, at: int, request: str, status: int) -> None:
         """The final answer's first byte."""
         record = self._state.requests[request]
--- a/pearhill/lab/soak/clients.py
+++ b/pearhill/lab/soak/clients.py
@@ -272,6 +272,7 @@
                     return False
             exchange.writer.write(data[at : at + size])
         self._record_sent(request, request_class, address)
+        self.oracle.clients.note(self.clock(), request, f"written to {address.name} on {exchange.description}")
         return await self._read_answer(exchange, request, (request_class, address))
 
     async def _read_answer(
--- a/pearhill/lab/soak/connection.py
+++ b/pearhill/lab/soak/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from pearhill.http1.client import ClientConnection, Event, Lost
@@ -29,6 +30,7 @@
         self._machine = ClientConnection()
         self._events: list[Event] = []
         self.used = False  # it has carried a request
+        self.opened_at_s = time.monotonic()
         self.port: int = writer.get_extra_info("sockname")[1]
 
     @classmethod
@@ -41,6 +43,12 @@
         """Its end is there already: a client sees that, and does not ask on it."""
         return self.reader.at_eof() or self.reader.exception() is not None
 
+    @property
+    def description(self) -> str:
+        """For a request's trace: which connection it is, and how old."""
+        age_ms = (time.monotonic() - self.opened_at_s) * 1000
+        return f"port {self.port}, {'used' if self.used else 'unused'}, open for {age_ms:.0f} ms"
+
     def expect_response(self) -> None:
         """A request is being written: its response comes next."""
         self._machine.expect()
--- a/pearhill/lab/soak/oracle.py
+++ b/pearhill/lab/soak/oracle.py
@@ -57,6 +57,7 @@
     def terminated(self, at: int, dispatcher: str) -> None:
         """The dispatcher's process was sent SIGTERM."""
         self.state.process_ends.terminated(at, dispatcher)
+        self._note_for_open_requests(at, dispatcher, "SIGTERM")
         self.state.exposure["under way at a SIGTERM"] += self._under_way(dispatcher)
 
     def killed(self, at: int, dispatcher: str) -> None:
@@ -68,8 +69,15 @@
     def exited(self, at: int, dispatcher: str) -> None:
         """The dispatcher's process ended by itself after SIGTERM."""
         self.state.process_ends.exited(at, dispatcher)
+        self._note_for_open_requests(at, dispatcher, "exit")
         self.count("processes that ended by themselves")
 
+    def _note_for_open_requests(self, at: int, dispatcher: str, what: str) -> None:
+        for request in self.state.open_requests:
+            record = self.state.requests[request]
+            if record.dispatcher == dispatcher:
+                record.note(at, f"{what} of {dispatcher}")
+
     def _under_way(self, dispatcher: str) -> int:
         return sum(self.state.requests[request].dispatcher == dispatcher for request in self.state.open_requests)
 
