Strict types for tests/core and the soak's tests

The other tests of lab and cli have the return types that could be written by rule, and are not in mypy's list yet.

--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -31,7 +31,7 @@
 
 
 class Commands(unittest.TestCase):
-    def test_version_and_help(self):
+    def test_version_and_help(self) -> None:
         assert run("version") == (0, f"{pearhill.__version__}\n", "")
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
         assert project["version"] == pearhill.__version__
@@ -39,7 +39,7 @@
         commands = ("serve", "aggregator", "check", "schema", "key", "conform", "version")
         assert [c for c in commands if c not in out] == []
 
-    def test_check(self):
+    def test_check(self) -> None:
         code, out, _ = run("check", "deploy/chat.toml")
         assert code == 0
         assert "2 servers, 2 models, 0 tenants, 2 rules" in out
@@ -47,7 +47,7 @@
         assert (code, err.count("\n")) == (2, 1)
         assert re.search("^pearhill: .*chat.toml: server.*address: found 'nowhere'; allowed: ", err)
 
-    def test_schema_knows_every_table_of_the_commented_file(self):
+    def test_schema_knows_every_table_of_the_commented_file(self) -> None:
         code, out, _ = run("schema")
         schema = json.loads(out)
         told = tomllib.loads((ROOT / "deploy" / "chat.toml").read_text())
@@ -57,7 +57,7 @@
         assert set(told["chat"]) <= set(tables["ChatTable"]["properties"])
         assert tables["ChatTable"]["properties"]["sockets"]["minimum"] == 64
 
-    def test_key(self):
+    def test_key(self) -> None:
         code, out, _ = run("key")
         key, record = out.split()[1], out.split()[3]
         assert (code, Keyring([(Tenant("t", 3), [record])]).owner(key).number) == (0, 3)
@@ -65,7 +65,7 @@
         assert (code, key in out) == (0, False)
         assert run("key", "--known", told="short\n")[0] == 2
 
-    def test_conform_says_what_it_cannot_do(self):
+    def test_conform_says_what_it_cannot_do(self) -> None:
         for arguments, why in (
             (("http://127.0.0.1:1",), "no front at"),
             (("ftp://x",), "is no http"),
@@ -74,7 +74,7 @@
             code, _, err = run("conform", *arguments)
             assert (code, err.count("\n"), why in err) == (2, 1, True), err
 
-    def test_serve_logs_one_object_a_line_with_bound_fields(self):
+    def test_serve_logs_one_object_a_line_with_bound_fields(self) -> None:
         server = Standin()
         self.addCleanup(server.close)
         path = write_file(self, operator_file([server.address]))
@@ -92,7 +92,7 @@
         ended = [line for line in lines if line["message"].startswith("connection ")]
         assert {line["side"] for line in ended} == {"client", "server"}
 
-    def test_serve_turns_bad_levels_and_files_down(self):
+    def test_serve_turns_bad_levels_and_files_down(self) -> None:
         path = write_file(self, operator_file(["127.0.0.1:1"]))
         for arguments in ((path, "--log-level", "LOUD"), (path + "x",), (path, "--log-format", "xml")):
             code, _, err = run("serve", *arguments)
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -8,7 +8,7 @@
 
 from pearhill.core.request import RequestSpec
 from pearhill.routing.actions import Action, RejectRequest, SendAttempt
-from pearhill.routing.events import RequestArrived
+from pearhill.routing.events import Event, RequestArrived
 from pearhill.routing.outcomes import Outcome
 from pearhill.routing.topology import Phase
 from tests.core.harness import ADVICE, BOOKING, MIXED, PREFILL, DispatcherHarness, RecordingClient, endpoint
@@ -26,7 +26,7 @@
 # Answers.
 
 
-def test_prefill_then_decode_then_one_answer(h):
+def test_prefill_then_decode_then_one_answer(h: DispatcherHarness) -> None:
     client = h.accept()
     h.sent[0].end(Outcome.PREFILLED, may_hold=True)
     assert h.sent[0].replica == 1
@@ -36,7 +36,7 @@
     h.assert_over(client, ["finish"], [])
 
 
-def test_a_request_whose_time_was_over_before_its_turn_is_rejected_and_not_sent(h):
+def test_a_request_whose_time_was_over_before_its_turn_is_rejected_and_not_sent(h: DispatcherHarness) -> None:
     client = RecordingClient()
     spec = RequestSpec(BOOKING, 1000, prompt_tokens=3000, max_output_tokens=100)
     h.dispatcher.accept(spec, client, None, arrived=h.now - 1000)
@@ -46,7 +46,9 @@
 
 
 @pytest.mark.parametrize("request_class", [ADVICE, BOOKING])
-def test_every_request_has_one_answer_by_its_deadline_whatever_the_backend_does(h, request_class):
+def test_every_request_has_one_answer_by_its_deadline_whatever_the_backend_does(
+    h: DispatcherHarness, request_class: int
+) -> None:
     client = h.accept(request_class)
     accepted_at = h.now
     h.wait(5_000_000)
@@ -54,7 +56,7 @@
     assert h.now <= accepted_at + 5_000_000
 
 
-def test_a_router_that_fails_leaves_no_client_without_an_answer(h):
+def test_a_router_that_fails_leaves_no_client_without_an_answer(h: DispatcherHarness) -> None:
     h.router.handle = None
     client = h.accept()
     h.wait(6_000_000)
@@ -62,7 +64,7 @@
     assert h.dispatcher.counters.faults > 0
 
 
-def test_the_deadline_ends_with_the_first_event_and_a_cut_answer_is_not_completed(h):
+def test_the_deadline_ends_with_the_first_event_and_a_cut_answer_is_not_completed(h: DispatcherHarness) -> None:
     client = h.accept_and_prefill()
     h.sent[1].start_response()
     h.wait(20_000_000)
@@ -75,7 +77,7 @@
 # Clients that go.
 
 
-def test_nothing_is_begun_for_a_client_that_is_seen_to_have_gone_at_the_first_byte(h):
+def test_nothing_is_begun_for_a_client_that_is_seen_to_have_gone_at_the_first_byte(h: DispatcherHarness) -> None:
     client = h.accept_and_prefill()
     assert h.sent[1].may_start()
     client.disconnected = True
@@ -85,7 +87,7 @@
     assert h.dispatcher.counters.left == 1
 
 
-def test_nothing_is_begun_for_a_client_that_is_seen_to_have_gone_at_the_choice(h):
+def test_nothing_is_begun_for_a_client_that_is_seen_to_have_gone_at_the_choice(h: DispatcherHarness) -> None:
     client = h.accept()
     client.disconnected = True
     h.sent[0].end(Outcome.PREFILLED, may_hold=True)
@@ -94,7 +96,7 @@
     assert h.dispatcher.counters.left == 1
 
 
-def test_a_client_that_goes_while_its_connection_comes_up_is_no_failure_of_the_replica(h):
+def test_a_client_that_goes_while_its_connection_comes_up_is_no_failure_of_the_replica(h: DispatcherHarness) -> None:
     h.reached = False
     for _ in range(5):
         client = h.accept()
@@ -103,7 +105,7 @@
     assert h.judged == []
 
 
-def test_an_outcome_that_closing_shows_wins_over_the_cancellation(h):
+def test_an_outcome_that_closing_shows_wins_over_the_cancellation(h: DispatcherHarness) -> None:
     client = h.accept()
     h.on_cancel = lambda attempt: attempt.end(Outcome.PREFILLED, cached_tokens=7, may_hold=True)
     h.dispatcher.disconnect(client.request)
@@ -112,7 +114,9 @@
 
 
 @pytest.mark.parametrize(("reached", "released"), [(True, [{1}]), (False, [])])
-def test_a_prefill_that_is_cancelled_is_released_unless_it_never_arrived(h, reached, released):
+def test_a_prefill_that_is_cancelled_is_released_unless_it_never_arrived(
+    h: DispatcherHarness, reached: bool, released: list[set[int]]
+) -> None:
     h.reached = reached
     client = h.accept()
     h.dispatcher.disconnect(client.request)
@@ -123,7 +127,9 @@
 
 
 @pytest.mark.parametrize("phase", [Phase.DRAINING, Phase.GONE])
-def test_an_attempt_that_waits_for_its_connection_goes_elsewhere_when_the_list_takes_its_replica_away(h, phase):
+def test_an_attempt_that_waits_for_its_connection_goes_elsewhere_when_the_list_takes_its_replica_away(
+    h: DispatcherHarness, phase: Phase
+) -> None:
     """Nothing is spent on it: more replicas go than attempts are allowed."""
     h.reached = False
     client = take_replicas_away(h, phase)
@@ -132,7 +138,7 @@
     answer_last_attempt(h, client)
 
 
-def test_an_attempt_that_may_have_been_written_stays_when_the_list_takes_its_replica_away(h):
+def test_an_attempt_that_may_have_been_written_stays_when_the_list_takes_its_replica_away(h: DispatcherHarness) -> None:
     """It may be executed there: sent elsewhere, the request would have two attempts out."""
     client = take_replicas_away(h, Phase.DRAINING)
     assert len({attempt.replica for attempt in h.sent}) == 1
@@ -160,14 +166,16 @@
 
 
 @pytest.mark.parametrize("phase", [Phase.DRAINING, Phase.GONE])
-def test_a_replica_that_is_not_listed_as_ready_gets_nothing_whatever_the_router_asks_for(h, phase):
+def test_a_replica_that_is_not_listed_as_ready_gets_nothing_whatever_the_router_asks_for(
+    h: DispatcherHarness, phase: Phase
+) -> None:
     h.dispatcher.endpoints.update({n: replace(e, phase=phase) for n, e in h.dispatcher.endpoints.items()})
     client = h.accept()
     assert h.sent == []
     assert client.answers == ["reject"]
 
 
-def test_a_booking_that_was_withdrawn_before_it_was_sent_may_go_elsewhere(h):
+def test_a_booking_that_was_withdrawn_before_it_was_sent_may_go_elsewhere(h: DispatcherHarness) -> None:
     h.dispatcher.update_endpoints(False, (endpoint(1, PREFILL, Phase.GONE), endpoint(5, MIXED), endpoint(6, MIXED)))
     h.accept(BOOKING)
     first = h.sent[-1]
@@ -179,7 +187,7 @@
 # The time by which an attempt has to be written, and a state to be fetched.
 
 
-def test_an_attempt_that_is_not_begun_in_time_never_ran_and_is_no_failure_of_the_replica(h):
+def test_an_attempt_that_is_not_begun_in_time_never_ran_and_is_no_failure_of_the_replica(h: DispatcherHarness) -> None:
     """A state is fetched within `release-within` or released; its fetch waits for a connection until then."""
     client = h.accept_and_prefill(BOOKING)
     assert h.sent[1].send_before == h.now + STATE_HOLD_TIME
@@ -193,7 +201,7 @@
     assert h.sent[2].replica == 1  # prefilled anew: nothing has been executed
 
 
-def test_a_booking_that_was_being_written_when_its_time_was_over_may_have_been_executed(h):
+def test_a_booking_that_was_being_written_when_its_time_was_over_may_have_been_executed(h: DispatcherHarness) -> None:
     """Its last byte may have left in this very tick; rejected, or sent elsewhere, it could be executed twice."""
     client = h.accept_and_prefill(BOOKING)
     h.now = h.sent[1].send_before
@@ -204,7 +212,9 @@
     assert h.dispatcher.counters.outcomes[Outcome.WITHDRAWN] == 0
 
 
-def test_a_state_whose_fetch_shows_no_sign_is_released_in_time_and_again_at_the_end_of_its_fetch(h):
+def test_a_state_whose_fetch_shows_no_sign_is_released_in_time_and_again_at_the_end_of_its_fetch(
+    h: DispatcherHarness,
+) -> None:
     client = h.accept_and_prefill()
     h.wait(STATE_HOLD_TIME - 1)
     assert h.released_unless_fetched == []
@@ -217,7 +227,7 @@
     assert client.request.interrupted is True
 
 
-def test_a_state_whose_fetch_has_begun_in_time_needs_no_release(h):
+def test_a_state_whose_fetch_has_begun_in_time_needs_no_release(h: DispatcherHarness) -> None:
     h.accept_and_prefill()
     h.sent[1].start_response()
     h.wait(STATE_HOLD_TIME)
@@ -228,10 +238,10 @@
 # One attempt out, and no effect twice.
 
 
-def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_asks_for(h):
+def test_a_second_attempt_is_not_sent_while_one_is_out_whatever_the_router_asks_for(h: DispatcherHarness) -> None:
     handle = h.router.handle
 
-    def with_second_attempts(now, event):
+    def with_second_attempts(now: int, event: Event) -> list[Action]:
         actions = []
         for action in handle(now, event):
             actions.append(action)
@@ -244,7 +254,7 @@
     assert len(h.sent) == 1
 
 
-def test_an_effect_is_not_repeated_nor_its_request_rejected_whatever_the_router_asks_for(h):
+def test_an_effect_is_not_repeated_nor_its_request_rejected_whatever_the_router_asks_for(h: DispatcherHarness) -> None:
     """Both are counted as violations; the client gets a failure."""
     client = h.accept_and_prefill(BOOKING)
     number = client.request.number
@@ -258,7 +268,7 @@
     assert dict(h.dispatcher.counters.violations) == {"may-have-run": 1, "refused-after-effect": 1}
 
 
-def test_the_old_attempt_is_closed_before_the_next_is_sent(h):
+def test_the_old_attempt_is_closed_before_the_next_is_sent(h: DispatcherHarness) -> None:
     client = h.accept_and_prefill()
     closed_after: list[int] = []
     h.on_cancel = lambda attempt: closed_after.append(len(h.sent))
@@ -268,12 +278,12 @@
     assert len({attempt.request for attempt in h.sent if not attempt.ended}) == (0 if client.answers else 1)
 
 
-def test_a_stall_while_a_request_is_accepted_leaves_its_answer_to_the_router(h):
+def test_a_stall_while_a_request_is_accepted_leaves_its_answer_to_the_router(h: DispatcherHarness) -> None:
     """The router rejects what no replica answers in time; the core's own answer is a failure, and logged as one."""
     handle = h.router.handle
 
-    def with_stall(now, event):
-        actions = handle(now, event)
+    def with_stall(now: int, event: Event) -> list[Action]:
+        actions: list[Action] = handle(now, event)
         if isinstance(event, RequestArrived):
             h.now += 10_000  # the process is kept from its core
         return actions
@@ -285,16 +295,17 @@
     assert not h.dispatcher.counters.failures
 
 
-def test_a_request_that_waits_behind_a_slow_event_is_answered_by_the_router_too(h):
+def test_a_request_that_waits_behind_a_slow_event_is_answered_by_the_router_too(h: DispatcherHarness) -> None:
     """Its time runs from its acceptance: a router that took it to have arrived later would answer too late."""
     handle = h.router.handle
     waiting: list[RecordingClient] = []
 
-    def with_another_request(now, event):
+    def with_another_request(now: int, event: Event) -> list[Action]:
         if isinstance(event, RequestArrived) and not waiting:
             waiting.append(h.accept())
             h.now += 10_000
-        return handle(now, event)
+        actions: list[Action] = handle(now, event)
+        return actions
 
     h.router.handle = with_another_request
     first = h.accept()
--- a/tests/core/test_request_counts.py
+++ b/tests/core/test_request_counts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -51,7 +52,7 @@
         self.rejected_by_front = dict.fromkeys(CLASSES, 0)
         self.disconnected = 0
 
-    def step(self, what: str, which: object, number: int) -> None:
+    def step(self, what: str, which: Any, number: int) -> None:
         dispatcher = self.harness.dispatcher
         match what:
             case "accept":
@@ -70,7 +71,7 @@
             case _ if self.harness.sent:
                 self.step_attempt(what, which, number)
 
-    def step_attempt(self, what: str, outcome: object, number: int) -> None:
+    def step_attempt(self, what: str, outcome: Any, number: int) -> None:
         attempt = self.harness.sent[number % len(self.harness.sent)]
         if what == "start":
             attempt.start_response()
@@ -104,7 +105,7 @@
 
 @settings(deadline=None)
 @given(st.lists(STEP, max_size=60))
-def test_each_request_is_counted_once_at_its_end(steps):
+def test_each_request_is_counted_once_at_its_end(steps: list[tuple[str, Any, int]]) -> None:
     history = History()
     for what, which, number in steps:
         history.step(what, which, number)
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -106,14 +106,14 @@
 class Committed(unittest.TestCase):
     """What stands in the repository."""
 
-    def test_the_page_is_what_its_results_make_of_it(self):
+    def test_the_page_is_what_its_results_make_of_it(self) -> None:
         again = "differs from its results: run `pearhill lab scale --page`"
         page = capacity.render_page(capacity.read_results(ROOT / capacity.RESULTS_FOLDER))
         assert (ROOT / capacity.PAGE_PATH).read_text() == page, f"{capacity.PAGE_PATH} {again}"
         note = (ROOT / capacity.NOTE_PATH).read_text()
         assert note == capacity.update_note(note), f"{capacity.NOTE_PATH} {again}"
 
-    def test_each_mechanism_is_a_file_or_package_or_said_to_be_missing(self):
+    def test_each_mechanism_is_a_file_or_package_or_said_to_be_missing(self) -> None:
         rows = list(capacity.duty_carriers((ROOT / capacity.PAGE_PATH).read_text()))
         assert len(rows) > 50
         lost = {
@@ -126,7 +126,7 @@
 
 
 class Mechanisms(unittest.TestCase):
-    def test_files_missing_ones_and_gaps_are_told_apart(self):
+    def test_files_missing_ones_and_gaps_are_told_apart(self) -> None:
         text = (
             "| a | b | carried by |\n| --- | --- | --- |\n| 1 | x | `pearhill/a.py`, `pearhill/b` |\n"
             "| 2 | x | missing: all |\n| 3 | x |  |\n\n| a | b |\n| --- | --- |\n| 4 | `x` |\n"
@@ -135,7 +135,7 @@
 
 
 class Arithmetic(unittest.TestCase):
-    def test_the_operators_figures(self):
+    def test_the_operators_figures(self) -> None:
         estimates = capacity.Estimates(SIZE)
         for what, found, expected, tolerance in (
             ("requests", estimates.requests_s, 45, 0.02),
@@ -150,12 +150,12 @@
             with self.subTest(what):
                 assert abs(found - expected) <= expected * tolerance
 
-    def test_a_fleet_of_uneven_traffic_has_the_same_requests(self):
+    def test_a_fleet_of_uneven_traffic_has_the_same_requests(self) -> None:
         least, most = capacity.Estimates(SIZE).uneven_requests_s()
         assert abs(330 / 20 * (19 * least + most) - 15_000) < 5e-8
         assert abs(most / least - 10) < 5e-8
 
-    def test_reports_stay_within_their_budget_and_full_talk_does_not(self):
+    def test_reports_stay_within_their_budget_and_full_talk_does_not(self) -> None:
         estimates = capacity.Estimates(SIZE)
         for times in (0.1, 1.0, 10.0):
             with self.subTest(times):
@@ -168,7 +168,7 @@
         assert estimates.gossip_bytes_s > 10 * SIZE.control_bytes_s
         assert capacity.gossip_datagram_bytes(48) <= 1400 + HEADER_BYTES
 
-    def test_a_gauge_is_a_byte_at_the_most_and_next_to_nothing_where_no_work_is(self):
+    def test_a_gauge_is_a_byte_at_the_most_and_next_to_nothing_where_no_work_is(self) -> None:
         few, many = capacity.count_report_traffic(300, 0, 10, 0), capacity.count_report_traffic(300, 0, 300, 0)
         assert few.report_bytes < 38 + 10 + 200
         assert many.report_bytes < 300 + 200
@@ -177,7 +177,7 @@
 
 
 class Pages(WithTemporaryRepository):
-    def test_with_no_run_the_page_is_whole_and_says_so(self):
+    def test_with_no_run_the_page_is_whole_and_says_so(self) -> None:
         page = self.page()
         for part in (
             "## The size",
@@ -198,7 +198,7 @@
         assert page.count(capacity.NOT_MEASURED) > 30
         assert "\n\n\n" not in page
 
-    def test_figures_come_from_the_runs_and_name_them(self):
+    def test_figures_come_from_the_runs_and_name_them(self) -> None:
         self.write_result(
             "control",
             result(
@@ -265,7 +265,7 @@
             with self.subTest(expected):
                 assert expected in page
 
-    def test_the_talks_slope_is_not_stretched_past_the_bound_on_its_pings(self):
+    def test_the_talks_slope_is_not_stretched_past_the_bound_on_its_pings(self) -> None:
         self.write_result(
             "talk",
             result(
@@ -280,7 +280,7 @@
         assert "0.8% of a core (at least: talk, 80 x 60)" in page
         assert "41% of a core (slope" not in page
 
-    def test_the_larger_need_comes_first_and_what_nothing_carries_before_it(self):
+    def test_the_larger_need_comes_first_and_what_nothing_carries_before_it(self) -> None:
         self.write_result(
             "a", result(slopes=[slope(capacity.GOSSIP, "cpu_cores", 1.1), slope(capacity.GOSSIP, "memory_bytes", 16e6)])
         )
@@ -294,7 +294,7 @@
         assert known == sorted(known, reverse=True)
         assert all(row.ratio is None for row in carried[len(known) :])
 
-    def test_the_later_run_counts_a_busy_one_does_not_and_a_point_goes_before_a_slope(self):
+    def test_the_later_run_counts_a_busy_one_does_not_and_a_point_goes_before_a_slope(self) -> None:
         def cores(value: float, **fields: Any) -> dict[str, Any]:
             return point(dispatcher=COST | {"cpu_cores": value}, **fields)
 
@@ -312,7 +312,7 @@
         assert runs.figure(capacity.AGGREGATORS, "dispatcher", "cpu_cores") == capacity.SourcedFigure(0.002, "a-late")
         assert "| busy |" in self.page()
 
-    def test_the_notes_table_is_made_anew_and_nothing_else_of_it(self):
+    def test_the_notes_table_is_made_anew_and_nothing_else_of_it(self) -> None:
         path = self.root / capacity.NOTE_PATH
         path.parent.mkdir(parents=True)
         form = (
@@ -328,7 +328,7 @@
 
 
 class BadResults(WithTemporaryRepository):
-    def test_file_key_found_and_allowed_are_told(self):
+    def test_file_key_found_and_allowed_are_told(self) -> None:
         late = point(dispatcher=COST | {"beat_late_ms": {"p50": 1, "p99": 2}})
         for what, content, complaint in (
             ("no JSON", "{", r"bad\.json: Expecting"),
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -60,7 +60,7 @@
             text=True,
         )
 
-    def test_a_run_its_files_and_a_comparison(self):
+    def test_a_run_its_files_and_a_comparison(self) -> None:
         for name in ("small", "other"):
             done = self.cli("run", str(self.scenario(name=name)), "--out", str(self.folder))
             assert done.returncode == 0, done.stderr
@@ -81,14 +81,14 @@
         )
         assert (done.returncode, (self.folder / "c.html").read_text().count("<polyline")) == (0, 8)
 
-    def test_faults_are_seen_by_the_load(self):
+    def test_faults_are_seen_by_the_load(self) -> None:
         made = scenario.load(str(self.scenario('[[server.fault]]\nkind = "refuse"')))
         assert {row.outcome for row in asyncio.run(run.run(made))} == {REFUSED}
         made = scenario.load(str(self.scenario('[[server.fault]]\nkind = "garble"\nshare = 0.5')))
         found = {row.outcome for row in asyncio.run(run.run(made))}
         assert found == {SERVED, load.FAILED}
 
-    def test_what_cannot_be_run_or_compared_is_one_line(self):
+    def test_what_cannot_be_run_or_compared_is_one_line(self) -> None:
         bad = self.folder / "bad.toml"
         bad.write_text(self.scenario().read_text().replace("seconds = 2.0", "seconds = 0"))
         for arguments, why in (
@@ -100,7 +100,7 @@
             assert (done.returncode, done.stderr.count("\n")) == (2, 1), done.stderr
             assert re.search(why, done.stderr), done.stderr
 
-    def test_the_scenarios_in_deploy_are_good(self):
+    def test_the_scenarios_in_deploy_are_good(self) -> None:
         for path in sorted(LAB.glob("*.toml")):
             if not path.name.endswith("front.toml"):
                 scenario.load(str(path))
@@ -111,7 +111,7 @@
 
 
 class Plans(unittest.TestCase):
-    def test_arrivals_are_seeded_and_denser_in_a_burst(self):
+    def test_arrivals_are_seeded_and_denser_in_a_burst(self) -> None:
         tenant = scenario.TenantTable("a", 50.0, "m", times=4.0, from_s=10.0, to_s=20.0)
         times = load.draw_arrivals(tenant, 40.0, numpy.random.SeedSequence(3))
         assert times == load.draw_arrivals(tenant, 40.0, numpy.random.SeedSequence(3))
@@ -119,7 +119,7 @@
         assert 1_800 < inside < 2_200, (inside, len(times))
         assert 1_350 < len(times) - inside < 1_650, (inside, len(times))
 
-    def test_figures_count_from_the_planned_time_and_leave_the_warming_out(self):
+    def test_figures_count_from_the_planned_time_and_leave_the_warming_out(self) -> None:
         rows = [
             Row("a", t, 0.001, 200 if t % 2 else 429, SERVED if t % 2 else REFUSED, 0.1 * t, 0.2 * t, 10)
             for t in range(10)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 from collections import Counter
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -13,7 +15,7 @@
 from pearhill.lab.soak.oracle import Oracle
 from pearhill.lab.soak.plan import CROWD_OCCASIONS, SERIES, draw
 from pearhill.lab.soak.processes import Dispatcher
-from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, Violation
+from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, AttemptRecord, Violation
 from pearhill.lab.soak.report import Report
 from pearhill.lab.soak.slow_start import PlatformLimits
 
@@ -30,7 +32,7 @@
     return oracle
 
 
-def streaming(oracle: Oracle, got: bytes = b"one ") -> object:
+def streaming(oracle: Oracle, got: bytes = b"one ") -> AttemptRecord:
     """A writer has written two events; the client has got so much."""
     attempt = oracle.attempts.arrived(10 * MS, "r", "w", True, 1000)
     oracle.attempts.wrote(20 * MS, attempt, b"one ")
@@ -216,13 +218,13 @@
         ("lost", IDEMPOTENT, ended_on_a_new_connection_to_the_next_process),
     ],
 )
-def test_the_oracle_finds_what_is_planted(rule, effect, plant):
+def test_the_oracle_finds_what_is_planted(rule: str, effect: str, plant: Callable[[Oracle], None]) -> None:
     oracle = asked(effect, window=500 * MS)
     plant(oracle)
     assert [violation.rule for violation in oracle.violations] == [rule]
 
 
-def test_what_is_allowed_is_no_violation():
+def test_what_is_allowed_is_no_violation() -> None:
     oracle = asked(NON_IDEMPOTENT)
     turned_away = oracle.attempts.arrived(10 * MS, "r", "w1", True, 1000)
     oracle.attempts.ended(20 * MS, "r", turned_away, never_ran=True)
@@ -302,14 +304,14 @@
         a_list_that_nobody_could_ask_for,
     ],
 )
-def test_what_the_pages_allow_is_no_violation(allowed):
+def test_what_the_pages_allow_is_no_violation(allowed: Callable[[Oracle], None]) -> None:
     oracle = asked()
     allowed(oracle)
     oracle.scan(10 * S)
     assert oracle.violations == []
 
 
-def test_only_a_lateness_of_that_moment_excuses_a_limit_that_was_passed():
+def test_only_a_lateness_of_that_moment_excuses_a_limit_that_was_passed() -> None:
     once, thrice = [140 * MS], [10 * MS] * 3
     for since, lates, found in ((0, once, []), (0, thrice, []), (5 * S, once, ["cancelled"]), (0, [], ["cancelled"])):
         lateness = Lateness(lambda: 0)
@@ -320,7 +322,7 @@
         assert [violation.rule for violation in oracle.violations] == found
 
 
-def test_a_drain_that_the_soak_passed_on_late_is_judged_from_then():
+def test_a_drain_that_the_soak_passed_on_late_is_judged_from_then() -> None:
     """The agents run in the soak's own loop. Lateness before or long after the news does not count."""
     late = 300 * MS
     for since, found in ((50 * MS, []), (-2 * S, ["drain"]), (3 * S, ["drain"])):
@@ -332,26 +334,26 @@
         assert [violation.rule for violation in oracle.violations] == found
 
 
-def test_all_that_meets_a_crowd_or_follows_a_sigterm_is_drawn():
+def test_all_that_meets_a_crowd_or_follows_a_sigterm_is_drawn() -> None:
     faults = [fault for seed in range(5001, 5051) for fault in draw(seed).faults]
     assert {fault.variant for fault in faults if fault.kind == "crowd"} == set(CROWD_OCCASIONS)
     assert {fault.variant for fault in faults if fault.kind == "terminate"} == set(SERIES)
 
 
-def test_a_seed_draws_the_same_every_time():
+def test_a_seed_draws_the_same_every_time() -> None:
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_a_short_soak_of_ten_dispatchers_breaks_no_rule(seed):
+def test_a_short_soak_of_ten_dispatchers_breaks_no_rule(seed: int) -> None:
     report = run.play(seed, SHORT_S, 10)
     print(report.text())
     assert not report.violations, report.text()
     assert report.outcomes["200"] > 50, report.text()
 
 
-def test_a_report_has_the_faults_above_the_violations():
+def test_a_report_has_the_faults_above_the_violations() -> None:
     violation = Violation(2 * SECOND, "late", "r-1", "1 s")
     report = Report(7, [violation], Counter({"200": 3}), Counter(), 1.5, faults=["1.000 kill s-01"])
     lines = report.text().splitlines()
@@ -378,10 +380,11 @@
         raise ProcessLookupError
 
 
-def test_a_process_that_ends_in_the_moment_of_its_kill_counts_as_killed(tmp_path: pathlib.Path):
+def test_a_process_that_ends_in_the_moment_of_its_kill_counts_as_killed(tmp_path: pathlib.Path) -> None:
     async def terminate() -> bool:
         dispatcher = Dispatcher("d", tmp_path, {}, "127.0.0.1:1", Oracle(RULES), lambda: 0, 1)
-        dispatcher.process = EndsAtTheKill()
+        process: Any = EndsAtTheKill()
+        dispatcher.process = process
         return await dispatcher.terminate(0.01)
 
     assert asyncio.run(terminate()) is False
--- a/tests/lab/test_up.py
+++ b/tests/lab/test_up.py
@@ -23,7 +23,7 @@
 
 
 class Up(unittest.TestCase):
-    def test_make_run_and_the_readmes_curl_give_a_streamed_answer_and_ctrl_c_ends_all(self):
+    def test_make_run_and_the_readmes_curl_give_a_streamed_answer_and_ctrl_c_ends_all(self) -> None:
         assert RECIPE
         assert CURL
 
@@ -43,7 +43,7 @@
             with socket.socket() as left, pytest.raises(ConnectionRefusedError):
                 left.connect(("127.0.0.1", port))
 
-    def test_what_cannot_be_brought_up_is_said_in_one_line(self):
+    def test_what_cannot_be_brought_up_is_said_in_one_line(self) -> None:
         with socket.socket() as taken:
             taken.bind(("127.0.0.1", 0))
             taken.listen()
