--- a/pearhill/chat/charge_journal.py
+++ b/pearhill/chat/charge_journal.py
@@ -73,14 +73,14 @@
         self._charges_since_snapshot += 1
         if self._charges_since_snapshot >= CHARGES_PER_SNAPSHOT:
             self._charges_since_snapshot = 0
-            self._journal.snapshot(c.encode_state(self._budgets))
+            self._snapshot(self._journal)
 
     def close(self) -> None:
         """Write a last snapshot, if there are charges since the one before, and wait for the disk."""
         if self._journal is None:
             return
         if self._charges_since_snapshot:
-            self._journal.snapshot(c.encode_state(self._budgets))
+            self._snapshot(self._journal)
         if not self._journal.close():
             charges, size = self._journal.unwritten
             logger.error(
@@ -90,6 +90,13 @@
                 folder=str(self._journal.folder),
             )
 
+    def _snapshot(self, journal: Journal) -> None:
+        """Have the balances written. Without a snapshot the charges since the last one stay in the journal."""
+        try:
+            journal.snapshot(c.encode_state(self._budgets))
+        except ValueError as error:
+            logger.error("budgets: the balances could not be kept: {error}", error=str(error))
+
     def _disk_changed(self, error: OSError | None) -> None:
         """The disk has begun to fail, or works again (no error)."""
         self._failing = error is not None
--- a/pearhill/durable/journal.py
+++ b/pearhill/durable/journal.py
@@ -69,19 +69,25 @@
         return self._bytes >= self._max_waiting_bytes
 
     def append(self, body: bytes) -> int:
-        """The frame's number. BufferError: too much waits for the disk; nothing was taken."""
+        """The frame's number. BufferError: too much waits for the disk; ValueError: the body is too large. Nothing was
+        taken then."""
         if self.is_full:
             raise BufferError("too much waits for the disk")
         with self._changed:
+            data = encode_frame(self.seq + 1, body)
             self.seq += 1
-            data = encode_frame(self.seq, body)
             self._waiting.append((self.seq, data))
             self._bytes += len(data)
             self._changed.notify()
             return self.seq
 
     def snapshot(self, state: bytes) -> None:
-        """Keep the state as it is after the last frame appended. It replaces an older one that still waits."""
+        """Keep the state as it is after the last frame appended. It replaces an older one that still waits.
+
+        ValueError: it is too large. Then the older ones and all frames after them stay.
+        """
+        if len(state) > MAX_STATE_BYTES:
+            raise ValueError(f"a snapshot of {len(state)} bytes; {MAX_STATE_BYTES} are allowed")
         with self._changed:
             self._snapshot = (self.seq, state)
             self._changed.notify()
--- a/tests/durable/test_journal.py
+++ b/tests/durable/test_journal.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from pearhill.durable.frames import FRAME_HEAD, TornFrameError, decode_frames, encode_frame
+from pearhill.durable.frames import FRAME_HEAD, MAX_BODY_BYTES, TornFrameError, decode_frames, encode_frame
 from pearhill.durable.journal import Journal
 from pearhill.durable.recovery import CorruptJournalError, read_frames, recover, segments
 from tests.standins import ROOT
@@ -138,6 +138,28 @@
             recover(self.folder)
 
 
+class TestTooLarge(JournalCase):
+    def test_a_snapshot_that_is_too_large_ends_no_journal(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The writing thread ended at it, and all that was appended later was lost."""
+        monkeypatch.setattr("pearhill.durable.journal.MAX_STATE_BYTES", 10)
+        journal = self.open()
+        journal.append(b"before")
+        with pytest.raises(ValueError, match="a snapshot of 11 bytes; 10 are allowed"):
+            journal.snapshot(b"x" * 11)
+        journal.append(b"after")
+        assert journal.close()
+        assert self.bodies() == [b"before", b"after"]
+
+    def test_a_body_that_is_too_large_leaves_no_gap_in_the_numbers(self) -> None:
+        journal = self.open()
+        journal.append(b"before")
+        with pytest.raises(ValueError, match="are allowed"):
+            journal.append(b"x" * (MAX_BODY_BYTES + 1))
+        journal.append(b"after")
+        assert journal.close()
+        assert [frame.body for frame in recover(self.folder).frames] == [b"before", b"after"]
+
+
 def append_often(journal: Journal) -> None:
     for _ in range(100):
         journal.append(b"x" * 50)
