Soak: a signal to a process that has just ended leaves its exit code

The soak's own fault: signals in series come up to a second after SIGTERM. It sends them by os.kill now. The test (a signal to a process that has ended unnoticed) failed before. The stand-in process of another test gets a pid that no process has.

--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -128,8 +128,8 @@
 
     def signal(self, number: int) -> None:
         """Send a signal, if the process still runs."""
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.process:
+            _send_signal(self.process, number)
 
     def reload(self, discovery: str) -> None:
         """Write the configuration with this discovery address, and send SIGHUP."""
@@ -167,8 +167,7 @@
     async def _send_signals(self, process: asyncio.subprocess.Process, others: Sequence[SignalAt]) -> None:
         for each in others:
             await asyncio.sleep(each.after_s)
-            if process.returncode is None:
-                process.send_signal(each.number)
+            _send_signal(process, each.number)
 
     async def kill(self) -> None:
         """SIGKILL, if the process still runs, and wait for its end."""
@@ -179,3 +178,13 @@
             self.oracle.killed(self.clock(), self.name)
             await process.wait()
         await self._wait_for_follower()
+
+
+def _send_signal(process: asyncio.subprocess.Process, number: int) -> None:
+    """Send a signal, if the process still runs.
+
+    `Process.send_signal` looks first whether it has ended, and takes its exit code from the loop, which then has 255.
+    """
+    if process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, number)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import pathlib
+import signal
+import sys
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -365,6 +367,7 @@
     """A process that has not ended when its time is over, and has when it is killed."""
 
     returncode = None
+    pid = 1 << 22  # above every process's number
 
     def __init__(self) -> None:
         self.ended = asyncio.Event()
@@ -373,8 +376,6 @@
         await self.ended.wait()
         return 0
 
-    def send_signal(self, number: int) -> None: ...
-
     def kill(self) -> None:
         self.ended.set()
         raise ProcessLookupError
@@ -390,6 +391,17 @@
     assert asyncio.run(terminate()) is False
 
 
+def test_a_signal_to_a_process_that_has_just_ended_leaves_its_exit_code(tmp_path: pathlib.Path) -> None:
+    async def exit_code() -> int:
+        dispatcher = Dispatcher("d", tmp_path, {}, "127.0.0.1:1", Oracle(RULES), lambda: 0, 1)
+        dispatcher.process = await asyncio.create_subprocess_exec(sys.executable, "-c", "")
+        os.waitid(os.P_PID, dispatcher.process.pid, os.WEXITED | os.WNOWAIT)  # the loop has not noticed its end yet
+        dispatcher.signal(signal.SIGHUP)
+        return await dispatcher.process.wait()
+
+    assert asyncio.run(exit_code()) == 0
+
+
 def test_a_flood_holds_its_connections_comes_again_and_ends_with_its_process() -> None:
     async def flood() -> None:
         connected: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
