--- a/review/1/case.py
+++ b/review/1/case.py
@@ -98,6 +98,7 @@
             number = f"{0x9B1F03AA5C7E2D00 + len(usual):016x}"
             data = standins.chat_request(number, TIMEOUT_MS)
             limit_s = TIMEOUT_MS / 1000 + standins.SLACK_S
+            record(f"client: sends {number}")
             usual.append(asyncio.create_task(standins.ask(dispatcher.listen, number, data, limit_s)))
             if TROUBLE and not flood and record.now() > start + 3:
                 flood.append(asyncio.create_task(send_flood(record, dispatcher, bad)))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -49,6 +49,7 @@
         await dispatcher.start()
         await dispatcher.wait_ready()
         numbers = [f"{0x9B1F03AA5C7E2D00 + k:016x}" for k in range(REQUESTS)]
+        record(f"clients: send {', '.join(numbers)}")
         answers = await asyncio.gather(
             *(
                 standins.ask(dispatcher.listen, number, standins.chat_request(number, 6000, max_out=800), 6.5)
