Begin no request while answers to its client are unsent, so that they stay bounded

A client that sends requests one after the other and reads no answer makes the process grow, for 20 s until it counts as stuck.

Cause: a stream waits while more than 64 KiB are unsent, a complete answer does not; AcceptedConnection._advance began the next request at once.

Change: it begins none while the output buffer is over its limit, and the writer goes on with the next one when there is capacity. Past four waiting requests the next gets 429, as behind a slow answer. The idle timer stays off while a request waits: it would close the connection unanswered.

Test: tests/net/test_accepted.py failed before (102,694 bytes unsent after the seventh answer of 16 KiB) and passes; all answers come when the client reads. Tests of net, platform, chat, node and pages: 463 passed.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -150,9 +150,14 @@
 
     # Request handling.
 
+    @property
+    def _may_start_request(self) -> bool:
+        """Whether a waiting request may be answered now. While too many bytes are unsent it has to wait: otherwise the
+        answers to a client that sends requests and reads nothing would fill memory."""
+        return not (self.answering or self.last_answer_given or self.closed) and self.output.has_capacity.is_set()
+
     def _advance(self) -> None:
-        """Start the next waiting request, unless one is being answered."""
-        while self.intake.waiting and not (self.answering or self.last_answer_given or self.closed):
+        while self.intake.waiting and self._may_start_request:
             message = self.intake.take()
             self.answering = True
             if isinstance(message, Rejected):
@@ -219,7 +224,7 @@
         deadlines = self.owner.deadlines
         deadlines.cancel(self._timer)
         self._timer = None
-        if self.closed or self.answering or self.last_answer_given:
+        if self.closed or self.answering or self.last_answer_given or self.intake.waiting:
             return
         if self.awaits_request:
             self._timer = deadlines.schedule_at(self.state_since + REQUEST_TIMEOUT_US, self._request_overdue)
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -73,6 +73,10 @@
     def _on_closed(self) -> None:
         """Handle the close of the connection."""
 
+    @abstractmethod
+    def _advance(self) -> None:
+        """Start the next waiting request, unless one is being answered or too many bytes are unsent."""
+
     # Reading.
 
     async def _read(self) -> None:
@@ -150,6 +154,8 @@
                 return self.close(f"client-{type(error).__name__}")
             finally:
                 self.owner.deadlines.cancel(write_timer)
+            if self.intake.waiting:
+                self._advance()
         if self.last_answer_given and not self.closed:
             self._linger()
 
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -1,4 +1,4 @@
-"""Timeouts of a client's connection on a virtual clock, while checks of its socket fail."""
+"""A client's connection: timeouts on a virtual clock while checks of its socket fail, and answers that wait."""
 
 import asyncio
 import errno
@@ -11,12 +11,20 @@
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
+from pearhill.http1.handler import Reply
+from pearhill.http1.messages import Headers, RequestMessage
+from pearhill.http1.server import Rejected
+from pearhill.net.clock import start_clock
 from pearhill.net.listener import Listener
+from pearhill.net.output_buffer import MAX_BUFFERED_BYTES
 from pearhill.net.ticks import EventLoopTicks
+from tests.net.loops import UvloopTestCase
 from tests.virtual import VirtualLoop
 
 MAX_SILENT_S = 3.0  # a client that sends nothing, or stops half-way, is disconnected by then
 FAILING_PEEKS = 5  # in succession, for want of memory
+ANSWER_BYTES = 16 * 1024
+HEAD_BYTES = 100  # of an answer, at most
 
 
 class FailingPeeks:
@@ -66,3 +74,45 @@
         return elapsed
 
     assert loop.run_until_complete(until_closed()) <= MAX_SILENT_S
+
+
+class LargeAnswers:
+    """A handler that gives every request a large answer at once."""
+
+    def handle(self, message: RequestMessage, reply: Reply) -> None:
+        reply.answer(200, (), b"x" * ANSWER_BYTES)
+
+    def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
+        return (), b""
+
+
+class TestUnreadAnswers(UvloopTestCase):
+    async def test_answers_to_a_client_that_reads_nothing_are_limited(self) -> None:
+        """Each request was answered as soon as it was read, and the answers that the client did not read filled memory.
+        Requests wait now until it reads; too many of them are rejected, as behind a slow answer."""
+        loop = asyncio.get_running_loop()
+        deadlines = Deadlines(start_clock())
+        ticks = EventLoopTicks(loop, deadlines)
+        listener = Listener(loop, deadlines, Counters(), LargeAnswers(), max_connections=4, send_buffer=4096)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client.connect(listener.listen(("127.0.0.1", 0)))
+        client.setblocking(False)
+        while not listener.connections:
+            await asyncio.sleep(0)
+        (connection,) = listener.connections
+        sent = 0
+        while Rejected not in map(type, connection.intake.waiting):
+            client.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            sent += 1
+            while connection.requests + len(connection.intake.waiting) < sent:
+                await asyncio.sleep(0)
+            assert len(connection.output.unsent) <= MAX_BUFFERED_BYTES + ANSWER_BYTES + HEAD_BYTES, sent
+        received = b""
+        while data := await loop.sock_recv(client, 65_536):
+            received += data
+        assert [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]] == [200] * (sent - 1) + [429]
+        client.close()
+        await listener.close()
+        ticks.close()
