--- a/pearhill/http1/client.py
+++ b/pearhill/http1/client.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-MAX_HEAD = 32 * 1024  # bytes of a response outside its body, including the interim responses before it
+from pearhill.http1.framing import MAX_FRAMING_BYTES, FramingMeter
+
 MAX_CHUNK = 256 * 1024  # bytes
 FIRST_FINAL_STATUS = 200  # a response with a lower status is interim: another one follows
 
@@ -59,26 +60,26 @@
         self._headers: dict[str, str] = {}
         self._chunk: bytearray | None = None  # the received part of an incomplete chunk
         self._complete_chunks: list[bytes] = []
-        self._framing_bytes = 0  # bytes of this response outside its body
+        self._framing = FramingMeter()  # of this response and the interim responses before it
         self._max_chunk = MAX_CHUNK
         self.awaiting = False
 
     def expect(self, max_chunk: int = MAX_CHUNK) -> None:
         """Open an exchange. `max_chunk`: the largest chunk in bytes, as chunks are buffered until complete."""
         self.awaiting = True
-        self._framing_bytes = 0
+        self._framing.start_message()
         self._max_chunk = max_chunk
 
     def feed(self, data: bytes | memoryview) -> list[Event]:
         """Parse bytes that the server has sent. Returns the events that they complete."""
         if not self.awaiting:
             return [Lost("unasked")]
-        self._framing_bytes += len(data)
+        self._framing.begin_read(len(data))
         try:
             self._parser.feed_data(data)
             # The parser buffers a header without reporting it until it ends, so an endless one is detected here.
-            if self.awaiting and self._framing_bytes > MAX_HEAD:
-                raise ValueError(f"the head of the response is larger than {MAX_HEAD} bytes")
+            if not self._framing.end_read() and self.awaiting:
+                raise ValueError(f"the head of the response is larger than {MAX_FRAMING_BYTES} bytes")
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as e:
             if self.awaiting:
                 self._lose(f"malformed: {e.__context__ or e}")
@@ -137,7 +138,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body. The size of a chunk is bounded: one of gigabytes would fill the memory."""
-        self._framing_bytes -= len(body)
+        self._framing.add_body(len(body))
         if self._chunk is None:
             self._events.append(Data(body))
             return
@@ -148,6 +149,7 @@
     def on_chunk_complete(self) -> None:
         """Queue a complete chunk. None of it is reported earlier: its size is verified only after its last byte."""
         if self._chunk:
+            self._framing.add_chunk()
             self._complete_chunks.append(bytes(self._chunk))
         self._chunk = None
 
--- a/pearhill/http1/server.py
+++ b/pearhill/http1/server.py
@@ -7,10 +7,10 @@
 
 import httptools
 
+from pearhill.http1.framing import MAX_FRAMING_BYTES, FramingMeter
 from pearhill.http1.messages import RequestMessage, add_header
 
 MAX_BODY = 256 * 1024  # bytes
-MAX_HEAD = 32 * 1024  # bytes of a request outside its body
 HEADER_SEPARATORS = 4  # bytes of `: ` and CR LF, per header
 HEADER_OBJECT_BYTES = 128  # of memory for a header's strings and its dictionary entry, beside its text
 
@@ -59,9 +59,10 @@
         self._message = RequestMessage("", "")
         self._body = bytearray()
         self._body_size = 0  # bytes of the body that were received, even if they are discarded
+        self._body_size_at_chunk = 0  # at the end of the last chunk
         self._discarding = False  # the incomplete request is being discarded
         self._head_size = 0  # bytes of the head that the parser has reported so far
-        self._framing_bytes = 0  # bytes of this message outside its body
+        self._framing = FramingMeter()
         self._head_complete = False
 
     @property
@@ -74,7 +75,9 @@
         """About how much memory the received part of an incomplete request takes; 0 if it is being discarded."""
         if not self.in_message or self._discarding:
             return 0
-        head_bytes = max(self._head_size, self._framing_bytes)  # the parser holds a part that it has not reported yet
+        head_bytes = self._head_size
+        if not self._head_complete:  # the parser holds a part that it has not reported yet
+            head_bytes = max(head_bytes, self._framing.framing_bytes)
         return self._memory_bytes(head_bytes)
 
     def _memory_bytes(self, head_bytes: int) -> int:
@@ -84,12 +87,12 @@
         """Parse bytes that the client has sent. Returns the events that they complete."""
         if self.broken:
             return []
-        self._framing_bytes += len(data)
+        self._framing.begin_read(len(data))
         try:
             self._parser.feed_data(data)
             # The parser buffers a header without reporting it until it ends, so an endless one is detected here. Chunk
             # extensions, trailers and blank lines before a request may be endless too.
-            if self._framing_bytes > MAX_HEAD:
+            if not self._framing.end_read():
                 self._reject(431, "the head of the request is too large")
         except (_RejectedError, httptools.HttpParserError) as e:
             self.broken = True
@@ -126,7 +129,7 @@
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
-        if self._head_size > MAX_HEAD:
+        if self._head_size > MAX_FRAMING_BYTES:
             self._reject(431, "the head of the request is too large")
 
     def _take_events(self) -> list[Event]:
@@ -142,9 +145,10 @@
         self._message = RequestMessage("", "")
         self._body = bytearray()
         self._body_size = 0
+        self._body_size_at_chunk = 0
         self._discarding = False
         self._head_size = 0
-        self._framing_bytes = 0
+        self._framing.start_message()
         self._head_complete = False
         self.in_message = True
 
@@ -191,13 +195,19 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the allowed size."""
-        self._framing_bytes -= len(body)
+        self._framing.add_body(len(body))
         self._body_size += len(body)
         if self._body_size > self.max_body:
             self._reject(413, "the body is too large")
         if not self._discarding:
             self._body += body
 
+    def on_chunk_complete(self) -> None:
+        """Handle the end of a chunk."""
+        if self._body_size > self._body_size_at_chunk:
+            self._body_size_at_chunk = self._body_size
+            self._framing.add_chunk()
+
     def on_message_complete(self) -> None:
         """Report the complete request. No reference is kept: the last of every idle connection would fill memory."""
         keep_alive = self._parser.should_keep_alive()
@@ -210,4 +220,4 @@
             message.memory_bytes = self._memory_bytes(self._head_size)
             self._events.append(message)
         self._drop_message()
-        self._framing_bytes = 0
+        self._framing.start_message()
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -9,6 +9,8 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 BLOCK = b"x" * 8192
+SMALL_BODY = b"x" * 9_000
+SMALL_CHUNKS = b"1\r\nx\r\n" * 9_000  # more than 32 KiB of framing
 INTERIM_ANSWERS = b"HTTP/1.1 100 Continue\r\n\r\n" * 400
 
 
@@ -78,3 +80,31 @@
     connection.expect()
     assert connection.eof() == [Lost("eof")]
     assert connection.eof() == []
+
+
+@pytest.mark.parametrize("read_size", [1, 7, 8192])
+def test_a_stream_in_small_chunks_is_reported_to_its_end(connection: ClientConnection, read_size: int) -> None:
+    """Guards against review/3: the size lines of all chunks together counted as an endless head, and a stream was lost
+    after 32 KiB of them."""
+    stream = CHUNKED + SMALL_CHUNKS + b"0\r\n\r\n"
+    events = feed_all(connection, [stream[at : at + read_size] for at in range(0, len(stream), read_size)])
+    assert b"".join(event.data for event in events if isinstance(event, Data)) == SMALL_BODY
+    assert events[-1] == End(True)
+
+
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (b"1;a=", BLOCK),
+        (b"0\r\nA: ", BLOCK),
+        (SMALL_CHUNKS + b"0\r\nA: ", BLOCK),
+        (b"", b"1;a=" + b"x" * 500 + b"\r\nx\r\n"),
+    ],
+    ids=["extension", "trailer", "trailer-after-small-chunks", "extensions-of-many-chunks"],
+)
+def test_endless_framing_is_rejected_while_it_is_being_received(
+    connection: ClientConnection, start: bytes, more: bytes
+) -> None:
+    events = feed_all(connection, [CHUNKED, start] + [more] * 80)
+    assert not connection.awaiting
+    assert [type(event) for event in events if event != Lost("unasked") and type(event) is not Data] == [Head, Lost]
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -19,6 +19,7 @@
 REQUEST = b"POST /a?b=1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n"
 BLOCK = b"x" * 8192
 BLANK_LINES = b"\r\n" * 4096
+SMALL_CHUNKS = b"1\r\nx\r\n" * 9_000  # more than 32 KiB of framing
 
 
 def feed_all(connection: ServerConnection, parts: list[bytes]) -> list[Event]:
@@ -74,6 +75,8 @@
         (b"GET /", BLOCK),
         (CHUNKED + b"1;a=", BLOCK),
         (CHUNKED + b"0\r\nA: ", BLOCK),
+        (CHUNKED + SMALL_CHUNKS + b"0\r\nA: ", BLOCK),
+        (CHUNKED, (b"1;a=" + b"x" * 500 + b"\r\nx\r\n") * 16),
         (b"", BLANK_LINES),
     ],
 )
@@ -88,6 +91,16 @@
     assert [len(request.body) for request in requests] == [200_000] * 2
 
 
+@pytest.mark.parametrize("read_size", [1, 7, 65_536])
+def test_a_body_in_small_chunks_does_not_count_as_head(read_size: int) -> None:
+    """The cause of review/3 on the other side: such a body was rejected with 431 after 32 KiB of its chunks' sizes."""
+    stream = (CHUNKED + SMALL_CHUNKS + b"0\r\n\r\n") * 2
+    requests: list[Any] = feed_all(
+        ServerConnection(), [stream[at : at + read_size] for at in range(0, len(stream), read_size)]
+    )
+    assert [request.body for request in requests] == [b"x" * 9_000] * 2
+
+
 def test_a_repeated_header_becomes_a_list_and_a_trailer_is_ignored() -> None:
     head = HEAD + b"Transfer-Encoding: chunked\r\nA: 1\r\na: 2\r\n\r\n"
     (request,) = ServerConnection().feed(head + b"0\r\nB: 3\r\n\r\n")
