Bound the bodies of requests in an application as in the daemon

It read the body of each request whole, up to max_body_bytes, and nothing bounded all of them together.

Change: an upload is a holder of the same RequestMemory, from its first byte to the end of its answer. While it is incomplete it may be discarded; it is answered 503 when the rest has come, and that rest is not kept. Bodies are joined in place, no longer copied with each part. Counting a refusal stood in three places and is one method of Counters.

Test: six incomplete uploads of 160 KB under a limit of 400 KB.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -18,6 +18,7 @@
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage, add_header
+from pearhill.net.request_memory import MEMORY, TOO_MUCH_WAITING, RequestMemory
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -84,6 +85,43 @@
         self.messages.put_nowait(AnswerTruncatedError("the model server's answer was truncated"))
 
 
+class _Upload:
+    """The body of one request, counted from its first byte to the end of the answer: a `RequestHolder`."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+        self.complete = False  # the request has begun, and cannot be discarded any more
+        self.discarded = False  # for lack of memory
+        self._body = bytearray()
+
+    @property
+    def discardable_bytes(self) -> int:
+        """The memory of the body while it is incomplete."""
+        return 0 if self.complete else self.held_bytes
+
+    def discard_newest(self) -> None:
+        """Discard the body. The request is rejected once the rest of it has been received."""
+        self.discarded = True
+        self.release()
+
+    def release(self) -> None:
+        """Drop the body, and count it no longer."""
+        self._body = bytearray()
+        self.held_bytes = 0
+
+    def add(self, data: bytes, max_bytes: int) -> None:
+        """Add bytes, up to one past the limit."""
+        if not self.discarded:
+            self._body += data[: max_bytes + 1 - len(self._body)]
+            self.held_bytes = len(self._body)
+
+    def take(self) -> bytes:
+        """Return the complete body, which counts until `release`."""
+        body = bytes(self._body)
+        self._body = bytearray()
+        return body
+
+
 class PearhillMiddleware:
     """ASGI middleware for the chat API. `setup` comes from `load` or `read` in `pearhill.chat.setup`."""
 
@@ -131,16 +169,26 @@
 
     async def _chat(self, scope: Scope, receive: Receive, send: Send) -> None:
         service = await self._start()  # if the server or the application does not support lifespan
+        upload = _Upload()
+        try:
+            if await self._receive_body(receive, upload, service.node.request_memory):
+                await self._answer(service, scope, upload, receive, send)
+        finally:
+            upload.release()
+            service.node.request_memory.update(upload)
+
+    async def _answer(self, service: ChatService, scope: Scope, upload: _Upload, receive: Receive, send: Send) -> None:
         reply = _Reply()
-        body = await self._body(receive, self.setup.max_body)
-        if body is None:
-            return
-        request = _request(scope, body)
-        if len(body) > self.setup.max_body:
+        if upload.discarded:
+            service.node.counters.record_refusal(MEMORY)
+            reply.answer(503, *service.front.rejection_response(503, TOO_MUCH_WAITING))
+            return await self._send_answer(reply, send)
+        if upload.held_bytes > self.setup.max_body:
             service.node.counters.rejected += 1
             extra, text = service.front.rejection_response(413, "the body is too large")
             reply.reject(413, extra, text)
             return await self._send_answer(reply, send)
+        request = _request(scope, upload.take())
         pending = service.front.handle(request, reply)
         watch = asyncio.create_task(self._watch_disconnect(receive, pending, reply))
         try:
@@ -152,17 +200,18 @@
         finally:
             watch.cancel()
 
-    @staticmethod
-    async def _body(receive: Receive, max_bytes: int) -> bytes | None:
-        """Returns the body, cut off one byte past the limit, or None if the client disconnected before its end."""
-        body = b""
-        while True:
+    async def _receive_body(self, receive: Receive, upload: _Upload, memory: RequestMemory) -> bool:
+        """Receive a body, cut off one byte past the limit, unless it is discarded. Returns False if the client
+        disconnected before its end."""
+        while not upload.complete:
             message = await receive()
             if message["type"] == "http.disconnect":
-                return None
-            body = (body + message.get("body", b""))[: max_bytes + 1]
-            if not message.get("more_body", False):
-                return body
+                return False
+            upload.add(message.get("body", b""), self.setup.max_body)
+            memory.update(upload)
+            memory.reclaim()
+            upload.complete = not message.get("more_body", False)
+        return True
 
     @staticmethod
     async def _watch_disconnect(receive: Receive, pending: Pending | None, reply: _Reply) -> None:
--- a/pearhill/core/request_lifecycle.py
+++ b/pearhill/core/request_lifecycle.py
@@ -69,8 +69,7 @@
 
     def record_rejection(self, request_class: int, reason: str) -> None:
         """Count a request that a front end rejected without passing it to `accept`."""
-        self._counters.refusals[reason] += 1
-        self._counters.refused += 1
+        self._counters.record_refusal(reason)
         self._count_result(request_class, BUSY)
 
     def handle_disconnect(self, request: Request) -> None:
@@ -103,8 +102,7 @@
             self.fail(request, reason)
             return
         self._finish(request, BUSY)
-        self._counters.refused += 1
-        self._counters.refusals[reason] += 1
+        self._counters.record_refusal(reason)
         log_state(request, "refused", reason)
         request.client.reject(retry_after)
 
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -77,6 +77,11 @@
     probes: Counter[str] = field(default_factory=Counter)  # by outcome
     connections: Counter[str] = field(default_factory=Counter)  # ended, by side and reason code
 
+    def record_refusal(self, reason: str) -> None:
+        """Count a request that was rejected, after which a retry is safe, by the reason code."""
+        self.refused += 1
+        self.refusals[reason] += 1
+
     def as_dict(self) -> dict[str, Any]:
         """Returns the counters as a dictionary for JSON.
 
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -11,6 +11,7 @@
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import Discarded, Rejected
 from pearhill.net.client_socket import ClientSocket, ConnectionOwner
+from pearhill.net.request_memory import MEMORY, TOO_MUCH_WAITING
 from pearhill.net.unread_input import UnreadInput, peek_unread_input
 from pearhill.routing.permissions import ConnectionState, may_close
 
@@ -20,7 +21,6 @@
 MAX_FIRST_REQUEST_DELAY_US = 800_000
 IDLE_TIMEOUT_US = 5_000_000  # between two requests
 RECHECK_INTERVAL_US = 20_000  # between checks for unread input, after one failed
-MEMORY = "memory"  # reason code of requests that were discarded for lack of memory
 
 
 class AcceptedConnection(ClientSocket):
@@ -200,9 +200,8 @@
         self._keep_alive = message.keep_alive
         self._announced_close = False
         self._reason = "rejected-503"
-        self.owner.counters.refused += 1
-        self.owner.counters.refusals[MEMORY] += 1
-        headers, body = self.owner.handler.rejection_response(503, "too much waits here: trying again is harmless")
+        self.owner.counters.record_refusal(MEMORY)
+        headers, body = self.owner.handler.rejection_response(503, TOO_MUCH_WAITING)
         self.answer(503, headers, body)
 
     def _reject(self, message: Rejected) -> None:
--- a/pearhill/net/request_memory.py
+++ b/pearhill/net/request_memory.py
@@ -11,6 +11,8 @@
 from typing import Protocol
 
 DEFAULT_REQUEST_MEMORY_BYTES = 256 << 20
+MEMORY = "memory"  # reason code of discarded requests
+TOO_MUCH_WAITING = "too much waits here: trying again is harmless"  # what their clients are told
 GUARANTEED_FRACTION = 0.5  # of the limit, divided among the connections
 
 
--- a/tests/chat/test_asgi.py
+++ b/tests/chat/test_asgi.py
@@ -85,10 +85,10 @@
             assert (await receive())["type"] == f"lifespan.{step}"
             await send({"type": f"lifespan.{step}.complete"})
 
-    def call(self, sent: bytes) -> tuple[asyncio.Task, asyncio.Queue, asyncio.Queue]:
+    def call(self, sent: bytes, complete: bool = True) -> tuple[asyncio.Task, asyncio.Queue, asyncio.Queue]:
         receive: asyncio.Queue = asyncio.Queue()
         send: asyncio.Queue = asyncio.Queue()
-        for part, more in ((sent[:10], True), (sent[10:], False)):
+        for part, more in ((sent[:10], True), (sent[10:], not complete)):
             receive.put_nowait({"type": "http.request", "body": part, "more_body": more})
         scope = {"type": "http", "method": "POST", "path": PATH, "headers": [(b"host", b"a")], "query_string": b""}
         return asyncio.create_task(self.middleware(scope, receive.get, send.put)), receive, send
@@ -125,3 +125,26 @@
         task, _, send = self.call(b"x" * 300_000)
         await task
         assert (await send.get())["status"] == 413
+
+    async def test_incomplete_bodies_of_many_clients_stay_within_the_memory_limit(self):
+        """The cause of review/1 in an application: nothing bounded the bodies of all requests together."""
+        memory = self.middleware.service.node.request_memory
+        memory.set_limits(400_000, 10)
+        uploads = []
+        for _ in range(6):
+            task, receive, send = self.call(b"x" * 160_000, complete=False)
+            await asyncio.sleep(0)
+            while receive.qsize():
+                await asyncio.sleep(0)
+            assert memory.used_bytes <= memory.limit_bytes
+            uploads.append((task, receive, send))
+        task, _, send = self.call(body())
+        await task
+        assert (await send.get())["status"] == 200
+        statuses = []
+        for task, receive, send in uploads:
+            receive.put_nowait({"type": "http.request", "body": b"", "more_body": False})
+            await task
+            statuses.append((await send.get())["status"])
+        assert sorted(statuses) == [400, 503, 503, 503, 503, 503]
+        assert memory.used_bytes == 0
