Bound the incomplete chunks and events of all streams together

Cause: a chunk is held until its last byte, an event until its blank line, up to 256 KiB each for each connection, and nothing bounded all of them.

Change: the limit on requests becomes MemoryLimit, and a second one, an eighth of memory_mb, counts chunks and events that are incomplete and larger than a read. Half of it is a guaranteed share of each connection; beyond that the largest is given up as a malformed stream is (reason=memory).

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -18,7 +18,7 @@
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage, add_header
-from pearhill.net.request_memory import MEMORY, TOO_MUCH_WAITING, RequestMemory
+from pearhill.net.memory_limit import MEMORY, TOO_MUCH_WAITING, MemoryLimit
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -86,7 +86,7 @@
 
 
 class _Upload:
-    """The body of one request, counted from its first byte to the end of the answer: a `RequestHolder`."""
+    """The body of one request, counted from its first byte to the end of the answer: a `MemoryHolder`."""
 
     def __init__(self) -> None:
         self.held_bytes = 0
@@ -200,7 +200,7 @@
         finally:
             watch.cancel()
 
-    async def _receive_body(self, receive: Receive, upload: _Upload, memory: RequestMemory) -> bool:
+    async def _receive_body(self, receive: Receive, upload: _Upload, memory: MemoryLimit) -> bool:
         """Receive a body, cut off one byte past the limit, unless it is discarded. Returns False if the client
         disconnected before its end."""
         while not upload.complete:
--- a/pearhill/chat/replica_stream.py
+++ b/pearhill/chat/replica_stream.py
@@ -31,6 +31,11 @@
         if meter:
             meter.restart()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the size in bytes of the incomplete event that waits for its end."""
+        return self._parser.buffered_bytes
+
     @property
     def complete(self) -> bool:
         """Whether `[DONE]` has been received."""
--- a/pearhill/http1/client.py
+++ b/pearhill/http1/client.py
@@ -70,6 +70,11 @@
         self._framing.start_message()
         self._max_chunk = max_chunk
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The received part of an incomplete chunk."""
+        return len(self._chunk) if self._chunk else 0
+
     def feed(self, data: bytes | memoryview) -> list[Event]:
         """Parse bytes that the server has sent. Returns the events that they complete."""
         if not self.awaiting:
--- a/pearhill/http1/sse.py
+++ b/pearhill/http1/sse.py
@@ -46,6 +46,11 @@
         """Return whether the bytes fed so far end between two events."""
         return not self._buffer.strip(b"\r\n")
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The received part of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[ServerEvent]:
         """Parse bytes of the stream. Returns the events that they complete.
 
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -11,7 +11,7 @@
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import Discarded, Rejected
 from pearhill.net.client_socket import ClientSocket, ConnectionOwner
-from pearhill.net.request_memory import MEMORY, TOO_MUCH_WAITING
+from pearhill.net.memory_limit import MEMORY, TOO_MUCH_WAITING
 from pearhill.net.unread_input import UnreadInput, peek_unread_input
 from pearhill.routing.permissions import ConnectionState, may_close
 
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -19,6 +19,8 @@
 from pearhill.net.address import Address
 from pearhill.net.dialect import Dialect
 from pearhill.net.errors import ConnectError, MalformedResponseError, PoolExhaustedError, SystemResourceError
+from pearhill.net.memory_limit import MEMORY, MemoryLimit
+from pearhill.net.partial_response import PartialResponse
 from pearhill.net.pool import MAX_CONNECT_US, Pool
 from pearhill.net.pooled_connection import PooledConnection
 from pearhill.net.releases import Releases
@@ -41,6 +43,7 @@
     dialect: Dialect
     addresses: dict[int, Address]
     releases: Releases
+    response_memory: MemoryLimit
 
     def forget(self, attempt: Attempt) -> None:
         """Remove an attempt that has ended."""
@@ -60,6 +63,7 @@
         self.status = 0
         self.not_started = False  # the replica has reported that it did not execute the request
         self.headers: Mapping[str, str] = {}
+        self._partial = PartialResponse(owner.response_memory, self._give_up_partial)
         self.forwarding = False  # an event is being forwarded, maybe to a slow client
         self.body = bytearray()
         self.stream = owner.dialect.stream(attempt.request.payload)
@@ -158,6 +162,7 @@
             ready = self.stream.feed(data)
         except MalformedResponseError as error:
             return self._abort("malformed", self._broken_outcome(), str(error))
+        self._partial.record(self.stream.buffered_bytes)
         if ready and not attempt.ended:
             # Only forwarded events count as progress: bytes that never complete an event could arrive for ever.
             if not attempt.start_response():
@@ -230,6 +235,15 @@
         except (ValueError, KeyError, TypeError):
             return 0
 
+    def record_partial_chunk(self, size: int) -> None:
+        """Count `size` bytes of an incomplete chunk, beside those of an incomplete event."""
+        if not self.attempt.ended:
+            self._partial.record(size + self.stream.buffered_bytes)
+
+    def _give_up_partial(self) -> None:
+        detail = f"{self._partial.held_bytes} bytes of a chunk or event without its end"
+        self._abort(MEMORY, self._broken_outcome(), detail)
+
     # End of the attempt.
 
     def _abort(self, reason: str, outcome: Outcome, detail: str = "") -> None:
@@ -251,18 +265,19 @@
         replica_error: Any = None,
     ) -> None:
         """End the attempt with this outcome. `may_hold_state` is set if the replica may hold state for the request."""
-        self._cancel_timers()
+        self._free_resources()
         self.owner.forget(self.attempt)
         self.attempt.end(outcome, cached_tokens, may_hold_state, retry_after, replica_error)
 
-    def _cancel_timers(self) -> None:
+    def _free_resources(self) -> None:
+        self._partial.release()
         deadlines = self.owner.pool.deadlines
         deadlines.cancel(self._stall_timer)
         deadlines.cancel(self._send_timer)
 
     def cancel(self) -> bool:
         """Cancel the attempt. Returns whether the replica may have the complete request."""
-        self._cancel_timers()
+        self._free_resources()
         if self.task:
             self.task.cancel()
             # A cancelled task refers to this exchange and the request's body until the garbage collector runs.
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -11,6 +11,7 @@
 from pearhill.net.attempt_exchange import AttemptExchange
 from pearhill.net.dialect import Dialect
 from pearhill.net.health_checks import HealthCheckCallback, HealthChecks
+from pearhill.net.memory_limit import DEFAULT_LIMIT_BYTES, MemoryLimit
 from pearhill.net.pool import Pool
 from pearhill.net.releases import Releases
 
@@ -19,16 +20,18 @@
 
 class HttpBackend:
     """Sends attempts, releases and health checks to replicas, which are identified by their numbers. `on_health_check`
-    is called with the result of each health check."""
+    is called with the result of each health check. `response_memory` counts the incomplete parts of streams."""
 
     def __init__(
         self,
         pool: Pool,
         dialect: Dialect,
         on_health_check: HealthCheckCallback = lambda replica, outcome, load: None,
+        response_memory: MemoryLimit | None = None,
     ) -> None:
         self.pool = pool
         self.dialect = dialect
+        self.response_memory = response_memory or MemoryLimit(DEFAULT_LIMIT_BYTES, pool.max_connections)
         self.addresses: dict[int, Address] = {}
         self.check_health = HealthChecks(pool, dialect, self.addresses, on_health_check).send
         self.removal_timers: dict[int, TimerKey] = {}  # by unlisted replica: the timer that removes its address
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -14,9 +14,9 @@
 from pearhill.core.deadlines import Deadlines, TimerKey
 from pearhill.counters import Counters
 from pearhill.http1.handler import Handler
+from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.output_buffer import OutputBuffer
 from pearhill.net.request_intake import READ_BYTES, RequestIntake
-from pearhill.net.request_memory import RequestMemory
 from pearhill.net.socket_reader import is_transient
 
 LINGER_US = 1_000_000  # how long input is still read after the last answer
@@ -33,7 +33,7 @@
     counters: Counters
     handler: Handler
     max_body: int
-    request_memory: RequestMemory
+    request_memory: MemoryLimit
     read_buffer: memoryview  # READ_BYTES for the reads of all connections: each is parsed before the next one
     side: str
     draining: bool  # each new answer closes its connection
--- a/pearhill/net/dialect.py
+++ b/pearhill/net/dialect.py
@@ -22,6 +22,10 @@
         """Parse bytes, and return the part of the stream to forward now. Raises MalformedResponseError if the rest of
         the stream cannot be trusted."""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of what was received and waits for the end of its event."""
+
     @property
     def complete(self) -> bool:
         """Whether the stream is complete, whatever happens on the connection next."""
--- a/pearhill/net/exchange.py
+++ b/pearhill/net/exchange.py
@@ -23,6 +23,9 @@
     async def handle(self, event: Event) -> None:
         """Handle one event of the response. Events arrive in order."""
 
+    def record_partial_chunk(self, size: int) -> None:
+        """Record that `size` bytes of an incomplete chunk are buffered, if they are more than a read."""
+
 
 class CollectedResponse:
     """An exchange whose complete response is collected, up to `max_body` bytes."""
@@ -50,6 +53,9 @@
                 if len(self.body) > self.max_body:
                     self._finish(ValueError(f"response body larger than {self.max_body} bytes"))
 
+    def record_partial_chunk(self, size: int) -> None:
+        """Do nothing: few such exchanges are open at once, and `max_body` bounds each."""
+
     def _finish(self, error: Exception | None) -> None:
         if not self.done.done():
             self.done.set_result(error)
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -17,8 +17,8 @@
 from pearhill.net.accepted import AcceptedConnection
 from pearhill.net.address import Address
 from pearhill.net.eviction import ConnectionEvictor
+from pearhill.net.memory_limit import DEFAULT_LIMIT_BYTES, MemoryLimit
 from pearhill.net.request_intake import READ_BYTES
-from pearhill.net.request_memory import DEFAULT_REQUEST_MEMORY_BYTES, RequestMemory
 from pearhill.net.tasks import Tasks
 from pearhill.routing.permissions import ConnectionState
 
@@ -59,7 +59,7 @@
         max_body: int = MAX_BODY,
         send_buffer: int = 0,
         side: str = "client",
-        request_memory: RequestMemory | None = None,
+        request_memory: MemoryLimit | None = None,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
@@ -69,7 +69,7 @@
         self.max_body = max_body
         self.send_buffer = send_buffer
         self.side = side
-        self.request_memory = request_memory or RequestMemory(DEFAULT_REQUEST_MEMORY_BYTES, max_connections)
+        self.request_memory = request_memory or MemoryLimit(DEFAULT_LIMIT_BYTES, max_connections)
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[AcceptedConnection] = set()
         self.draining = False  # each new answer closes its connection
--- a/pearhill/net/pooled_connection.py
+++ b/pearhill/net/pooled_connection.py
@@ -100,6 +100,8 @@
                     reason = f"server-{name}"
                 for event in events:
                     await self._deliver(event)
+                if self._parser.buffered_bytes > READ_BYTES and self.exchange:
+                    self.exchange.record_partial_chunk(self._parser.buffered_bytes)
                 if not size:
                     break
         finally:
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -58,6 +58,9 @@
     async def handle(self, event: Event) -> None:
         """Ignore an event of the response."""
 
+    def record_partial_chunk(self, size: int) -> None:
+        """Do nothing: the connection is closed once the releases are answered."""
+
 
 class DiscardedFetch(NamedTuple):
     """A cancelled fetch that may still be in flight."""
--- a/pearhill/node/limits.py
+++ b/pearhill/node/limits.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from pearhill.config.platform import DEFAULT_MEMORY_MB
+from pearhill.http1.client import MAX_CHUNK
 from pearhill.http1.server import MAX_BODY
 from pearhill.net.admin_listener import MAX_ADMIN_CONNECTIONS
 
@@ -14,7 +15,9 @@
 # A request's body may exist twice, while it is parsed or written to a replica; the rest is for the program itself, the
 # answers and the endpoint list.
 REQUEST_MEMORY_FRACTION = 0.25
+RESPONSE_MEMORY_FRACTION = 0.125  # for incomplete chunks and events of replicas' streams, which are usually small
 MIN_REQUEST_BODIES = 8  # of the maximum size, which have room even if memory is scarce
+MIN_RESPONSE_CHUNKS = 8  # likewise
 MIN_CONNECTIONS = 8  # minimum for clients, and as many for replicas, even if descriptors are scarce
 
 
@@ -38,5 +41,13 @@
 
     def request_memory_bytes(self, process_count: int) -> int:
         """Returns how much memory the requests of clients may take in each of `process_count` processes."""
-        memory_bytes = self.memory_mb * BYTES_PER_MB // process_count
-        return max(MIN_REQUEST_BODIES * self.max_body, int(memory_bytes * REQUEST_MEMORY_FRACTION))
+        least = MIN_REQUEST_BODIES * self.max_body
+        return max(least, int(self._memory_bytes(process_count) * REQUEST_MEMORY_FRACTION))
+
+    def response_memory_bytes(self, process_count: int) -> int:
+        """Returns how much memory incomplete chunks and events may take in each of `process_count` processes."""
+        least = MIN_RESPONSE_CHUNKS * MAX_CHUNK
+        return max(least, int(self._memory_bytes(process_count) * RESPONSE_MEMORY_FRACTION))
+
+    def _memory_bytes(self, process_count: int) -> int:
+        return self.memory_mb * BYTES_PER_MB // process_count
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -22,8 +22,8 @@
 from pearhill.net.clock import start_clock
 from pearhill.net.dialect import Dialect
 from pearhill.net.listener import Listener
+from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.pool import Pool
-from pearhill.net.request_memory import RequestMemory
 from pearhill.net.ticks import EventLoopTicks, pause
 from pearhill.node.drain_control import DrainControl
 from pearhill.node.limits import MAINTENANCE_DESCRIPTORS, Limits
@@ -65,7 +65,7 @@
         self.dispatcher_count = 0  # dispatchers that share the work; 0: not counted, the settings' number is used
         self.process_count = 1  # processes that share this dispatcher's limits and its part of the work
         self.settings = deployment
-        self.request_memory = RequestMemory(limits.request_memory_bytes(1), self.connection_limit)
+        self.request_memory = MemoryLimit(limits.request_memory_bytes(1), self.connection_limit)
         self.pool = Pool(
             loop,
             self.deadlines,
@@ -76,7 +76,10 @@
             reserved_connections=MAINTENANCE_DESCRIPTORS,
         )
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
-        self.backend = HttpBackend(self.pool, dialect, self.dispatcher.health_check_ended)
+        self.response_memory = MemoryLimit(limits.response_memory_bytes(1), self.connection_limit)
+        self.backend = HttpBackend(
+            self.pool, dialect, self.dispatcher.health_check_ended, response_memory=self.response_memory
+        )
         self.dispatcher.backend = self.backend
         self._drain_control = DrainControl(self.deadlines)
         self.override_control = OverrideControl(
@@ -129,6 +132,7 @@
         self.process_count = process_count
         self.pool.set_max_connections(self.connection_limit)
         self.request_memory.set_limits(self.limits.request_memory_bytes(process_count), self.connection_limit)
+        self.response_memory.set_limits(self.limits.response_memory_bytes(process_count), self.connection_limit)
         if self.listener:
             self.listener.set_max_connections(self.connection_limit)
         self._reconfigure_dispatcher()
--- a/pearhill/platform/replica.py
+++ b/pearhill/platform/replica.py
@@ -47,6 +47,11 @@
         matches = _CACHED_TOKENS.findall(self._tail)
         return int(matches[-1]) if matches else 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size in bytes of the incomplete event that waits for its end."""
+        return self._parser.buffered_bytes
+
     @property
     def complete(self) -> bool:
         """Return whether the events show that the stream is complete.
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_memory_limit.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pearhill.net.request_memory import RequestMemory
+from pearhill.net.memory_limit import MemoryLimit
 
 LIMIT = 8_000
 CONNECTIONS = 10
@@ -16,7 +16,7 @@
 class Holder:
     """A connection with one request that is being answered, and others that wait."""
 
-    def __init__(self, memory: RequestMemory) -> None:
+    def __init__(self, memory: MemoryLimit) -> None:
         self.memory = memory
         self.answering = 0
         self.waiting: list[int] = []
@@ -48,11 +48,11 @@
 
 
 @pytest.fixture
-def memory() -> RequestMemory:
-    return RequestMemory(LIMIT, CONNECTIONS)
+def memory() -> MemoryLimit:
+    return MemoryLimit(LIMIT, CONNECTIONS)
 
 
-def test_the_newest_request_of_the_connection_that_holds_most_is_discarded(memory: RequestMemory) -> None:
+def test_the_newest_request_of_the_connection_that_holds_most_is_discarded(memory: MemoryLimit) -> None:
     greedy, usual = Holder(memory), Holder(memory)
     usual.receive(900)
     for size in (1_000, 1_100, 1_200):
@@ -61,7 +61,7 @@
     assert memory.used_bytes == 3_000
 
 
-def test_no_request_within_the_guaranteed_share_is_discarded(memory: RequestMemory) -> None:
+def test_no_request_within_the_guaranteed_share_is_discarded(memory: MemoryLimit) -> None:
     greedy, *others = [Holder(memory) for _ in range(CONNECTIONS)]
     greedy.receive(4_000)
     greedy.begin()
@@ -71,7 +71,7 @@
     assert memory.used_bytes <= LIMIT
 
 
-def test_a_request_that_has_begun_is_not_discarded_and_another_has_to_give_way(memory: RequestMemory) -> None:
+def test_a_request_that_has_begun_is_not_discarded_and_another_has_to_give_way(memory: MemoryLimit) -> None:
     first, second = Holder(memory), Holder(memory)
     first.receive(3_900)
     first.begin()
@@ -84,7 +84,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_requests_of_any_size_stay_within_the_limit_and_what_ended_is_not_counted(
-    memory: RequestMemory, seed: int
+    memory: MemoryLimit, seed: int
 ) -> None:
     rng = random.Random(seed)
     holders = [Holder(memory) for _ in range(CONNECTIONS)]
@@ -104,7 +104,7 @@
     assert memory.used_bytes == 0
 
 
-def test_a_lower_limit_holds_from_the_next_request_on(memory: RequestMemory) -> None:
+def test_a_lower_limit_holds_from_the_next_request_on(memory: MemoryLimit) -> None:
     """During an upgrade two processes share the memory of one dispatcher."""
     holder = Holder(memory)
     for _ in range(3):
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 import socket
+import threading
 import time
 
 from pearhill.net.request_intake import READ_BYTES
@@ -13,6 +14,10 @@
 MEMORY_MB = 64
 LIMITS = {"sockets": 512, "memory_mb": MEMORY_MB}
 BAD_CLIENTS = 60
+REPLICAS = 12
+STREAMS = 200
+CHUNK_BYTES = 240_000
+ESTABLISHED = "01"  # in /proc/net/tcp
 REQUESTS = 4  # of each bad client, the last of them incomplete
 BODY_BYTES = 250_000
 INCOMPLETE_REQUESTS = 200
@@ -37,17 +42,17 @@
     return b"".join(line + end + headers + rest for line, end, rest in heads)[:-10]
 
 
-def wait_until_read(program: Program) -> None:
-    """Wait until the program has read all that its clients have sent: no queue of their sockets holds a byte."""
-    port = f":{program.port:04X}"
-    end = time.monotonic() + 20
+def wait_until_read(*ports: int) -> None:
+    """Wait until all that was sent on connections of these ports is read: no queue of their sockets holds a byte."""
+    endings = tuple(f":{port:04X}" for port in ports)
+    give_up_at = time.monotonic() + 20
     while True:
         lines = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]]
-        unread = [line for line in lines if line[1].endswith(port) and not line[4].endswith(":00000000")]
-        unsent = [line for line in lines if line[2].endswith(port) and not line[4].startswith("00000000:")]
-        if not unread and not unsent:
+        established = [line for line in lines if line[3] == ESTABLISHED]
+        queues = [line[4] for line in established if line[1].endswith(endings) or line[2].endswith(endings)]
+        if all(queue == "00000000:00000000" for queue in queues):
             return
-        assert time.monotonic() < end
+        assert time.monotonic() < give_up_at
 
 
 def own_memory_mb(program: Program) -> int:
@@ -87,7 +92,7 @@
         client = loopback.connect()
         client.sendall(large_requests(number))
         clients.append(client)
-    wait_until_read(program)
+    wait_until_read(program.port)
     assert own_memory_mb(program) <= MEMORY_MB
     usual = loopback.connect()
     usual.sendall(request("usual", "advice"))
@@ -109,7 +114,7 @@
         client = loopback.connect()
         client.sendall(requests_with_many_headers(number))
         clients.append(client)
-    wait_until_read(program)
+    wait_until_read(program.port)
     assert own_memory_mb(program) <= MEMORY_MB
     server.release_answers.set()
     for client in clients:
@@ -125,5 +130,42 @@
     head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
     for _ in range(INCOMPLETE_REQUESTS):
         loopback.connect().sendall(head + b"x" * 3_000)
-    wait_until_read(program)
+    wait_until_read(program.port)
     assert own_memory_mb(program) - before < INCOMPLETE_REQUESTS * READ_BYTES / 2 / (1 << 20)
+
+
+class UnfinishedChunkReplica(Standin):
+    """Writes most of one chunk of a stream, and then nothing. Requests whose id begins with "usual" are answered."""
+
+    def __init__(self, written: threading.Semaphore) -> None:
+        super().__init__()
+        self._written = written
+
+    def respond(self, handler: StandinHandler, body: bytes) -> None:
+        if handler.headers["Request-Id"].startswith("usual"):
+            return handler.chunks(*STREAM_CHUNKS, STREAM_END)
+        handler.chunks(last=False)
+        try:
+            handler.wfile.write(b"%x\r\ndata: " % (CHUNK_BYTES + 6) + b"x" * (CHUNK_BYTES - 1_000))
+        finally:
+            self._written.release()
+        self.release_answers.wait(30)
+
+
+def test_unfinished_chunks_of_many_streams_do_not_exceed_the_memory_limit(
+    loopback: LoopbackDispatcher,  # noqa: F811
+) -> None:
+    """The cause of review/1 on the other side: each connection to a replica held a chunk until its last byte."""
+    written = threading.Semaphore(0)
+    replicas = [UnfinishedChunkReplica(written) for _ in range(REPLICAS)]
+    program = loopback.start(*((replica, "all-in-one") for replica in replicas), limits=LIMITS)
+    for number in range(STREAMS):
+        loopback.connect().sendall(request(f"c{number}"))
+    loopback.wait_for_counters(lambda counters: counters["written"] + counters["refused"] >= STREAMS)
+    for _ in range(program.counters()["written"]):
+        assert written.acquire(timeout=20)
+    wait_until_read(*(replica.server.server_port for replica in replicas))
+    assert own_memory_mb(program) <= MEMORY_MB
+    usual = loopback.connect()
+    usual.sendall(request("usual"))
+    assert read_answer(usual) == (200, SERVED)
