Keep the timeout of an incomplete request whose body is discarded

A client that stops half-way is owed an error or a close within 3 s of its connect. If its body was discarded for lack of memory just before that, it had another 2 s.

Cause: discard_newest went on with the connection's next request, and where none waits that starts the timer anew. It does so now only if one waits.

Test: on the virtual clock a half request is discarded 0.1 s before its time; it was closed after 3.9 s, and is within 3 s now. The tests of test_accepted share one way to open a listener.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -89,7 +89,8 @@
     def discard_newest(self) -> None:
         """Discard the last request that has not begun, and reject it when its turn comes."""
         self.intake.discard_newest()
-        self._advance()
+        if self.intake.waiting:  # else the timeout of an incomplete request would begin anew
+            self._advance()
 
     # Reply.
 
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -4,7 +4,8 @@
 import errno
 import os
 import socket
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 from pearhill.http1.handler import Reply
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import Rejected
+from pearhill.net.accepted import REQUEST_TIMEOUT_US, AcceptedConnection
 from pearhill.net.clock import start_clock
 from pearhill.net.listener import Listener
 from pearhill.net.output_buffer import MAX_BUFFERED_BYTES
@@ -53,37 +55,71 @@
     asyncio.set_event_loop(None)
 
 
+class LargeAnswers:
+    """A handler that gives every request a large answer at once."""
+
+    def handle(self, message: RequestMessage, reply: Reply) -> None:
+        reply.answer(200, (), b"x" * ANSWER_BYTES)
+
+    def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
+        return (), b""
+
+
+@asynccontextmanager
+async def open_listener(deadlines: Deadlines, send_buffer: int = 0) -> AsyncIterator[Listener]:
+    loop = asyncio.get_running_loop()
+    ticks = EventLoopTicks(loop, deadlines)
+    listener = Listener(loop, deadlines, Counters(), LargeAnswers(), max_connections=4, send_buffer=send_buffer)
+    yield listener
+    await listener.close()
+    ticks.close()
+
+
+async def only_connection(listener: Listener) -> AcceptedConnection:
+    """Wait for the one client, and return the listener's side of its connection."""
+    while not listener.connections:
+        await asyncio.sleep(0)
+    (connection,) = listener.connections
+    return connection
+
+
 def test_a_silent_client_is_disconnected_in_time_although_checks_for_unread_input_fail(loop: VirtualLoop) -> None:
     """A failed check was treated like unread bytes, which restarted the client's timeout."""
 
     async def until_closed() -> float:
-        deadlines = Deadlines(loop.micros)
-        ticks = EventLoopTicks(loop, deadlines)
-        listener = Listener(loop, deadlines, Counters(), handler=None, max_connections=4)  # type: ignore[arg-type]
-        reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
-        while not listener.connections:
-            await asyncio.sleep(0)
-        (connection,) = listener.connections
-        connection.sock = FailingPeeks(connection.sock, FAILING_PEEKS)  # type: ignore[assignment]
-        started_at = loop.time()
-        assert await reader.read() == b""
-        elapsed = loop.time() - started_at
-        writer.close()
-        await listener.close()
-        ticks.close()
+        async with open_listener(Deadlines(loop.micros)) as listener:
+            reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            connection = await only_connection(listener)
+            connection.sock = FailingPeeks(connection.sock, FAILING_PEEKS)  # type: ignore[assignment]
+            started_at = loop.time()
+            assert await reader.read() == b""
+            elapsed = loop.time() - started_at
+            writer.close()
         return elapsed
 
     assert loop.run_until_complete(until_closed()) <= MAX_SILENT_S
 
 
-class LargeAnswers:
-    """A handler that gives every request a large answer at once."""
+def test_a_request_that_is_discarded_for_lack_of_memory_has_no_more_time_to_arrive(loop: VirtualLoop) -> None:
+    """Discarding the body of an incomplete request restarted the client's timeout."""
 
-    def handle(self, message: RequestMessage, reply: Reply) -> None:
-        reply.answer(200, (), b"x" * ANSWER_BYTES)
+    async def until_closed() -> float:
+        async with open_listener(Deadlines(loop.micros)) as listener:
+            reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            connection = await only_connection(listener)
+            started_at = loop.time()
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+            while not connection.intake.in_message:
+                await asyncio.sleep(0)
+            await asyncio.sleep(REQUEST_TIMEOUT_US / 1e6 - 0.1)
+            connection.discard_newest()
+            assert connection.held_bytes == 0
+            assert (await reader.read()).startswith(b"HTTP/1.1 408")
+            elapsed = loop.time() - started_at
+            writer.close()
+        return elapsed
 
-    def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
-        return (), b""
+    assert loop.run_until_complete(until_closed()) <= MAX_SILENT_S
 
 
 class TestUnreadAnswers(UvloopTestCase):
@@ -91,28 +127,22 @@
         """Each request was answered as soon as it was read, and the answers that the client did not read filled memory.
         Requests wait now until it reads; too many of them are rejected, as behind a slow answer."""
         loop = asyncio.get_running_loop()
-        deadlines = Deadlines(start_clock())
-        ticks = EventLoopTicks(loop, deadlines)
-        listener = Listener(loop, deadlines, Counters(), LargeAnswers(), max_connections=4, send_buffer=4096)
         client = socket.socket()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client.connect(listener.listen(("127.0.0.1", 0)))
-        client.setblocking(False)
-        while not listener.connections:
-            await asyncio.sleep(0)
-        (connection,) = listener.connections
-        sent = 0
-        while Rejected not in map(type, connection.intake.waiting):
-            client.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-            sent += 1
-            while connection.requests + len(connection.intake.waiting) < sent:
-                await asyncio.sleep(0)
-            assert len(connection.output.unsent) <= MAX_BUFFERED_BYTES + ANSWER_BYTES + HEAD_BYTES, sent
-        received = b""
-        while data := await loop.sock_recv(client, 65_536):
-            received += data
-        assert [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]] == [200] * (sent - 1) + [429]
-        client.close()
-        await listener.close()
-        ticks.close()
+        async with open_listener(Deadlines(start_clock()), send_buffer=4096) as listener:
+            client.connect(listener.listen(("127.0.0.1", 0)))
+            client.setblocking(False)
+            connection = await only_connection(listener)
+            sent = 0
+            while Rejected not in map(type, connection.intake.waiting):
+                client.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                sent += 1
+                while connection.requests + len(connection.intake.waiting) < sent:
+                    await asyncio.sleep(0)
+                assert len(connection.output.unsent) <= MAX_BUFFERED_BYTES + ANSWER_BYTES + HEAD_BYTES, sent
+            received = b""
+            while data := await loop.sock_recv(client, 65_536):
+                received += data
+            assert [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]] == [200] * (sent - 1) + [429]
+            client.close()
