Read /proc in one place of the tests, as typed records

test_owed and test_memory_limit each parsed /proc/net/tcp by columns, with states as hexadecimal text. tests/proc.py returns TcpSocket records and a process's anonymous memory, under the strict type check. No check changes: the tests wait for the same states, and for the same empty queues at both ends of a connection.

--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -1,14 +1,13 @@
 """The program stays within the memory limit of its configuration, whatever clients send (docs/incidents)."""
 
 import json
-import pathlib
-import re
 import socket
 import threading
 import time
 
 from pearhill.net.request_intake import READ_BYTES
 from tests.platform.test_owed import SERVED, LoopbackDispatcher, loopback, read_answer, request  # noqa: F401
+from tests.proc import ESTABLISHED, anonymous_memory_mb, tcp_sockets
 from tests.standins import STREAM_CHUNKS, STREAM_END, Program, Standin, StandinHandler
 
 MEMORY_MB = 64
@@ -17,7 +16,6 @@
 REPLICAS = 12
 STREAMS = 200
 CHUNK_BYTES = 240_000
-ESTABLISHED = "01"  # in /proc/net/tcp
 REQUESTS = 4  # of each bad client, the last of them incomplete
 BODY_BYTES = 250_000
 INCOMPLETE_REQUESTS = 200
@@ -44,22 +42,17 @@
 
 def wait_until_read(*ports: int) -> None:
     """Wait until all that was sent on connections of these ports is read: no queue of their sockets holds a byte."""
-    endings = tuple(f":{port:04X}" for port in ports)
     give_up_at = time.monotonic() + 20
-    while True:
-        lines = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]]
-        established = [line for line in lines if line[3] == ESTABLISHED]
-        queues = [line[4] for line in established if line[1].endswith(endings) or line[2].endswith(endings)]
-        if all(queue == "00000000:00000000" for queue in queues):
-            return
+    while any(
+        each.send_queue or each.receive_queue
+        for each in tcp_sockets()
+        if each.state == ESTABLISHED and {each.local_port, each.remote_port} & set(ports)
+    ):
         assert time.monotonic() < give_up_at
 
 
 def own_memory_mb(program: Program) -> int:
-    """Return the program's anonymous memory in MB."""
-    found = re.search(r"RssAnon:\s+(\d+)", pathlib.Path(f"/proc/{program.process.pid}/status").read_text())
-    assert found
-    return int(found[1]) // 1024
+    return anonymous_memory_mb(program.process.pid)
 
 
 def statuses(sock: socket.socket) -> list[int]:
--- a/tests/platform/test_owed.py
+++ b/tests/platform/test_owed.py
@@ -6,7 +6,6 @@
 import http.client
 import json
 import os
-import pathlib
 import signal
 import socket
 import struct
@@ -18,6 +17,7 @@
 import pytest
 
 from tests.platform.test_leaving import LateReplica
+from tests.proc import SYN_SENT, tcp_sockets
 from tests.standins import SETTINGS, STREAM_CHUNKS, STREAM_END, Discovery, Program, Standin, StandinHandler, platform
 
 PATH = "/v1/chat/completions"
@@ -75,13 +75,10 @@
 
 
 def wait_connecting(late: LateReplica) -> None:
-    """Wait until /proc/net/tcp shows a connection to the replica that is being opened (SYN_SENT)."""
+    """Wait until a connection to the replica is being opened."""
     _, port = late.sock.getsockname()
     end = time.monotonic() + 20
-    while True:
-        lines = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]]
-        if any(line[2].endswith(f":{port:04X}") and line[3] == "02" for line in lines):
-            return
+    while not any(each.remote_port == port and each.state == SYN_SENT for each in tcp_sockets()):
         assert time.monotonic() < end
 
 
