Tell only discarded requests when to retry, not those of a process that ends

Found while reading the diff.

Cause: both rejections used Handler.rejection_response with status 503, and the header was added there. A request that is discarded for lack of memory has a response of its own now, Handler.overload_response: in the platform's form, the chat API's (server_overloaded) and the operators'.

Test: test_only_a_request_that_was_discarded_is_told_to_wait_before_its_retry (overload_response is new, so it cannot have passed before), and each 503 of the real program's test has to carry the header.

--- a/pearhill/admin/call_table.py
+++ b/pearhill/admin/call_table.py
@@ -40,3 +40,7 @@
     def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Returns the headers and the body of an answer to an invalid HTTP request."""
         return TEXT, f"{reason}\n".encode()
+
+    def overload_response(self) -> tuple[Headers, bytes]:
+        """Returns the headers and the body of the response to a call that was discarded unread."""
+        return TEXT, b"too many calls at once; this one was not carried out\n"
--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -18,7 +18,7 @@
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage, add_header
-from pearhill.net.memory_limit import MEMORY, TOO_MUCH_WAITING, MemoryLimit
+from pearhill.net.memory_limit import MEMORY, MemoryLimit
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -181,7 +181,7 @@
         reply = _Reply()
         if upload.discarded:
             service.node.counters.record_refusal(MEMORY)
-            reply.answer(503, *service.front.rejection_response(503, TOO_MUCH_WAITING))
+            reply.answer(503, *service.front.overload_response())
             return await self._send_answer(reply, send)
         if upload.held_bytes > self.setup.max_body:
             service.node.counters.rejected += 1
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -87,13 +87,13 @@
         return None
 
     def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
-        """Returns headers and body of the response to input that is rejected before it is a complete request. Status
-        503: the input is not at fault, and a retry is safe."""
-        headers = (*JSON, ("x-request-id", secrets.token_hex(12)))
-        if status != BUSY.status:
-            return headers, invalid_request(reason, code="bad_http").body()
+        """Returns headers and body of the response to input that is rejected before it is a complete request."""
+        return _unread_request_headers(), invalid_request(reason, code="bad_http").body()
+
+    def overload_response(self) -> tuple[Headers, bytes]:
+        """Returns headers and body of the response to a request that was discarded unread."""
         retry_after = retry_headers(self._dispatcher.deployment.router.max_retry_after)
-        return (*headers, *retry_after, ("X-Should-Retry", "true")), BUSY.body()
+        return (*_unread_request_headers(), *retry_after, ("X-Should-Retry", "true")), BUSY.body()
 
     def _accept(self, request: IncomingRequest) -> Pending | None:
         """Read a request for a model's answer, and start it. Raises ApiError if it is rejected."""
@@ -161,6 +161,11 @@
         return ModelList([_model_card(model) for model in models.values()])
 
 
+def _unread_request_headers() -> Headers:
+    """Returns the headers of a response to a request that got no id, because it was not read."""
+    return (*JSON, ("x-request-id", secrets.token_hex(12)))
+
+
 def _check_method(path: str, method: str) -> None:
     allowed = "GET" if path.startswith(f"{MODELS_PATH}/") else METHODS.get(path)
     if allowed is None:
--- a/pearhill/http1/handler.py
+++ b/pearhill/http1/handler.py
@@ -58,3 +58,6 @@
 
     def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Return the headers and the body of the response to input that could not be parsed as a request."""
+
+    def overload_response(self) -> tuple[Headers, bytes]:
+        """Return the headers and the body of the response, with status 503, to a request that was discarded unread."""
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -11,7 +11,7 @@
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import Discarded, Rejected
 from pearhill.net.client_socket import ClientSocket, ConnectionOwner
-from pearhill.net.memory_limit import MEMORY, TOO_MUCH_WAITING
+from pearhill.net.memory_limit import MEMORY
 from pearhill.net.unread_input import UnreadInput, peek_unread_input
 from pearhill.routing.permissions import ConnectionState, may_close
 
@@ -202,8 +202,7 @@
         self._announced_close = False
         self._reason = "rejected-503"
         self.owner.counters.record_refusal(MEMORY)
-        headers, body = self.owner.handler.rejection_response(503, TOO_MUCH_WAITING)
-        self.answer(503, headers, body)
+        self.answer(503, *self.owner.handler.overload_response())
 
     def _reject(self, message: Rejected) -> None:
         self.owner.counters.rejected += 1
--- a/pearhill/net/memory_limit.py
+++ b/pearhill/net/memory_limit.py
@@ -12,7 +12,6 @@
 
 DEFAULT_LIMIT_BYTES = 256 << 20
 MEMORY = "memory"  # reason code of what was discarded
-TOO_MUCH_WAITING = "too much waits here: trying again is harmless"  # what clients of discarded requests are told
 GUARANTEED_FRACTION = 0.5  # of the limit, divided among the connections
 
 
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -133,8 +133,12 @@
 
     def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
         """Return the headers and the body of the response to input that could not be parsed as a request."""
-        retry_after = retry_after_headers(self.dispatcher.deployment.router.max_retry_after) if status == 503 else ()
-        return (*TEXT_HEADERS, *retry_after), f"{reason}\n".encode()
+        return TEXT_HEADERS, f"{reason}\n".encode()
+
+    def overload_response(self) -> tuple[Headers, bytes]:
+        """Return the headers and the body of the response to a request that was discarded unread."""
+        retry_after = retry_after_headers(self.dispatcher.deployment.router.max_retry_after)
+        return (*TEXT_HEADERS, *retry_after), b"refused: trying again is harmless\n"
 
     def _answer_unknown_call(self, path: str, reply: Reply) -> None:
         self.dispatcher.counters.rejected += 1
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -64,6 +64,9 @@
     def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
         return (), b""
 
+    def overload_response(self) -> tuple[Headers, bytes]:
+        return (), b""
+
 
 @asynccontextmanager
 async def open_listener(deadlines: Deadlines, send_buffer: int = 0) -> AsyncIterator[Listener]:
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -4,11 +4,14 @@
 import socket
 import threading
 import time
+from unittest.mock import Mock
 
 from pearhill.net.request_intake import READ_BYTES
+from pearhill.platform.front import PlatformFrontEnd
+from pearhill.settings import parse
 from tests.platform.test_owed import SERVED, LoopbackDispatcher, loopback, read_answer, request  # noqa: F401
 from tests.proc import ESTABLISHED, anonymous_memory_mb, tcp_sockets
-from tests.standins import STREAM_CHUNKS, STREAM_END, Program, Standin, StandinHandler
+from tests.standins import SETTINGS, STREAM_CHUNKS, STREAM_END, Program, Standin, StandinHandler
 
 MEMORY_MB = 64
 LIMITS = {"sockets": 512, "memory_mb": MEMORY_MB}
@@ -56,9 +59,11 @@
 
 
 def statuses(sock: socket.socket) -> list[int]:
-    """Return the statuses of all answers on a connection, up to its end."""
+    """Return the statuses of all answers on a connection, up to its end. Each 503 has to say when to retry."""
     received = b"".join(iter(lambda: sock.recv(65_536), b""))
-    return [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]]
+    answers = received.split(b"HTTP/1.1 ")[1:]
+    assert all(b"Retry-After: " in answer for answer in answers if answer.startswith(b"503"))
+    return [int(answer[:3]) for answer in answers]
 
 
 def start_held_replica(loopback: LoopbackDispatcher) -> tuple[Program, Standin]:  # noqa: F811
@@ -162,3 +167,10 @@
     usual = loopback.connect()
     usual.sendall(request("usual"))
     assert read_answer(usual) == (200, SERVED)
+
+
+def test_only_a_request_that_was_discarded_is_told_to_wait_before_its_retry() -> None:
+    """A request that is rejected because the process ends is served elsewhere at once."""
+    front = PlatformFrontEnd(Mock(deployment=parse(SETTINGS)), lambda: True)
+    assert "Retry-After" in dict(front.overload_response()[0])
+    assert "Retry-After" not in dict(front.rejection_response(503, "this process ends")[0])
