Serve streams whose chunks have extensions, past 32 KiB of them

A good stream whose replica adds an extension to each chunk, such as a signature of 90 bytes, was cut off after 32 KiB of extensions, some 360 chunks.

For a response each chunk may have as much as a head now: the parser keeps none of it, and a stream is bounded by its deadline, its events and the 4.5 s without one. For requests the 20 bytes stay: a server ought to limit the extensions of a whole request (RFC 9112, 7.1.1).

--- a/pearhill/http1/client.py
+++ b/pearhill/http1/client.py
@@ -60,7 +60,9 @@
         self._headers: dict[str, str] = {}
         self._chunk: bytearray | None = None  # the received part of an incomplete chunk
         self._complete_chunks: list[bytes] = []
-        self._framing = FramingMeter()  # of this response and the interim responses before it
+        # Of this response and the interim responses before it. The extensions of each chunk may be as long as a head:
+        # a stream is bounded by its time and its events, not by the number of its chunks.
+        self._framing = FramingMeter(MAX_FRAMING_BYTES)
         self._max_chunk = MAX_CHUNK
         self.awaiting = False
 
--- a/pearhill/http1/framing.py
+++ b/pearhill/http1/framing.py
@@ -8,14 +8,15 @@
 
 
 class FramingMeter:
-    """Counts these bytes from read to read. What chunks need is not counted: there may be any number of chunks, and a
-    parser keeps none of it. So only what is endless exceeds the limit: a head, a trailer or extensions.
+    """Counts these bytes from read to read, less `chunk_allowance` bytes for each chunk with data: there may be any
+    number of chunks, and a parser keeps none of their framing. So only what is endless exceeds the limit.
 
     Call `begin_read`, then `add_body` and `add_chunk` for what the parser reports, and `end_read`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, chunk_allowance: int) -> None:
         self.framing_bytes = 0
+        self._chunk_allowance = chunk_allowance
         self._read_bytes = 0  # of the present read, outside the body
         self._chunks = 0  # that the present read has completed
 
@@ -40,6 +41,6 @@
 
     def end_read(self) -> bool:
         """End the read. Returns whether the message is within the limit."""
-        framing_bytes = max(0, self._read_bytes) - self._chunks * CHUNK_FRAMING_BYTES
+        framing_bytes = max(0, self._read_bytes) - self._chunks * self._chunk_allowance
         self.framing_bytes = max(0, self.framing_bytes + framing_bytes)
         return self.framing_bytes <= MAX_FRAMING_BYTES
--- a/pearhill/http1/server.py
+++ b/pearhill/http1/server.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from pearhill.http1.framing import MAX_FRAMING_BYTES, FramingMeter
+from pearhill.http1.framing import CHUNK_FRAMING_BYTES, MAX_FRAMING_BYTES, FramingMeter
 from pearhill.http1.messages import RequestMessage, add_header
 
 MAX_BODY = 256 * 1024  # bytes
@@ -62,7 +62,7 @@
         self._body_size_at_chunk = 0  # at the end of the last chunk
         self._discarding = False  # the incomplete request is being discarded
         self._head_size = 0  # bytes of the head that the parser has reported so far
-        self._framing = FramingMeter()
+        self._framing = FramingMeter(CHUNK_FRAMING_BYTES)  # extensions of all chunks are limited (RFC 9112, 7.1.1)
         self._head_complete = False
 
     @property
