--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -12,7 +12,7 @@
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
-from pearhill.http1.handler import Reply
+from pearhill.http1.handler import Handler, Reply
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.http1.server import Rejected
 from pearhill.net.accepted import REQUEST_TIMEOUT_US, AcceptedConnection
@@ -69,10 +69,13 @@
 
 
 @asynccontextmanager
-async def open_listener(deadlines: Deadlines, send_buffer: int = 0) -> AsyncIterator[Listener]:
+async def open_listener(
+    deadlines: Deadlines, send_buffer: int = 0, handler: Handler | None = None
+) -> AsyncIterator[Listener]:
     loop = asyncio.get_running_loop()
     ticks = EventLoopTicks(loop, deadlines)
-    listener = Listener(loop, deadlines, Counters(), LargeAnswers(), max_connections=4, send_buffer=send_buffer)
+    handler = handler or LargeAnswers()
+    listener = Listener(loop, deadlines, Counters(), handler, max_connections=4, send_buffer=send_buffer)
     yield listener
     await listener.close()
     ticks.close()
