--- a/pearhill/admin/call_table.py
+++ b/pearhill/admin/call_table.py
@@ -42,5 +42,5 @@
         return TEXT, f"{reason}\n".encode()
 
     def overload_response(self) -> tuple[Headers, bytes]:
-        """Returns the headers and the body of the response to a call that was discarded unread."""
+        """Returns the headers and the body of the response to a call that was discarded before it began."""
         return TEXT, b"too many calls at once; this one was not carried out\n"
--- a/pearhill/chat/front.py
+++ b/pearhill/chat/front.py
@@ -91,7 +91,7 @@
         return _unread_request_headers(), invalid_request(reason, code="bad_http").body()
 
     def overload_response(self) -> tuple[Headers, bytes]:
-        """Returns headers and body of the response to a request that was discarded unread."""
+        """Returns headers and body of the response to a request that was discarded before it began."""
         retry_after = retry_headers(self._dispatcher.deployment.router.max_retry_after)
         return (*_unread_request_headers(), *retry_after, ("X-Should-Retry", "true")), BUSY.body()
 
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -136,7 +136,7 @@
         return TEXT_HEADERS, f"{reason}\n".encode()
 
     def overload_response(self) -> tuple[Headers, bytes]:
-        """Return the headers and the body of the response to a request that was discarded unread."""
+        """Return the headers and the body of the response to a request that was discarded before it began."""
         retry_after = retry_after_headers(self.dispatcher.deployment.router.max_retry_after)
         return (*TEXT_HEADERS, *retry_after), b"refused: trying again is harmless\n"
 
