--- a/pearhill/http1/handler.py
+++ b/pearhill/http1/handler.py
@@ -60,4 +60,4 @@
         """Return the headers and the body of the response to input that could not be parsed as a request."""
 
     def overload_response(self) -> tuple[Headers, bytes]:
-        """Return the headers and the body of the response, with status 503, to a request that was discarded before it began."""
+        """Return the headers and the body of the 503 response to a request that was discarded before it began."""
