--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -63,6 +63,7 @@
     unconfirmed: int = 0  # fetches without a response from their replica when the state had to be released
     lists: int = 0  # endpoint lists applied
     accept_failures: int = 0  # calls of accept() that failed for lack of descriptors or memory
+    longest_turn_us: int = 0  # the longest turn of the event loop while it had work
     shortages: int = 0  # sockets that failed for lack of descriptors, memory or ports
     clock_steps: int = 0  # steps of the wall clock while the process runs
     faults: int = 0  # exceptions raised by the router
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -17,7 +17,8 @@
 from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.output_buffer import OutputBuffer
 from pearhill.net.request_intake import READ_BYTES, RequestIntake
-from pearhill.net.socket_reader import is_transient
+from pearhill.net.socket_reader import SocketReader, is_transient
+from pearhill.net.turns import TurnMeter
 
 LINGER_US = 1_000_000  # how long input is still read after the last answer
 MAX_LINGER_BYTES = 256 * 1024  # how much input is still read after the last answer
@@ -34,6 +35,7 @@
     handler: Handler
     max_body: int
     request_memory: MemoryLimit
+    turns: TurnMeter
     read_buffer: memoryview  # READ_BYTES for the reads of all connections: each is parsed before the next one
     side: str
     draining: bool  # each new answer closes its connection
@@ -54,7 +56,13 @@
         self.owner = owner
         self.sock = sock
         self.peer = peer
-        self.intake = RequestIntake(owner.loop, sock, owner.deadlines.clock, owner.max_body, delayed_accept)
+        self.intake = RequestIntake(
+            SocketReader(owner.loop, sock, owner.turns.record_work),
+            sock,
+            owner.deadlines.clock,
+            owner.max_body,
+            delayed_accept,
+        )
         self.output = OutputBuffer(owner.loop, sock)
         self.last_answer_given = False  # the last answer was given, though some of it may be unsent
         self.closed = False
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -20,6 +20,7 @@
 from pearhill.net.memory_limit import DEFAULT_LIMIT_BYTES, MemoryLimit
 from pearhill.net.request_intake import READ_BYTES
 from pearhill.net.tasks import Tasks
+from pearhill.net.turns import TurnMeter
 from pearhill.routing.permissions import ConnectionState
 
 BACKLOG = 1024  # connections that may wait in the accept queue
@@ -60,6 +61,7 @@
         send_buffer: int = 0,
         side: str = "client",
         request_memory: MemoryLimit | None = None,
+        turns: TurnMeter | None = None,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
@@ -70,6 +72,7 @@
         self.send_buffer = send_buffer
         self.side = side
         self.request_memory = request_memory or MemoryLimit(DEFAULT_LIMIT_BYTES, max_connections)
+        self.turns = turns or TurnMeter(loop, counters)
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[AcceptedConnection] = set()
         self.draining = False  # each new answer closes its connection
@@ -134,6 +137,7 @@
         if self._sock is None:
             return
         self._poll(self._sock)
+        self.turns.record_work()
         # With one accept per tick, clients that send requests would wait behind hundreds that only connect.
         for accept_count in range(MAX_ACCEPTS_PER_TICK):
             full = len(self.connections) >= self.max_connections
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -14,6 +14,7 @@
 from pearhill.net.pooled_connection import PooledConnection
 from pearhill.net.tasks import Tasks
 from pearhill.net.ticks import time_limit
+from pearhill.net.turns import TurnMeter
 
 MAX_CONNECT_US = 75_000_000  # the system's own connect timeout is shorter
 DISCOVERY_CONNECTIONS = 8  # of the reserved ones, for the endpoint list alone
@@ -47,10 +48,12 @@
         idle_timeout: int,
         max_connections: int,
         reserved_connections: int,
+        turns: TurnMeter | None = None,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
         self.counters = counters
+        self.turns = turns or TurnMeter(loop, counters)
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
         self.max_connections = max_connections
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -23,13 +22,13 @@
 
     def __init__(
         self,
-        loop: asyncio.AbstractEventLoop,
+        socket_reader: SocketReader,
         sock: socket.socket,
         clock: Callable[[], int],
         max_body: int,
         delayed_accept: bool,
     ) -> None:
-        self.socket_reader = SocketReader(loop, sock)
+        self.socket_reader = socket_reader
         self.waiting: deque[RequestMessage | Rejected | Discarded] = deque()
         self._sock = sock
         self._clock = clock
--- a/pearhill/net/socket_reader.py
+++ b/pearhill/net/socket_reader.py
@@ -16,6 +16,7 @@
 import asyncio
 import errno
 import socket
+from collections.abc import Callable
 
 # The system has no memory or buffer for a call at this moment. The connection is not affected.
 SHORTAGE_ERRNOS = frozenset((errno.ENOBUFS, errno.ENOMEM))
@@ -23,6 +24,10 @@
 READS_PER_TICK = 2  # before other tasks run: a fast sender would otherwise monopolize the event loop
 
 
+def _ignore_wake_up() -> None:
+    pass
+
+
 def is_transient(error: OSError) -> bool:
     """Whether a failed read or write can be retried, because the connection itself is not at fault."""
     return isinstance(error, BlockingIOError | InterruptedError) or error.errno in SHORTAGE_ERRNOS
@@ -30,11 +35,17 @@
 
 class SocketReader:
     """Reads for one task at a time. It must be closed before the socket: a closed descriptor that is still polled may
-    be reused by another socket."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    be reused by another socket. `on_wake_up` is called whenever the event loop reports the socket readable."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        on_wake_up: Callable[[], None] = _ignore_wake_up,
+    ) -> None:
         self._loop = loop
         self._sock = sock
+        self._on_wake_up = on_wake_up
         self._descriptor = sock.fileno()
         self._waiter: asyncio.Future[None] | None = None
         self._polled = False
@@ -90,6 +101,7 @@
         self._reads = 0
 
     def _readable(self) -> None:
+        self._on_wake_up()
         self._empty = False  # even if the waiting task is cancelled before it runs
         if self._waiter is None:
             self._unpoll()
--- a/pearhill/net/ticks.py
+++ b/pearhill/net/ticks.py
@@ -7,13 +7,15 @@
 from contextlib import asynccontextmanager
 
 from pearhill.core.deadlines import Deadlines
+from pearhill.net.turns import TurnMeter
 
 
 class EventLoopTicks:
-    """Sweeps `deadlines` from the loop's timers until `close`."""
+    """Sweeps `deadlines` from the loop's timers until `close`. `turns` measures the turns with a sweep."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, turns: TurnMeter | None = None) -> None:
         self._loop = loop
+        self._turns = turns
         self._deadlines = deadlines
         self._handle: asyncio.TimerHandle | None = None
         deadlines.on_earlier_due = self._arm
@@ -35,6 +37,8 @@
 
     def _sweep(self) -> None:
         self._handle = None
+        if self._turns:
+            self._turns.record_work()
         try:
             self._deadlines.run_due()
         finally:
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -25,6 +25,7 @@
 from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.pool import Pool
 from pearhill.net.ticks import EventLoopTicks, pause
+from pearhill.net.turns import TurnMeter
 from pearhill.node.drain_control import DrainControl
 from pearhill.node.limits import MAINTENANCE_DESCRIPTORS, Limits
 from pearhill.node.listeners import listen_for_clients
@@ -58,8 +59,9 @@
         loop = asyncio.get_running_loop()
         self.loop = loop
         self.counters = Counters()
+        self.turns = TurnMeter(loop, self.counters)
         self.deadlines = Deadlines(start_clock())
-        self.ticks = EventLoopTicks(loop, self.deadlines)
+        self.ticks = EventLoopTicks(loop, self.deadlines, self.turns)
         self._wall_clock = WallClockObserver(self.deadlines, self.counters)
         self.limits = limits
         self.dispatcher_count = 0  # dispatchers that share the work; 0: not counted, the settings' number is used
@@ -74,6 +76,7 @@
             idle_timeout=_idle_timeout(deployment),
             max_connections=self.connection_limit,
             reserved_connections=MAINTENANCE_DESCRIPTORS,
+            turns=self.turns,
         )
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.response_memory = MemoryLimit(limits.response_memory_bytes(1), self.connection_limit)
@@ -257,6 +260,7 @@
             self.limits.max_body,
             self.limits.send_buffer,
             request_memory=self.request_memory,
+            turns=self.turns,
         )
 
     def _reconfigure_dispatcher(self) -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -29,7 +29,7 @@
         runner.run(asyncio.wait_for(work, 20))
 
 
-def make_pool(deadlines: Deadlines, **settings: int) -> Pool:
+def make_pool(deadlines: Deadlines, **settings: Any) -> Pool:
     """A small pool on the running loop."""
     defaults = {
         "connect_timeout": 5_000_000,
--- a/tests/net/test_request_intake.py
+++ b/tests/net/test_request_intake.py
@@ -7,6 +7,7 @@
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import HEADER_OBJECT_BYTES, Discarded, Rejected
 from pearhill.net.request_intake import FIRST_READ_BYTES, MAX_PIPELINED_REQUESTS, READ_BYTES, RequestIntake
+from pearhill.net.socket_reader import SocketReader
 from tests.net.loops import UvloopTestCase
 
 MAX_BODY = 100
@@ -21,7 +22,8 @@
         self.addCleanup(ours.close)
         self.addCleanup(theirs.close)
         self.continues = 0
-        self.intake = RequestIntake(asyncio.get_running_loop(), ours, lambda: NOW, MAX_BODY, delayed_accept=False)
+        reader = SocketReader(asyncio.get_running_loop(), ours)
+        self.intake = RequestIntake(reader, ours, lambda: NOW, MAX_BODY, delayed_accept=False)
 
     def feed(self, data: bytes, answering: bool = False) -> None:
         def send_continue() -> None:
