--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -90,7 +90,7 @@
         """Discard the last request that has not begun, and reject it when its turn comes."""
         self.intake.discard_newest()
         if self.intake.waiting:  # else the timeout of an incomplete request would begin anew
-            self._advance()
+            self._schedule_advance()
 
     # Reply.
 
@@ -146,8 +146,10 @@
         if not self._keep_alive or asked_to_end:
             self.last_answer_given = True
             self._start_writer()
-            return
-        self._advance()
+        elif self.intake.waiting:
+            self._schedule_advance()
+        else:
+            self._advance()
 
     # Request handling.
 
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -14,6 +14,7 @@
 from pearhill.core.deadlines import Deadlines, TimerKey
 from pearhill.counters import Counters
 from pearhill.http1.handler import Handler
+from pearhill.net.input_scheduler import InputScheduler
 from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.output_buffer import OutputBuffer
 from pearhill.net.request_intake import READ_BYTES, RequestIntake
@@ -36,6 +37,7 @@
     max_body: int
     request_memory: MemoryLimit
     turns: TurnMeter
+    input_scheduler: InputScheduler
     read_buffer: memoryview  # READ_BYTES for the reads of all connections: each is parsed before the next one
     side: str
     draining: bool  # each new answer closes its connection
@@ -86,28 +88,42 @@
     def _advance(self) -> None:
         """Start the next waiting request, unless one is being answered or too many bytes are unsent."""
 
+    def _schedule_advance(self) -> None:
+        """Start the next waiting request as a step of the input scheduler: many answers may end in one turn."""
+        self.owner.input_scheduler.submit(self._advance, self.intake.next_length)
+
     # Reading.
 
     async def _read(self) -> None:
-        """Read until the connection ends. Bytes are read from the socket only here and in `has_disconnected`: if the
-        event loop read them before this task runs, and the connection were closed in between, a request that was read
-        would be lost with the task."""
-        reason = "client-closed"
+        """Read until the connection ends, one step of the input scheduler after the other."""
+        reader = self.intake.socket_reader
         try:
             while not self.closed:
-                buffer = self.intake.limit_read(self.owner.read_buffer)
-                try:
-                    size = await self.intake.socket_reader.recv_into(buffer)
-                except OSError as error:
-                    size = 0
-                    reason = f"client-{type(error).__name__}"
-                if not size or not self._received(buffer[:size]):
-                    break
+                if await reader.wait_readable():
+                    self.intake.readable_since = self.owner.deadlines.clock()
+                await self.owner.input_scheduler.run(self._read_step, self.intake.input_length)
         finally:
-            self.intake.socket_reader.close()
-            self.close(self._reason if self.last_answer_given else reason)
+            reader.close()
+            self.close("reader-failed")
             self.intake.close()
 
+    def _read_step(self) -> None:
+        """Read once, and process what was read, or close the connection at its end. Both happen in one call: if the
+        connection were closed in between, a request that was read would be lost."""
+        if self.closed:
+            return
+        buffer = self.intake.limit_read(self.owner.read_buffer)
+        reason = "client-closed"
+        try:
+            size = self.intake.socket_reader.try_recv_into(buffer)
+        except OSError as error:
+            size = 0
+            reason = f"client-{type(error).__name__}"
+        if size is None:
+            return
+        if not size or not self._received(buffer[:size]):
+            self.close(self._reason if self.last_answer_given else reason)
+
     def _received(self, data: memoryview) -> bool:
         """Process bytes that were read. Returns False once enough was read after the last answer, because the input of
         a client that sends megabytes after it should not be read to its end."""
@@ -164,7 +180,7 @@
             finally:
                 self.owner.deadlines.cancel(write_timer)
             if self.intake.waiting:
-                self._advance()
+                self._schedule_advance()
         if self.last_answer_given and not self.closed:
             self._linger()
 
--- /dev/null
+++ b/pearhill/net/input_scheduler.py
@@ -0,0 +1,110 @@
+"""Bounds how long one turn of the event loop is spent on clients' input, whatever that is and however many send it.
+
+Deadlines, replicas' streams and answers have no queue: they run in every turn. Clients' input runs while the turn's
+time for it lasts, and otherwise waits for a later turn. Of what waits, short requests go first, in order: most clients
+send them, and they need little. Long requests get the rest of the turn's time, and at least one step in each turn, so
+that short ones do not starve them (foreground-background scheduling: Nuyens, Wierman, "The Foreground-Background Queue:
+A Survey", 2008).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import TypeVar
+
+T = TypeVar("T")
+Step = Callable[[], None]
+INPUT_S_PER_TURN = 0.002  # after which no further step begins
+
+
+class InputLength(enum.Enum):
+    """How much input a request has, as far as it is known."""
+
+    SHORT = enum.auto()
+    LONG = enum.auto()
+
+
+class InputScheduler:
+    """Runs steps of input: each a callable that reads or handles a bounded amount of it. `clock` returns seconds."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float] = time.perf_counter) -> None:
+        self._loop = loop
+        self._clock = clock
+        self._short = deque[Step]()
+        self._long = deque[Step]()
+        self._spent_s = 0.0  # in this turn
+        self._running = False  # a step
+        self._turn_scheduled = False
+
+    def submit(self, step: Step, length: InputLength) -> None:
+        """Run a step in this turn or, in its order, in a later one. What a step submits itself is a part of it."""
+        if self._running:
+            step()
+        elif self._may_run_now(length):
+            self._run_timed(step)
+        else:
+            self._enqueue(step, length)
+
+    async def run(self, work: Callable[[], T], length: InputLength) -> T:
+        """Run a step as `submit` does, and return its result. Whoever is cancelled while it waits has run nothing."""
+        if self._may_run_now(length):
+            return self._run_timed(work)
+        result: asyncio.Future[T] = self._loop.create_future()
+
+        def step() -> None:
+            """Run the work, unless the caller is gone. The work may cancel the caller, too."""
+            if result.done():
+                return
+            try:
+                value = work()
+            except Exception as error:
+                if not result.done():
+                    result.set_exception(error)
+                return
+            if not result.done():
+                result.set_result(value)
+
+        self._enqueue(step, length)
+        return await result
+
+    def _may_run_now(self, length: InputLength) -> bool:
+        if self._short or self._spent_s >= INPUT_S_PER_TURN:
+            return False
+        return length is InputLength.SHORT or not self._long
+
+    def _enqueue(self, step: Step, length: InputLength) -> None:
+        queue = self._short if length is InputLength.SHORT else self._long
+        queue.append(step)
+        self._schedule_turn()
+
+    def _run_timed(self, work: Callable[[], T]) -> T:
+        began = self._clock()
+        self._running = True
+        try:
+            return work()
+        finally:
+            self._running = False
+            self._spent_s += self._clock() - began
+            self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Have `_begin_turn` called in the next turn."""
+        if not self._turn_scheduled:
+            self._turn_scheduled = True
+            self._loop.call_soon(self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        self._turn_scheduled = False
+        self._spent_s = 0.0
+        if self._short or self._long:
+            self._schedule_turn()
+        while self._short and self._spent_s < INPUT_S_PER_TURN:
+            self._run_timed(self._short.popleft())
+        if self._long:
+            self._run_timed(self._long.popleft())
+        while self._long and self._spent_s < INPUT_S_PER_TURN:
+            self._run_timed(self._long.popleft())
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -17,6 +17,7 @@
 from pearhill.net.accepted import AcceptedConnection
 from pearhill.net.address import Address
 from pearhill.net.eviction import ConnectionEvictor
+from pearhill.net.input_scheduler import InputScheduler
 from pearhill.net.memory_limit import DEFAULT_LIMIT_BYTES, MemoryLimit
 from pearhill.net.request_intake import READ_BYTES
 from pearhill.net.tasks import Tasks
@@ -62,6 +63,7 @@
         side: str = "client",
         request_memory: MemoryLimit | None = None,
         turns: TurnMeter | None = None,
+        input_scheduler: InputScheduler | None = None,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
@@ -73,6 +75,7 @@
         self.side = side
         self.request_memory = request_memory or MemoryLimit(DEFAULT_LIMIT_BYTES, max_connections)
         self.turns = turns or TurnMeter(loop, counters)
+        self.input_scheduler = input_scheduler or InputScheduler(loop)
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[AcceptedConnection] = set()
         self.draining = False  # each new answer closes its connection
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -9,13 +9,19 @@
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import ContinueExpected, Discarded, Rejected, ServerConnection
 from pearhill.net.accept_queue import accept_queue_wait_us
+from pearhill.net.input_scheduler import InputLength
 from pearhill.net.socket_reader import SocketReader
 
 FIRST_READ_BYTES = 2 * 1024  # maximum size of a read while no request is incomplete
-READ_BYTES = 64 * 1024  # maximum size of a read that continues a request
+READ_BYTES = 8 * 1024  # maximum size of a read that continues a request: one step of the input scheduler
+LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
 MAX_PIPELINED_REQUESTS = 4  # queued on one connection behind the one being answered, with body bytes of one at most
 
 
+def _input_length(size: int) -> InputLength:
+    return InputLength.LONG if size > LONG_REQUEST_BYTES else InputLength.SHORT
+
+
 class RequestIntake:
     """Reads and parses one client's requests. `delayed_accept` is set if the connection, and its first request, may
     have waited in the accept queue for a long time."""
@@ -34,6 +40,9 @@
         self._clock = clock
         self._parser = ServerConnection(max_body)
         self._delayed_accept = delayed_accept
+        # When the event loop reported the socket readable, the last time that it was empty before; None if unknown.
+        self.readable_since: int | None = None
+        self._received_bytes = 0  # of the incomplete request
         self._answering_bytes = 0  # memory of the request that is being answered
 
     @property
@@ -41,6 +50,17 @@
         """Whether a request is incomplete."""
         return self._parser.in_message
 
+    @property
+    def input_length(self) -> InputLength:
+        """How much of a request the next read continues."""
+        return _input_length(self._received_bytes)
+
+    @property
+    def next_length(self) -> InputLength:
+        """How much input the request that is answered next has."""
+        message = self.waiting[0] if self.waiting else None
+        return _input_length(len(message.body) if isinstance(message, RequestMessage) else 0)
+
     @property
     def unanswered_bytes(self) -> int:
         """The memory of all requests that were read, even in part, and are not answered."""
@@ -84,7 +104,9 @@
     def feed(self, data: memoryview, answering: bool, send_continue: Callable[[], None]) -> None:
         """Parse bytes, and add complete and rejected requests to `waiting`. `answering` is set while a request is being
         answered on the connection, and an interim response would be inserted into that answer."""
-        for event in self._parser.feed(data):
+        events = self._parser.feed(data)
+        self._count_received(len(data), bool(events))
+        for event in events:
             if isinstance(event, ContinueExpected):
                 if not (answering or self.waiting):
                     send_continue()
@@ -97,7 +119,7 @@
                 self._parser.close()
                 break
             if isinstance(event, RequestMessage):
-                event.arrived = self._clock() - self._read_delay_us()
+                event.arrived = self._arrival_time()
             self.waiting.append(event)
 
     def _is_queue_full(self, answering: bool) -> bool:
@@ -107,7 +129,19 @@
         waiting_bytes = sum(len(message.body) for message in self.waiting if isinstance(message, RequestMessage))
         return waiting_bytes > self._parser.max_body
 
-    def _read_delay_us(self) -> int:
+    def _count_received(self, size: int, has_events: bool) -> None:
+        """Count the bytes of the incomplete request. Those of a read that has completed one are left out."""
+        if has_events or not self._parser.in_message:
+            self._received_bytes = 0
+        else:
+            self._received_bytes += size
+
+    def _arrival_time(self) -> int:
+        """Return when the bytes read last arrived, at the earliest: a client's time runs while they wait to be read."""
+        arrived = self._clock() - self._shortage_delay_us()
+        return arrived if self.readable_since is None else min(arrived, self.readable_since)
+
+    def _shortage_delay_us(self) -> int:
         """Return the microseconds for which a shortage of the system kept the bytes read last from being read."""
         delayed_accept = self._delayed_accept
         self._delayed_accept = False
--- a/pearhill/net/socket_reader.py
+++ b/pearhill/net/socket_reader.py
@@ -51,6 +51,8 @@
         self._polled = False
         self._empty = True  # no bytes are left since the last wake-up; also before the first wake-up
         self._reads = 0  # since the socket last was empty, or since other tasks ran
+        self._retry_wait_s: float | None = None  # before the next read, if the last one failed for the moment
+        self._failing_since: float | None = None  # for want of memory
         self.delayed_s = 0.0  # for how long a shortage kept the bytes read last from being read
 
     async def recv_into(self, buffer: bytearray | memoryview) -> int:
@@ -59,27 +61,47 @@
         if self._reads >= READS_PER_TICK:
             self._reads = 0
             await asyncio.sleep(0)
-        failing_since: float | None = None
         while True:
-            if self._empty:
-                await self._wake_up()
-            try:
-                size = self._sock.recv_into(buffer)
-            except InterruptedError:
-                await asyncio.sleep(0)
-            except BlockingIOError:
-                self._mark_empty()
-            except OSError as error:
-                if not is_transient(error):
-                    raise
-                if failing_since is None:
-                    failing_since = self._loop.time()
-                await asyncio.sleep(SHORTAGE_RETRY_S)
-            else:
-                self.delayed_s = 0.0 if failing_since is None else self._loop.time() - failing_since
-                self._reads += 1
+            await self.wait_readable()
+            size = self.try_recv_into(buffer)
+            if size is not None:
                 return size
 
+    async def wait_readable(self) -> bool:
+        """Wait until `try_recv_into` may find bytes. Returns whether the event loop reported the socket readable
+        meanwhile: it did not if bytes may be left from before."""
+        if self._retry_wait_s is not None:
+            await asyncio.sleep(self._retry_wait_s)
+        was_empty = self._empty
+        while self._empty:
+            await self._wake_up()
+        return was_empty
+
+    def try_recv_into(self, buffer: bytearray | memoryview) -> int | None:
+        """Read without waiting. Returns the number of bytes, 0 at the end of the stream, or None if nothing could be
+        read now. Raises OSError if the connection broke."""
+        self._retry_wait_s = None
+        try:
+            size = self._sock.recv_into(buffer)
+        except InterruptedError:
+            self._retry_wait_s = 0.0
+            return None
+        except BlockingIOError:
+            self._mark_empty()
+            self._failing_since = None
+            return None
+        except OSError as error:
+            if not is_transient(error):
+                raise
+            if self._failing_since is None:
+                self._failing_since = self._loop.time()
+            self._retry_wait_s = SHORTAGE_RETRY_S
+            return None
+        self.delayed_s = 0.0 if self._failing_since is None else self._loop.time() - self._failing_since
+        self._failing_since = None
+        self._reads += 1
+        return size
+
     async def _wake_up(self) -> None:
         """Wait until the event loop reports the socket readable."""
         if not self._polled:
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -21,6 +21,7 @@
 from pearhill.net.backend import HttpBackend
 from pearhill.net.clock import start_clock
 from pearhill.net.dialect import Dialect
+from pearhill.net.input_scheduler import InputScheduler
 from pearhill.net.listener import Listener
 from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.pool import Pool
@@ -60,6 +61,7 @@
         self.loop = loop
         self.counters = Counters()
         self.turns = TurnMeter(loop, self.counters)
+        self.input_scheduler = InputScheduler(loop)
         self.deadlines = Deadlines(start_clock())
         self.ticks = EventLoopTicks(loop, self.deadlines, self.turns)
         self._wall_clock = WallClockObserver(self.deadlines, self.counters)
@@ -261,6 +263,7 @@
             self.limits.send_buffer,
             request_memory=self.request_memory,
             turns=self.turns,
+            input_scheduler=self.input_scheduler,
         )
 
     def _reconfigure_dispatcher(self) -> None:
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -1,12 +1,13 @@
 """A client's connection: timeouts on a virtual clock while checks of its socket fail, and answers that wait."""
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar
 
 import pytest
 
@@ -17,12 +18,14 @@
 from pearhill.http1.server import Rejected
 from pearhill.net.accepted import REQUEST_TIMEOUT_US, AcceptedConnection
 from pearhill.net.clock import start_clock
+from pearhill.net.input_scheduler import InputLength, InputScheduler
 from pearhill.net.listener import Listener
 from pearhill.net.output_buffer import MAX_BUFFERED_BYTES
 from pearhill.net.ticks import EventLoopTicks
 from tests.net.loops import UvloopTestCase
 from tests.virtual import VirtualLoop
 
+T = TypeVar("T")
 MAX_SILENT_S = 3.0  # a client that sends nothing, or stops half-way, is disconnected by then
 FAILING_PEEKS = 5  # in succession, for want of memory
 ANSWER_BYTES = 16 * 1024
@@ -128,6 +131,66 @@
     assert loop.run_until_complete(until_closed()) <= MAX_SILENT_S
 
 
+class HeldScheduler(InputScheduler):
+    """Runs no step until it is released."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.waiting = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def run(self, work: Callable[[], T], length: InputLength) -> T:
+        self.waiting.set()
+        await self.released.wait()
+        return work()
+
+
+class TestWaitingInput(UvloopTestCase):
+    async def test_the_time_in_which_input_waits_for_its_turn_counts_against_the_client(self) -> None:
+        """Otherwise a replica would be given more time than the client has left."""
+        now_us = 1_000_000
+        arrived = asyncio.get_running_loop().create_future()
+
+        class RecordArrival(LargeAnswers):
+            def handle(self, message: RequestMessage, reply: Reply) -> None:
+                arrived.set_result(message.arrived)
+                super().handle(message, reply)
+
+        scheduler = HeldScheduler(asyncio.get_running_loop())
+        async with open_listener(Deadlines(lambda: now_us), handler=RecordArrival()) as listener:
+            listener.input_scheduler = scheduler
+            _, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await scheduler.waiting.wait()
+            now_us += 300_000
+            scheduler.released.set()
+            assert await arrived == 1_000_000
+            writer.close()
+
+    async def test_a_connection_that_is_closed_while_its_input_waits_for_its_turn_handles_none_of_it(self) -> None:
+        scheduler = HeldScheduler(asyncio.get_running_loop())
+        handled = []
+
+        class RecordRequests(LargeAnswers):
+            def handle(self, message: RequestMessage, reply: Reply) -> None:
+                handled.append(message.target)
+
+        async with open_listener(Deadlines(start_clock()), handler=RecordRequests()) as listener:
+            listener.input_scheduler = scheduler
+            reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            connection = await only_connection(listener)
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await scheduler.waiting.wait()
+            connection.close("shutdown")
+            scheduler.released.set()
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read()
+            while listener.connections:
+                await asyncio.sleep(0)
+            writer.close()
+        assert handled == []
+
+
 class TestUnreadAnswers(UvloopTestCase):
     async def test_answers_to_a_client_that_reads_nothing_are_limited(self) -> None:
         """Each request was answered as soon as it was read, and the answers that the client did not read filled memory.
--- a/tests/net/test_request_intake.py
+++ b/tests/net/test_request_intake.py
@@ -6,7 +6,14 @@
 
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import HEADER_OBJECT_BYTES, Discarded, Rejected
-from pearhill.net.request_intake import FIRST_READ_BYTES, MAX_PIPELINED_REQUESTS, READ_BYTES, RequestIntake
+from pearhill.net.input_scheduler import InputLength
+from pearhill.net.request_intake import (
+    FIRST_READ_BYTES,
+    LONG_REQUEST_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    READ_BYTES,
+    RequestIntake,
+)
 from pearhill.net.socket_reader import SocketReader
 from tests.net.loops import UvloopTestCase
 
@@ -18,12 +25,12 @@
 
 class TestRequestIntake(UvloopTestCase):
     async def asyncSetUp(self) -> None:
-        ours, theirs = socket.socketpair()
-        self.addCleanup(ours.close)
+        self.ours, theirs = socket.socketpair()
+        self.addCleanup(self.ours.close)
         self.addCleanup(theirs.close)
         self.continues = 0
-        reader = SocketReader(asyncio.get_running_loop(), ours)
-        self.intake = RequestIntake(reader, ours, lambda: NOW, MAX_BODY, delayed_accept=False)
+        reader = SocketReader(asyncio.get_running_loop(), self.ours)
+        self.intake = RequestIntake(reader, self.ours, lambda: NOW, MAX_BODY, delayed_accept=False)
 
     def feed(self, data: bytes, answering: bool = False) -> None:
         def send_continue() -> None:
@@ -98,6 +105,28 @@
         waiting: list[Any] = list(self.intake.waiting)
         assert [each.arrived for each in waiting] == [NOW - 250_000, NOW]
 
+    async def test_a_request_that_waited_in_the_input_scheduler_arrived_when_its_socket_became_readable(self) -> None:
+        """The client's time runs meanwhile, and a replica may be given no more than what is left of it."""
+        self.intake.readable_since = NOW - 300_000
+        self.feed(GET % 0)
+        waiting: list[Any] = list(self.intake.waiting)
+        assert waiting[0].arrived == NOW - 300_000
+
+    async def test_a_request_is_long_from_its_received_bytes_on_whatever_these_are(self) -> None:
+        """The framing of small chunks takes long to read although the body is short."""
+        large_bodies = RequestIntake(
+            self.intake.socket_reader, self.ours, lambda: NOW, READ_BYTES, delayed_accept=False
+        )
+        lengths = []
+        for data in (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * (LONG_REQUEST_BYTES // 6 + 1),
+            b"0\r\n\r\n",
+        ):
+            large_bodies.feed(memoryview(data), False, lambda: None)
+            lengths.append(large_bodies.input_length)
+        assert lengths == [InputLength.SHORT, InputLength.LONG, InputLength.SHORT]
+
     async def test_an_incomplete_body_is_discarded_first_and_the_requests_behind_it_are_still_read(self) -> None:
         self.feed(POST % (0, 3) + b"abc" + POST % (1, 9) + b"half")
         self.intake.discard_newest()
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -6,7 +6,6 @@
 import time
 from unittest.mock import Mock
 
-from pearhill.net.request_intake import READ_BYTES
 from pearhill.platform.front import PlatformFrontEnd
 from pearhill.settings import parse
 from tests.platform.test_owed import SERVED, LoopbackDispatcher, loopback, read_answer, request  # noqa: F401
@@ -22,6 +21,7 @@
 REQUESTS = 4  # of each bad client, the last of them incomplete
 BODY_BYTES = 250_000
 INCOMPLETE_REQUESTS = 200
+BUFFER_BYTES = 64 * 1024  # that each connection held for its next read
 HEADERS = 4_000  # in one request: the most that fit into its head
 
 
@@ -129,7 +129,7 @@
     for _ in range(INCOMPLETE_REQUESTS):
         loopback.connect().sendall(head + b"x" * 3_000)
     wait_until_read(program.port)
-    assert own_memory_mb(program) - before < INCOMPLETE_REQUESTS * READ_BYTES / 2 / (1 << 20)
+    assert own_memory_mb(program) - before < INCOMPLETE_REQUESTS * BUFFER_BYTES / 2 / (1 << 20)
 
 
 class UnfinishedChunkReplica(Standin):
