Check bodies without building objects, in time that grows with bytes alone

Cause: json.loads built a list, a dictionary or a number for each few bytes of a body, only to see that it is an object.

Change: msgspec decodes a record without fields: it checks the grammar of what it skips and creates nothing for it. It does not check the encoding of that, so body.decode() does.

What is decided otherwise, each by RFC 8259: numbers of over 4,300 digits are accepted (Python's limit rejected them); NaN, Infinity, UTF-16, UTF-32 and surrogates in UTF-8 are rejected with 400.

--- a/pearhill/platform/request_parser.py
+++ b/pearhill/platform/request_parser.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-import json
 import re
 from collections.abc import Mapping, Sequence
 
 from pearhill.core.request import RequestSpec
 from pearhill.http1.messages import RequestMessage
+from pearhill.platform.body_check import NoJsonObjectError, check_json_object
 
 NETWORK_ALLOWANCE_US = 10_000  # subtracted from the client's timeout, for the network transfer in both directions
 MAX_TIMEOUT_US = 600_000_000
@@ -91,11 +91,9 @@
 
 def _check_body(data: bytes) -> None:
     try:
-        body = json.loads(data)
-    except (ValueError, RecursionError):
-        raise BadRequestError("the body is no JSON") from None
-    if not isinstance(body, dict):
-        raise BadRequestError("the body is no JSON object")
+        check_json_object(data)
+    except NoJsonObjectError as error:
+        raise BadRequestError(str(error)) from None
 
 
 def _parse_request_info(text: str) -> dict[str, str]:
