Keep incomplete heads of usual size while memory is short

Callers saw: while clients' requests fill their memory, a connection with a large request in progress whose next head had been read in part was closed after a 503 for that head. Complete requests behind it had no answer. Seen once as a failure of test_bad_clients_that_send_many_large_requests_at_once..

Cause: discard_newest drops an incomplete head with all that follows, since the next request cannot be found without its end; and a connection is chosen by all that it holds, with the request that is being answered. Evidence: a client with 250 KB in progress sends 40 bytes of a head, others fill memory, then the rest comes: [200, 503] for three requests, each time. Steps of 8 KiB end within a head more often than reads of 64 KiB did.

Change: an incomplete head of up to 4 KiB (memory, headers counted) is not discardable. Once it is complete, its body can be discarded and its end is still found. Larger heads are discarded as before, so that endless ones cannot fill memory; 4 KiB for each connection is within what each may hold in any case, from 64 MB and 1,024 descriptors on about four times over.

Test: test_a_head_in_pieces_is_not_discarded_with_the_requests_behind_it, on the real program; failed before (2 answers for 3). tests/net and test_memory_limit: passed.

--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -84,7 +84,7 @@
     @property
     def discardable_bytes(self) -> int:
         """The memory of those that have not begun."""
-        return 0 if self.closed else self.intake.waiting_bytes
+        return 0 if self.closed else self.intake.discardable_bytes
 
     def discard_newest(self) -> None:
         """Discard the last request that has not begun, and reject it when its turn comes."""
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -14,6 +14,7 @@
 
 FIRST_READ_BYTES = 2 * 1024  # maximum size of a read while no request is incomplete
 READ_BYTES = 8 * 1024  # maximum size of a read that continues a request: one step of the input scheduler
+KEPT_HEAD_BYTES = 4 * 1024  # memory of an incomplete head, up to which it is not discarded
 LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
 MAX_PIPELINED_REQUESTS = 4  # queued on one connection behind the one being answered, with body bytes of one at most
 
@@ -72,6 +73,14 @@
         waiting = sum(message.memory_bytes for message in self.waiting if isinstance(message, RequestMessage))
         return waiting + self._parser.partial_bytes
 
+    @property
+    def discardable_bytes(self) -> int:
+        """How much of `waiting_bytes` may be discarded. An incomplete head of usual size is kept, since the requests
+        behind it would be lost with it: their beginning could not be found."""
+        if self._parser.in_body or self._parser.partial_bytes > KEPT_HEAD_BYTES:
+            return self.waiting_bytes
+        return self.waiting_bytes - self._parser.partial_bytes
+
     def take(self) -> RequestMessage | Rejected | Discarded:
         """Remove and return what is to be answered next. Its memory counts until `end_answer`."""
         message = self.waiting.popleft()
@@ -85,7 +94,8 @@
 
     def discard_newest(self) -> None:
         """Discard the content of the incomplete request, or else of the last one that waits. It is still answered, with
-        a rejection. A request whose head is incomplete comes last, because later bytes are ignored after it."""
+        a rejection. An incomplete head, which is larger than usual then, comes last: later bytes are ignored after it.
+        """
         if self._parser.in_body:
             self._parser.discard_message()
             return
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -21,6 +21,7 @@
 REQUESTS = 4  # of each bad client, the last of them incomplete
 BODY_BYTES = 250_000
 INCOMPLETE_REQUESTS = 200
+HEAD_PIECE_BYTES = 40  # of a head of some 200 bytes
 BUFFER_BYTES = 64 * 1024  # that each connection held for its next read
 HEADERS = 4_000  # in one request: the most that fit into its head
 
@@ -104,6 +105,28 @@
     assert program.counters()["refusals"]["memory"] > BAD_CLIENTS
 
 
+def test_a_head_in_pieces_is_not_discarded_with_the_requests_behind_it(
+    loopback: LoopbackDispatcher,  # noqa: F811
+) -> None:
+    """While memory was short, a connection with a large request in progress lost the head whose first piece had been
+    read, and with it the end of that request: the complete requests behind it had no answer."""
+    program, server = start_held_replica(loopback)
+    client = loopback.connect()
+    client.sendall(b"POST " + large_requests(0).split(b"POST ")[1])
+    server.wait_for("POST")
+    usual = request("usual-1", "advice")
+    last = request("usual-2", "advice").replace(b"Host: app.svc", b"Host: app.svc\r\nConnection: close")
+    client.sendall(usual[:HEAD_PIECE_BYTES])
+    wait_until_read(program.port)
+    for number in range(BAD_CLIENTS):
+        loopback.connect().sendall(large_requests(number)[: BODY_BYTES * 3 // 4])
+    wait_until_read(program.port)
+    client.sendall(usual[HEAD_PIECE_BYTES:] + last)
+    wait_until_read(program.port)
+    server.release_answers.set()
+    assert len(statuses(client)) == 3
+
+
 def test_requests_with_many_headers_do_not_exceed_the_memory_limit(loopback: LoopbackDispatcher) -> None:  # noqa: F811
     """The same cause by another path: the headers of waiting requests were not counted at all."""
     program, server = start_held_replica(loopback)
