Handle the bodies of an application's clients in the turns' time for input

Cause: the middleware called the front end for each body as soon as it was complete, so that one turn of the application's loop parsed all of them. Evidence: of 20 requests that are complete at once, 20 are handled in one turn.

Change: the front end is called as a step of the node's InputScheduler, and the time that a request waits for its turn counts against its client. What the ASGI server spends on receiving bodies is not pearhill's to bound.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -18,6 +18,7 @@
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage, add_header
+from pearhill.net.input_scheduler import input_length
 from pearhill.net.memory_limit import MEMORY, MemoryLimit
 
 Scope = MutableMapping[str, Any]
@@ -189,7 +190,10 @@
             reply.reject(413, extra, text)
             return await self._send_answer(reply, send)
         request = _request(scope, upload.take())
-        pending = service.front.handle(request, reply)
+        request.arrived = service.node.deadlines.clock()  # the client's time runs while the request waits for its turn
+        pending = await service.node.input_scheduler.run(
+            lambda: service.front.handle(request, reply), input_length(len(request.body))
+        )
         watch = asyncio.create_task(self._watch_disconnect(receive, pending, reply))
         try:
             await self._send_answer(reply, send)
--- a/pearhill/net/input_scheduler.py
+++ b/pearhill/net/input_scheduler.py
@@ -19,6 +19,7 @@
 T = TypeVar("T")
 Step = Callable[[], None]
 INPUT_S_PER_TURN = 0.002  # after which no further step begins
+LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
 
 
 class InputLength(enum.Enum):
@@ -28,6 +29,11 @@
     LONG = enum.auto()
 
 
+def input_length(size: int) -> InputLength:
+    """Return the length of a request of which `size` bytes have been received."""
+    return InputLength.LONG if size > LONG_REQUEST_BYTES else InputLength.SHORT
+
+
 class InputScheduler:
     """Runs steps of input: each a callable that reads or handles a bounded amount of it. `clock` returns seconds."""
 
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -9,20 +9,15 @@
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import ContinueExpected, Discarded, Rejected, ServerConnection
 from pearhill.net.accept_queue import accept_queue_wait_us
-from pearhill.net.input_scheduler import InputLength
+from pearhill.net.input_scheduler import InputLength, input_length
 from pearhill.net.socket_reader import SocketReader
 
 FIRST_READ_BYTES = 2 * 1024  # maximum size of a read while no request is incomplete
 READ_BYTES = 8 * 1024  # maximum size of a read that continues a request: one step of the input scheduler
 KEPT_HEAD_BYTES = 4 * 1024  # memory of an incomplete head, up to which it is not discarded
-LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
 MAX_PIPELINED_REQUESTS = 4  # queued on one connection behind the one being answered, with body bytes of one at most
 
 
-def _input_length(size: int) -> InputLength:
-    return InputLength.LONG if size > LONG_REQUEST_BYTES else InputLength.SHORT
-
-
 class RequestIntake:
     """Reads and parses one client's requests. `delayed_accept` is set if the connection, and its first request, may
     have waited in the accept queue for a long time."""
@@ -54,13 +49,13 @@
     @property
     def input_length(self) -> InputLength:
         """How much of a request the next read continues."""
-        return _input_length(self._received_bytes)
+        return input_length(self._received_bytes)
 
     @property
     def next_length(self) -> InputLength:
         """How much input the request that is answered next has."""
         message = self.waiting[0] if self.waiting else None
-        return _input_length(len(message.body) if isinstance(message, RequestMessage) else 0)
+        return input_length(len(message.body) if isinstance(message, RequestMessage) else 0)
 
     @property
     def unanswered_bytes(self) -> int:
--- a/tests/chat/test_asgi.py
+++ b/tests/chat/test_asgi.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -9,11 +10,14 @@
 import subprocess
 import sys
 import unittest
+import unittest.mock
+from collections import Counter
 
 import pytest
 
 from pearhill.asgi import AnswerTruncatedError, PearhillMiddleware
 from pearhill.chat.setup import load
+from pearhill.net.input_scheduler import InputScheduler
 from tests.chat.test_front import PATH, body, operator_file, write_file
 from tests.standins import ROOT, STREAM_CHUNKS, STREAM_END, Program, Standin
 
@@ -126,6 +130,27 @@
         await task
         assert (await send.get())["status"] == 413
 
+    async def test_the_bodies_of_many_clients_are_handled_one_turn_after_the_other(self):
+        """The cause of review/2 in an application: one turn of the loop parsed all bodies that were complete."""
+        service = self.middleware.service
+        clock = itertools.count()  # each step takes a second, more than a turn has for input
+        service.node.input_scheduler = InputScheduler(asyncio.get_running_loop(), lambda: next(clock))
+        handled_in_turn = Counter()
+        turn = 0
+
+        def handle(request, reply):
+            handled_in_turn[turn] += 1
+            reply.answer(200)
+
+        with unittest.mock.patch.object(service.front, "handle", handle):
+            tasks = [self.call(body())[0] for _ in range(20)]
+            while not all(task.done() for task in tasks):
+                turn += 1
+                assert turn < 10_000
+                await asyncio.sleep(0)
+        assert sum(handled_in_turn.values()) == 20
+        assert max(handled_in_turn.values()) == 1
+
     async def test_incomplete_bodies_of_many_clients_stay_within_the_memory_limit(self):
         """The cause of review/1 in an application: nothing bounded the bodies of all requests together."""
         memory = self.middleware.service.node.request_memory
--- a/tests/net/test_request_intake.py
+++ b/tests/net/test_request_intake.py
@@ -6,10 +6,9 @@
 
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import HEADER_OBJECT_BYTES, Discarded, Rejected
-from pearhill.net.input_scheduler import InputLength
+from pearhill.net.input_scheduler import LONG_REQUEST_BYTES, InputLength
 from pearhill.net.request_intake import (
     FIRST_READ_BYTES,
-    LONG_REQUEST_BYTES,
     MAX_PIPELINED_REQUESTS,
     READ_BYTES,
     RequestIntake,
