Begin no request in an application for a client that has left meanwhile

A client of the ASGI middleware that disconnects while its request waits for its turn was noticed only after the request had begun, and a replica got an attempt for nobody.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self.messages: asyncio.Queue[Message | Exception | None] = asyncio.Queue()
         self.disconnected = False  # whether the client has disconnected
+        self._pending: Pending | None = None
         self._free_writes = asyncio.Semaphore(MAX_BUFFERED_WRITES)
 
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
@@ -70,6 +71,19 @@
         """Whether the client has disconnected."""
         return self.disconnected
 
+    def begin(self, pending: Pending | None) -> None:
+        """Record the request that is being answered. The client may have disconnected before it began."""
+        self._pending = pending
+        if pending and self.disconnected:
+            pending.handle_disconnect()
+
+    def disconnect(self) -> None:
+        """Record that the client has disconnected, and cancel its request if it has begun."""
+        self.disconnected = True
+        if self._pending:
+            self._pending.handle_disconnect()
+        self.messages.put_nowait(None)  # ends `_send_answer`: there is no client to write to
+
     def sent(self) -> None:
         """Record that the ASGI server has accepted a chunk."""
         self._free_writes.release()
@@ -191,11 +205,13 @@
             return await self._send_answer(reply, send)
         request = _request(scope, upload.take())
         request.arrived = service.node.deadlines.clock()  # the client's time runs while the request waits for its turn
-        pending = await service.node.input_scheduler.run(
-            lambda: service.front.handle(request, reply), input_length(len(request.body))
-        )
-        watch = asyncio.create_task(self._watch_disconnect(receive, pending, reply))
+        watch = asyncio.create_task(self._watch_disconnect(receive, reply))
+        pending: Pending | None = None
         try:
+            pending = await service.node.input_scheduler.run(
+                lambda: service.front.handle(request, reply), input_length(len(request.body))
+            )
+            reply.begin(pending)
             await self._send_answer(reply, send)
         except BaseException:
             if pending:
@@ -218,14 +234,11 @@
         return True
 
     @staticmethod
-    async def _watch_disconnect(receive: Receive, pending: Pending | None, reply: _Reply) -> None:
+    async def _watch_disconnect(receive: Receive, reply: _Reply) -> None:
         """Wait until the client disconnects, and cancel its request."""
         while (await receive())["type"] != "http.disconnect":
             pass
-        reply.disconnected = True
-        if pending:
-            pending.handle_disconnect()
-        reply.messages.put_nowait(None)  # ends `_send_answer`: there is no client to write to
+        reply.disconnect()
 
     @staticmethod
     async def _send_answer(reply: _Reply, send: Send) -> None:
--- a/tests/chat/test_asgi.py
+++ b/tests/chat/test_asgi.py
@@ -19,8 +19,11 @@
 from pearhill.chat.setup import load
 from pearhill.net.input_scheduler import InputScheduler
 from tests.chat.test_front import PATH, body, operator_file, write_file
+from tests.net.test_accepted import HeldScheduler
 from tests.standins import ROOT, STREAM_CHUNKS, STREAM_END, Program, Standin
 
+TICKS_TO_SETTLE = 20  # more than a chain of callbacks needs
+
 
 class ExampleApp(Program):
     """The example application. Its server uses a listening socket that is opened here."""
@@ -151,6 +154,21 @@
         assert sum(handled_in_turn.values()) == 20
         assert max(handled_in_turn.values()) == 1
 
+    async def test_no_attempt_begins_for_a_client_that_disconnected_while_its_request_waited_for_its_turn(self):
+        """The middleware noticed a disconnect only once the request had begun, and sent it to a replica."""
+        scheduler = HeldScheduler(asyncio.get_running_loop())
+        self.middleware.service.node.input_scheduler = scheduler
+        task, receive, _ = self.call(body())
+        await scheduler.waiting.wait()
+        receive.put_nowait({"type": "http.disconnect"})
+        for _ in range(TICKS_TO_SETTLE):
+            await asyncio.sleep(0)
+        assert receive.empty()
+        scheduler.released.set()
+        await task
+        counters = self.middleware.service.node.counters
+        assert (counters.taken, counters.sent, counters.left) == (1, 0, 1)
+
     async def test_incomplete_bodies_of_many_clients_stay_within_the_memory_limit(self):
         """The cause of review/1 in an application: nothing bounded the bodies of all requests together."""
         memory = self.middleware.service.node.request_memory
