Call the event loop's turns ticks, as the rest of the code does

Two docstrings say more plainly who is cancelled and what an error's text holds. Nothing else changes.

--- a/benchmarks/turns.py
+++ b/benchmarks/loop_ticks.py
@@ -1,10 +1,10 @@
-"""Measures the turns of a dispatcher's event loop by shape of input and number of clients that send it at full speed.
+"""Measures the ticks of a dispatcher's event loop by shape of input and number of clients that send it at full speed.
 
-    .venv/bin/python benchmarks/turns.py [--clients 50 200] [--shapes nested-brackets ...] [--seconds 6] [--json FILE]
+    .venv/bin/python benchmarks/loop_ticks.py [--clients 50 200] [--shapes one-string ...] [--seconds 6] [--json FILE]
 
 For each pair a new dispatcher runs on loopback with one stand-in replica. Bad clients send one request of the shape
 each, on a new connection, again as soon as it is answered. Beside them a usual client sends requests at a steady rate.
-A row has the longest turn that `GET /counters` reports, and how long usual requests took; those without an answer half
+A row has the longest tick that `GET /counters` reports, and how long usual requests took; those without an answer half
 a second after their time are lost.
 """
 
@@ -97,7 +97,7 @@
 
     shape: str
     clients: int
-    longest_turn_ms: float
+    longest_tick_ms: float
     usual: int
     lost: int
     median_ms: float
@@ -182,7 +182,7 @@
     return Row(
         shape,
         clients,
-        counters["longest_turn_us"] / 1000,
+        counters["longest_tick_us"] / 1000,
         len(times),
         times.count(float("inf")),
         1000 * in_order[len(in_order) // 2],
@@ -205,13 +205,13 @@
         asyncio.run(_run_bad_clients((host, int(port)), shape, int(clients), float(seconds)))
         return
     rows = []
-    print("shape             clients  longest turn ms  lost of usual  median ms  longest ms  bad/s")
+    print("shape             clients  longest tick ms  lost of usual  median ms  longest ms  bad/s")
     for shape in options.shapes:
         for clients in options.clients:
             row = measure(shape, clients, options.seconds)
             rows.append(asdict(row))
             print(
-                f"{row.shape:17} {row.clients:7} {row.longest_turn_ms:16.1f} {row.lost:6} of {row.usual:4} "
+                f"{row.shape:17} {row.clients:7} {row.longest_tick_ms:16.1f} {row.lost:6} of {row.usual:4} "
                 f"{row.median_ms:10.1f} {row.longest_ms:11.1f} {row.bad_per_s:6.0f}",
                 flush=True,
             )
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -63,7 +63,7 @@
     unconfirmed: int = 0  # fetches without a response from their replica when the state had to be released
     lists: int = 0  # endpoint lists applied
     accept_failures: int = 0  # calls of accept() that failed for lack of descriptors or memory
-    longest_turn_us: int = 0  # the longest turn of the event loop while it had work; left out while none is measured
+    longest_tick_us: int = 0  # the longest tick of the event loop while it had work; left out while none is measured
     shortages: int = 0  # sockets that failed for lack of descriptors, memory or ports
     clock_steps: int = 0  # steps of the wall clock while the process runs
     faults: int = 0  # exceptions raised by the router
@@ -89,6 +89,6 @@
         `dataclasses.asdict` would rebuild each `Counter` from its items, and count the items instead.
         """
         values = {f.name: getattr(self, f.name) for f in fields(self)}
-        if not self.longest_turn_us:
-            del values["longest_turn_us"]
+        if not self.longest_tick_us:
+            del values["longest_tick_us"]
         return {name: dict(v) if isinstance(v, Counter) else v for name, v in values.items()}
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -20,7 +20,7 @@
 from pearhill.net.output_buffer import OutputBuffer
 from pearhill.net.request_intake import RequestIntake
 from pearhill.net.socket_reader import SocketReader
-from pearhill.net.turns import TurnMeter
+from pearhill.net.tick_meter import TickMeter
 
 LINGER_US = 1_000_000  # how long input is still read after the last answer
 MAX_LINGER_BYTES = 256 * 1024  # how much input is still read after the last answer
@@ -36,7 +36,7 @@
     handler: Handler
     max_body: int
     request_memory: MemoryLimit
-    turns: TurnMeter
+    tick_meter: TickMeter
     input_scheduler: InputScheduler
     read_buffer: memoryview  # READ_BYTES for the reads of all connections: each is parsed before the next one
     side: str
@@ -59,7 +59,7 @@
         self.sock = sock
         self.peer = peer
         self.intake = RequestIntake(
-            SocketReader(owner.loop, sock, owner.turns.record_work),
+            SocketReader(owner.loop, sock, owner.tick_meter.record_work),
             sock,
             owner.deadlines.clock,
             owner.max_body,
@@ -89,7 +89,7 @@
         """Start the next waiting request, unless one is being answered or too many bytes are unsent."""
 
     def _schedule_advance(self) -> None:
-        """Start the next waiting request as a step of the input scheduler: many answers may end in one turn."""
+        """Start the next waiting request as a step of the input scheduler: many answers may end in one tick."""
         self.owner.input_scheduler.submit(self._advance, self.intake.next_length)
 
     # Reading.
--- a/pearhill/net/input_scheduler.py
+++ b/pearhill/net/input_scheduler.py
@@ -1,8 +1,8 @@
-"""Bounds how long one turn of the event loop is spent on clients' input, whatever that is and however many send it.
+"""Bounds how long one tick of the event loop is spent on clients' input, whatever that is and however many send it.
 
-Deadlines, replicas' streams and answers have no queue: they run in every turn. Clients' input runs while the turn's
-time for it lasts, and otherwise waits for a later turn. Of what waits, short requests go first, in order: most clients
-send them, and they need little. Long requests get the rest of the turn's time, and at least one step in each turn, so
+Deadlines, replicas' streams and answers have no queue: they run in every tick. Clients' input runs while the tick's
+time for it lasts, and otherwise waits for a later tick. Of what waits, short requests go first, in order: most clients
+send them, and they need little. Long requests get the rest of the tick's time, and at least one step in each tick, so
 that short ones do not starve them (foreground-background scheduling: Nuyens, Wierman, "The Foreground-Background Queue:
 A Survey", 2008).
 """
@@ -18,7 +18,7 @@
 
 T = TypeVar("T")
 Step = Callable[[], None]
-INPUT_S_PER_TURN = 0.002  # after which no further step begins
+INPUT_S_PER_TICK = 0.002  # after which no further step begins
 LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
 
 
@@ -42,12 +42,12 @@
         self._clock = clock
         self._short = deque[Step]()
         self._long = deque[Step]()
-        self._spent_s = 0.0  # in this turn
+        self._spent_s = 0.0  # in this tick
         self._running = False  # a step
-        self._turn_scheduled = False
+        self._tick_scheduled = False
 
     def submit(self, step: Step, length: InputLength) -> None:
-        """Run a step in this turn or, in its order, in a later one. What a step submits itself is a part of it."""
+        """Run a step in this tick or, in its order, in a later one. What a step submits itself is a part of it."""
         if self._running:
             step()
         elif self._may_run_now(length):
@@ -56,13 +56,14 @@
             self._enqueue(step, length)
 
     async def run(self, work: Callable[[], T], length: InputLength) -> T:
-        """Run a step as `submit` does, and return its result. Whoever is cancelled while it waits has run nothing."""
+        """Run a step as `submit` does, and return its result. If the caller is cancelled before the step began, it
+        is not run."""
         if self._may_run_now(length):
             return self._run_timed(work)
         result: asyncio.Future[T] = self._loop.create_future()
 
         def step() -> None:
-            """Run the work, unless the caller is gone. The work may cancel the caller, too."""
+            """Run the work, unless the caller was cancelled. The work itself may cancel the caller."""
             if result.done():
                 return
             try:
@@ -78,14 +79,14 @@
         return await result
 
     def _may_run_now(self, length: InputLength) -> bool:
-        if self._short or self._spent_s >= INPUT_S_PER_TURN:
+        if self._short or self._spent_s >= INPUT_S_PER_TICK:
             return False
         return length is InputLength.SHORT or not self._long
 
     def _enqueue(self, step: Step, length: InputLength) -> None:
         queue = self._short if length is InputLength.SHORT else self._long
         queue.append(step)
-        self._schedule_turn()
+        self._schedule_tick()
 
     def _run_timed(self, work: Callable[[], T]) -> T:
         began = self._clock()
@@ -95,22 +96,22 @@
         finally:
             self._running = False
             self._spent_s += self._clock() - began
-            self._schedule_turn()
+            self._schedule_tick()
 
-    def _schedule_turn(self) -> None:
-        """Have `_begin_turn` called in the next turn."""
-        if not self._turn_scheduled:
-            self._turn_scheduled = True
-            self._loop.call_soon(self._begin_turn)
+    def _schedule_tick(self) -> None:
+        """Have `_begin_tick` called in the next tick."""
+        if not self._tick_scheduled:
+            self._tick_scheduled = True
+            self._loop.call_soon(self._begin_tick)
 
-    def _begin_turn(self) -> None:
-        self._turn_scheduled = False
+    def _begin_tick(self) -> None:
+        self._tick_scheduled = False
         self._spent_s = 0.0
         if self._short or self._long:
-            self._schedule_turn()
-        while self._short and self._spent_s < INPUT_S_PER_TURN:
+            self._schedule_tick()
+        while self._short and self._spent_s < INPUT_S_PER_TICK:
             self._run_timed(self._short.popleft())
         if self._long:
             self._run_timed(self._long.popleft())
-        while self._long and self._spent_s < INPUT_S_PER_TURN:
+        while self._long and self._spent_s < INPUT_S_PER_TICK:
             self._run_timed(self._long.popleft())
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -21,7 +21,7 @@
 from pearhill.net.memory_limit import DEFAULT_LIMIT_BYTES, MemoryLimit
 from pearhill.net.request_intake import READ_BYTES
 from pearhill.net.tasks import Tasks
-from pearhill.net.turns import TurnMeter
+from pearhill.net.tick_meter import TickMeter
 from pearhill.routing.permissions import ConnectionState
 
 BACKLOG = 1024  # connections that may wait in the accept queue
@@ -62,7 +62,7 @@
         send_buffer: int = 0,
         side: str = "client",
         request_memory: MemoryLimit | None = None,
-        turns: TurnMeter | None = None,
+        tick_meter: TickMeter | None = None,
         input_scheduler: InputScheduler | None = None,
     ) -> None:
         self.loop = loop
@@ -74,7 +74,7 @@
         self.send_buffer = send_buffer
         self.side = side
         self.request_memory = request_memory or MemoryLimit(DEFAULT_LIMIT_BYTES, max_connections)
-        self.turns = turns or TurnMeter(loop, counters)
+        self.tick_meter = tick_meter or TickMeter(loop, counters)
         self.input_scheduler = input_scheduler or InputScheduler(loop)
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[AcceptedConnection] = set()
@@ -140,7 +140,7 @@
         if self._sock is None:
             return
         self._poll(self._sock)
-        self.turns.record_work()
+        self.tick_meter.record_work()
         # With one accept per tick, clients that send requests would wait behind hundreds that only connect.
         for accept_count in range(MAX_ACCEPTS_PER_TICK):
             full = len(self.connections) >= self.max_connections
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -13,8 +13,8 @@
 from pearhill.net.errors import ConnectError, PoolExhaustedError, SystemResourceError
 from pearhill.net.pooled_connection import PooledConnection
 from pearhill.net.tasks import Tasks
+from pearhill.net.tick_meter import TickMeter
 from pearhill.net.ticks import time_limit
-from pearhill.net.turns import TurnMeter
 
 MAX_CONNECT_US = 75_000_000  # the system's own connect timeout is shorter
 DISCOVERY_CONNECTIONS = 8  # of the reserved ones, for the endpoint list alone
@@ -48,12 +48,12 @@
         idle_timeout: int,
         max_connections: int,
         reserved_connections: int,
-        turns: TurnMeter | None = None,
+        tick_meter: TickMeter | None = None,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
         self.counters = counters
-        self.turns = turns or TurnMeter(loop, counters)
+        self.tick_meter = tick_meter or TickMeter(loop, counters)
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
         self.max_connections = max_connections
--- a/pearhill/net/pooled_connection.py
+++ b/pearhill/net/pooled_connection.py
@@ -17,7 +17,7 @@
 from pearhill.net.exchange import CollectedResponse, Exchange
 from pearhill.net.socket_reader import SocketReader
 from pearhill.net.socket_writer import SocketWriter
-from pearhill.net.turns import TurnMeter
+from pearhill.net.tick_meter import TickMeter
 
 READ_BYTES = 8 * 1024
 
@@ -27,7 +27,7 @@
 
     loop: asyncio.AbstractEventLoop
     counters: Counters
-    turns: TurnMeter
+    tick_meter: TickMeter
 
     def spawn(self, work: Coroutine[Any, Any, None], /) -> asyncio.Task[None]:
         """Run a task. The pool keeps a reference to it until it ends."""
@@ -87,7 +87,7 @@
     async def _read(self) -> None:
         buffer = bytearray(READ_BYTES)
         view = memoryview(buffer)
-        reader = SocketReader(self.pool.loop, self.sock, self.pool.turns.record_work)
+        reader = SocketReader(self.pool.loop, self.sock, self.pool.tick_meter.record_work)
         reason = "reader-failed"
         try:
             while not self.closed:
--- a/pearhill/net/ticks.py
+++ b/pearhill/net/ticks.py
@@ -7,15 +7,17 @@
 from contextlib import asynccontextmanager
 
 from pearhill.core.deadlines import Deadlines
-from pearhill.net.turns import TurnMeter
+from pearhill.net.tick_meter import TickMeter
 
 
 class EventLoopTicks:
-    """Sweeps `deadlines` from the loop's timers until `close`. `turns` measures the turns with a sweep."""
+    """Sweeps `deadlines` from the loop's timers until `close`. `tick_meter` measures the ticks with a sweep."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, turns: TurnMeter | None = None) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, tick_meter: TickMeter | None = None
+    ) -> None:
         self._loop = loop
-        self._turns = turns
+        self._tick_meter = tick_meter
         self._deadlines = deadlines
         self._handle: asyncio.TimerHandle | None = None
         deadlines.on_earlier_due = self._arm
@@ -37,8 +39,8 @@
 
     def _sweep(self) -> None:
         self._handle = None
-        if self._turns:
-            self._turns.record_work()
+        if self._tick_meter:
+            self._tick_meter.record_work()
         try:
             self._deadlines.run_due()
         finally:
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -25,8 +25,8 @@
 from pearhill.net.listener import Listener
 from pearhill.net.memory_limit import MemoryLimit
 from pearhill.net.pool import Pool
+from pearhill.net.tick_meter import TickMeter
 from pearhill.net.ticks import EventLoopTicks, pause
-from pearhill.net.turns import TurnMeter
 from pearhill.node.drain_control import DrainControl
 from pearhill.node.limits import MAINTENANCE_DESCRIPTORS, Limits
 from pearhill.node.listeners import listen_for_clients
@@ -60,10 +60,10 @@
         loop = asyncio.get_running_loop()
         self.loop = loop
         self.counters = Counters()
-        self.turns = TurnMeter(loop, self.counters)
+        self.tick_meter = TickMeter(loop, self.counters)
         self.input_scheduler = InputScheduler(loop)
         self.deadlines = Deadlines(start_clock())
-        self.ticks = EventLoopTicks(loop, self.deadlines, self.turns)
+        self.ticks = EventLoopTicks(loop, self.deadlines, self.tick_meter)
         self._wall_clock = WallClockObserver(self.deadlines, self.counters)
         self.limits = limits
         self.dispatcher_count = 0  # dispatchers that share the work; 0: not counted, the settings' number is used
@@ -78,7 +78,7 @@
             idle_timeout=_idle_timeout(deployment),
             max_connections=self.connection_limit,
             reserved_connections=MAINTENANCE_DESCRIPTORS,
-            turns=self.turns,
+            tick_meter=self.tick_meter,
         )
         self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
         self.response_memory = MemoryLimit(limits.response_memory_bytes(1), self.connection_limit)
@@ -262,7 +262,7 @@
             self.limits.max_body,
             self.limits.send_buffer,
             request_memory=self.request_memory,
-            turns=self.turns,
+            tick_meter=self.tick_meter,
             input_scheduler=self.input_scheduler,
         )
 
--- a/pearhill/platform/body_check.py
+++ b/pearhill/platform/body_check.py
@@ -15,7 +15,7 @@
 
 
 class NoJsonObjectError(Exception):
-    """Raised for a body that is no JSON object. The text says what it is instead."""
+    """Raised for a body that is no JSON object. The text says whether it is no JSON, or another JSON value."""
 
 
 def check_json_object(body: bytes) -> None:
--- a/tests/chat/test_asgi.py
+++ b/tests/chat/test_asgi.py
@@ -133,26 +133,26 @@
         await task
         assert (await send.get())["status"] == 413
 
-    async def test_the_bodies_of_many_clients_are_handled_one_turn_after_the_other(self):
-        """The cause of review/2 in an application: one turn of the loop parsed all bodies that were complete."""
+    async def test_the_bodies_of_many_clients_are_handled_one_tick_after_the_other(self):
+        """The cause of review/2 in an application: one tick of the loop parsed all bodies that were complete."""
         service = self.middleware.service
-        clock = itertools.count()  # each step takes a second, more than a turn has for input
+        clock = itertools.count()  # each step takes a second, more than a tick has for input
         service.node.input_scheduler = InputScheduler(asyncio.get_running_loop(), lambda: next(clock))
-        handled_in_turn = Counter()
-        turn = 0
+        handled_in_tick = Counter()
+        tick = 0
 
         def handle(request, reply):
-            handled_in_turn[turn] += 1
+            handled_in_tick[tick] += 1
             reply.answer(200)
 
         with unittest.mock.patch.object(service.front, "handle", handle):
             tasks = [self.call(body())[0] for _ in range(20)]
             while not all(task.done() for task in tasks):
-                turn += 1
-                assert turn < 10_000
+                tick += 1
+                assert tick < 10_000
                 await asyncio.sleep(0)
-        assert sum(handled_in_turn.values()) == 20
-        assert max(handled_in_turn.values()) == 1
+        assert sum(handled_in_tick.values()) == 20
+        assert max(handled_in_tick.values()) == 1
 
     async def test_no_attempt_begins_for_a_client_that_disconnected_while_its_request_waited_for_its_turn(self):
         """The middleware noticed a disconnect only once the request had begun, and sent it to a replica."""
--- a/tests/chat/test_large_fields.py
+++ b/tests/chat/test_large_fields.py
@@ -23,7 +23,7 @@
 
 @pytest.mark.parametrize("field", FIELDS)
 def test_a_field_of_many_parts_is_kept_as_it_was_received(field: str) -> None:
-    """The cause of review/2 in the chat API: 250,000 bytes of brackets took 55 ms of one turn of the event loop."""
+    """The cause of review/2 in the chat API: 250,000 bytes of brackets took 55 ms of one tick of the event loop."""
     body = HEAD + FIELDS[field] % VALUE
     tracemalloc.start()
     try:
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -212,7 +212,7 @@
             client.close()
 
     async def test_a_check_for_a_disconnect_reads_no_input(self) -> None:
-        """Each check read and parsed up to 4 MiB, at once: a turn of the loop took as long as the input of all clients
+        """Each check read and parsed up to 4 MiB, at once: a tick of the loop took as long as the input of all clients
         that had sent more than one request."""
         async with self.connect() as (connection, _):
             assert not connection.has_disconnected()
--- a/tests/platform/test_input_of_many.py
+++ b/tests/platform/test_input_of_many.py
@@ -48,7 +48,7 @@
     loopback: LoopbackDispatcher,  # noqa: F811
     shape: Callable[[bytes], bytes],
 ) -> None:
-    """Guards against review/2: one turn of the event loop read and checked the bodies of all clients that had sent one,
+    """Guards against review/2: one tick of the event loop read and checked the bodies of all clients that had sent one,
     and usual requests had no answer half a second after their time."""
     program = loopback.start((Standin(), "all-in-one"), limits=LIMITS)
     with StoppedProcess(program):
@@ -61,4 +61,4 @@
         usual.sendall(request("usual", "advice", USUAL_TIMEOUT_MS))
     usual.settimeout(USUAL_TIMEOUT_MS / 1000 + SLACK_S)
     assert read_answer(usual) == (200, SERVED)
-    assert program.counters()["longest_turn_us"] < SLACK_S * 1e6
+    assert program.counters()["longest_tick_us"] < SLACK_S * 1e6
