Review cases: run the chat API without its extra, by a stand-in for xxhash

Cause: the cases are run after the deploy file's build alone, without a network, and that build leaves out the one library of the extra [chat] that the chat API's process imports. Change: review/fallback has a checksum in its place, used only where it is missing.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import importlib.util
 import json
 import os
 import pathlib
@@ -352,6 +353,13 @@
         self._folder.cleanup()
 
 
+def _library_path() -> dict[str, str]:
+    """Return what the chat API's process needs in its environment if the extra [chat] is not installed."""
+    if importlib.util.find_spec("xxhash"):
+        return {}
+    return {"PYTHONPATH": str(ROOT / "review" / "fallback")}
+
+
 class ChatDispatcher(Dispatcher):
     """The chat API's dispatcher as a process: the `run` command of the deploy file, with the operator's file.
 
@@ -359,7 +367,7 @@
     """
 
     def __init__(self, replicas: list[str], budgets: bool = False) -> None:
-        super().__init__("127.0.0.1:1", {})
+        super().__init__("127.0.0.1:1", {}, environ=_library_path())
         chat = (ROOT / "deploy/chat.toml").read_text()
         chat = chat.replace('listen = "127.0.0.1:8090"', f'listen = "{self.address}"')
         for number, replica in enumerate(replicas, 1):
