Reject an id that comes again after its booking may have been executed

Cause: PlatformFrontEnd.open_ids held ids of requests without a final answer. A client that leaves, or an answer of any kind, freed the id at once, and nothing else knew that an attempt of that request may have been executed: retry_denial asks only the attempts of the same request.

An id is recorded right before the first byte of an attempt that executes a request which may not be repeated, and the record is revoked at the end of a request whose attempts are all proved not to have been executed. The protocol gives each request a fresh id.

--- a/pearhill/core/attempt_lifecycle.py
+++ b/pearhill/core/attempt_lifecycle.py
@@ -12,6 +12,7 @@
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.endpoint_list import EndpointList
 from pearhill.core.request import Attempt, Request
+from pearhill.core.request_ids import RequestIds
 from pearhill.core.request_lifecycle import RequestLifecycle
 from pearhill.core.request_log import log_attempt_ended, log_state, log_unconfirmed_fetch
 from pearhill.counters import Counters
@@ -19,6 +20,7 @@
 from pearhill.routing.events import AttemptEnded, Event, ResponseStarted
 from pearhill.routing.outcomes import NOT_EXECUTED, Outcome
 from pearhill.routing.permissions import Denied, Execution, attempt_denial, retry_denial, send_denial
+from pearhill.routing.settings import Idempotency
 from pearhill.routing.topology import Role
 from pearhill.settings import Deployment
 
@@ -39,6 +41,7 @@
         requests: RequestLifecycle,
         backend: Callable[[], Backend],
         feed: Callable[[Event], None],
+        request_ids: RequestIds,
     ) -> None:
         self.deployment = deployment
         self.deadlines = deadlines
@@ -48,6 +51,7 @@
         self._requests = requests
         self._backend = backend
         self._feed = feed
+        self._request_ids = request_ids
 
     # Calls for the router's actions.
 
@@ -114,6 +118,11 @@
             return False
         return self.deployment.router.kinds[attempt.endpoint.kind].role != Role.PREFILL
 
+    def _must_not_repeat(self, attempt: Attempt) -> bool:
+        """Return whether the replica executes the request, and another execution would not be harmless."""
+        request_class = self.deployment.router.classes[attempt.request.request_class]
+        return request_class.idempotency != Idempotency.IDEMPOTENT and self._has_effect(attempt)
+
     def _end_denied(self, attempt: Attempt) -> None:
         """End an attempt that was denied.
 
@@ -139,7 +148,11 @@
             self._requests.handle_disconnect(attempt.request)
         if send_denial(self._clock(), attempt.send_before):
             self.withdraw(attempt)
-        return not attempt.ended
+        if attempt.ended:
+            return False
+        if self._must_not_repeat(attempt):
+            self._request_ids.record_execution(attempt.request.id)
+        return True
 
     def withdraw(self, attempt: Attempt) -> None:
         """End an attempt that may no longer be written.
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -19,6 +19,7 @@
 from pearhill.core.endpoint_list import EndpointList
 from pearhill.core.event_queue import EventQueue
 from pearhill.core.request import Request, RequestSpec
+from pearhill.core.request_ids import ClaimResult, RequestIds
 from pearhill.core.request_lifecycle import TOO_MANY_OPEN, RequestLifecycle
 from pearhill.counters import Counters
 from pearhill.load_reports.load_aware_router import LoadAwareRouter
@@ -57,7 +58,10 @@
         self._events = EventQueue(self.router, self.clock, counters, self._perform)
         self._endpoints = EndpointList()
         self._health_checks_sent_at: dict[int, int] = {}  # by replica: when its health check in flight was sent
-        self._requests = RequestLifecycle(deployment, deadlines, counters, self._required_backend, self._events.feed)
+        self._request_ids = RequestIds()
+        self._requests = RequestLifecycle(
+            deployment, deadlines, counters, self._required_backend, self._events.feed, self._request_ids
+        )
         self._attempts = AttemptLifecycle(
             deployment,
             deadlines,
@@ -66,6 +70,7 @@
             self._requests,
             self._required_backend,
             self._events.feed,
+            self._request_ids,
         )
         self.requests = self._requests.open_requests
         self.calls_by_class = self._requests.calls_by_class
@@ -91,6 +96,11 @@
 
     # Calls from a front end.
 
+    def claim_id(self, spec: RequestSpec) -> ClaimResult:
+        """Claim the id of a request, which `accept` must follow at once if it is granted. The end of the request
+        releases it. A front end whose clients give their requests no ids does not call this."""
+        return self._request_ids.claim(spec.id)
+
     def accept(self, spec: RequestSpec, client: Client, payload: Any, arrived: int | None = None) -> Request:
         """Accept a request. Its deadline runs from `arrived`, the time of its last byte; None means now."""
         return self._requests.accept(spec, client, payload, arrived)
--- a/pearhill/core/request_lifecycle.py
+++ b/pearhill/core/request_lifecycle.py
@@ -10,6 +10,7 @@
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.event_queue import FeedEvent
 from pearhill.core.request import Attempt, Request, RequestSpec
+from pearhill.core.request_ids import RequestIds
 from pearhill.core.request_log import log_incomplete_answer, log_missed_deadline, log_state, log_violation
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
 from pearhill.routing.events import ClientDisconnected, RequestArrived
@@ -38,6 +39,7 @@
         counters: Counters,
         backend: Callable[[], Backend],
         feed: FeedEvent,
+        request_ids: RequestIds,
     ) -> None:
         self.deployment = deployment
         self.open_requests: dict[int, Request] = {}
@@ -48,6 +50,7 @@
         self._counters = counters
         self._backend = backend
         self._feed = feed
+        self._request_ids = request_ids
         self._next_number = 1
 
     def accept(self, spec: RequestSpec, client: Client, payload: Any, arrived: int | None) -> Request:
@@ -61,7 +64,7 @@
         self.inflight += 1
         if deadline <= now:  # It waited too long after it was read; an answer would come too late.
             self.reject(request, 0, EXPIRED)
-            del self.open_requests[request.number]
+            self._remove(request)
             return request
         request.deadline_timer = self._deadlines.schedule_at(deadline, lambda: self._deadline_exceeded(request))
         self._feed(_arrival(request.number, spec, max(1, deadline - now)), now)
@@ -158,10 +161,14 @@
         request = self.open_requests.get(number)
         if request is None or not request.answered or request.current_attempt is not None:
             return
-        del self.open_requests[number]
+        self._remove(request)
         if request.state_holders:  # However the request ended, no replica may keep holding its state.
             self.release(request)
 
+    def _remove(self, request: Request) -> None:
+        del self.open_requests[request.number]
+        self._request_ids.release(request.id, may_have_executed=request.execution is not None)
+
     def _finish(self, request: Request, result: str) -> None:
         self._mark_ended(request)
         self._count_result(request.request_class, result)
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -9,6 +9,7 @@
 
 from pearhill.core.dispatcher import Dispatcher
 from pearhill.core.request import Request, RequestSpec
+from pearhill.core.request_ids import ClaimResult
 from pearhill.http1.handler import Pending, Reply
 from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.platform.request_parser import BadRequestError, RequestParser
@@ -19,6 +20,10 @@
 ALLOWED_METHODS = {COMPLETIONS_PATH: "POST", READY_PATH: "GET", COUNTERS_PATH: "GET"}
 TEXT_HEADERS: Headers = (("Content-Type", "text/plain"),)
 JSON_HEADERS: Headers = (("Content-Type", "application/json"),)
+REPEATED_ID_BODIES = {
+    ClaimResult.OPEN: b"a request with this Request-Id is open\n",
+    ClaimResult.MAY_HAVE_EXECUTED: b"a request with this Request-Id may have been executed\n",
+}
 EVENT_STREAM_HEADERS: Headers = (("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"))
 
 
@@ -40,19 +45,17 @@
 
 
 class PlatformClient:
-    """The core's interface to one client of the platform. `on_end` is called when its request has ended."""
+    """The core's interface to one client of the platform."""
 
-    def __init__(self, dispatcher: Dispatcher, reply: Reply, on_end: Callable[[], None]) -> None:
+    def __init__(self, dispatcher: Dispatcher, reply: Reply) -> None:
         self.dispatcher = dispatcher
         self.reply = reply
-        self.on_end = on_end
         self.request: Request | None = None
         self.started = False
 
     def _end(self) -> None:
         """Drop the request, which refers to this client: both, and the body, would wait for the garbage collector."""
         self.request = None
-        self.on_end()
 
     def reject(self, retry_after: int) -> None:
         """Answer that nothing was executed. `retry_after` is in microseconds."""
@@ -113,7 +116,6 @@
         self.dispatcher = dispatcher
         self.is_ready = is_ready
         self.rejects_arrival_at = rejects_arrival_at
-        self.open_ids: set[str] = set()
         self._parser = RequestParser(dispatcher.deployment.class_names, dispatcher.deployment.tenant_names)
 
     def handle(self, message: RequestMessage, reply: Reply) -> Pending | None:
@@ -158,20 +160,14 @@
             return None
         if self._reject_inadmissible(spec, message.arrived, reply):
             return None
-        request_id = spec.id
-        self.open_ids.add(request_id)
-        client = PlatformClient(self.dispatcher, reply, lambda: self.open_ids.discard(request_id))
-        request = self.dispatcher.accept(spec, client, _payload(request_id, message), message.arrived)
+        client = PlatformClient(self.dispatcher, reply)
+        request = self.dispatcher.accept(spec, client, _payload(spec.id, message), message.arrived)
         client.request = None if request.answered else request
         return client
 
     def _reject_inadmissible(self, spec: RequestSpec, arrived: int | None, reply: Reply) -> bool:
         """Reject a request that may not be begun. Returns whether it has been rejected."""
         dispatcher = self.dispatcher
-        if spec.id in self.open_ids:  # a replica could not distinguish two requests with the same id
-            dispatcher.counters.rejected += 1
-            reply.reject(409, TEXT_HEADERS, b"a request with this Request-Id is open\n")
-            return True
         if len(dispatcher.requests) >= dispatcher.deployment.max_open_requests:
             dispatcher.record_rejection(spec.request_class)
             retry_after = retry_after_headers(dispatcher.deployment.router.max_retry_after)
@@ -181,7 +177,17 @@
             dispatcher.record_rejection(spec.request_class, "ending")
             reply.answer(503, TEXT_HEADERS, b"this process ends: trying again elsewhere is harmless\n")
             return True
-        return False
+        return self._reject_repeated_id(spec, reply)
+
+    def _reject_repeated_id(self, spec: RequestSpec, reply: Reply) -> bool:
+        """Claim the id of a request. Returns whether the request has been rejected for its id."""
+        dispatcher = self.dispatcher
+        claim = dispatcher.claim_id(spec)
+        if claim is ClaimResult.GRANTED:
+            return False
+        dispatcher.counters.rejected += 1
+        reply.reject(409, TEXT_HEADERS, REPEATED_ID_BODIES[claim])
+        return True
 
 
 def _payload(request_id: str, message: RequestMessage) -> Payload:
