Let both processes of an upgrade know each other's request ids

Cause: each process knew only the ids that it had open itself. Ids in the takeover messages would leave a gap of 0.1 s or more, in which both processes take requests.

Where the system cannot lock, what may not be repeated gets 503.

--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -37,6 +37,7 @@
 )
 from pearhill.routing.events import EndpointsUpdated, Event, HealthCheckEnded, ReportedLoad, TimerFired
 from pearhill.routing.outcomes import Outcome
+from pearhill.routing.settings import Idempotency
 from pearhill.routing.topology import Endpoint
 from pearhill.settings import Deployment
 
@@ -48,7 +49,14 @@
     how requests ended.
     """
 
-    def __init__(self, deployment: Deployment, seed: int, deadlines: Deadlines, counters: Counters) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        deadlines: Deadlines,
+        counters: Counters,
+        request_ids: RequestIds | None = None,
+    ) -> None:
         self.deployment = deployment
         self.deadlines = deadlines
         self.counters = counters
@@ -58,7 +66,7 @@
         self._events = EventQueue(self.router, self.clock, counters, self._perform)
         self._endpoints = EndpointList()
         self._health_checks_sent_at: dict[int, int] = {}  # by replica: when its health check in flight was sent
-        self._request_ids = RequestIds()
+        self._request_ids = request_ids or RequestIds()
         self._requests = RequestLifecycle(
             deployment, deadlines, counters, self._required_backend, self._events.feed, self._request_ids
         )
@@ -99,7 +107,8 @@
     def claim_id(self, spec: RequestSpec) -> ClaimResult:
         """Claim the id of a request, which `accept` must follow at once if it is granted. The end of the request
         releases it. A front end whose clients give their requests no ids does not call this."""
-        return self._request_ids.claim(spec.id)
+        request_class = self.deployment.router.classes[spec.request_class]
+        return self._request_ids.claim(spec.id, request_class.idempotency == Idempotency.IDEMPOTENT)
 
     def accept(self, spec: RequestSpec, client: Client, payload: Any, arrived: int | None = None) -> Request:
         """Accept a request. Its deadline runs from `arrived`, the time of its last byte; None means now."""
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -13,6 +13,7 @@
 from pearhill.config import ConfigError
 from pearhill.core.deadlines import Deadlines
 from pearhill.core.dispatcher import Dispatcher
+from pearhill.core.request_ids import RequestIds
 from pearhill.counters import Counters, Figures
 from pearhill.http1.handler import Handler
 from pearhill.lifecycle.drain import Drain
@@ -56,7 +57,9 @@
     `on_report` is called when the counters are logged.
     """
 
-    def __init__(self, deployment: Deployment, dialect: Dialect, limits: Limits) -> None:
+    def __init__(
+        self, deployment: Deployment, dialect: Dialect, limits: Limits, request_ids: RequestIds | None = None
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.loop = loop
         self.counters = Counters()
@@ -80,7 +83,7 @@
             reserved_connections=MAINTENANCE_DESCRIPTORS,
             tick_meter=self.tick_meter,
         )
-        self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters)
+        self.dispatcher = Dispatcher(deployment, limits.seed, self.deadlines, self.counters, request_ids)
         self.response_memory = MemoryLimit(limits.response_memory_bytes(1), self.connection_limit)
         self.backend = HttpBackend(
             self.pool, dialect, self.dispatcher.health_check_ended, response_memory=self.response_memory
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -5,12 +5,17 @@
 import random
 from collections.abc import Callable
 
+from loguru import logger
+
 from pearhill.admin.endpoint import AdminEndpoint
 from pearhill.config import Config, for_next_start
+from pearhill.core.request_ids import RequestIds
+from pearhill.durable.request_id_file import RequestIdFile
 from pearhill.net.listener import inherited_socket
 from pearhill.node.limits import Limits
 from pearhill.node.node import Node
 from pearhill.node.operations import Operations
+from pearhill.node.process_info import boot_id
 from pearhill.node.takeover import TakeoverTask
 from pearhill.platform.discovery import Watch
 from pearhill.platform.front import PlatformFrontEnd
@@ -47,6 +52,7 @@
                 has_admin_endpoint=config.admin is not None,
                 memory_mb=config.memory_mb,
             ),
+            _shared_request_ids(config),
         )
         self.schedule = _schedule(config)
         self.watch = Watch(
@@ -127,6 +133,17 @@
         return f"discovery at {new.discovery[0]}:{new.discovery[1]}{_changes_for_next_start(old, new)}"
 
 
+def _shared_request_ids(config: Config) -> RequestIds | None:
+    """Return the ids that this process shares with the other one of a takeover, or None if there can be no other."""
+    if config.passed_socket is None or not config.message_folder:
+        return None
+    try:
+        return RequestIdFile(config.message_folder, config.name, boot_id()).request_ids()
+    except OSError as e:
+        logger.warning("upgrade: request ids cannot be shared, so this process knows only its own: {e}", e=e)
+        return None
+
+
 def _schedule(config: Config) -> CallSchedule:
     """Return the schedule of the calls to discovery.
 
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -20,6 +20,7 @@
 ALLOWED_METHODS = {COMPLETIONS_PATH: "POST", READY_PATH: "GET", COUNTERS_PATH: "GET"}
 TEXT_HEADERS: Headers = (("Content-Type", "text/plain"),)
 JSON_HEADERS: Headers = (("Content-Type", "application/json"),)
+ID_UNKNOWN = "id-unknown"  # reason code, counted under `refusals`
 REPEATED_ID_BODIES = {
     ClaimResult.OPEN: b"a request with this Request-Id is open\n",
     ClaimResult.MAY_HAVE_EXECUTED: b"a request with this Request-Id may have been executed\n",
@@ -185,6 +186,11 @@
         claim = dispatcher.claim_id(spec)
         if claim is ClaimResult.GRANTED:
             return False
+        if claim is ClaimResult.UNKNOWN:
+            dispatcher.record_rejection(spec.request_class, ID_UNKNOWN)
+            retry_after = retry_after_headers(dispatcher.deployment.router.max_retry_after)
+            reply.answer(503, (*TEXT_HEADERS, *retry_after), b"refused: trying again is harmless\n")
+            return True
         dispatcher.counters.rejected += 1
         reply.reject(409, TEXT_HEADERS, REPEATED_ID_BODIES[claim])
         return True
