Read requests in very many small parts after usual ones

Causes: (1) the input scheduler told short requests from long ones by bytes, but a field costs as much as hundreds of bytes of a body; a usual request waited for a step of 2 ms of each other client. (2) A connection with unread input was never closed for another, so usual clients waited in the accept queue until the others were read to their end or timed out.

Change: input is measured by its bytes plus 256 for each field and chunk; of long requests those that have cost least go first, by levels, and an incomplete head is read 1 KiB at a time. A request in 200 or more parts of less than 16 bytes in the mean is rejected with 503 when places run out, before any idle connection is closed. While there is room it is read and answered as before.

tests/net: a stand-in scheduler takes the new argument, and a constant has a new name; their checks are as they were.

--- a/pearhill/http1/server.py
+++ b/pearhill/http1/server.py
@@ -45,13 +45,15 @@
 class ServerConnection:
     """Parses the requests on one connection. After a `Rejected` event it is `broken` and ignores further bytes.
 
-    `in_message`: whether a request has begun and is incomplete.
+    `in_message`: whether a request has begun and is incomplete. `parts`: of how many header fields and chunks its
+    received part consists; 0 if there is none.
     """
 
     def __init__(self, max_body: int = MAX_BODY) -> None:
         self.max_body = max_body
         self.in_message = False
         self.broken = False
+        self.parts = 0
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[Event] = []
         # The exception itself is not stored: it would keep its frames alive, and with them the buffers of the callers.
@@ -65,10 +67,15 @@
         self._framing = FramingMeter(CHUNK_FRAMING_BYTES)  # extensions of all chunks are limited (RFC 9112, 7.1.1)
         self._head_complete = False
 
+    @property
+    def head_complete(self) -> bool:
+        """Whether a request is incomplete and its head is complete."""
+        return self.in_message and self._head_complete
+
     @property
     def in_body(self) -> bool:
         """Whether a request is incomplete, its head is complete, and it is not being discarded."""
-        return self.in_message and self._head_complete and not self._discarding
+        return self.head_complete and not self._discarding
 
     @property
     def partial_bytes(self) -> int:
@@ -120,6 +127,7 @@
 
     def _drop_message(self) -> None:
         self.in_message = False
+        self.parts = 0
         self._message = RequestMessage("", "")
         self._body = bytearray()
 
@@ -150,6 +158,7 @@
         self._head_size = 0
         self._framing.start_message()
         self._head_complete = False
+        self.parts = 0
         self.in_message = True
 
     def on_url(self, url: bytes) -> None:
@@ -159,6 +168,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header. A trailer is ignored: it must not be mistaken for a header of the head."""
+        self.parts += 1
         self._count_head(len(name) + len(value) + HEADER_SEPARATORS)
         if not self._head_complete:
             add_header(self._message.headers, name.decode("latin-1").lower(), value.decode("latin-1").strip())
@@ -204,6 +214,7 @@
 
     def on_chunk_complete(self) -> None:
         """Handle the end of a chunk."""
+        self.parts += 1
         if self._body_size > self._body_size_at_chunk:
             self._body_size_at_chunk = self._body_size
             self._framing.add_chunk()
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -57,7 +57,7 @@
         if self.last_answer_given:
             return ConnectionState.FINISHED
         if self.intake.in_message:
-            return ConnectionState.PARTIAL_REQUEST
+            return ConnectionState.FRAGMENTED_REQUEST if self.intake.fragmented else ConnectionState.PARTIAL_REQUEST
         return ConnectionState.IDLE if self.requests else ConnectionState.UNUSED
 
     @property
@@ -65,7 +65,7 @@
         """Whether the connection may be closed so that another can be accepted."""
         state = self.state
         unread = False
-        if state not in (ConnectionState.FINISHED, ConnectionState.ANSWERING):  # only where the system call matters
+        if state in (ConnectionState.UNUSED, ConnectionState.IDLE, ConnectionState.PARTIAL_REQUEST):
             unread = peek_unread_input(self.sock) != UnreadInput.NONE
         return may_close(state, unread, self.owner.deadlines.clock() - self.state_since)
 
@@ -211,11 +211,17 @@
         headers, body = self.owner.handler.rejection_response(message.status, message.reason)
         self.reject(message.status, headers, body)
 
-    def reject_partial_request(self) -> None:
-        """Reject a partly read request, because the process exits before the rest may arrive. It was not executed."""
-        self.intake.waiting.append(Rejected(503, "this process ends: trying again elsewhere is harmless"))
+    def reject_partial_request(self, reason: str) -> None:
+        """Reject a partly read request, whose rest is not waited for. It was not executed."""
+        self.intake.waiting.append(Rejected(503, reason))
         self._advance()
 
+    def close_for_room(self) -> None:
+        """Close the connection so that another can be accepted. `may_close` has to hold."""
+        if self.state == ConnectionState.FRAGMENTED_REQUEST:
+            self.reject_partial_request("too many open: trying again is harmless")
+        self.close("room-needed")
+
     # Timeouts.
 
     def _set_timer(self) -> None:
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -101,7 +101,8 @@
             while not self.closed:
                 if await reader.wait_readable():
                     self.intake.readable_since = self.owner.deadlines.clock()
-                await self.owner.input_scheduler.run(self._read_step, self.intake.input_length)
+                intake = self.intake
+                await self.owner.input_scheduler.run(self._read_step, intake.input_length, intake.input_cost)
         finally:
             reader.close()
             self.close("reader-failed")
--- a/pearhill/net/eviction.py
+++ b/pearhill/net/eviction.py
@@ -43,8 +43,9 @@
 
     def evict(self, max_connections: int) -> bool:
         """Close some connections, and return whether any was closed. The order is that of `ConnectionState`: first
-        those that have had their last answer; then those that never sent a request, hundreds of which would block all
-        other clients; then the one that has been idle longest; and last, one with a partial request."""
+        those that have had their last answer; then those with a request in very many small parts, and those that never
+        sent a request, hundreds of which would block all other clients; then the one that has been idle longest; and
+        last, one with a partial request."""
         # In a flood of clients that stay connected, a scan of all connections at each accept used most of a CPU core.
         # So the result of one scan is used for several of the accepts that follow, as far as it is still valid.
         closed = 0
@@ -62,7 +63,7 @@
         while self._candidates and closed < self._candidates[0].batch:
             candidate = self._candidates.popleft()
             if candidate.unchanged:
-                candidate.connection.close("room-needed")
+                candidate.connection.close_for_room()
                 closed += 1
         return closed
 
@@ -75,6 +76,7 @@
         batch_size = max(2, min(MAX_BATCH, max_connections // 8))  # where a close costs little
         batches = (
             (ConnectionState.FINISHED, batch_size),
+            (ConnectionState.FRAGMENTED_REQUEST, batch_size),
             (ConnectionState.UNUSED, batch_size),
             (ConnectionState.IDLE, 1),
             (ConnectionState.PARTIAL_REQUEST, 1),
--- a/pearhill/net/input_scheduler.py
+++ b/pearhill/net/input_scheduler.py
@@ -2,9 +2,9 @@
 
 Deadlines, replicas' streams and answers have no queue: they run in every tick. Clients' input runs while the tick's
 time for it lasts, and otherwise waits for a later tick. Of what waits, short requests go first, in order: most clients
-send them, and they need little. Long requests get the rest of the tick's time, and at least one step in each tick, so
-that short ones do not starve them (foreground-background scheduling: Nuyens, Wierman, "The Foreground-Background Queue:
-A Survey", 2008).
+send them, and they need little. Long requests get the rest of the tick's time, those first that have cost least so far
+(foreground-background scheduling: Nuyens, Wierman, "The Foreground-Background Queue: A Survey", 2008). Each level of
+cost gets at least one step in each tick, so that shorter requests do not starve it.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import asyncio
 import enum
 import time
+from bisect import bisect
 from collections import deque
 from collections.abc import Callable
 from typing import TypeVar
@@ -20,6 +21,10 @@
 Step = Callable[[], None]
 INPUT_S_PER_TICK = 0.002  # after which no further step begins
 LONG_REQUEST_BYTES = 16 * 1024  # received of a request, beyond which it is a long one
+PART_COST_BYTES = 256  # bytes of a body that take as long to read as one header field, or one chunk's framing
+# The levels of long requests end at these costs, in bytes of a body: the first holds most prompts, the second all
+# bodies that are sent in parts of usual size, and what is beyond consists of very small parts.
+LEVEL_COSTS = (64 * 1024, 512 * 1024)
 
 
 class InputLength(enum.Enum):
@@ -30,7 +35,7 @@
 
 
 def input_length(size: int) -> InputLength:
-    """Return the length of a request of which `size` bytes have been received."""
+    """Return the length of a request whose input has cost as much as `size` bytes of a body."""
     return InputLength.LONG if size > LONG_REQUEST_BYTES else InputLength.SHORT
 
 
@@ -41,21 +46,24 @@
         self._loop = loop
         self._clock = clock
         self._short = deque[Step]()
-        self._long = deque[Step]()
+        self._long = [deque[Step]() for _ in range(len(LEVEL_COSTS) + 1)]  # by level
         self._spent_s = 0.0  # in this tick
         self._running = False  # a step
         self._tick_scheduled = False
 
-    def submit(self, step: Step, length: InputLength) -> None:
-        """Run a step in this tick or, in its order, in a later one. What a step submits itself is a part of it."""
+    def submit(self, step: Step, length: InputLength, cost: int = 0) -> None:
+        """Run a step in this tick or, in its order, in a later one. What a step submits itself is a part of it.
+
+        `cost`: of the request's input up to now, in bytes of a body.
+        """
         if self._running:
             step()
         elif self._may_run_now(length):
             self._run_timed(step)
         else:
-            self._enqueue(step, length)
+            self._enqueue(step, length, cost)
 
-    async def run(self, work: Callable[[], T], length: InputLength) -> T:
+    async def run(self, work: Callable[[], T], length: InputLength, cost: int = 0) -> T:
         """Run a step as `submit` does, and return its result. If the caller is cancelled before the step began, it
         is not run."""
         if self._may_run_now(length):
@@ -75,16 +83,16 @@
             if not result.done():
                 result.set_result(value)
 
-        self._enqueue(step, length)
+        self._enqueue(step, length, cost)
         return await result
 
     def _may_run_now(self, length: InputLength) -> bool:
         if self._short or self._spent_s >= INPUT_S_PER_TICK:
             return False
-        return length is InputLength.SHORT or not self._long
+        return length is InputLength.SHORT or not any(self._long)
 
-    def _enqueue(self, step: Step, length: InputLength) -> None:
-        queue = self._short if length is InputLength.SHORT else self._long
+    def _enqueue(self, step: Step, length: InputLength, cost: int) -> None:
+        queue = self._short if length is InputLength.SHORT else self._long[bisect(LEVEL_COSTS, cost)]
         queue.append(step)
         self._schedule_tick()
 
@@ -107,11 +115,15 @@
     def _begin_tick(self) -> None:
         self._tick_scheduled = False
         self._spent_s = 0.0
-        if self._short or self._long:
+        if self._short or any(self._long):
             self._schedule_tick()
-        while self._short and self._spent_s < INPUT_S_PER_TICK:
-            self._run_timed(self._short.popleft())
-        if self._long:
-            self._run_timed(self._long.popleft())
-        while self._long and self._spent_s < INPUT_S_PER_TICK:
-            self._run_timed(self._long.popleft())
+        self._run_while_time_lasts(self._short)
+        for queue in self._long:
+            if queue:
+                self._run_timed(queue.popleft())
+        for queue in self._long:
+            self._run_while_time_lasts(queue)
+
+    def _run_while_time_lasts(self, queue: deque[Step]) -> None:
+        while queue and self._spent_s < INPUT_S_PER_TICK:
+            self._run_timed(queue.popleft())
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -237,8 +237,8 @@
     def reject_partial_requests(self) -> None:
         """Reject each request that is incomplete, and close its connection."""
         for connection in list(self.connections):
-            if connection.state == ConnectionState.PARTIAL_REQUEST:
-                connection.reject_partial_request()
+            if connection.state in (ConnectionState.PARTIAL_REQUEST, ConnectionState.FRAGMENTED_REQUEST):
+                connection.reject_partial_request("this process ends: trying again elsewhere is harmless")
 
     def stop_accepting(self, leave_queue: bool = False) -> None:
         """Close the listening socket. `leave_queue` leaves the clients in the accept queue to another process that
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -9,11 +9,14 @@
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import ContinueExpected, Discarded, Rejected, ServerConnection
 from pearhill.net.accept_queue import accept_queue_wait_us
-from pearhill.net.input_scheduler import InputLength, input_length
+from pearhill.net.input_scheduler import PART_COST_BYTES, InputLength, input_length
 from pearhill.net.socket_reader import SocketReader
 
-FIRST_READ_BYTES = 2 * 1024  # maximum size of a read while no request is incomplete
-READ_BYTES = 8 * 1024  # maximum size of a read that continues a request: one step of the input scheduler
+# Maximum sizes of one read, which is one step of the input scheduler. A head may consist of very small fields.
+HEAD_READ_BYTES = 1024
+READ_BYTES = 8 * 1024
+MANY_PARTS = 200  # header fields and chunks of one request; usual ones have some tens
+SMALL_PART_BYTES = 16  # the mean size of a part, below which these take most of the time of reading
 KEPT_HEAD_BYTES = 4 * 1024  # memory of an incomplete head, up to which it is not discarded
 MAX_PIPELINED_REQUESTS = 4  # queued on one connection behind the one being answered, with body bytes of one at most
 
@@ -49,7 +52,18 @@
     @property
     def input_length(self) -> InputLength:
         """How much of a request the next read continues."""
-        return input_length(self._received_bytes)
+        return input_length(self.input_cost)
+
+    @property
+    def input_cost(self) -> int:
+        """What it has cost to read the incomplete request up to now, in bytes of a body; 0 if there is none."""
+        return self._received_bytes + self._parser.parts * PART_COST_BYTES
+
+    @property
+    def fragmented(self) -> bool:
+        """Whether the incomplete request has come in very many, very small parts."""
+        parts = self._parser.parts
+        return parts >= MANY_PARTS and self._received_bytes < parts * SMALL_PART_BYTES
 
     @property
     def next_length(self) -> InputLength:
@@ -104,7 +118,7 @@
 
     def limit_read(self, buffer: memoryview) -> memoryview:
         """Return the part of a buffer of READ_BYTES that the next read may fill."""
-        return buffer if self._parser.in_message else buffer[:FIRST_READ_BYTES]
+        return buffer if self._parser.head_complete else buffer[:HEAD_READ_BYTES]
 
     def feed(self, data: memoryview, answering: bool, send_continue: Callable[[], None]) -> None:
         """Parse bytes, and add complete and rejected requests to `waiting`. `answering` is set while a request is being
--- a/pearhill/routing/permissions.py
+++ b/pearhill/routing/permissions.py
@@ -82,10 +82,11 @@
     """The state of a client's connection, in the order in which connections are closed to free capacity for others."""
 
     FINISHED = 0  # its last answer has been sent
-    UNUSED = 1  # no request has been received on it yet
-    IDLE = 2  # between two requests
-    PARTIAL_REQUEST = 3  # a request has begun and is not complete
-    ANSWERING = 4  # a request is being answered
+    FRAGMENTED_REQUEST = 1  # a request has begun in very many, very small parts, and is not complete
+    UNUSED = 2  # no request has been received on it yet
+    IDLE = 3  # between two requests
+    PARTIAL_REQUEST = 4  # a request has begun and is not complete
+    ANSWERING = 5  # a request is being answered
 
 
 PARTIAL_REQUEST_GRACE_US = 1_000_000  # time for which the rest of a partial request is assumed to be in transit
@@ -95,9 +96,10 @@
     """Return whether a connection may be closed to free its place for another.
 
     `unread` tells whether received bytes have not been read yet. `age` is the time since its current state began, in
-    microseconds. Closing a connection loses a request that was read, even in part.
+    microseconds. Closing a connection loses a request that was read, even in part. One in very many small parts is
+    rejected before, whether the rest of it has been received or not: reading it may take longer than many others.
     """
-    if state == ConnectionState.FINISHED:
+    if state in (ConnectionState.FINISHED, ConnectionState.FRAGMENTED_REQUEST):
         return True
     if state == ConnectionState.ANSWERING or unread:
         return False
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -142,7 +142,7 @@
         self.waiting = asyncio.Event()
         self.released = asyncio.Event()
 
-    async def run(self, work: Callable[[], T], length: InputLength) -> T:
+    async def run(self, work: Callable[[], T], length: InputLength, cost: int = 0) -> T:
         self.waiting.set()
         await self.released.wait()
         return work()
--- a/tests/net/test_input_scheduler.py
+++ b/tests/net/test_input_scheduler.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pearhill.net.input_scheduler import INPUT_S_PER_TICK, InputLength, InputScheduler
+from pearhill.net.input_scheduler import INPUT_S_PER_TICK, LEVEL_COSTS, InputLength, InputScheduler
 from tests.net.loops import UvloopTestCase
 
 STEPS_PER_TICK = 4
@@ -29,8 +29,8 @@
         self.now_s += seconds
         return name
 
-    def start(self, name: str, length: InputLength, seconds: float = STEP_S) -> asyncio.Task[str]:
-        return self.loop.create_task(self.scheduler.run(lambda: self.step(name, seconds), length))
+    def start(self, name: str, length: InputLength, seconds: float = STEP_S, cost: int = 0) -> asyncio.Task[str]:
+        return self.loop.create_task(self.scheduler.run(lambda: self.step(name, seconds), length, cost))
 
     async def run_ticks(self, *tasks: asyncio.Task[str]) -> None:
         """Count ticks until the tasks are done."""
@@ -78,6 +78,26 @@
         assert all(task.done() for task in long_tasks)
         await self.run_ticks(*short_tasks)
 
+    async def test_of_long_requests_those_that_have_cost_less_go_before_those_that_have_cost_much(self) -> None:
+        tasks = [self.start(f"costly {number}", LONG, cost=LEVEL_COSTS[-1]) for number in range(40)]
+        await asyncio.sleep(0)
+        tasks += [self.start(f"usual {number}", LONG, cost=LEVEL_COSTS[0] - 1) for number in range(8)]
+        await self.run_ticks(*tasks)
+        order = [name for name, _ in self.ran]
+        began = order.index("usual 0")
+        assert began <= 2 * STEPS_PER_TICK
+        assert [name.split()[0] for name in order[began : began + 12]].count("usual") == 8
+
+    async def test_each_level_of_cost_goes_on_while_shorter_requests_never_end(self) -> None:
+        costs = (0, *LEVEL_COSTS)
+        long_tasks = [self.start(f"long {cost}", LONG, cost=cost) for cost in costs for _ in range(5)]
+        short_tasks: list[asyncio.Task[str]] = []
+        for number in range(20):
+            short_tasks += [self.start(f"short {number}-{more}", SHORT) for more in range(8)]
+            await asyncio.sleep(0)
+        assert all(task.done() for task in long_tasks)
+        await self.run_ticks(*short_tasks)
+
     async def test_a_cancelled_step_runs_nothing(self) -> None:
         first = self.start("first", SHORT, seconds=1.0)
         waiting = self.start("waiting", SHORT)
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -11,6 +11,8 @@
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
+from pearhill.http1.handler import Reply
+from pearhill.http1.messages import Headers, RequestMessage
 from pearhill.net.clock import start_clock
 from pearhill.net.listener import Listener
 from pearhill.net.ticks import EventLoopTicks
@@ -19,6 +21,19 @@
 FLOOD = 400  # clients that connect one after the other
 
 
+class Rejecting:
+    """A handler that rejects everything."""
+
+    def handle(self, message: RequestMessage, reply: Reply) -> None:
+        reply.answer(400)
+
+    def rejection_response(self, status: int, reason: str) -> tuple[Headers, bytes]:
+        return (), reason.encode()
+
+    def overload_response(self) -> tuple[Headers, bytes]:
+        return (), b""
+
+
 class TestListener(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         loop = asyncio.get_running_loop()
@@ -130,6 +145,23 @@
         with pytest.raises(BlockingIOError):
             partial.recv(1)
 
+    async def test_a_request_in_many_small_parts_is_rejected_when_its_place_is_needed(self) -> None:
+        """Guards against picture (b) of the second review: such requests kept their places until their timeout, and
+        usual clients waited in the accept queue. The idle client keeps its connection."""
+        self.listener.handler = Rejecting()
+        fragmented, idle = await self.connect(2)
+        idle.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        fragmented.sendall(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 4_000)
+        while not any(connection.intake.fragmented for connection in self.listener.connections):
+            await asyncio.sleep(0)
+        self.listener.set_max_connections(2)
+        (usual,) = await self.connect(1)
+        assert fragmented.recv(4096).startswith(b"HTTP/1.1 503")
+        assert idle.recv(4096).startswith(b"HTTP/1.1 400")
+        for client in (idle, usual):
+            with pytest.raises(BlockingIOError):
+                client.recv(1)
+
     async def test_a_client_with_an_unread_request_is_not_disconnected_at_its_timeout(self) -> None:
         """The request arrived just before its timeout, and the event loop had not read it yet."""
         (client,) = await self.connect(1)
--- a/tests/net/test_request_intake.py
+++ b/tests/net/test_request_intake.py
@@ -6,9 +6,10 @@
 
 from pearhill.http1.messages import RequestMessage
 from pearhill.http1.server import HEADER_OBJECT_BYTES, Discarded, Rejected
-from pearhill.net.input_scheduler import LONG_REQUEST_BYTES, InputLength
+from pearhill.net.input_scheduler import LONG_REQUEST_BYTES, PART_COST_BYTES, InputLength
 from pearhill.net.request_intake import (
-    FIRST_READ_BYTES,
+    HEAD_READ_BYTES,
+    MANY_PARTS,
     MAX_PIPELINED_REQUESTS,
     READ_BYTES,
     RequestIntake,
@@ -54,13 +55,13 @@
 
     async def test_a_large_read_is_only_made_for_the_rest_of_a_request(self) -> None:
         buffer = memoryview(bytearray(READ_BYTES))
-        assert len(self.intake.limit_read(buffer)) == FIRST_READ_BYTES
+        assert len(self.intake.limit_read(buffer)) == HEAD_READ_BYTES
         self.feed(POST % (0, 9))
         assert self.intake.in_message
         assert len(self.intake.limit_read(buffer)) == READ_BYTES
         self.feed(b"123456789")
         assert not self.intake.in_message
-        assert len(self.intake.limit_read(buffer)) == FIRST_READ_BYTES
+        assert len(self.intake.limit_read(buffer)) == HEAD_READ_BYTES
 
     async def test_a_flood_of_requests_ends_with_a_rejection_and_later_requests_are_discarded(self) -> None:
         self.feed(b"".join(GET % number for number in range(20)), answering=True)
@@ -126,6 +127,21 @@
             lengths.append(large_bodies.input_length)
         assert lengths == [InputLength.SHORT, InputLength.LONG, InputLength.SHORT]
 
+    async def test_a_request_in_small_parts_costs_more_than_its_bytes(self) -> None:
+        """Guards against picture (b) of the second review: short fields cost a hundred times as much as a body, and
+        requests of thousands of them counted as short ones."""
+        self.feed(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * (LONG_REQUEST_BYTES // PART_COST_BYTES + 1))
+        assert self.intake.input_length is InputLength.LONG
+        assert not self.intake.fragmented  # not yet
+        self.feed(b"a:\r\n" * MANY_PARTS)
+        assert self.intake.fragmented
+        self.feed(b"Host: a\r\n\r\n")
+        assert (self.intake.input_cost, self.intake.fragmented) == (0, False)
+
+    async def test_many_parts_of_usual_size_are_not_taken_for_small_ones(self) -> None:
+        self.feed(b"GET / HTTP/1.1\r\n" + b"".join(b"x-field-%d: some-value\r\n" % n for n in range(MANY_PARTS)))
+        assert not self.intake.fragmented
+
     async def test_an_incomplete_body_is_discarded_first_and_the_requests_behind_it_are_still_read(self) -> None:
         self.feed(POST % (0, 3) + b"abc" + POST % (1, 9) + b"half")
         self.intake.discard_newest()
