Begin no attempt while input of its client is unread

Cause: before an attempt the system is asked whether the client's connection has ended. It does not know while more was sent than its buffer holds: the end comes behind the last byte, when the program has read what is before it.

Change: an attempt waits until nothing of its client is unread, as for a connect and at most as long, and is then withdrawn, which counts neither as an attempt nor as the replica's fault. Clients that send one request at a time never wait.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -71,6 +71,10 @@
         """Whether the client has disconnected."""
         return self.disconnected
 
+    def has_unread_input(self) -> bool:
+        """Whether bytes from the client wait to be read: the ASGI server reads the connection."""
+        return False
+
     def begin(self, pending: Pending | None) -> None:
         """Record the request that is being answered. The client may have disconnected before it began."""
         self._pending = pending
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -166,6 +166,10 @@
         """Returns whether the client has disconnected."""
         return self.reply.has_disconnected()
 
+    def has_unread_input(self) -> bool:
+        """Returns whether bytes from the client wait to be read."""
+        return self.reply.has_unread_input()
+
     def handle_disconnect(self) -> None:
         """Record the disconnection of the client."""
         self._end(CLIENT_CLOSED_REQUEST, "client_left")
--- a/pearhill/chat/budget_accounting.py
+++ b/pearhill/chat/budget_accounting.py
@@ -100,6 +100,10 @@
         """Returns whether the client has disconnected and no other client can request the answer."""
         return self._inner.has_disconnected()
 
+    def has_unread_input(self) -> bool:
+        """Returns whether bytes from the client wait to be read."""
+        return self._inner.has_unread_input()
+
     def handle_disconnect(self) -> None:
         """Settle a request that ends because its client has disconnected."""
         self._settle(charges.DISCONNECTED)
--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -91,6 +91,10 @@
         """Returns False: the run is completed even without clients, because its answer may be requested again."""
         return False
 
+    def has_unread_input(self) -> bool:
+        """Returns False: what its clients send does not matter to the run."""
+        return False
+
     def add_follower(self, answer: Answer) -> Follower:
         """Start to answer one more client from this record."""
         return Follower(self, answer, self._spawn)
--- a/pearhill/core/client.py
+++ b/pearhill/core/client.py
@@ -35,3 +35,6 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, checked now. No further work is started for such a client."""
+
+    def has_unread_input(self) -> bool:
+        """Return whether the client has sent bytes that were not read yet, behind which its connection may end."""
--- a/pearhill/core/request.py
+++ b/pearhill/core/request.py
@@ -164,6 +164,10 @@
         """
         return self._owner.may_start(self)
 
+    def is_input_read(self) -> bool:
+        """Check whether all that the client has sent is read: the end of its connection may be behind the rest."""
+        return not self.request.client.has_unread_input()
+
     def withdraw(self) -> None:
         """End an attempt that is not completely written and may no longer be."""
         self._owner.withdraw(self)
--- a/pearhill/http1/handler.py
+++ b/pearhill/http1/handler.py
@@ -45,6 +45,9 @@
         `Pending`.
         """
 
+    def has_unread_input(self) -> bool:
+        """Check now whether bytes from the client wait to be read, behind which its connection may end."""
+
 
 class Handler(Protocol):
     """A front end: the handler of one API's requests."""
--- a/pearhill/lab/scale/work.py
+++ b/pearhill/lab/scale/work.py
@@ -121,6 +121,10 @@
         """Returns False: a simulated client never disconnects."""
         return False
 
+    def has_unread_input(self) -> bool:
+        """Returns False: a simulated client has no connection."""
+        return False
+
 
 class SimulatedBackend:
     """A backend without sockets. Its simulated replicas respond after drawn times that do not depend on their load.
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -32,6 +32,7 @@
 # connect may end at most 350 ms after the limit.
 HELD_CONNECT_TIMEOUT_US = 250_000
 SHORTAGE_RETRY_US = 20_000  # between two tries to connect while the system lacks a resource
+UNREAD_INPUT_RECHECK_US = 5_000  # between two checks whether the client's input is read
 LAST_CHUNK_TIMEOUT_US = 1_000_000  # for the last chunk of a response that is complete without it
 MAX_BODY_BYTES = 64 * 1024  # of a response that is not a stream
 
@@ -82,6 +83,8 @@
         try:
             if address is None:
                 raise ConnectError("the replica has no address")
+            if not await self._is_client_input_read():
+                return self._finish(Outcome.WITHDRAWN)
             if not await self.owner.releases.may_replace(attempt.request):
                 return self._finish(Outcome.NOT_SENT)
             connection = self.connection = await self._connect(address)
@@ -102,6 +105,18 @@
         if connection.closed:
             self._finish(Outcome.TRUNCATED, may_hold_state=True)
 
+    async def _is_client_input_read(self) -> bool:
+        """Wait until the input of the client is read, for as long as a connect may take. A client that has sent more
+        than the system buffers and has closed its connection counts as connected until then. Clients that send one
+        request at a time have no unread input."""
+        deadlines = self.owner.pool.deadlines
+        wait_until = deadlines.clock() + self.owner.pool.connect_timeout
+        while not self.attempt.is_input_read():
+            if deadlines.clock() >= wait_until:
+                return False
+            await pause(deadlines, UNREAD_INPUT_RECHECK_US)
+        return True
+
     def _build_request(self) -> bytes:
         """Build the request, with the time that is left now."""
         attempt = self.attempt
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -21,6 +21,7 @@
 from pearhill.net.request_intake import RequestIntake
 from pearhill.net.socket_reader import SocketReader
 from pearhill.net.tick_meter import TickMeter
+from pearhill.net.unread_input import UnreadInput, peek_unread_input
 
 LINGER_US = 1_000_000  # how long input is still read after the last answer
 MAX_LINGER_BYTES = 256 * 1024  # how much input is still read after the last answer
@@ -143,6 +144,11 @@
             self.close(f"client-{reason}")
         return self.closed
 
+    def has_unread_input(self) -> bool:
+        """Whether bytes wait to be read. If more was sent than the system buffers, the end of the connection is not
+        noticed until they are."""
+        return not self.closed and peek_unread_input(self.sock) == UnreadInput.SOME
+
     # Writing.
 
     def _send(self, data: bytes) -> None:
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -94,6 +94,10 @@
         """Check now whether the client has disconnected."""
         return self.reply.has_disconnected()
 
+    def has_unread_input(self) -> bool:
+        """Check now whether bytes from the client wait to be read."""
+        return self.reply.has_unread_input()
+
     def handle_disconnect(self) -> None:
         """Report the client's disconnect to the core, if its request is open."""
         request = self.request
--- a/tests/core/harness.py
+++ b/tests/core/harness.py
@@ -54,6 +54,9 @@
     def has_disconnected(self) -> bool:
         return self.disconnected
 
+    def has_unread_input(self) -> bool:
+        return False
+
 
 class DispatcherHarness:
     """A dispatcher with one prefill replica and two decode replicas. The harness itself is its backend.
