Chat API: do not begin a booking whose only client has disconnected

Cause: each request that may not be repeated ran to its outcome from its arrival on, though only one that a replica may have begun has to.

Change: without a key, a client that disconnects before any attempt may have executed the request ends it (state=left in the log), and its reservation of tokens is settled with nothing.

Measured: the new test of tests/chat/test_front.py failed before (no such outcome; the request waited for its replica); it passes, with all of tests/chat.

--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -30,16 +30,17 @@
     TRUNCATED = "broken"
     REJECTED = "refused"
     DECLINED = "declined"
+    DISCONNECTED = "left"  # its only client disconnected before any replica may have begun it
 
 
 class RunRecord:
     """The core's client for one run, which replays the run's answer to any number of clients.
 
     `id` is the request's id for the log. `digest` is a hash of the request, by which another request under the same key
-    is detected.
+    is detected. `only_answer` is that of its client if no other one can request it, as without a key.
     """
 
-    def __init__(self, id: str, digest: bytes, spawn: Spawn) -> None:
+    def __init__(self, id: str, digest: bytes, spawn: Spawn, only_answer: Answer | None = None) -> None:
         self.id = id
         self.digest = digest
         self.state = RecordState.OPEN
@@ -53,6 +54,7 @@
         self._retry_after = 0  # microseconds, of a rejection
         self._replica_error: ReplicaErrorResponse | None = None
         self._spawn = spawn
+        self._only_answer = only_answer
         self._changed = asyncio.Event()
 
     def reject(self, retry_after: int) -> None:
@@ -88,12 +90,21 @@
         self._end(RecordState.TRUNCATED)
 
     def has_disconnected(self) -> bool:
-        """Returns False: the run is completed even without clients, because its answer may be requested again."""
-        return False
+        """Returns whether the run has ended because its only client has disconnected, which is checked now.
+
+        Any other run is completed even without clients, because its answer may be requested again.
+        """
+        if self._only_answer and self.state == RecordState.OPEN:
+            self._only_answer.has_disconnected()  # reports it to the pending request, which may end this run
+        return self.state == RecordState.DISCONNECTED
 
     def has_unread_input(self) -> bool:
-        """Returns False: what its clients send does not matter to the run."""
-        return False
+        """Returns whether bytes from the only client wait to be read. What other clients send does not matter."""
+        return self._only_answer is not None and self._only_answer.has_unread_input()
+
+    def handle_disconnect(self) -> None:
+        """End a run that was not begun, and that no client waits for."""
+        self._end(RecordState.DISCONNECTED)
 
     def add_follower(self, answer: Answer) -> Follower:
         """Start to answer one more client from this record."""
--- a/pearhill/chat/request_placement.py
+++ b/pearhill/chat/request_placement.py
@@ -16,7 +16,7 @@
 from pearhill.chat.incoming_request import IncomingRequest
 from pearhill.chat.meter import UsageMeter
 from pearhill.chat.prompt import Prompt
-from pearhill.chat.records import RecordStore, RunRecord
+from pearhill.chat.records import Follower, RecordStore, RunRecord
 from pearhill.chat.setup import Model
 from pearhill.core.dispatcher import Dispatcher
 from pearhill.core.request import Request, RequestSpec
@@ -54,6 +54,32 @@
             self._dispatcher.handle_disconnect(self.request)
 
 
+class UnrepeatableRequest:
+    """A request that must not be executed twice, without an idempotency key.
+
+    If its client disconnects before a replica may have begun it, it is never begun: nobody can request its answer.
+    Later, it runs to its outcome, which would be unknown if it were cancelled.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, record: RunRecord, follower: Follower) -> None:
+        self._dispatcher = dispatcher
+        self._record = record
+        self._follower = follower
+        self.request: Request | None = None
+        self.settling: SettlingClient | None = None
+
+    def handle_disconnect(self) -> None:
+        """End the answer to a client that has disconnected, and its request unless it may have been executed."""
+        self._follower.handle_disconnect()
+        request = self.request
+        if request is None or request.answered or self._dispatcher.may_have_executed(request):
+            return
+        self._record.handle_disconnect()
+        if self.settling:
+            self.settling.handle_disconnect()
+        self._dispatcher.handle_disconnect(request)
+
+
 class RequestPlacement:
     """Reserves a request's budget and starts it at the core, once for each idempotency key."""
 
@@ -77,7 +103,7 @@
             return None
         if request.answer.repeatable:
             return self._run_directly(request)
-        return self._run(request, RunRecord(request.incoming.id, b"", self._spawn))
+        return self._run_without_key(request)
 
     def _place_with_key(self, request: ParsedRequest, idempotency_key: str) -> Pending | None:
         name = _record_key(request.incoming, idempotency_key)
@@ -131,6 +157,14 @@
         direct.request = self._dispatcher.accept(spec, client, payload, request.incoming.message.arrived)
         return direct
 
+    def _run_without_key(self, request: ParsedRequest) -> Pending:
+        record = RunRecord(request.incoming.id, b"", self._spawn, request.answer)
+        unrepeatable = UnrepeatableRequest(self._dispatcher, record, record.add_follower(request.answer))
+        spec, client, payload = self._reserve(request, record)
+        unrepeatable.settling = client if isinstance(client, SettlingClient) else None
+        unrepeatable.request = self._dispatcher.accept(spec, client, payload, request.incoming.message.arrived)
+        return unrepeatable
+
     def _run(self, request: ParsedRequest, record: RunRecord) -> Pending:
         """Run a request to its outcome, even if its client disconnects.
 
--- a/pearhill/core/attempt_lifecycle.py
+++ b/pearhill/core/attempt_lifecycle.py
@@ -123,6 +123,13 @@
         request_class = self.deployment.router.classes[attempt.request.request_class]
         return request_class.idempotency != Idempotency.IDEMPOTENT and self._has_effect(attempt)
 
+    def may_have_executed(self, request: Request) -> bool:
+        """Return whether a replica may have executed the request, or may be executing it."""
+        attempt = request.current_attempt
+        if request.execution is not None or attempt is None:
+            return request.execution is not None
+        return self._has_effect(attempt) and self._backend().may_have_been_sent(attempt)
+
     def _end_denied(self, attempt: Attempt) -> None:
         """End an attempt that was denied.
 
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -118,6 +118,10 @@
         """Count a request that a front end rejected without passing it to `accept`."""
         self._requests.record_rejection(request_class, reason)
 
+    def may_have_executed(self, request: Request) -> bool:
+        """Return whether a replica may have executed the request, or may be executing it."""
+        return self._attempts.may_have_executed(request)
+
     def handle_disconnect(self, request: Request) -> None:
         """Handle the client's disconnection. Its attempt is cancelled, even one that is being answered."""
         self._requests.handle_disconnect(request)
--- a/tests/chat/test_budgets.py
+++ b/tests/chat/test_budgets.py
@@ -21,8 +21,10 @@
 from pearhill.chat.file import BudgetsFile, BudgetsTable, BudgetTable
 from pearhill.chat.setup import load
 from pearhill.config import typed
-from tests.chat.test_front import PATH, ChatCase, body, operator_file
+from tests.chat.test_front import PATH, SLOW_CONNECT, ChatCase, body, operator_file
 from tests.chat.test_keys import A, B, tenants
+from tests.platform.test_leaving import LateReplica
+from tests.platform.test_owed import wait_connecting
 from tests.standins import ROOT, STREAM_CHUNKS, STREAM_END, Program
 
 LONG = STREAM_CHUNKS[0] * 30
@@ -206,6 +208,19 @@
         usage = self.usage()
         assert (usage["tokens"]["today"], usage["requests"]["open"], self.replica.post_count) == (11, 0, 1)
 
+    def test_a_booking_that_is_not_begun_because_its_client_disconnects_costs_nothing(self):
+        late = LateReplica()
+        self.addCleanup(late.close)
+        budgets = tenants(north=[A]) + table() + tenant("north", day_tokens=10**6)
+        self.start(0, budgets, (late.address,), **SLOW_CONNECT)
+        connection = self.program.connect()
+        connection.request("POST", PATH, body("booking"), {"api-key": A})
+        wait_connecting(late)
+        connection.close()
+        self.program.wait_line("outcome request=.* state=left")
+        usage = self.usage()
+        assert (usage["tokens"]["today"], usage["requests"]["open"]) == (0, 0)
+
     def test_retries_are_one_charge_and_replicas_get_the_limit_that_was_reserved(self):
         self.begin(tenant("north", day_tokens=10**6), count=2)
         answers = iter([lambda h: h.send_response_body(500), lambda h: h.chunks(*STREAM_CHUNKS, STREAM_END)])
--- a/tests/chat/test_front.py
+++ b/tests/chat/test_front.py
@@ -7,15 +7,19 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from typing import Any
 
 import pytest
 
 from pearhill.chat.setup import load
+from tests.platform.test_leaving import LateReplica
+from tests.platform.test_owed import wait_connecting
 from tests.standins import ROOT, SETTINGS, STREAM_CHUNKS, STREAM_END, Program, Standin, dead_address
 
 PATH = "/v1/chat/completions"
+SLOW_CONNECT = {"allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}}
 
 
 def toml(value: Any) -> str:
@@ -73,15 +77,16 @@
         extra: str = "",
         addresses: tuple[str, ...] = (),
         admin: bool = False,
+        **changes: Any,
     ) -> list[Standin]:
         """Start `count` replicas and a dispatcher (`self.program`) for them.
 
-        `admin` enables the operators' endpoint.
+        `admin` enables the operators' endpoint. `changes` replace its settings.
         """
         replicas = [Standin() for _ in range(count)]
         for replica in replicas:
             self.addCleanup(replica.close)
-        text = operator_file([replica.address for replica in replicas] + list(addresses), extra)
+        text = operator_file([replica.address for replica in replicas] + list(addresses), extra, **changes)
         if admin:
             text = text.replace("[chat]\n", "[chat]\nadmin_addr = '127.0.0.1:0'\n")
         path = write_file(self, text)
@@ -282,6 +287,26 @@
         self.program.wait_line("outcome request=.* state=answered")
         assert (replica.post_count, self.program.counters()["served"]) == (1, 1)
 
+    def test_a_booking_without_a_key_is_not_begun_when_its_client_disconnects_before(self):
+        """Guards against picture (c) of the second review: a booking was sent on after its client had closed, although
+        nobody could get its answer any more. One with a key is sent: its client may ask for the answer again."""
+        late = LateReplica()
+        self.addCleanup(late.close)
+        self.start(0, addresses=(late.address,), **SLOW_CONNECT)
+        for keys in ({}, {"Idempotency-Key": "k"}):
+            connection = self.program.connect()
+            connection.request("POST", PATH, body("booking"), keys)
+            wait_connecting(late)
+            connection.close()
+        self.program.wait_line("outcome request=.* state=left")
+        late.accept_from_now_on()
+        assert late.accepted.acquire(timeout=20)
+        end = time.monotonic() + 20
+        while not self.program.counters()["written"]:
+            assert time.monotonic() < end
+        counters = self.program.counters()
+        assert (counters["written"], counters["left"], counters["taken"]) == (1, 1, 2)
+
     def test_repeats_of_a_failed_run_fail_and_of_a_rejected_one_run(self):
         (replica,) = self.start()
         replica.respond = lambda h, b: h.send_response_body(500)
