Write no takeover message after the last one of a process

Cause: a thread writes the takeover messages, and TakeoverTask.end cancelled only the task that waits for it. The thread's message could overwrite the last one.

Change: writes have one lock, and once end() has begun only the last message is written. Reads take no lock, since SIGTERM makes one in the event loop.

--- a/pearhill/node/takeover.py
+++ b/pearhill/node/takeover.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import pathlib
+import threading
 from typing import NamedTuple
 
 from loguru import logger
@@ -44,6 +45,8 @@
         )
         self.serving_announced = False  # a message that says that this process accepts clients has been written
         self._write_failed = False  # whether the last message could not be written
+        self._write_lock = threading.Lock()
+        self._ended = False  # only the last message may be written from now on
         self._warnings = set[str]()
         node.has_successor = self._has_successor
         self._receive(self._exchange(self._message()))
@@ -62,8 +65,12 @@
         return (self.serving_announced or age >= READY_WITHIN_US) and self.takeover.reports_ready(age)
 
     def end(self) -> None:
-        """Stop the exchange, and write a message that says that this process has ended."""
+        """Stop the exchange, and write a message that says that this process has ended.
+
+        A thread may still be writing an earlier message, or be about to: this is the last one that is written.
+        """
         self._task.cancel()
+        self._ended = True
         self._exchange(self._message(ended=True))
 
     async def _run(self) -> None:
@@ -79,20 +86,28 @@
 
     def _exchange(self, message: TakeoverMessage | None) -> list[tuple[pathlib.Path, bytes]]:
         """Write this process's message and read the others'. It runs in a thread, so it must only access files."""
-        try:
-            if message:
-                self._write_failed = True
-                self.messages.write(message.encode())
-                self._write_failed = False
-        except OSError as e:
-            self.takeover.write_failed()
-            self._warn_once(f"the takeover message cannot be written, so other processes cannot detect this one: {e}")
+        if message:
+            self._write(message)
         try:
             return list(self.messages.other_messages())
         except OSError as e:
             self._warn_once(f"the folder for takeover messages cannot be read, so this process serves alone: {e}")
             return []
 
+    def _write(self, message: TakeoverMessage) -> None:
+        with self._write_lock:
+            if self._ended and not message.ended:
+                return
+            try:
+                self._write_failed = True
+                self.messages.write(message.encode())
+                self._write_failed = False
+            except OSError as e:
+                self.takeover.write_failed()
+                self._warn_once(
+                    f"the takeover message cannot be written, so other processes cannot detect this one: {e}"
+                )
+
     def _warn_once(self, what: str) -> None:
         """Log a warning once per text: the exchange runs ten times a second and would flood the log."""
         if what not in self._warnings and len(self._warnings) < MAX_WARNINGS:
