Free the places of requests in very many small parts while they are read

Cause: each of the clients before them needed a search through all connections for one that may be closed, which mostly found none, and 0.3 ms of parsing.

Change: such a request gives its place up as soon as it is known for one, if all places are taken; it is known after 100 parts, and an incomplete head is read 512 bytes at a time. An accept waits for the next tick while a closed connection is not removed yet: it closed an idle one for its place (found by the test of tests/net/test_listener.py, which failed until then).

--- a/pearhill/http1/server.py
+++ b/pearhill/http1/server.py
@@ -100,7 +100,7 @@
             # The parser buffers a header without reporting it until it ends, so an endless one is detected here. Chunk
             # extensions, trailers and blank lines before a request may be endless too.
             if not self._framing.end_read():
-                self._reject(431, "the head of the request is too large")
+                self._reject_large_head()
         except (_RejectedError, httptools.HttpParserError) as e:
             self.broken = True
             self._drop_message()
@@ -135,10 +135,8 @@
         self._rejected = Rejected(status, reason)
         raise _RejectedError
 
-    def _count_head(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > MAX_FRAMING_BYTES:
-            self._reject(431, "the head of the request is too large")
+    def _reject_large_head(self) -> None:
+        self._reject(431, "the head of the request is too large")
 
     def _take_events(self) -> list[Event]:
         """Return the events found and keep none: an event kept here would stay in memory with an idle connection."""
@@ -163,13 +161,17 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self._count_head(len(url))
+        self._head_size += len(url)
+        if self._head_size > MAX_FRAMING_BYTES:
+            self._reject_large_head()
         self._message.target += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header. A trailer is ignored: it must not be mistaken for a header of the head."""
         self.parts += 1
-        self._count_head(len(name) + len(value) + HEADER_SEPARATORS)
+        self._head_size += len(name) + len(value) + HEADER_SEPARATORS  # inlined: a head may have thousands of fields
+        if self._head_size > MAX_FRAMING_BYTES:
+            self._reject_large_head()
         if not self._head_complete:
             add_header(self._message.headers, name.decode("latin-1").lower(), value.decode("latin-1").strip())
 
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -257,7 +257,9 @@
         memory = self.owner.request_memory
         memory.update(self)
         memory.reclaim()
-        if self.intake.waiting:
+        if self.intake.fragmented and self.owner.full:
+            self.close_for_room()
+        elif self.intake.waiting:
             self._advance()
         elif self.intake.in_message != was_in_message:
             now = self.owner.deadlines.clock()
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -44,6 +44,10 @@
     draining: bool  # each new answer closes its connection
     closing: bool  # each answer closes its connection, even one that was started before the drain
 
+    @property
+    def full(self) -> bool:
+        """Whether the limit on connections is reached, so that further clients have to wait."""
+
     def spawn(self, work: Coroutine[Any, Any, None], /) -> asyncio.Task[None]:
         """Run a task. The owner keeps a reference to it until it ends."""
 
--- a/pearhill/net/listener.py
+++ b/pearhill/net/listener.py
@@ -115,6 +115,11 @@
         """Whether the listening socket is open."""
         return self._sock is not None
 
+    @property
+    def full(self) -> bool:
+        """Whether the limit on connections is reached."""
+        return len(self.connections) >= self.max_connections
+
     def pause_accepting(self, on: bool) -> None:
         """Pause accepting, and leave new clients to another process that accepts from the same socket, or resume."""
         if not on:
@@ -143,12 +148,12 @@
         self.tick_meter.record_work()
         # With one accept per tick, clients that send requests would wait behind hundreds that only connect.
         for accept_count in range(MAX_ACCEPTS_PER_TICK):
-            full = len(self.connections) >= self.max_connections
+            full = self.full
             if full and accept_count:
                 # A further connection would be closed, maybe the last one accepted, while the queue may be empty.
                 return
-            if full and not self._evictor.evict(self.max_connections):
-                return self._accept_later()
+            if full and not self._make_room():
+                return
             try:
                 client, peer = self._sock.accept()
             except BlockingIOError:
@@ -163,6 +168,15 @@
                 # Closed connections are removed in the next tick; until then, each accept would close further ones.
                 return
 
+    def _make_room(self) -> bool:
+        """Close a connection so that another can be accepted. Returns False if none can be accepted now."""
+        if any(connection.closed for connection in self.connections):
+            return False  # it is removed in the next tick; until then, another would be closed for its place
+        if self._evictor.evict(self.max_connections):
+            return True
+        self._accept_later()
+        return False
+
     def _accept_failed(self, error: OSError) -> None:
         """Handle an accept for which descriptors, buffers or memory ran out: retry after a pause."""
         self.counters.accept_failures += 1
--- a/pearhill/net/request_intake.py
+++ b/pearhill/net/request_intake.py
@@ -13,9 +13,9 @@
 from pearhill.net.socket_reader import SocketReader
 
 # Maximum sizes of one read, which is one step of the input scheduler. A head may consist of very small fields.
-HEAD_READ_BYTES = 1024
+HEAD_READ_BYTES = 512
 READ_BYTES = 8 * 1024
-MANY_PARTS = 200  # header fields and chunks of one request; usual ones have some tens
+MANY_PARTS = 100  # header fields and chunks of one request; usual ones have some tens
 SMALL_PART_BYTES = 16  # the mean size of a part, below which these take most of the time of reading
 KEPT_HEAD_BYTES = 4 * 1024  # memory of an incomplete head, up to which it is not discarded
 MAX_PIPELINED_REQUESTS = 4  # queued on one connection behind the one being answered, with body bytes of one at most
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -162,6 +162,17 @@
             with pytest.raises(BlockingIOError):
                 client.recv(1)
 
+    async def test_a_request_in_many_small_parts_does_not_keep_the_last_place_while_it_is_read(self) -> None:
+        """Otherwise each client in the accept queue waited for a search through all connections."""
+        self.listener.handler = Rejecting()
+        self.listener.set_max_connections(1)
+        (fragmented,) = await self.connect(1)
+        fragmented.sendall(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 4_000)
+        while not self.listener.counters.connections["client room-needed"]:
+            await asyncio.sleep(0)
+        assert fragmented.recv(4096).startswith(b"HTTP/1.1 503")
+        assert self.scans == 0
+
     async def test_a_client_with_an_unread_request_is_not_disconnected_at_its_timeout(self) -> None:
         """The request arrived just before its timeout, and the event loop had not read it yet."""
         (client,) = await self.connect(1)
