Chat API: try no booking again whose only client has disconnected

What callers saw: the attempt that was out when the client closed was turned away (Not-Started), and the booking was tried again for nobody.

Cause: the disconnect is reported once, while the attempt may be executing; the run then goes on, and its next attempt did not ask for the client again.

Change: before each attempt a run without a key asks its client's connection and ends (state=left) unless a replica may have begun it.

--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import StrEnum
 
 from loguru import logger
@@ -37,7 +38,8 @@
     """The core's client for one run, which replays the run's answer to any number of clients.
 
     `id` is the request's id for the log. `digest` is a hash of the request, by which another request under the same key
-    is detected. `only_answer` is that of its client if no other one can request it, as without a key.
+    is detected. `only_answer` is that of its client if no other one can request it, as without a key. `on_unneeded` is
+    called when this client is found to have disconnected; it may end the run.
     """
 
     def __init__(self, id: str, digest: bytes, spawn: Spawn, only_answer: Answer | None = None) -> None:
@@ -55,6 +57,7 @@
         self._replica_error: ReplicaErrorResponse | None = None
         self._spawn = spawn
         self._only_answer = only_answer
+        self.on_unneeded: Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
 
     def reject(self, retry_after: int) -> None:
@@ -94,8 +97,8 @@
 
         Any other run is completed even without clients, because its answer may be requested again.
         """
-        if self._only_answer and self.state == RecordState.OPEN:
-            self._only_answer.has_disconnected()  # reports it to the pending request, which may end this run
+        if self._only_answer and self.state == RecordState.OPEN and self._only_answer.has_disconnected():
+            self.on_unneeded()
         return self.state == RecordState.DISCONNECTED
 
     def has_unread_input(self) -> bool:
--- a/pearhill/chat/request_placement.py
+++ b/pearhill/chat/request_placement.py
@@ -67,10 +67,16 @@
         self._follower = follower
         self.request: Request | None = None
         self.settling: SettlingClient | None = None
+        record.on_unneeded = self.end_unless_executed
 
     def handle_disconnect(self) -> None:
         """End the answer to a client that has disconnected, and its request unless it may have been executed."""
         self._follower.handle_disconnect()
+        self.end_unless_executed()
+
+    def end_unless_executed(self) -> None:
+        """End the request of a client that has disconnected, unless a replica may have begun it. Its attempt may turn
+        out not to have been executed later; then no other one may begin."""
         request = self.request
         if request is None or request.answered or self._dispatcher.may_have_executed(request):
             return
--- a/tests/chat/test_front.py
+++ b/tests/chat/test_front.py
@@ -307,6 +307,27 @@
         counters = self.program.counters()
         assert (counters["written"], counters["left"], counters["taken"]) == (1, 1, 2)
 
+    def test_a_booking_without_a_key_is_not_tried_again_after_its_client_has_disconnected(self):
+        """The same cause on another path: the attempt that was out at the disconnect had not been executed."""
+        replicas = self.start(2)
+        for replica in replicas:
+
+            def reject(handler, body, replica=replica):
+                replica.release_answers.wait(20)
+                handler.send_response_body(503, Not_Started="1")
+
+            replica.respond = reject
+        connection = self.program.connect()
+        connection.request("POST", PATH, body("booking"))
+        while not sum(replica.post_count for replica in replicas):
+            time.sleep(0.01)
+        connection.close()
+        self.program.wait_line("side=client .* reason=client-")
+        for replica in replicas:
+            replica.release_answers.set()
+        self.program.wait_line("outcome request=.* state=left")
+        assert sum(replica.post_count for replica in replicas) == 1
+
     def test_repeats_of_a_failed_run_fail_and_of_a_rejected_one_run(self):
         (replica,) = self.start()
         replica.respond = lambda h, b: h.send_response_body(500)
