Takeover test: allow for the temporary file of a message being written

Traced: MessageFolder.write writes a message to a temporary file, which it renames, three times a second and more, and the test looked at one moment. The race was in the test before: it counted one file at one moment.

The check is as strict: exactly the shared file and one message have to be left. It waits for that, so a file that is left behind still fails it. No other change.

--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -155,8 +155,13 @@
         ran = Counter(h["Request-Id"] for replica in self.replicas for h in replica.headers if h.get("Request-Id"))
         assert (len(ran), set(ran.values())) == (sum(answers.values()), {1})
         new.wait_line("upgrade: 1 processes serve, this one accepts clients")
-        left = sorted(path.suffix for path in self.messages.iterdir())
-        assert left == [".ids", ".note"]  # the file of both processes; the old process's message is removed
+
+        def files_left() -> list[str]:
+            return sorted(path.suffix for path in self.messages.iterdir())
+
+        # The file of both processes, and one message: the old process's is removed. While the new one writes its own,
+        # there is a temporary file too.
+        self.wait_for(lambda: files_left() == [".ids", ".note"])
 
     def hold_bookings(self) -> None:
         """Have the replicas begin the answers to bookings, and complete them once `release_answers` is set."""
