Repeat a release until its replica answers, not eight times

Cause: a release was abandoned after eight tries without an answer, some 3.2 s. A replica that is silent for longer completes its read afterwards, and nothing releases the state any more. The time between two tries grew to 750 ms, more than the 600 ms that the rule allows once it responds again.

Now a release is repeated every 350 ms at the most until the replica answers, for 60 s (20 s where connections are refused, as the process that held the state has ended). Four releases at a time are repeated at a replica, the others wait, so hundreds of them do not use up the connections.

The test failed before: the release was abandoned while the read was still in progress.

--- a/pearhill/lab/capacity/constants.py
+++ b/pearhill/lab/capacity/constants.py
@@ -20,7 +20,7 @@
 from pearhill.membership.sent_reports import MAX_REMEMBERED_REPORTS
 from pearhill.membership.slot_table import SLOT_IDLE_US
 from pearhill.net.health_checks import MAX_IN_FLIGHT
-from pearhill.net.releases import MAX_UNANSWERED
+from pearhill.net.release_calls import CONCURRENT_RETRIES, RETRY_LIMIT_US
 from pearhill.platform.schedule import SERVICE_TIME_PER_DISPATCHER_US, SHARED_WATCH_WAIT_US, WATCH_WAIT_US
 from pearhill.routing.local_prefill import MAX_RATIO
 from pearhill.routing.prefix_affinity import MAX_CACHED_AGE_US, MAX_CACHED_PREFIXES
@@ -56,5 +56,6 @@
     "max_local_prefill_ratio": MAX_RATIO,
     "load_refresh_s": in_seconds(REFRESH_INTERVAL_US),
     "max_health_checks_in_flight": MAX_IN_FLIGHT,
-    "max_unanswered_releases": MAX_UNANSWERED,
+    "concurrent_release_retries": CONCURRENT_RETRIES,
+    "release_retry_limit_s": in_seconds(RETRY_LIMIT_US),
 }
--- a/pearhill/net/errors.py
+++ b/pearhill/net/errors.py
@@ -11,6 +11,10 @@
     """No connection was established, and nothing was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The server's system refused the connect: no process listens there."""
+
+
 class PoolExhaustedError(ConnectError):
     """No connect was tried, because this process has no descriptor for it. The server is not at fault."""
 
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -10,7 +10,7 @@
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
 from pearhill.net.address import Address
-from pearhill.net.errors import ConnectError, PoolExhaustedError, SystemResourceError
+from pearhill.net.errors import ConnectError, ConnectRefusedError, PoolExhaustedError, SystemResourceError
 from pearhill.net.pooled_connection import PooledConnection
 from pearhill.net.tasks import Tasks
 from pearhill.net.tick_meter import TickMeter
@@ -136,12 +136,13 @@
         return sock
 
     def _connect_error(self, address: Address, error: OSError) -> ConnectError:
-        """Return the error of a failed connect, which distinguishes a shortage of this system from an unreachable
-        server."""
+        """Return the error of a failed connect, which distinguishes a shortage of this system, an unreachable server
+        and one that refuses connections."""
         if error.errno in SHORTAGE_ERRNOS:
             self.counters.shortages += 1
             return SystemResourceError(str(error))
-        return ConnectError(f"{address[0]}:{address[1]}: {error or 'timed out'}")
+        kind = ConnectRefusedError if error.errno == errno.ECONNREFUSED else ConnectError
+        return kind(f"{address[0]}:{address[1]}: {error or 'timed out'}")
 
     def set_max_connections(self, max_connections: int) -> None:
         """Change the limit on all connections together. Those idle longest are closed now, down to the limit."""
--- /dev/null
+++ b/pearhill/net/release_calls.py
@@ -0,0 +1,103 @@
+"""Release calls to replicas: each is repeated until the replica answers it.
+
+Only an answer shows that a running replica has the call: the system buffers what is sent to a process that does not
+respond, and may discard it. A few calls at a time are repeated at each replica, so that hundreds of requests whose
+replica is unresponsive do not use up the connections; all others wait until one of these is answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import NamedTuple
+from weakref import WeakValueDictionary
+
+from loguru import logger
+
+from pearhill.net.address import Address
+from pearhill.net.calls import call
+from pearhill.net.errors import ConnectError, ConnectRefusedError
+from pearhill.net.pool import Pool
+from pearhill.net.ticks import pause
+
+RETRY_LIMIT_US = 60_000_000  # how long a release is repeated at an unresponsive replica
+REFUSED_RETRY_LIMIT_US = 20_000_000  # the same while connects are refused: the process that held the state has ended
+# Timeouts for the response to a release, and for its connect, before it is retried on a new connection. The first one
+# is the shortest, because an idle connection may have failed silently while the time limit for the release runs.
+FIRST_ANSWER_TIMEOUT_US = 50_000
+MAX_ANSWER_TIMEOUT_US = 250_000
+FIRST_BACKOFF_US = 20_000  # between tries of a release; doubled each time
+# A replica that responds again may hold a state from that moment on, which has to be released within 600 ms: one try
+# and the pause before the next one take 350 ms.
+MAX_BACKOFF_US = 100_000
+MAX_REFUSED_BACKOFF_US = 500_000
+CONCURRENT_RETRIES = 4  # at one replica: more than one, because a slow replica's answers may come after their timeout
+
+
+class ReleaseCall(NamedTuple):
+    """One release to one replica: its address and the message."""
+
+    address: Address
+    data: bytes
+
+
+class TryResult(enum.Enum):
+    """How one try of a release ended."""
+
+    ANSWERED, UNANSWERED, REFUSED = range(3)
+
+
+class ReleaseCalls:
+    """Sends the release calls of one process."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+        self._retry_slots: WeakValueDictionary[Address, asyncio.Semaphore] = WeakValueDictionary()
+
+    async def send(self, release: ReleaseCall, is_needed: Callable[[], bool] = lambda: True) -> bool:
+        """Send a release until it is answered; any answer shows that it has arrived. Returns False if it was abandoned,
+        or is no longer needed."""
+        began_at = self._pool.deadlines.clock()
+        if await self._try(release, FIRST_ANSWER_TIMEOUT_US, fresh=False) == TryResult.ANSWERED:
+            return True
+        slots = self._retry_slots.setdefault(release.address, asyncio.Semaphore(CONCURRENT_RETRIES))
+        must_wait = slots.locked()
+        async with slots:
+            # Once a replica responds again, the calls that waited for it follow each other without a pause.
+            return await self._retry(release, is_needed, began_at, 0 if must_wait else FIRST_BACKOFF_US)
+
+    async def _retry(self, release: ReleaseCall, is_needed: Callable[[], bool], began_at: int, backoff: int) -> bool:
+        deadlines = self._pool.deadlines
+        timeout = FIRST_ANSWER_TIMEOUT_US
+        limit = RETRY_LIMIT_US
+        max_backoff = MAX_BACKOFF_US
+        while is_needed():
+            if deadlines.clock() - began_at >= limit:
+                logger.warning("a release at {peer} was abandoned without an answer", peer=_name(release.address))
+                return False
+            self._pool.counters.release_retries += 1
+            if backoff:
+                await pause(deadlines, backoff)
+            timeout = min(2 * timeout, MAX_ANSWER_TIMEOUT_US)
+            result = await self._try(release, timeout, fresh=True)
+            if result == TryResult.ANSWERED:
+                return True
+            refused = result == TryResult.REFUSED
+            limit = REFUSED_RETRY_LIMIT_US if refused else RETRY_LIMIT_US
+            max_backoff = MAX_REFUSED_BACKOFF_US if refused else MAX_BACKOFF_US
+            backoff = min(max(FIRST_BACKOFF_US, 2 * backoff), max_backoff)
+        return False
+
+    async def _try(self, release: ReleaseCall, timeout: int, *, fresh: bool) -> TryResult:
+        try:
+            await call(self._pool, release.address, release.data, timeout, fresh=fresh)
+        except ConnectRefusedError:
+            return TryResult.REFUSED
+        except (OSError, ValueError, ConnectError):
+            return TryResult.UNANSWERED
+        return TryResult.ANSWERED
+
+
+def _name(address: Address) -> str:
+    return "{}:{}".format(*address)
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -11,8 +11,6 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import Any, NamedTuple, Protocol
 
-from loguru import logger
-
 from pearhill.core.request import Request
 from pearhill.http1.client import MAX_CHUNK, Event
 from pearhill.net.address import Address
@@ -20,16 +18,9 @@
 from pearhill.net.errors import ConnectError
 from pearhill.net.pool import Pool
 from pearhill.net.pooled_connection import PooledConnection
+from pearhill.net.release_calls import FIRST_ANSWER_TIMEOUT_US, ReleaseCall, ReleaseCalls
 from pearhill.net.ticks import pause
 
-RETRY_LIMIT_US = 20_000_000  # how long a release is retried
-# Timeouts for the response to a release, and for its connect, before it is retried on a new connection. The first one
-# is the shortest, because an idle connection may have failed silently while the time limit for the release runs.
-FIRST_ANSWER_TIMEOUT_US = 50_000
-MAX_ANSWER_TIMEOUT_US = 250_000
-MAX_UNANSWERED = 8  # releases written and never answered, each on an established connection
-FIRST_BACKOFF_US = 20_000  # between tries of a release; doubled each time
-MAX_BACKOFF_US = 500_000
 # An attempt that was closed in flight ends at its replica when the close arrives there, on a connection of its own. The
 # release is therefore repeated after this time, which is within the minimum of 300 ms for `release-within`.
 REPEAT_AFTER_CLOSE_US = 150_000
@@ -42,13 +33,6 @@
         """Build the call that releases the state held for a request."""
 
 
-class ReleaseCall(NamedTuple):
-    """One release to one replica: its address and the message."""
-
-    address: Address
-    data: bytes
-
-
 class DiscardedResponse:
     """The exchange of a cancelled attempt whose connection stays open for now. Its response is not used."""
 
@@ -77,6 +61,7 @@
         self.dialect = dialect
         self.addresses = addresses
         self.pending = 0
+        self._calls = ReleaseCalls(pool)
         # Both are keyed by the request's number. The request itself would keep its prompt in memory, and during a
         # network partition there are hundreds.
         self._discarded: dict[int, list[DiscardedFetch]] = {}
@@ -110,7 +95,7 @@
             self.pending -= 1
 
     async def _send_all(self, calls: list[ReleaseCall]) -> None:
-        await asyncio.gather(*(self._send(each) for each in calls))
+        await asyncio.gather(*(self._calls.send(each) for each in calls))
 
     async def _release_all(self, number: int, calls: list[ReleaseCall], interrupted: bool) -> None:
         """Send the releases, and repeat them after cancelled fetches are closed. `interrupted` is set if an attempt of
@@ -129,29 +114,6 @@
             self.pending -= 1
             self._unreleased.pop(number, None)
 
-    async def _send(self, release: ReleaseCall) -> None:
-        """Send one release until it is answered; any answer shows that it has arrived. Without an answer, the machine
-        may be unreachable or slow, so the release is sent again."""
-        pool = self.pool
-        address, data = release
-        backoff = FIRST_BACKOFF_US
-        timeout = FIRST_ANSWER_TIMEOUT_US
-        unanswered = 0
-        retry_until = pool.deadlines.clock() + RETRY_LIMIT_US
-        while unanswered < MAX_UNANSWERED and pool.deadlines.clock() < retry_until:
-            try:
-                await call(pool, address, data, timeout, fresh=timeout > FIRST_ANSWER_TIMEOUT_US)
-                return
-            except TimeoutError:
-                unanswered += 1
-            except (OSError, ValueError, ConnectError):
-                pass
-            pool.counters.release_retries += 1
-            await pause(pool.deadlines, backoff)
-            backoff = min(2 * backoff, MAX_BACKOFF_US)
-            timeout = min(2 * timeout, MAX_ANSWER_TIMEOUT_US)
-        logger.warning("a release at {peer} was abandoned without an answer", peer="{}:{}".format(*address))
-
     # Cancelled fetches that are still in flight.
 
     def keep_open(self, request: Request, connection: PooledConnection) -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -15,7 +15,7 @@
 from pearhill.net.clock import start_clock
 from pearhill.net.exchange import CollectedResponse
 from pearhill.net.pool import REUSE_DELAY_US, ConnectionPurpose, Pool
-from pearhill.net.releases import FIRST_ANSWER_TIMEOUT_US, FIRST_BACKOFF_US
+from pearhill.net.release_calls import FIRST_ANSWER_TIMEOUT_US, FIRST_BACKOFF_US
 from pearhill.platform.front import Payload
 from pearhill.platform.replica import ReplicaDialect
 
--- a/tests/platform/test_held_states.py
+++ b/tests/platform/test_held_states.py
@@ -3,7 +3,7 @@
 import threading
 from typing import Any
 
-from tests.platform.test_owed import LoopbackDispatcher, close, loopback, request  # noqa: F401
+from tests.platform.test_owed import LoopbackDispatcher, loopback, request  # noqa: F401
 from tests.standins import Standin, StandinHandler
 
 READ = b'{"cached_tokens":0}'
@@ -64,3 +64,61 @@
     for _ in range(2):  # one shows that the prefill replica is reachable, one follows the close at once
         assert deletes.acquire(timeout=20)
     assert deletes.acquire(timeout=20), "no release came once the decode had seen the end of the fetch"
+
+
+class Reader(Standin):
+    """A prefill replica whose reads end when the test says so, whether their connections are still open or not.
+
+    `releases`: counts the DELETEs that it has answered; `released_after_read`: one has come after a read ended.
+    """
+
+    def __init__(self) -> None:
+        self.silent = threading.Event()
+        self.resumed = threading.Event()
+        self.end_read = threading.Event()
+        self.read_ended = threading.Event()
+        self.releases = threading.Semaphore(0)
+        self.released_after_read = threading.Event()
+        super().__init__()
+
+    def respond(self, handler: Any, body: bytes) -> None:
+        after_read = self.read_ended.is_set()
+        if self.silent.is_set():
+            self.resumed.wait(60)
+        if handler.command == "DELETE":
+            self._release(handler, after_read)
+        else:
+            self._read(handler)
+
+    def _release(self, handler: Any, after_read: bool) -> None:
+        if after_read:
+            self.released_after_read.set()
+        self.releases.release()
+        handler.send_response_body(204)
+
+    def _read(self, handler: Any) -> None:
+        self.end_read.wait(60)
+        self.read_ended.set()
+        handler.send_response_body(202, READ)
+
+    def close(self) -> None:
+        self.resumed.set()
+        self.end_read.set()
+        super().close()
+
+
+def test_state_at_a_replica_that_was_silent_for_many_releases_is_released(loopback: LoopbackDispatcher) -> None:  # noqa: F811
+    """The release was abandoned after eight tries without an answer, while the read was still in progress."""
+    prefill, decode = Reader(), Standin()
+    prefill.silent.set()
+    loopback.start((prefill, "reader"), (decode, "writer"))
+    client = loopback.connect()
+    client.sendall(request("l2", "advice", 9000))
+    prefill.wait_for("POST")
+    client.close()
+    prefill.wait_for("DELETE", count=8)
+    prefill.wait_for("DELETE", count=9)
+    prefill.end_read.set()
+    prefill.silent.clear()
+    prefill.resumed.set()
+    assert prefill.released_after_read.wait(20), "no release came after the end of the read"
