Release state until every given-up attempt has ended at its replica

Evidence 1: a decode replica with two fetches in flight was silent for 3.4 s and died; the prefill replica had answered the releases before that, and ignored them, as an attempt still waited for the states.

Cause: the releases of a request were a fixed series, up to 150 ms after an attempt was closed. An attempt ends when its replica notices the close, responds again or dies, and what it leaves is held from then on. The connection that shows the end was closed, or its end ignored.

Now HeldState owns what a request has left until the end of each attempt is known, and a release sent after it is answered. An attempt is given up by ending the sending on its connection, which is read until the replica responds or closes it. If that end comes first from something in between, the releases are repeated until the replica has answered one, and for 1.5 s more, at most 350 ms apart: the rule allows 600 ms. Beside another attempt of the same request they pause: a repeat could have released the state of a new read at the same replica.

Request.interrupted is gone, as nothing reads it. The check of it in test_dispatcher.py is replaced by one that the backend is told of the cancelled attempt; that a release follows its end is checked by tests/platform/test_held_states.py with the real program.

--- a/pearhill/__init__.py
+++ b/pearhill/__init__.py
@@ -2,5 +2,5 @@
 
 from pearhill.routing.router import Router
 
-__version__ = "0.4.5"
+__version__ = "0.4.6"
 __all__ = ["Router", "__version__"]
--- a/pearhill/core/attempt_lifecycle.py
+++ b/pearhill/core/attempt_lifecycle.py
@@ -237,7 +237,6 @@
         request = attempt.request
         if may_hold_state and not attempt.response_started:
             request.state_holders.add(attempt.replica)
-            request.interrupted = request.interrupted or outcome not in (Outcome.PREFILLED, Outcome.ERROR)
         if outcome == Outcome.PREFILLED:
             request.prefill_replica = attempt.replica
         endpoint = attempt.endpoint
--- a/pearhill/core/request.py
+++ b/pearhill/core/request.py
@@ -41,10 +41,9 @@
     """One request from its arrival to its final answer and the end of its last attempt.
 
     `answered`: no answer is pending any more, because the final answer was sent, the answer was cut short, or the
-    client disconnected. `state_holders`: the replicas that may hold state for the request. `interrupted`: the
-    connection of an attempt was closed while it was in progress; its replica notices that later, and may hold state.
-    `execution`: the first attempt that may have executed the request. `prefill_replica`: the replica that last
-    prefilled it, or 0. `last_outcome`: the outcome of its last attempt, empty until the first one has ended.
+    client disconnected. `state_holders`: the replicas that may hold state for the request. `execution`: the first
+    attempt that may have executed the request. `prefill_replica`: the replica that last prefilled it, or 0.
+    `last_outcome`: the outcome of its last attempt, empty until the first one has ended.
     """
 
     number: int
@@ -58,7 +57,6 @@
     answered: bool = False
     client_disconnected: bool = False
     state_holders: set[int] = field(default_factory=set)
-    interrupted: bool = False
     execution: Execution | None = None
     prefill_replica: int = 0
     last_outcome: str = ""
--- /dev/null
+++ b/pearhill/lifecycle/held_state.py
@@ -0,0 +1,108 @@
+"""What replicas may hold for one request, and when it has to be released, until the end of every attempt is known.
+
+A replica releases nothing while an attempt of the request is in progress there, and an attempt may leave state when it
+ends, however long before that it was given up here. So releases are repeated until the last attempt has certainly ended
+and a release sent after that is answered. While another attempt of the request is in flight nothing is released: the
+state may be its own.
+"""
+
+from __future__ import annotations
+
+# The first repeat of a release, after an attempt was given up: within the minimum of 300 ms for `release-within`.
+FIRST_REPEAT_US = 150_000
+REPEAT_INTERVAL_US = 350_000  # a state may be held for 300 ms beyond that minimum
+# The interval while the replica of a given-up attempt answers nothing: its answer, or the end of the attempt's
+# connection, is followed by a release at once.
+SILENT_REPEAT_INTERVAL_US = 1_000_000
+# An attempt whose connection has ended without a response may go on at its replica this much longer, once the replica
+# has answered a release.
+UNCERTAIN_END_US = 1_500_000
+
+
+class HeldState:
+    """What one request may have left at replicas. Times are in microseconds.
+
+    `unreleased`: the replicas that may hold something. `suspended`: another attempt of the request is in flight.
+    """
+
+    def __init__(self) -> None:
+        self.unreleased: set[int] = set()
+        self.suspended = False
+        self._open_attempts: dict[object, int] = {}  # given up, and not ended: the replica of each
+        self._responsive: set[int] = set()  # replicas that have answered a release since an attempt was given up there
+        self._replicas_of_lost_attempts: set[int] = (
+            set()
+        )  # replicas of lost attempts that have answered no release since
+        self._given_up_at = 0
+        self._ended_at = 0  # when the last given-up attempt ended
+        self._may_end_until = 0  # until when an attempt may end whose connection does not show it
+
+    def may_hold(self, replica: int) -> None:
+        """Add a replica that has to release what it holds."""
+        self.unreleased.add(replica)
+
+    def return_to_request(self, replicas: set[int]) -> None:
+        """Take replicas out whose state the request uses again."""
+        self.unreleased -= replicas
+
+    def attempt_given_up(self, now: int, attempt: object, replica: int) -> None:
+        """Record that an attempt was given up. Its connection shows when it ends, and `attempt_ended` follows."""
+        self._given_up_at = now
+        self._open_attempts[attempt] = replica
+        self._responsive.discard(replica)
+
+    def attempt_ended(self, now: int, attempt: object, responded: bool) -> None:
+        """Record the end of a given-up attempt: its response, or (not `responded`) the end of its connection, which
+        does not show that the replica has noticed it."""
+        replica = self._open_attempts.pop(attempt, None)
+        if replica is None:
+            return
+        self._ended_at = now
+        if not responded:
+            self.attempt_lost(now, replica)
+
+    def attempt_lost(self, now: int, replica: int) -> None:
+        """Record that the connection of an attempt has ended without a response. The replica may be unreachable, or not
+        respond, and end the attempt only after that."""
+        self._given_up_at = now
+        self._responsive.discard(replica)
+        self._replicas_of_lost_attempts.add(replica)
+
+    def release_answered(self, now: int, replica: int, sent_at: int) -> bool:
+        """Record that a release, sent at `sent_at`, was answered. Returns True if the replica has answered none since
+        an attempt was given up there, so that the attempt may end now."""
+        is_first = self._may_have_attempt(replica) and replica not in self._responsive
+        self._responsive.add(replica)
+        if replica in self._replicas_of_lost_attempts:
+            self._replicas_of_lost_attempts.discard(replica)
+            self._may_end_until = now + UNCERTAIN_END_US
+        if not self._has_unknown_end() and sent_at >= max(self._ended_at, self._may_end_until):
+            self.unreleased.discard(replica)
+        return is_first
+
+    def _may_have_attempt(self, replica: int) -> bool:
+        return replica in self._replicas_of_lost_attempts or replica in self._open_attempts.values()
+
+    def _has_unknown_end(self) -> bool:
+        # A replica that has nothing to release is sent no release, whose answer could end the wait for it.
+        return bool(self._open_attempts) or not self._replicas_of_lost_attempts.isdisjoint(self.unreleased)
+
+    def abandon(self, replica: int) -> None:
+        """Record that a replica could not be reached for as long as its release is repeated."""
+        self.unreleased.discard(replica)
+
+    def next_release_at(self, now: int) -> int:
+        """Return when the next release is due at a replica that has just answered one."""
+        if now < self._given_up_at + FIRST_REPEAT_US:
+            return self._given_up_at + FIRST_REPEAT_US
+        if self._may_end_until > now:
+            return min(now + REPEAT_INTERVAL_US, self._may_end_until)
+        if not self._has_unknown_end():
+            return now
+        if self._responsive.isdisjoint(self._open_attempts.values()):
+            return now + SILENT_REPEAT_INTERVAL_US
+        return now + REPEAT_INTERVAL_US
+
+    def is_settled(self, now: int) -> bool:
+        """Return whether nothing is left to release, and no attempt can leave anything any more."""
+        return not self.unreleased and not self._has_unknown_end() and now >= self._may_end_until
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -94,7 +94,7 @@
             return self._finish(Outcome.UNREACHABLE)
         if not attempt.may_start():
             return
-        self.owner.releases.close_discarded(attempt.request)  # else two attempts would be in flight
+        self.owner.releases.attempt_starts(attempt.request)  # else two attempts would be in flight
         self.may_have_sent = True
         try:
             await connection.send(self, self._build_request)
@@ -103,7 +103,7 @@
             return self._finish(Outcome.UNREACHABLE)
         self.owner.pool.counters.written += 1
         if connection.closed:
-            self._finish(Outcome.TRUNCATED, may_hold_state=True)
+            self._lost()
 
     async def _is_client_input_read(self) -> bool:
         """Wait until the input of the client is read, for as long as a connect may take. A client that has sent more
@@ -160,7 +160,12 @@
             case Lost():
                 # While the request is being written, only `_run` can determine whether its last byte was sent.
                 if self.connection and not self.connection.writing:
-                    self._finish(Outcome.TRUNCATED, may_hold_state=True)
+                    self._lost()
+
+    def _lost(self) -> None:
+        """End the attempt, whose connection has ended without a complete response."""
+        self.owner.releases.attempt_lost(self.attempt.request, self.attempt.replica)
+        self._finish(Outcome.TRUNCATED, may_hold_state=True)
 
     def _head_received(self, status: int, headers: Mapping[str, str]) -> None:
         self.status = status
@@ -297,22 +302,26 @@
             self.task.cancel()
             # A cancelled task refers to this exchange and the request's body until the garbage collector runs.
             self.task = None
-        connection = self.connection
-        if connection and not connection.closed:
-            if self._fetches_held_state(connection):
-                self.owner.releases.keep_open(self.attempt.request, connection)
-            else:
-                connection.close("called-off")
+        self._give_up_connection()
         return self.may_have_sent
 
-    def _fetches_held_state(self, connection: PooledConnection) -> bool:
-        """Whether the attempt was sent to fetch state that replicas hold. Once it ends, the time limit for the release
-        of that state starts, and no release would arrive in time if the holders are unreachable. While the connection
-        stays open, the attempt counts as in flight. A prefill attempt, before which no state is held, has to be closed:
-        its request may be rejected, and nothing that may be executed may be in flight at that time."""
-        return bool(
-            self.attempt.request.state_holders
-            and connection.sent
-            and connection.exchange is self
-            and not self.attempt.response_started
-        )
+    def _give_up_connection(self) -> None:
+        """Give up the attempt on its connection, and let the releases follow it if it may leave state at the replica.
+
+        Once a fetch of held state is given up, the time limit for the release of that state starts, and no release
+        would arrive in time if the holders are unreachable. While the connection stays open, the attempt counts as in
+        flight. An attempt before which no state is held has to be given up at once: its request may be rejected, and
+        nothing that may be executed may be in flight at that time."""
+        connection = self.connection
+        request = self.attempt.request
+        releases = self.owner.releases
+        if connection is None or connection.closed:
+            return
+        if not connection.sent or connection.exchange is not self or self.attempt.response_started:
+            connection.close("called-off")
+            if self.may_have_sent and not self.attempt.response_started:
+                releases.attempt_lost(request, self.attempt.replica)
+        elif request.state_holders:
+            releases.keep_open(request, self.attempt.replica, connection)
+        else:
+            releases.give_up(request, self.attempt.replica, connection)
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -82,11 +82,19 @@
     def cancel(self, attempt: Attempt) -> bool:
         """Cancel an attempt. Returns whether its replica may have the complete request."""
         exchange = self.exchanges.pop(attempt, None)
-        return exchange.cancel() if exchange else False
+        if exchange is None:
+            return False
+        self._resume_releases(attempt)
+        return exchange.cancel()
 
     def forget(self, attempt: Attempt) -> None:
         """Remove an attempt that has ended."""
         self.exchanges.pop(attempt, None)
+        self._resume_releases(attempt)
+
+    def _resume_releases(self, attempt: Attempt) -> None:
+        """Resume the request's releases once the core has recorded the end of the attempt."""
+        self.pool.loop.call_soon(self.releases.attempt_over, attempt.request)
 
     # Releases.
 
--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -6,6 +6,7 @@
 import enum
 import errno
 import socket
+from collections.abc import Callable
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.counters import Counters
@@ -60,8 +61,9 @@
         self.reserved_connections = reserved_connections
         self.idle: dict[Address, list[PooledConnection]] = {}  # without empty lists, as servers are replaced often
         self.open: set[PooledConnection] = set()
-        # Connections of cancelled fetches that are still open. They are closed before a request is rejected.
-        self.discarded: dict[PooledConnection, None] = {}
+        # Open connections of attempts that were given up, and what is called when each is closed. They are closed
+        # before a request is rejected.
+        self.given_up: dict[PooledConnection, Callable[[], None]] = {}
         self._connecting = 0
         self.spawn = Tasks(loop, "a connection's task").spawn
 
@@ -166,8 +168,10 @@
     def forget(self, connection: PooledConnection) -> None:
         """Remove a closed connection."""
         self.open.discard(connection)
-        self.discarded.pop(connection, None)
         self._remove_idle(connection)
+        on_close = self.given_up.pop(connection, None)
+        if on_close:
+            on_close()
 
     def _remove_idle(self, connection: PooledConnection) -> None:
         self.deadlines.cancel(connection.idle_timer)
@@ -184,12 +188,12 @@
             connection.close("server-left")
 
     def _close_one(self) -> bool:
-        """Close the connection that has been idle longest, or else that of a cancelled fetch. Returns False if there is
-        neither."""
+        """Close the connection that has been idle longest, or else that of a given-up attempt. Returns False if there
+        is neither."""
         oldest = min(
             (connection for idle in self.idle.values() for connection in idle),
             key=lambda connection: connection.idle_timer or (0, 0),
-            default=next(iter(self.discarded), None),
+            default=next(iter(self.given_up), None),
         )
         if oldest:
             oldest.close("room-needed")
--- a/pearhill/net/pooled_connection.py
+++ b/pearhill/net/pooled_connection.py
@@ -51,6 +51,7 @@
         self.sent = False  # its last byte is written
         self.exchanges = 0
         self.closed = False
+        self.sending_ended = False
         self.idle_timer: TimerKey | None = None
         self.reusable_at = 0
         self._parser = ClientConnection()
@@ -134,11 +135,22 @@
         elif isinstance(event, End):
             self.exchange = None
             # After a response that precedes the end of its request, the rest of the request still follows on the wire.
-            if event.reusable and self.sent and not self.closed:
+            if event.reusable and self.sent and not self.closed and not self.sending_ended:
                 self.pool.put_back(self, delay_reuse=not isinstance(exchange, CollectedResponse))
             else:
                 self.close("server-asked")
 
+    def end_sending(self, reason: str) -> None:
+        """End the sending on the connection, which is still read until the server closes it, and not used again."""
+        if self.closed or self.sending_ended:
+            return
+        self.sending_ended = True
+        self._record_end(reason, self.exchange.request_id if self.exchange else "")
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close(reason)
+
     def close(self, reason: str) -> None:
         """Close the connection now: the socket is shut down before this returns, even if the loop still uses it."""
         if self.closed:
@@ -151,6 +163,11 @@
         if self._reader and asyncio.current_task(self.pool.loop) is not self._reader:
             self._reader.cancel()
         self.pool.forget(self)
+        if not self.sending_ended:
+            self._record_end(reason, request_id)
+
+    def _record_end(self, reason: str, request_id: str) -> None:
+        """Count and log why this process has ended the connection, once for each connection."""
         self.pool.counters.connections[f"server {reason}"] += 1
         logger.info(
             "connection side={side} peer={peer} reason={reason} exchanges={exchanges} cut={request_id}",
--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -36,8 +36,9 @@
 
 
 class ReleaseCall(NamedTuple):
-    """One release to one replica: its address and the message."""
+    """One release to one replica: the replica, its address and the message."""
 
+    replica: int
     address: Address
     data: bytes
 
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -1,29 +1,28 @@
-"""Releases: calls that release the state that replicas hold for a request, repeated until they have certainly arrived.
+"""Releases of the state that replicas hold for requests, repeated until every replica has certainly released it.
 
 A replica releases nothing while an attempt waits for the state, so a release that arrives before the end of that
-attempt is ignored silently. The connections of cancelled fetches stay open (`keep_open`) until every holder is
-reachable; only then are they closed, and the release is sent again.
+attempt is ignored silently. The connections of given-up fetches stay open (`keep_open`) until every holder is
+reachable, and only then is their sending ended. Until a replica ends its side too, a given-up attempt may leave state
+there; `HeldState` decides when a release is sent again.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Iterable, Mapping
-from typing import Any, NamedTuple, Protocol
+import contextlib
+from collections.abc import Callable, Collection, Mapping
+from typing import Any, Protocol
 
 from pearhill.core.request import Request
-from pearhill.http1.client import MAX_CHUNK, Event
+from pearhill.lifecycle.held_state import UNCERTAIN_END_US, HeldState
 from pearhill.net.address import Address
 from pearhill.net.calls import call
 from pearhill.net.errors import ConnectError
+from pearhill.net.given_up_attempts import GivenUpAttempt
 from pearhill.net.pool import Pool
 from pearhill.net.pooled_connection import PooledConnection
 from pearhill.net.release_calls import FIRST_ANSWER_TIMEOUT_US, ReleaseCall, ReleaseCalls
-from pearhill.net.ticks import pause
-
-# An attempt that was closed in flight ends at its replica when the close arrives there, on a connection of its own. The
-# release is therefore repeated after this time, which is within the minimum of 300 ms for `release-within`.
-REPEAT_AFTER_CLOSE_US = 150_000
+from pearhill.net.ticks import time_limit
 
 
 class ReleaseDialect(Protocol):
@@ -33,24 +32,34 @@
         """Build the call that releases the state held for a request."""
 
 
-class DiscardedResponse:
-    """The exchange of a cancelled attempt whose connection stays open for now. Its response is not used."""
-
-    max_chunk = MAX_CHUNK
-    request_id = ""
+class RequestReleases:
+    """What one request may have left at replicas, and the releases of it that are in progress.
 
-    async def handle(self, event: Event) -> None:
-        """Ignore an event of the response."""
+    `releasing`: the replicas that have a task of releases. `unreached`: those that have not answered one yet. `kept`:
+    given-up fetches that count as in flight.
+    """
 
-    def record_partial_chunk(self, size: int) -> None:
-        """Do nothing: the connection is closed once the releases are answered."""
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.held = HeldState()
+        self.releasing: set[int] = set()
+        self.unreached: set[int] = set()
+        self.kept: list[GivenUpAttempt] = []
+        self._changed = asyncio.Event()
 
+    @property
+    def change(self) -> asyncio.Event:
+        """The event that is set at the next change of `held`."""
+        return self._changed
 
-class DiscardedFetch(NamedTuple):
-    """A cancelled fetch that may still be in flight."""
+    def notify(self) -> None:
+        """Let all releases of the request consider a change of `held`."""
+        self._changed.set()
+        self._changed = asyncio.Event()
 
-    connection: PooledConnection
-    exchange: DiscardedResponse
+    def needs_release(self, replica: int) -> bool:
+        """Return whether a release is to be sent to a replica now."""
+        return replica in self.held.unreleased and not self.held.suspended
 
 
 class Releases:
@@ -62,90 +71,166 @@
         self.addresses = addresses
         self.pending = 0
         self._calls = ReleaseCalls(pool)
-        # Both are keyed by the request's number. The request itself would keep its prompt in memory, and during a
-        # network partition there are hundreds.
-        self._discarded: dict[int, list[DiscardedFetch]] = {}
-        self._unreleased: dict[int, Collection[int]] = {}  # replicas that have not released yet
+        # By the request's number. The request itself would keep its prompt in memory, and during a network partition
+        # there are hundreds.
+        self._requests: dict[int, RequestReleases] = {}
 
     def release(self, request: Request, replicas: Collection[int]) -> None:
-        """Release everything that these replicas hold for the request."""
-        calls = self._build_calls(request, replicas)
-        self.pending += 1
-        self._unreleased[request.number] = replicas
-        self.pool.spawn(self._release_all(request.number, calls, request.interrupted))
+        """Release everything that these replicas hold for the request. None of its attempts may be in flight."""
+        entry = self._entry(request.number)
+        for release in self._build_calls(request, replicas):
+            entry.held.may_hold(release.replica)
+            entry.unreached.add(release.replica)
+            if release.replica not in entry.releasing:
+                entry.releasing.add(release.replica)
+                self.pending += 1
+                self.pool.spawn(self._release_at(entry, release))
+        entry.held.suspended = False
+        entry.notify()
 
     def release_unless_fetched(self, request: Request, replicas: Collection[int]) -> None:
         """Release the state once while an attempt that fetches it is in flight, in case that attempt never arrived. If
         the attempt did arrive, the release has no effect."""
-        self.pending += 1
-        self.pool.spawn(self._release_once(self._build_calls(request, replicas)))
+        attempt = request.current_attempt
+        for release in self._build_calls(request, replicas):
+            self.pending += 1
+            self.pool.spawn(self._release_once(release, lambda: request.current_attempt is attempt))
 
     def _build_calls(self, request: Request, replicas: Collection[int]) -> list[ReleaseCall]:
         calls = []
         for replica in replicas:
             address = self.addresses.get(replica)
             if address:
-                calls.append(ReleaseCall(address, self.dialect.release(request.payload, replica)))
+                calls.append(ReleaseCall(replica, address, self.dialect.release(request.payload, replica)))
         return calls
 
-    async def _release_once(self, calls: list[ReleaseCall]) -> None:
+    async def _release_once(self, release: ReleaseCall, is_needed: Callable[[], bool]) -> None:
         try:
-            await self._send_all(calls)
+            await self._calls.send(release, is_needed)
         finally:
             self.pending -= 1
 
-    async def _send_all(self, calls: list[ReleaseCall]) -> None:
-        await asyncio.gather(*(self._calls.send(each) for each in calls))
-
-    async def _release_all(self, number: int, calls: list[ReleaseCall], interrupted: bool) -> None:
-        """Send the releases, and repeat them after cancelled fetches are closed. `interrupted` is set if an attempt of
-        the request was closed before its response."""
+    async def _release_at(self, entry: RequestReleases, release: ReleaseCall) -> None:
+        """Send a request's releases to one replica until it certainly holds nothing."""
+        held = entry.held
         try:
-            discarded = tuple(self._discarded.get(number, ()))
-            await self._send_all(calls)
-            if discarded:
-                # State that an attempt waits for is not released: these calls only showed that all are reachable.
-                self._close(number, [fetch for fetch in discarded if fetch in self._discarded.get(number, ())])
-                await self._send_all(calls)
-            if interrupted or discarded:
-                await pause(self.pool.deadlines, REPEAT_AFTER_CLOSE_US)
-                await self._send_all(calls)
+            while release.replica in held.unreleased:
+                if held.suspended:
+                    await entry.change.wait()
+                elif await self._send(entry, release):
+                    await self._wait_until_next(entry, release.replica)
         finally:
             self.pending -= 1
-            self._unreleased.pop(number, None)
-
-    # Cancelled fetches that are still in flight.
-
-    def keep_open(self, request: Request, connection: PooledConnection) -> None:
-        """Keep the connection of a cancelled fetch open until the request is forwarded again, or all state held for it
-        is released: one of these always follows."""
-        exchange = DiscardedResponse()
-        connection.exchange = exchange
-        self._discarded.setdefault(request.number, []).append(DiscardedFetch(connection, exchange))
-        self.pool.discarded[connection] = None
-
-    def close_discarded(self, request: Request) -> None:
-        """Close the request's cancelled fetches, because another attempt starts."""
-        self._close(request.number, self._discarded.get(request.number, ()))
-
-    def _close(self, number: int, fetches: Iterable[DiscardedFetch]) -> None:
-        for fetch in list(fetches):
-            connection = fetch.connection
-            self.pool.discarded.pop(connection, None)
-            if connection.exchange is fetch.exchange:  # else it was answered, and may carry another request
-                connection.close("called-off")
-            self._discarded[number].remove(fetch)
-        if not self._discarded.get(number, True):
-            del self._discarded[number]
+            entry.releasing.discard(release.replica)
+            self._forget_if_settled(entry)
+
+    async def _send(self, entry: RequestReleases, release: ReleaseCall) -> bool:
+        """Send one release until it is answered. Returns False if it is not needed any more, or was abandoned."""
+        sent_at = self.pool.deadlines.clock()
+        is_answered = await self._calls.send(release, lambda: entry.needs_release(release.replica))
+        if is_answered:
+            if entry.held.release_answered(self.pool.deadlines.clock(), release.replica, sent_at):
+                entry.notify()
+        elif entry.needs_release(release.replica):
+            entry.held.abandon(release.replica)
+        else:
+            return False
+        entry.unreached.discard(release.replica)
+        if not entry.unreached:
+            # State that an attempt waits for is not released: the answers only showed that all are reachable.
+            self._end_sending(entry)
+        return is_answered
+
+    async def _wait_until_next(self, entry: RequestReleases, replica: int) -> None:
+        """Wait until another release is due at a replica that has answered one, or the attempts have changed."""
+        now = self.pool.deadlines.clock()
+        due_in = entry.held.next_release_at(now) - now
+        if replica not in entry.held.unreleased or due_in <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with time_limit(self.pool.deadlines, due_in):
+                await entry.change.wait()
+
+    # Attempts that were given up.
+
+    def keep_open(self, request: Request, replica: int, connection: PooledConnection) -> None:
+        """Keep the connection of a given-up fetch open until the request is forwarded again, or all replicas that hold
+        state for it have answered a release: one of these always follows."""
+        entry = self._entry(request.number)
+        entry.kept.append(self._follow(entry, replica, connection))
+
+    def give_up(self, request: Request, replica: int, connection: PooledConnection) -> None:
+        """End the sending of an attempt, and follow it until its replica has ended it too."""
+        self._follow(self._entry(request.number), replica, connection).end_sending()
+
+    def _follow(self, entry: RequestReleases, replica: int, connection: PooledConnection) -> GivenUpAttempt:
+        attempt = GivenUpAttempt(self.pool, connection, replica, lambda attempt: self._attempt_ended(entry, attempt))
+        entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt, replica)
+        return attempt
+
+    def attempt_lost(self, request: Request, replica: int) -> None:
+        """Note that the connection of an attempt has ended without a response, which its replica may notice later."""
+        entry = self._entry(request.number)
+        entry.held.attempt_lost(self.pool.deadlines.clock(), replica)
+        self._forget_later(entry)
+
+    def attempt_starts(self, request: Request) -> None:
+        """Give up the fetches that are kept open, because another attempt starts, and pause the releases."""
+        entry = self._requests.get(request.number)
+        if entry:
+            entry.held.suspended = True
+            self._end_sending(entry)
+
+    def attempt_over(self, request: Request) -> None:
+        """Go on with the releases that an attempt has paused. State that the request still uses is not released."""
+        entry = self._requests.get(request.number)
+        if entry:
+            entry.held.return_to_request(request.state_holders)
+            entry.held.suspended = False
+            entry.notify()
+            self._forget_if_settled(entry)
+
+    def _end_sending(self, entry: RequestReleases) -> None:
+        """Give up the request's fetches that are kept open."""
+        kept, entry.kept = entry.kept, []
+        for attempt in kept:
+            entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt, attempt.replica)
+            attempt.end_sending()
+        if kept:
+            entry.notify()
+
+    def _attempt_ended(self, entry: RequestReleases, attempt: GivenUpAttempt) -> None:
+        """Release the state that the end of an attempt has left."""
+        if attempt in entry.kept:
+            entry.kept.remove(attempt)
+        entry.held.attempt_ended(self.pool.deadlines.clock(), attempt, attempt.responded)
+        entry.notify()
+        self._forget_if_settled(entry)
+        self._forget_later(entry)
+
+    def _entry(self, number: int) -> RequestReleases:
+        entry = self._requests.get(number)
+        if entry is None:
+            entry = self._requests[number] = RequestReleases(number)
+        return entry
+
+    def _forget_later(self, entry: RequestReleases) -> None:
+        self.pool.deadlines.schedule_after(UNCERTAIN_END_US, lambda: self._forget_if_settled(entry))
+
+    def _forget_if_settled(self, entry: RequestReleases) -> None:
+        is_current = self._requests.get(entry.number) is entry
+        if is_current and not entry.releasing and entry.held.is_settled(self.pool.deadlines.clock()):
+            del self._requests[entry.number]
 
     async def may_replace(self, request: Request) -> bool:
-        """Whether another fetch may replace a cancelled one that is still in flight. If the new fetch finds no state,
+        """Whether another fetch may replace a given-up one that is still in flight. If the new fetch finds no state,
         any state still held is useless, and its holders may be unreachable or unresponsive. So the prefill replica has
         to answer now. A decode replica that received a fetch usually hangs and answers nothing, but it has to be
         reachable."""
-        if not self._discarded.get(request.number):
+        entry = self._requests.get(request.number)
+        if entry is None or not entry.kept:
             return True
-        holders = {*request.state_holders, *self._unreleased.get(request.number, ())}
+        holders = request.state_holders | entry.held.unreleased
         reached = await asyncio.gather(*(self._is_reachable(request, replica) for replica in holders))
         return all(reached)
 
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pearhill.core.request import RequestSpec
+from pearhill.core.request import Attempt, RequestSpec
 from pearhill.routing.actions import Action, RejectRequest, SendAttempt
 from pearhill.routing.events import Event, RequestArrived
 from pearhill.routing.outcomes import Outcome
@@ -226,6 +226,8 @@
     h: DispatcherHarness,
 ) -> None:
     client = h.accept_and_prefill()
+    cancelled: list[Attempt] = []
+    h.on_cancel = cancelled.append
     h.wait(STATE_HOLD_TIME - 1)
     assert h.released_unless_fetched == []
     h.wait(1)
@@ -234,7 +236,7 @@
     assert len(h.sent) == 2
     h.dispatcher.handle_disconnect(client.request)
     assert h.released == [{1, h.sent[1].replica}]
-    assert client.request.interrupted is True
+    assert cancelled == [h.sent[1]]  # the backend follows it, and repeats the release once it has ended
 
 
 def test_a_state_whose_fetch_gets_a_response_in_time_is_not_released(h: DispatcherHarness) -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -113,7 +113,7 @@
             pool.put_back(connection)
         backend = HttpBackend(pool, ReplicaDialect())
         backend.update_addresses({1: address}, [], full=True)
-        request: Any = SimpleNamespace(number=7, interrupted=False, payload=Payload("r7", "POST", "/", b"", ""))
+        request: Any = SimpleNamespace(number=7, payload=Payload("r7", "POST", "/", b"", ""))
         backend.release(request, {1})
         for wait in (FIRST_ANSWER_TIMEOUT_US, FIRST_BACKOFF_US):
             pending = len(deadlines)
--- /dev/null
+++ b/tests/net/test_releases.py
@@ -0,0 +1,83 @@
+"""Releases beside further attempts of the same request, with a replica on loopback and a clock of the test's own."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from pearhill.core.deadlines import Deadlines
+from pearhill.lifecycle.held_state import REPEAT_INTERVAL_US, UNCERTAIN_END_US
+from pearhill.net.backend import HttpBackend
+from pearhill.platform.front import Payload
+from pearhill.platform.replica import ReplicaDialect
+from tests.net.test_pool import make_pool, run
+
+REPLICA = 1
+TICKS_TO_BEGIN = 20  # of the event loop, from a deadline to the release that it lets begin
+
+
+class RespondingReplica:
+    """A replica that answers every release, and the backend that sends them."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.deadlines = Deadlines(lambda: self.now)
+        self.pool = make_pool(self.deadlines, idle_timeout=60_000_000)
+        self.backend = HttpBackend(self.pool, ReplicaDialect())
+        self.received = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.backend.update_addresses({REPLICA: self.server.sockets[0].getsockname()}, [], full=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.read(4096):
+            self.received += 1
+            writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        writer.close()
+
+    async def advance(self, micros: int) -> int:
+        """Let this time pass, in steps in which every release is answered. Returns the number of those received."""
+        before = self.received
+        end = self.now + micros
+        while self.now < end:
+            self.now += REPEAT_INTERVAL_US // 10
+            self.deadlines.run_due()
+            await self._answer_all()
+        return self.received - before
+
+    async def _answer_all(self) -> None:
+        """Wait until no release waits for its connection or its answer."""
+        for _ in range(TICKS_TO_BEGIN):
+            await asyncio.sleep(0)
+        while self.pool._connecting or len(self.pool.open) > sum(map(len, self.pool.idle.values())):
+            await asyncio.sleep(0)
+
+    async def close(self) -> None:
+        self.pool.close()
+        self.server.close()
+        await asyncio.sleep(0)
+
+
+def test_no_release_is_sent_while_another_attempt_of_the_request_is_in_flight_or_its_state_is_used() -> None:
+    """A repeated release for a read that was given up released the state of the next read at the same replica."""
+
+    async def scenario() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        releases = replica.backend.releases
+        request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+        releases.attempt_lost(request, REPLICA)
+        releases.release(request, {REPLICA})
+        assert await replica.advance(REPEAT_INTERVAL_US) > 0
+        releases.attempt_starts(request)
+        assert await replica.advance(UNCERTAIN_END_US // 2) == 0
+        request.state_holders = {REPLICA}
+        releases.attempt_over(request)
+        assert await replica.advance(UNCERTAIN_END_US // 2) == 0
+        request.state_holders = set()
+        releases.release(request, {REPLICA})
+        assert await replica.advance(REPEAT_INTERVAL_US) == 1
+        assert releases.pending == 0
+        await replica.close()
+
+    run(scenario())
--- a/tests/platform/test_held_states.py
+++ b/tests/platform/test_held_states.py
@@ -1,12 +1,17 @@
 """Held state on a prefill replica is released in time if the fetch never arrives, or if its end arrives late."""
 
+import contextlib
+import socket
 import threading
 from typing import Any
 
+import pytest
+
 from tests.platform.test_owed import LoopbackDispatcher, loopback, request  # noqa: F401
 from tests.standins import Standin, StandinHandler
 
 READ = b'{"cached_tokens":0}'
+RELEASE_TIMEOUT_S = 5  # the rule allows 0.6 s
 
 
 def answer_reads(handler: Any, body: bytes) -> None:
@@ -72,13 +77,14 @@
     `releases`: counts the DELETEs that it has answered; `released_after_read`: one has come after a read ended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, closes_first: bool = False) -> None:
         self.silent = threading.Event()
         self.resumed = threading.Event()
         self.end_read = threading.Event()
         self.read_ended = threading.Event()
         self.releases = threading.Semaphore(0)
         self.released_after_read = threading.Event()
+        self.closes_first = closes_first
         super().__init__()
 
     def respond(self, handler: Any, body: bytes) -> None:
@@ -97,6 +103,9 @@
         handler.send_response_body(204)
 
     def _read(self, handler: Any) -> None:
+        if self.closes_first:
+            handler.connection.recv(1)
+            handler.connection.shutdown(socket.SHUT_RDWR)
         self.end_read.wait(60)
         self.read_ended.set()
         handler.send_response_body(202, READ)
@@ -107,6 +116,24 @@
         super().close()
 
 
+@pytest.mark.parametrize("closes_first", [False, True])
+def test_state_of_a_read_that_ends_long_after_it_was_cancelled_is_released(
+    loopback: LoopbackDispatcher,  # noqa: F811
+    closes_first: bool,
+) -> None:
+    """The replica notices the close late and completes the read after it has answered two releases."""
+    prefill, decode = Reader(closes_first), Standin()
+    loopback.start((prefill, "reader"), (decode, "writer"))
+    client = loopback.connect()
+    client.sendall(request("l1", "advice", 9000))
+    prefill.wait_for("POST")
+    client.close()
+    for _ in range(2):
+        assert prefill.releases.acquire(timeout=20)
+    prefill.end_read.set()
+    assert prefill.released_after_read.wait(20), "no release came after the end of the read"
+
+
 def test_state_at_a_replica_that_was_silent_for_many_releases_is_released(loopback: LoopbackDispatcher) -> None:  # noqa: F811
     """The release was abandoned after eight tries without an answer, while the read was still in progress."""
     prefill, decode = Reader(), Standin()
@@ -122,3 +149,44 @@
     prefill.silent.clear()
     prefill.resumed.set()
     assert prefill.released_after_read.wait(20), "no release came after the end of the read"
+
+
+class FailingWriter(Standin):
+    """A decode replica that answers nothing. `die` ends it and its connections, as the end of its process does."""
+
+    def __init__(self) -> None:
+        self.dead = threading.Event()
+        self.connections: list[socket.socket] = []
+        super().__init__()
+
+    def respond(self, handler: Any, body: bytes) -> None:
+        self.connections.append(handler.connection)
+        self.dead.wait(60)
+        raise ConnectionAbortedError
+
+    def die(self) -> None:
+        self.server.socket.close()
+        for connection in self.connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self.dead.set()
+
+    def close(self) -> None:
+        self.die()
+        super().close()
+
+
+def test_state_is_released_when_the_replica_that_was_to_fetch_it_dies(loopback: LoopbackDispatcher) -> None:  # noqa: F811
+    """The prefill replica releases nothing while the fetch is in flight, so the release has to follow its end."""
+    prefill, decode = Reader(), FailingWriter()
+    prefill.end_read.set()
+    loopback.start((prefill, "reader"), (decode, "writer"))
+    client = loopback.connect()
+    client.sendall(request("l3", "advice", 9000))
+    decode.wait_for("POST")
+    client.close()
+    decode.wait_for("DELETE", count=3)
+    while prefill.releases.acquire(blocking=False):
+        pass
+    decode.die()
+    assert prefill.releases.acquire(timeout=RELEASE_TIMEOUT_S), "no release followed the end of the fetch"
