Soak: replicas that stop and go on or die, and reads that end after they were given up

Now half of the given-up reads are noticed up to 1 s late and may end well, and each plan stops one or two replicas for 1.5 to 8 s, after which they go on or die. A release that was given up while its replica was stopped does not count. The time of what a stopped replica holds counts from its return. An attempt that was given up at a stopped replica is no second copy, as with one that is cut off; no check of the earlier faults has changed.

--- a/pearhill/lab/soak/attempt_rules.py
+++ b/pearhill/lab/soak/attempt_rules.py
@@ -107,7 +107,10 @@
         if record.held and attempt.writes_answer:
             record.held.since = at
         later = [a for a in record.attempts if a.at > attempt.at and at > a.at + MAX_START_DELAY_US]
-        if later and not self._state.was_cut_off(attempt.replica, attempt.at, at):
+        was_unaware = self._state.was_cut_off(attempt.replica, attempt.at, at) or self._state.stopped.overlap(
+            attempt.replica, attempt.at, at
+        )
+        if later and not was_unaware:
             detail = (
                 f"in flight at {attempt.replica} {(at - later[0].at) // 1000} ms after it arrived at {later[0].replica}"
             )
--- a/pearhill/lab/soak/fault_injection.py
+++ b/pearhill/lab/soak/fault_injection.py
@@ -14,6 +14,7 @@
 from pearhill.lab.soak.lateness import Span
 from pearhill.lab.soak.plan import (
     CONNECTION_BREAKING_CALLS,
+    DIES,
     DISCOVERY_IS_DOWN,
     REPLICAS_ARE_REPLACED,
     SHUTDOWN,
@@ -56,6 +57,7 @@
             "pieces": self._pieces,
             "crowd": self._flood,
             "hang-and-terminate": self._hang_and_terminate,
+            "stop-replica": self._stop_replica,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -169,7 +171,9 @@
         await self._restart_replica(fault)
 
     async def _restart_replica(self, fault: Fault) -> None:
-        replica = self._pick_replica(fault)
+        await self._restart_as_cold(self._pick_replica(fault))
+
+    async def _restart_as_cold(self, replica: Replica) -> None:
         replica.restart(int(time.time() * 1000) + self._wall_offset_us // 1000)
         if not any(agent.is_silent for agent in self._fleet.agents):
             self._fleet.oracle.attempts.replica_started(monotonic_us(), replica.uid)
@@ -198,6 +202,17 @@
             replica.proxy.cut(False)
             self._fleet.oracle.replica_cut_off(monotonic_us(), replica.uid, False)
 
+    async def _stop_replica(self, fault: Fault) -> None:
+        """Stop a replica's process, which then goes on, or dies with what it has begun."""
+        replica = self._pick_replica(fault)
+        replica.stop()
+        self._fleet.oracle.count(f"replicas that were stopped, and then {fault.variant}")
+        await asyncio.sleep(fault.duration_s)
+        if fault.variant == DIES:
+            await self._restart_as_cold(replica)
+        else:
+            replica.resume()
+
     async def _misbehave(self, fault: Fault) -> None:
         replica = self._pick_replica(fault)
         replica.misbehaviour, replica.misbehaving_share = fault.variant, fault.amount
--- a/pearhill/lab/soak/held_states.py
+++ b/pearhill/lab/soak/held_states.py
@@ -24,6 +24,7 @@
     def release_arrived(self, at: int, request: str, replica: str) -> None:
         """Record that a DELETE has arrived. The replica keeps the state while an attempt for it is in flight."""
         record = self._state.requests.get(request)
+        self._state.exposure["releases"] += 1
         if record:
             record.note(at, f"release at {replica}")
         if record and record.held and record.held.replica == replica and not self._has_attempt_in_flight(record):
@@ -48,6 +49,12 @@
             if record.held and record.held.replica == replica:
                 record.held = None
 
+    def replica_resumed(self, at: int, replica: str) -> None:
+        """Count the time of the states that a stopped replica holds from now on: no release could reach it before."""
+        for record in self._state.requests.values():
+            if record.held and record.held.replica == replica:
+                record.held.since = at
+
     @staticmethod
     def _has_attempt_in_flight(record: RequestRecord) -> bool:
         return any(a.writes_answer and not a.ended_at for a in record.attempts)
@@ -60,6 +67,7 @@
             if (
                 held is None
                 or held.reported
+                or self._state.stopped.is_active(held.replica, at)
                 or self._has_attempt_in_flight(record)
                 or at <= held.since + limit + self._state.lateness.base
             ):
--- a/pearhill/lab/soak/oracle.py
+++ b/pearhill/lab/soak/oracle.py
@@ -45,6 +45,12 @@
         """Record that the network to the replica is cut from now on, or, if `on` is False, restored."""
         self.state.unreachable.mark(at, replica, on)
 
+    def replica_stopped(self, at: int, replica: str, on: bool) -> None:
+        """Record that the replica's process is stopped from now on, or, if `on` is False, runs again or has died."""
+        self.state.stopped.mark(at, replica, on)
+        if not on:
+            self.held_states.replica_resumed(at, replica)
+
     def system_calls_fail(self, at: int, dispatcher: str, on: bool) -> None:
         """Record that system calls of the dispatcher break its connections from now on, or no longer."""
         self.state.failing.mark(at, dispatcher, on)
--- a/pearhill/lab/soak/oracle_state.py
+++ b/pearhill/lab/soak/oracle_state.py
@@ -26,6 +26,10 @@
         elif name in self._spans:
             self._spans[name][-1][1] = at
 
+    def is_active(self, name: str, at: int) -> bool:
+        """Returns whether the fault is active there now."""
+        return self.overlap(name, at, at)
+
     def overlap(self, name: str, since: int, until: int, after: int = 0) -> bool:
         """Returns whether the fault was active there within these times, or ended at most `after` before them."""
         return any(begin <= until and end + after >= since for begin, end in self._spans.get(name, ()))
@@ -46,6 +50,7 @@
     exposure: Counter[str] = field(default_factory=Counter)
     found: list[Violation] = field(default_factory=list)
     unreachable: FaultSpans = field(default_factory=FaultSpans)  # replicas that were cut off
+    stopped: FaultSpans = field(default_factory=FaultSpans)  # replicas whose process was stopped
     failing: FaultSpans = field(default_factory=FaultSpans)  # dispatchers whose failing system calls break connections
     flooded: FaultSpans = field(default_factory=FaultSpans)  # dispatchers that are flooded with connections
     broken_clients: set[tuple[str, int]] = field(default_factory=set)  # dispatcher, client's port
--- a/pearhill/lab/soak/plan.py
+++ b/pearhill/lab/soak/plan.py
@@ -73,6 +73,9 @@
     "replicas are replaced",
     "shutdown",
 )
+RESUMES, DIES = "resumed", "died"  # how a stopped replica ends
+MIN_STOP_S, MAX_STOP_S = 1.5, 8.0
+STOPS_SEED = 0x570B  # so that the other random numbers of a plan are those of plans without these faults
 FLOOD_VARIANTS = (FLOOD_ONLY, DISCOVERY_IS_DOWN, REPLICAS_ARE_REPLACED, SHUTDOWN)
 LONG_MS, SHORT_MS = (1500, 2000, 3000, 4000), (250, 400, 600, 1000)
 WALL_STEPS_S = (-3600.0, -7.0, -2.0, 2.0, 7.0, 3600.0)
@@ -186,6 +189,21 @@
     return Fault(kind, at_s, duration_s, pick)
 
 
+def _draw_stops(seed: int, seconds: float) -> list[Fault]:
+    """Returns faults that stop one or two replicas for longer than an attempt waits."""
+    rng = random.Random(seed ^ STOPS_SEED)
+    return [
+        Fault(
+            "stop-replica",
+            rng.uniform(0.5, seconds / 2),
+            rng.uniform(MIN_STOP_S, min(MAX_STOP_S, seconds)),
+            rng.random(),
+            rng.choice((RESUMES, DIES)),
+        )
+        for _ in range(rng.randint(1, 2))
+    ]
+
+
 def _failing_calls(rng: random.Random) -> str:
     """Returns one or two kinds of failing calls, each as CALL ERRNO SHARE, separated by commas."""
     chosen = rng.sample(CALL_ERRORS, rng.choice((1, 2)))
@@ -216,7 +234,8 @@
     )
     weights = [FAULT_WEIGHTS.get(kind, 1) for kind in FAULT_KINDS]
     kinds = rng.choices(FAULT_KINDS, weights, k=rng.randint(7, 12))
-    faults = sorted((_draw_fault(rng, kind, seconds) for kind in kinds), key=lambda t: t.at_s)
+    drawn = [_draw_fault(rng, kind, seconds) for kind in kinds]
+    faults = sorted([*drawn, *_draw_stops(seed, seconds)], key=lambda t: t.at_s)
     sockets = FEW_SOCKETS if "crowd" in kinds else MANY_SOCKETS
     return Plan(
         seed,
--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -17,6 +17,9 @@
 PREFILL, DECODE, MIXED = "read", "write", "both"
 EVENT_COUNT = 6
 HANG_S = 60.0
+LATE_NOTICE_SHARE = 0.5  # of cancelled prefills, whose end the replica notices late, up to `MAX_LATE_NOTICE_S`
+MAX_LATE_NOTICE_S = 1.0
+LATE_NOTICE_SEED = 0x1A7E  # so that the other random numbers of a replica do not depend on cancelled prefills
 MISBEHAVIOUR_KINDS = (
     "error",
     "reset",
@@ -47,7 +50,10 @@
 
 
 class Replica:
-    """One replica behind its proxy. It applies `misbehaviour` to a share `misbehaving_share` of its requests."""
+    """One replica behind its proxy. It applies `misbehaviour` to a share `misbehaving_share` of its requests.
+
+    While it is stopped it does nothing, as a process after SIGSTOP: its system still accepts connections and bytes.
+    """
 
     def __init__(
         self,
@@ -62,6 +68,9 @@
     ) -> None:
         self.uid, self.role, self.zone, self.cell, self.speeds = uid, role, zone, cell, speeds
         self.oracle, self.rng, self.clock, self.seed = oracle, random.Random(seed), clock, seed
+        self._late_notices = random.Random(seed ^ LATE_NOTICE_SEED)
+        self._running = asyncio.Event()
+        self._running.set()
         self.misbehaving_share, self.misbehaviour = 0.0, "error"
         self.state, self.boot_ms = "active", 0
         self.requests = 0
@@ -77,8 +86,20 @@
     def _connection_reset(self, request: str) -> None:
         self.oracle.attempts.stream_broken(self.clock(), request)
 
+    def stop(self) -> None:
+        """Stop the process until `resume` or `restart`."""
+        self._running.clear()
+        self.oracle.replica_stopped(self.clock(), self.uid, True)
+
+    def resume(self) -> None:
+        """Let a stopped process go on."""
+        if not self._running.is_set():
+            self._running.set()
+            self.oracle.replica_stopped(self.clock(), self.uid, False)
+
     def restart(self, wall_ms: int) -> None:
         """End all connections, as if the process had died and a cold one had been started at once."""
+        self.resume()
         for task in list(self._connections):
             task.cancel()
         self.oracle.held_states.replica_restarted(self.uid)
@@ -105,6 +126,9 @@
         """Answer one request. Returns False if the connection has to end."""
         if message.path.startswith("/state/"):
             request = message.path.removeprefix("/state/")
+            await self._running.wait()
+            if reader.at_eof():  # given up while the replica was stopped
+                return False
             self.oracle.held_states.release_arrived(self.clock(), request, self.uid)
             writer.write(answer(204 if message.method == "DELETE" else 404))
             return True
@@ -129,6 +153,8 @@
         work = asyncio.ensure_future(self._process_attempt(request, attempt, writer))
         try:
             await asyncio.wait((connection_end, work), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                await self._notice_end(request, attempt, work)
             return work.done() and not connection_end.done() and await work
         finally:
             if connection_end.done():
@@ -141,7 +167,22 @@
             if not attempt.ended_at:
                 self.oracle.attempts.ended(self.clock(), request, attempt)
 
+    async def _notice_end(self, request: str, attempt: AttemptRecord, work: asyncio.Future[bool]) -> None:
+        """Wait until the replica notices that its dispatcher has given the attempt up; a prefill may end before."""
+        attempt.closed_by_dispatcher = True
+        if self.role == PREFILL:
+            self.oracle.attempts.ended(self.clock(), request, attempt)
+            if self._late_notices.random() < LATE_NOTICE_SHARE:
+                await asyncio.wait((work,), timeout=self._late_notices.uniform(0, MAX_LATE_NOTICE_S))
+        await self._running.wait()
+
+    async def _pause(self, seconds: float) -> None:
+        """Work for this time, and for as long as the replica is stopped at its end."""
+        await asyncio.sleep(seconds)
+        await self._running.wait()
+
     async def _process_attempt(self, request: str, attempt: AttemptRecord, writer: asyncio.StreamWriter) -> bool:
+        await self._running.wait()
         misbehaviour = self.misbehaviour if self.rng.random() < self.misbehaving_share else ""
         if misbehaviour == "full":
             return self._reject(request, attempt, writer, 503)
@@ -159,14 +200,17 @@
     async def _prefill(
         self, request: str, attempt: AttemptRecord, writer: asyncio.StreamWriter, misbehaviour: str
     ) -> bool:
-        await asyncio.sleep(
+        await self._pause(
             self.speeds.prefill_s * self.rng.uniform(0.5, 1.5) * (4 if misbehaviour == "late-answer" else 1)
         )
         if misbehaviour in ("error", "half-line"):
             writer.write(answer(500))
             return True
         self.oracle.held_states.prefilled(self.clock(), request, self.uid)
-        self.oracle.attempts.ended(self.clock(), request, attempt)
+        if attempt.ended_at:
+            self.oracle.count("prefills that ended after they were given up")
+        else:
+            self.oracle.attempts.ended(self.clock(), request, attempt)
         if misbehaviour in ("reset", "stall"):  # the prefill has succeeded, its answer is lost
             reset(writer)
             return False
@@ -186,7 +230,7 @@
         if misbehaviour == "error":
             writer.write(answer(500))
             return True
-        await asyncio.sleep(
+        await self._pause(
             self.speeds.first_event_s * self.rng.uniform(0.5, 2.0) * (4 if misbehaviour == "late-answer" else 1)
         )
         if misbehaviour == "reset":
@@ -202,7 +246,7 @@
             if number == EVENT_COUNT // 2 and not await self._continues(request, attempt, writer, misbehaviour):
                 return False
             await writer.drain()
-            await asyncio.sleep(self.speeds.event_s)
+            await self._pause(self.speeds.event_s)
         self.oracle.attempts.wrote(self.clock(), attempt, _FINAL_EVENTS)
         attempt.finished = True
         writer.write(chunk(_FINAL_EVENTS) + LAST_CHUNK)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -15,7 +15,7 @@
 from pearhill.lab.soak.connection_flood import ConnectionFlood
 from pearhill.lab.soak.lateness import Lateness, Span
 from pearhill.lab.soak.oracle import Oracle
-from pearhill.lab.soak.plan import FLOOD_VARIANTS, SIGNAL_SERIES, draw
+from pearhill.lab.soak.plan import DIES, FLOOD_VARIANTS, RESUMES, SIGNAL_SERIES, draw
 from pearhill.lab.soak.processes import Dispatcher
 from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, AttemptRecord, Violation
 from pearhill.lab.soak.report import Report
@@ -163,6 +163,28 @@
     oracle.scan(800 * MS)
 
 
+def hold_state_too_long_after_the_replica_resumed(oracle: Oracle) -> None:
+    oracle.held_states.prefilled(0, "r", "reader")
+    oracle.replica_stopped(100 * MS, "reader", True)
+    oracle.scan(3 * S)
+    oracle.replica_stopped(3 * S, "reader", False)
+    oracle.scan(3 * S + 600 * MS)
+    assert not oracle.violations
+    oracle.scan(3 * S + 800 * MS)
+
+
+def hold_state_too_long_after_a_stopped_replica_ended_its_fetch(oracle: Oracle) -> None:
+    oracle.held_states.prefilled(0, "r", "reader")
+    fetch = oracle.attempts.arrived(10 * MS, "r", "w", True, 1000)
+    oracle.replica_stopped(100 * MS, "w", True)
+    oracle.held_states.release_arrived(200 * MS, "r", "reader")
+    oracle.replica_stopped(3 * S, "w", False)
+    oracle.attempts.ended(3 * S, "r", fetch)
+    oracle.scan(3 * S + 600 * MS)
+    assert not oracle.violations
+    oracle.scan(3 * S + 800 * MS)
+
+
 def send_second_attempt(oracle: Oracle) -> None:
     oracle.attempts.ended(20 * MS, "r", oracle.attempts.arrived(10 * MS, "r", "w1", True, 1000))
     oracle.attempts.arrived(900 * MS, "r", "w2", True, 1000)
@@ -192,6 +214,8 @@
         ("cancelled", IDEMPOTENT, start_attempt_after_close),
         ("drain", IDEMPOTENT, send_to_draining_replica),
         ("pinned", IDEMPOTENT, hold_state_too_long),
+        ("pinned", IDEMPOTENT, hold_state_too_long_after_the_replica_resumed),
+        ("pinned", IDEMPOTENT, hold_state_too_long_after_a_stopped_replica_ended_its_fetch),
         ("duplicate", NON_IDEMPOTENT, send_second_attempt),
         ("window", KEYED, send_second_attempt),
         ("refused", NON_IDEMPOTENT, reject_after_execution),
@@ -286,6 +310,14 @@
     oracle.attempts.arrived(700 * MS, "r", "w", True, 1000)
 
 
+def a_given_up_attempt_at_a_replica_that_is_stopped(oracle: Oracle) -> None:
+    first = oracle.attempts.arrived(10 * MS, "r", "w1", True, 1000)
+    oracle.replica_stopped(20 * MS, "w1", True)
+    oracle.attempts.arrived(S, "r", "w2", True, 1000)
+    oracle.replica_stopped(3 * S, "w1", False)
+    oracle.attempts.ended(3 * S, "r", first)
+
+
 def a_complete_stream(oracle: Oracle) -> None:
     start_stream(oracle, b"one two ").finished = True
     oracle.clients.answer_completed(40 * MS, "r")
@@ -303,6 +335,7 @@
         a_stream_that_its_replica_broke,
         a_stalled_stream,
         a_complete_stream,
+        a_given_up_attempt_at_a_replica_that_is_stopped,
         an_endpoint_retracted_before_it_was_polled,
     ],
 )
@@ -342,6 +375,12 @@
     assert {fault.variant for fault in faults if fault.kind == "terminate"} == set(SIGNAL_SERIES)
 
 
+def test_every_plan_stops_a_replica_and_both_ends_of_a_stop_are_drawn() -> None:
+    stops = [[fault.variant for fault in draw(seed).faults if fault.kind == "stop-replica"] for seed in range(50)]
+    assert all(stops)
+    assert {variant for variants in stops for variant in variants} == {RESUMES, DIES}
+
+
 def test_a_seed_draws_the_same_plan_every_time() -> None:
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
