Send a release to another replica too while the holder answers none

The protocol page says that DELETE releases everything held for a request "at whichever replica", that every replica accepts it, and that the time runs on while connections fail to come up. Releases went to the holder alone, so while it was cut off none could count.

The test failed before: the release was abandoned at the holder, and no other replica had it.

--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -32,15 +32,20 @@
 # and the pause before the next one take 350 ms.
 MAX_BACKOFF_US = 100_000
 MAX_REFUSED_BACKOFF_US = 500_000
+# A release at another replica is repeated this long, and at this interval, while the replica itself answers none.
+ELSEWHERE_LIMIT_US = 2_000_000
+ELSEWHERE_INTERVAL_US = 350_000
 CONCURRENT_RETRIES = 4  # at one replica: more than one, because a slow replica's answers may come after their timeout
 
 
 class ReleaseCall(NamedTuple):
-    """One release to one replica: the replica, its address and the message."""
+    """One release to one replica: the replica, its address and the message. `elsewhere`: the same release for another
+    replica. Replicas release what is held for a request wherever it is held (PROTOCOL, `DELETE`)."""
 
     replica: int
     address: Address
     data: bytes
+    elsewhere: ReleaseCall | None = None
 
 
 class TryResult(enum.Enum):
@@ -62,6 +67,21 @@
         began_at = self._pool.deadlines.clock()
         if await self._try(release, FIRST_ANSWER_TIMEOUT_US, fresh=False) == TryResult.ANSWERED:
             return True
+        repeat_elsewhere = self._pool.spawn(self._repeat_elsewhere(release, is_needed))
+        try:
+            return await self._retry_in_turn(release, is_needed, began_at)
+        finally:
+            repeat_elsewhere.cancel()
+
+    async def _repeat_elsewhere(self, release: ReleaseCall, is_needed: Callable[[], bool]) -> None:
+        """Send the release to another replica while its own one does not answer."""
+        deadlines = self._pool.deadlines
+        end = deadlines.clock() + ELSEWHERE_LIMIT_US
+        while release.elsewhere and is_needed() and deadlines.clock() < end:
+            await self._try(release.elsewhere, MAX_ANSWER_TIMEOUT_US, fresh=False)
+            await pause(deadlines, ELSEWHERE_INTERVAL_US)
+
+    async def _retry_in_turn(self, release: ReleaseCall, is_needed: Callable[[], bool], began_at: int) -> bool:
         slots = self._retry_slots.setdefault(release.address, asyncio.Semaphore(CONCURRENT_RETRIES))
         must_wait = slots.locked()
         async with slots:
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -97,13 +97,27 @@
             self.pool.spawn(self._release_once(release, lambda: request.current_attempt is attempt))
 
     def _build_calls(self, request: Request, replicas: Collection[int]) -> list[ReleaseCall]:
+        elsewhere = self._call_elsewhere(request, replicas)
         calls = []
         for replica in replicas:
             address = self.addresses.get(replica)
             if address:
-                calls.append(ReleaseCall(replica, address, self.dialect.release(request.payload, replica)))
+                message = self.dialect.release(request.payload, replica)
+                calls.append(ReleaseCall(replica, address, message, elsewhere))
         return calls
 
+    def _call_elsewhere(self, request: Request, holders: Collection[int]) -> ReleaseCall | None:
+        """Return the release for the replica, other than the holders, whose idle connection was used last."""
+        used = [
+            (idle[-1].idle_timer or (0, 0), replica, address)
+            for replica, address in self.addresses.items()
+            if (idle := self.pool.idle.get(address)) and replica not in holders
+        ]
+        if not used:
+            return None
+        _, replica, address = max(used)
+        return ReleaseCall(replica, address, self.dialect.release(request.payload, replica))
+
     async def _release_once(self, release: ReleaseCall, is_needed: Callable[[], bool]) -> None:
         try:
             await self._calls.send(release, is_needed)
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -1,17 +1,20 @@
 """Releases beside further attempts of the same request, with a replica on loopback and a clock of the test's own."""
 
 import asyncio
+import socket
 from types import SimpleNamespace
 from typing import Any
 
 from pearhill.core.deadlines import Deadlines
 from pearhill.lifecycle.held_state import REPEAT_INTERVAL_US, UNCERTAIN_END_US
 from pearhill.net.backend import HttpBackend
+from pearhill.net.release_calls import FIRST_ANSWER_TIMEOUT_US
 from pearhill.platform.front import Payload
 from pearhill.platform.replica import ReplicaDialect
 from tests.net.test_pool import make_pool, run
 
-REPLICA = 1
+REPLICA, HOLDER = 1, 2
+MAX_HOLD_US = 600_000  # the platform's rule: `release-within` of 300 ms, and 300 ms more
 TICKS_TO_BEGIN = 20  # of the event loop, from a deadline to the release that it lets begin
 
 
@@ -81,3 +84,27 @@
         await replica.close()
 
     run(scenario())
+
+
+def test_a_release_is_sent_to_another_replica_too_while_its_own_does_not_answer() -> None:
+    """While connections to the holder do not come up or are silent, its time limit runs on."""
+
+    async def scenario() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        address = replica.backend.addresses[REPLICA]
+        replica.pool.put_back(await replica.pool.acquire(address))
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
+            request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+            replica.backend.release(request, {HOLDER})
+            while not replica.received:
+                replica.now += FIRST_ANSWER_TIMEOUT_US
+                replica.deadlines.run_due()
+                for _ in range(TICKS_TO_BEGIN):
+                    await asyncio.sleep(0)
+            assert replica.now <= MAX_HOLD_US
+            assert replica.backend.pending_releases == 1
+        await replica.close()
+
+    run(scenario())
