Remember a lost attempt while its request goes on, and repeat releases in time until it has ended

Now a lost attempt is kept for 60 s, or until its replica has answered a release, and releases are at most 350 ms apart until every attempt has ended.

--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -11,12 +11,11 @@
 # The first repeat of a release, after an attempt was given up: within the minimum of 300 ms for `release-within`.
 FIRST_REPEAT_US = 150_000
 REPEAT_INTERVAL_US = 350_000  # a state may be held for 300 ms beyond that minimum
-# The interval while the replica of a given-up attempt answers nothing: its answer, or the end of the attempt's
-# connection, is followed by a release at once.
-SILENT_REPEAT_INTERVAL_US = 1_000_000
 # An attempt whose connection has ended without a response may go on at its replica this much longer, once the replica
 # has answered a release.
 UNCERTAIN_END_US = 1_500_000
+# How long a lost attempt of an open request is remembered, whose replica has been sent no release yet.
+LOST_ATTEMPT_RETENTION_US = 60_000_000
 
 
 class HeldState:
@@ -28,11 +27,8 @@
     def __init__(self) -> None:
         self.unreleased: set[int] = set()
         self.suspended = False
-        self._open_attempts: dict[object, int] = {}  # given up, and not ended: the replica of each
-        self._responsive: set[int] = set()  # replicas that have answered a release since an attempt was given up there
-        self._replicas_of_lost_attempts: set[int] = (
-            set()
-        )  # replicas of lost attempts that have answered no release since
+        self._open_attempts: set[object] = set()  # given up, and not ended
+        self._lost_at: dict[int, int] = {}  # replica of a lost attempt that has answered no release since: when
         self._given_up_at = 0
         self._ended_at = 0  # when the last given-up attempt ended
         self._may_end_until = 0  # until when an attempt may end whose connection does not show it
@@ -45,18 +41,15 @@
         """Take replicas out whose state the request uses again."""
         self.unreleased -= replicas
 
-    def attempt_given_up(self, now: int, attempt: object, replica: int) -> None:
+    def attempt_given_up(self, now: int, attempt: object) -> None:
         """Record that an attempt was given up. Its connection shows when it ends, and `attempt_ended` follows."""
         self._given_up_at = now
-        self._open_attempts[attempt] = replica
-        self._responsive.discard(replica)
+        self._open_attempts.add(attempt)
 
-    def attempt_ended(self, now: int, attempt: object, responded: bool) -> None:
+    def attempt_ended(self, now: int, attempt: object, replica: int, responded: bool) -> None:
         """Record the end of a given-up attempt: its response, or (not `responded`) the end of its connection, which
         does not show that the replica has noticed it."""
-        replica = self._open_attempts.pop(attempt, None)
-        if replica is None:
-            return
+        self._open_attempts.discard(attempt)
         self._ended_at = now
         if not responded:
             self.attempt_lost(now, replica)
@@ -65,27 +58,18 @@
         """Record that the connection of an attempt has ended without a response. The replica may be unreachable, or not
         respond, and end the attempt only after that."""
         self._given_up_at = now
-        self._responsive.discard(replica)
-        self._replicas_of_lost_attempts.add(replica)
-
-    def release_answered(self, now: int, replica: int, sent_at: int) -> bool:
-        """Record that a release, sent at `sent_at`, was answered. Returns True if the replica has answered none since
-        an attempt was given up there, so that the attempt may end now."""
-        is_first = self._may_have_attempt(replica) and replica not in self._responsive
-        self._responsive.add(replica)
-        if replica in self._replicas_of_lost_attempts:
-            self._replicas_of_lost_attempts.discard(replica)
+        self._lost_at[replica] = now
+
+    def release_answered(self, now: int, replica: int, sent_at: int) -> None:
+        """Record that a release, sent at `sent_at`, was answered."""
+        if self._lost_at.pop(replica, None) is not None:
             self._may_end_until = now + UNCERTAIN_END_US
         if not self._has_unknown_end() and sent_at >= max(self._ended_at, self._may_end_until):
             self.unreleased.discard(replica)
-        return is_first
-
-    def _may_have_attempt(self, replica: int) -> bool:
-        return replica in self._replicas_of_lost_attempts or replica in self._open_attempts.values()
 
     def _has_unknown_end(self) -> bool:
         # A replica that has nothing to release is sent no release, whose answer could end the wait for it.
-        return bool(self._open_attempts) or not self._replicas_of_lost_attempts.isdisjoint(self.unreleased)
+        return bool(self._open_attempts) or not self.unreleased.isdisjoint(self._lost_at)
 
     def abandon(self, replica: int) -> None:
         """Record that a replica could not be reached for as long as its release is repeated."""
@@ -95,14 +79,11 @@
         """Return when the next release is due at a replica that has just answered one."""
         if now < self._given_up_at + FIRST_REPEAT_US:
             return self._given_up_at + FIRST_REPEAT_US
-        if self._may_end_until > now:
-            return min(now + REPEAT_INTERVAL_US, self._may_end_until)
-        if not self._has_unknown_end():
-            return now
-        if self._responsive.isdisjoint(self._open_attempts.values()):
-            return now + SILENT_REPEAT_INTERVAL_US
-        return now + REPEAT_INTERVAL_US
+        if self._has_unknown_end():
+            return now + REPEAT_INTERVAL_US
+        return min(now + REPEAT_INTERVAL_US, max(now, self._may_end_until))
 
     def is_settled(self, now: int) -> bool:
         """Return whether nothing is left to release, and no attempt can leave anything any more."""
-        return not self.unreleased and not self._has_unknown_end() and now >= self._may_end_until
+        lost_until = max(self._lost_at.values(), default=-LOST_ATTEMPT_RETENTION_US) + LOST_ATTEMPT_RETENTION_US
+        return not self.unreleased and not self._open_attempts and now >= max(self._may_end_until, lost_until)
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol
 
 from pearhill.core.request import Request
-from pearhill.lifecycle.held_state import UNCERTAIN_END_US, HeldState
+from pearhill.lifecycle.held_state import LOST_ATTEMPT_RETENTION_US, HeldState
 from pearhill.net.address import Address
 from pearhill.net.calls import call
 from pearhill.net.errors import ConnectError
@@ -143,8 +143,7 @@
         sent_at = self.pool.deadlines.clock()
         is_answered = await self._calls.send(release, lambda: entry.needs_release(release.replica))
         if is_answered:
-            if entry.held.release_answered(self.pool.deadlines.clock(), release.replica, sent_at):
-                entry.notify()
+            entry.held.release_answered(self.pool.deadlines.clock(), release.replica, sent_at)
         elif entry.needs_release(release.replica):
             entry.held.abandon(release.replica)
         else:
@@ -179,7 +178,7 @@
 
     def _follow(self, entry: RequestReleases, replica: int, connection: PooledConnection) -> GivenUpAttempt:
         attempt = GivenUpAttempt(self.pool, connection, replica, lambda attempt: self._attempt_ended(entry, attempt))
-        entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt, replica)
+        entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt)
         return attempt
 
     def attempt_lost(self, request: Request, replica: int) -> None:
@@ -208,7 +207,7 @@
         """Give up the request's fetches that are kept open."""
         kept, entry.kept = entry.kept, []
         for attempt in kept:
-            entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt, attempt.replica)
+            entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt)
             attempt.end_sending()
         if kept:
             entry.notify()
@@ -217,7 +216,7 @@
         """Release the state that the end of an attempt has left."""
         if attempt in entry.kept:
             entry.kept.remove(attempt)
-        entry.held.attempt_ended(self.pool.deadlines.clock(), attempt, attempt.responded)
+        entry.held.attempt_ended(self.pool.deadlines.clock(), attempt, attempt.replica, attempt.responded)
         entry.notify()
         self._forget_if_settled(entry)
         self._forget_later(entry)
@@ -229,7 +228,7 @@
         return entry
 
     def _forget_later(self, entry: RequestReleases) -> None:
-        self.pool.deadlines.schedule_after(UNCERTAIN_END_US, lambda: self._forget_if_settled(entry))
+        self.pool.deadlines.schedule_after(LOST_ATTEMPT_RETENTION_US, lambda: self._forget_if_settled(entry))
 
     def _forget_if_settled(self, entry: RequestReleases) -> None:
         is_current = self._requests.get(entry.number) is entry
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -108,3 +108,29 @@
         await replica.close()
 
     run(scenario())
+
+
+def test_releases_are_repeated_while_the_replica_of_an_attempt_that_was_lost_long_before_is_silent() -> None:
+    """The lost attempt was forgotten while the request made others, and its replica ended it after the last release."""
+
+    async def scenario() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
+            request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+            releases = replica.backend.releases
+            releases.attempt_lost(request, HOLDER)
+            releases.attempt_starts(request)
+            releases.attempt_over(request)
+            await replica.advance(2 * UNCERTAIN_END_US)
+            releases.release(request, {REPLICA, HOLDER})
+            before = replica.received
+            while replica.received < before + 4:
+                replica.now += FIRST_ANSWER_TIMEOUT_US
+                replica.deadlines.run_due()
+                for _ in range(TICKS_TO_BEGIN):
+                    await asyncio.sleep(0)
+        await replica.close()
+
+    run(scenario())
