Releases: fewer calls at a replica that is silent for long

With releases repeated for up to 60 s, each dispatcher tried four at a time at a silent replica, some 12 new connections a second, and sent the other holders of each request a release every 350 ms. Where one replica hangs for long, hundreds of requests may wait for it.

Two are tried at a time now. What waited for them follows on the connection of the one that is answered, without new connections. After 10 s without the end of an attempt the other holders get a release each second: only an end that shows in no way (the replica dies, the network to it is cut) is noticed later then. The steps of the tests in tests/net/test_releases.py and test_held_states.py share their code.

--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -11,6 +11,9 @@
 # The first repeat of a release, after an attempt was given up: within the minimum of 300 ms for `release-within`.
 FIRST_REPEAT_US = 150_000
 REPEAT_INTERVAL_US = 350_000  # a state may be held for 300 ms beyond that minimum
+# Releases slow down after so long without an end of an attempt: hundreds of requests may wait for one replica.
+LONG_SILENCE_US = 10_000_000
+LONG_SILENCE_INTERVAL_US = 1_000_000
 # An attempt whose connection has ended without a response may go on at its replica this much longer, once the replica
 # has answered a release.
 UNCERTAIN_END_US = 1_500_000
@@ -80,7 +83,8 @@
         if now < self._given_up_at + FIRST_REPEAT_US:
             return self._given_up_at + FIRST_REPEAT_US
         if self._has_unknown_end():
-            return now + REPEAT_INTERVAL_US
+            is_long = now >= self._given_up_at + LONG_SILENCE_US
+            return now + (LONG_SILENCE_INTERVAL_US if is_long else REPEAT_INTERVAL_US)
         return min(now + REPEAT_INTERVAL_US, max(now, self._may_end_until))
 
     def is_settled(self, now: int) -> bool:
--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -35,7 +35,7 @@
 # A release at another replica is repeated this long, and at this interval, while the replica itself answers none.
 ELSEWHERE_LIMIT_US = 2_000_000
 ELSEWHERE_INTERVAL_US = 350_000
-CONCURRENT_RETRIES = 4  # at one replica: more than one, because a slow replica's answers may come after their timeout
+CONCURRENT_RETRIES = 2  # at one replica: more than one, because a slow replica's answers may come after their timeout
 
 
 class ReleaseCall(NamedTuple):
@@ -65,7 +65,7 @@
         """Send a release until it is answered; any answer shows that it has arrived. Returns False if it was abandoned,
         or is no longer needed."""
         began_at = self._pool.deadlines.clock()
-        if await self._try(release, FIRST_ANSWER_TIMEOUT_US, fresh=False) == TryResult.ANSWERED:
+        if await self._is_answered_on_idle(release):
             return True
         repeat_elsewhere = self._pool.spawn(self._repeat_elsewhere(release, is_needed))
         try:
@@ -85,11 +85,17 @@
         slots = self._retry_slots.setdefault(release.address, asyncio.Semaphore(CONCURRENT_RETRIES))
         must_wait = slots.locked()
         async with slots:
-            # Once a replica responds again, the calls that waited for it follow each other without a pause.
-            return await self._retry(release, is_needed, began_at, 0 if must_wait else FIRST_BACKOFF_US)
+            # Once a replica responds again, the calls that waited for it follow each other on the same connection.
+            if must_wait and is_needed() and await self._is_answered_on_idle(release):
+                return True
+            return await self._retry(release, is_needed, began_at)
+
+    async def _is_answered_on_idle(self, release: ReleaseCall) -> bool:
+        return await self._try(release, FIRST_ANSWER_TIMEOUT_US, fresh=False) == TryResult.ANSWERED
 
-    async def _retry(self, release: ReleaseCall, is_needed: Callable[[], bool], began_at: int, backoff: int) -> bool:
+    async def _retry(self, release: ReleaseCall, is_needed: Callable[[], bool], began_at: int) -> bool:
         deadlines = self._pool.deadlines
+        backoff = FIRST_BACKOFF_US
         timeout = FIRST_ANSWER_TIMEOUT_US
         limit = RETRY_LIMIT_US
         max_backoff = MAX_BACKOFF_US
@@ -98,8 +104,7 @@
                 logger.warning("a release at {peer} was abandoned without an answer", peer=_name(release.address))
                 return False
             self._pool.counters.release_retries += 1
-            if backoff:
-                await pause(deadlines, backoff)
+            await pause(deadlines, backoff)
             timeout = min(2 * timeout, MAX_ANSWER_TIMEOUT_US)
             result = await self._try(release, timeout, fresh=True)
             if result == TryResult.ANSWERED:
@@ -107,7 +112,7 @@
             refused = result == TryResult.REFUSED
             limit = REFUSED_RETRY_LIMIT_US if refused else RETRY_LIMIT_US
             max_backoff = MAX_REFUSED_BACKOFF_US if refused else MAX_BACKOFF_US
-            backoff = min(max(FIRST_BACKOFF_US, 2 * backoff), max_backoff)
+            backoff = min(2 * backoff, max_backoff)
         return False
 
     async def _try(self, release: ReleaseCall, timeout: int, *, fresh: bool) -> TryResult:
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -38,29 +38,33 @@
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
         writer.close()
 
+    async def step(self, micros: int) -> None:
+        """Let this time pass, and some ticks of the event loop."""
+        self.now += micros
+        self.deadlines.run_due()
+        for _ in range(TICKS_TO_BEGIN):
+            await asyncio.sleep(0)
+
     async def advance(self, micros: int) -> int:
         """Let this time pass, in steps in which every release is answered. Returns the number of those received."""
         before = self.received
         end = self.now + micros
         while self.now < end:
-            self.now += REPEAT_INTERVAL_US // 10
-            self.deadlines.run_due()
-            await self._answer_all()
+            await self.step(REPEAT_INTERVAL_US // 10)
+            while self.pool._connecting or len(self.pool.open) > sum(map(len, self.pool.idle.values())):
+                await asyncio.sleep(0)
         return self.received - before
 
-    async def _answer_all(self) -> None:
-        """Wait until no release waits for its connection or its answer."""
-        for _ in range(TICKS_TO_BEGIN):
-            await asyncio.sleep(0)
-        while self.pool._connecting or len(self.pool.open) > sum(map(len, self.pool.idle.values())):
-            await asyncio.sleep(0)
-
     async def close(self) -> None:
         self.pool.close()
         self.server.close()
         await asyncio.sleep(0)
 
 
+def make_request() -> Any:
+    return SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+
+
 def test_no_release_is_sent_while_another_attempt_of_the_request_is_in_flight_or_its_state_is_used() -> None:
     """A repeated release for a read that was given up released the state of the next read at the same replica."""
 
@@ -68,7 +72,7 @@
         replica = RespondingReplica()
         await replica.start()
         releases = replica.backend.releases
-        request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+        request = make_request()
         releases.attempt_lost(request, REPLICA)
         releases.release(request, {REPLICA})
         assert await replica.advance(REPEAT_INTERVAL_US) > 0
@@ -96,13 +100,10 @@
         replica.pool.put_back(await replica.pool.acquire(address))
         with socket.create_server(("127.0.0.1", 0)) as silent:
             replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
-            request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+            request = make_request()
             replica.backend.release(request, {HOLDER})
             while not replica.received:
-                replica.now += FIRST_ANSWER_TIMEOUT_US
-                replica.deadlines.run_due()
-                for _ in range(TICKS_TO_BEGIN):
-                    await asyncio.sleep(0)
+                await replica.step(FIRST_ANSWER_TIMEOUT_US)
             assert replica.now <= MAX_HOLD_US
             assert replica.backend.pending_releases == 1
         await replica.close()
@@ -118,7 +119,7 @@
         await replica.start()
         with socket.create_server(("127.0.0.1", 0)) as silent:
             replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
-            request: Any = SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
+            request = make_request()
             releases = replica.backend.releases
             releases.attempt_lost(request, HOLDER)
             releases.attempt_starts(request)
@@ -127,10 +128,7 @@
             releases.release(request, {REPLICA, HOLDER})
             before = replica.received
             while replica.received < before + 4:
-                replica.now += FIRST_ANSWER_TIMEOUT_US
-                replica.deadlines.run_due()
-                for _ in range(TICKS_TO_BEGIN):
-                    await asyncio.sleep(0)
+                await replica.step(FIRST_ANSWER_TIMEOUT_US)
         await replica.close()
 
     run(scenario())
--- a/tests/platform/test_held_states.py
+++ b/tests/platform/test_held_states.py
@@ -116,6 +116,15 @@
         super().close()
 
 
+def cancel_attempt(loopback: LoopbackDispatcher, prefill: Standin, decode: Standin, at: Standin) -> None:  # noqa: F811
+    """Send a request, and close its client's connection once an attempt has arrived at one of the replicas."""
+    loopback.start((prefill, "reader"), (decode, "writer"))
+    client = loopback.connect()
+    client.sendall(request("l1", "advice", 9000))
+    at.wait_for("POST")
+    client.close()
+
+
 @pytest.mark.parametrize("closes_first", [False, True])
 def test_state_of_a_read_that_ends_long_after_it_was_cancelled_is_released(
     loopback: LoopbackDispatcher,  # noqa: F811
@@ -123,11 +132,7 @@
 ) -> None:
     """The replica notices the close late and completes the read after it has answered two releases."""
     prefill, decode = Reader(closes_first), Standin()
-    loopback.start((prefill, "reader"), (decode, "writer"))
-    client = loopback.connect()
-    client.sendall(request("l1", "advice", 9000))
-    prefill.wait_for("POST")
-    client.close()
+    cancel_attempt(loopback, prefill, decode, prefill)
     for _ in range(2):
         assert prefill.releases.acquire(timeout=20)
     prefill.end_read.set()
@@ -138,11 +143,7 @@
     """The release was abandoned after eight tries without an answer, while the read was still in progress."""
     prefill, decode = Reader(), Standin()
     prefill.silent.set()
-    loopback.start((prefill, "reader"), (decode, "writer"))
-    client = loopback.connect()
-    client.sendall(request("l2", "advice", 9000))
-    prefill.wait_for("POST")
-    client.close()
+    cancel_attempt(loopback, prefill, decode, prefill)
     prefill.wait_for("DELETE", count=8)
     prefill.wait_for("DELETE", count=9)
     prefill.end_read.set()
@@ -180,11 +181,7 @@
     """The prefill replica releases nothing while the fetch is in flight, so the release has to follow its end."""
     prefill, decode = Reader(), FailingWriter()
     prefill.end_read.set()
-    loopback.start((prefill, "reader"), (decode, "writer"))
-    client = loopback.connect()
-    client.sendall(request("l3", "advice", 9000))
-    decode.wait_for("POST")
-    client.close()
+    cancel_attempt(loopback, prefill, decode, decode)
     decode.wait_for("DELETE", count=3)
     while prefill.releases.acquire(blocking=False):
         pass
