Releases go on beside a read of the same request at another replica

Nothing was released there for the 1.8 s until that read was given up too.

Cause: all releases of a request paused while any attempt of it was in flight. Now they pause where that attempt may use the state: at its own replica, or everywhere if it fetches state. No release goes to another replica than the holder meanwhile.

--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -2,8 +2,8 @@
 
 A replica releases nothing while an attempt of the request is in progress there, and an attempt may leave state when it
 ends, however long before that it was given up here. So releases are repeated until the last attempt has certainly ended
-and a release sent after that is answered. While another attempt of the request is in flight nothing is released: the
-state may be its own.
+and a release sent after that is answered. While another attempt of the request is in flight, nothing is released that
+it may use: no state at all if it fetches one, else none at its own replica.
 """
 
 from __future__ import annotations
@@ -24,12 +24,13 @@
 class HeldState:
     """What one request may have left at replicas. Times are in microseconds.
 
-    `unreleased`: the replicas that may hold something. `suspended`: another attempt of the request is in flight.
+    `unreleased`: the replicas that may hold something.
     """
 
     def __init__(self) -> None:
         self.unreleased: set[int] = set()
-        self.suspended = False
+        self._in_flight_at: int | None = None  # the replica of the request's attempt that is in flight
+        self._is_fetching = False  # that attempt fetches held state
         self._open_attempts: set[object] = set()  # given up, and not ended
         self._lost_at: dict[int, int] = {}  # replica of a lost attempt that has answered no release since: when
         self._given_up_at = 0
@@ -44,6 +45,25 @@
         """Take replicas out whose state the request uses again."""
         self.unreleased -= replicas
 
+    def attempt_starts(self, replica: int, is_fetch: bool) -> None:
+        """Record that an attempt of the request is in flight. `is_fetch`: it fetches state that is held."""
+        self._in_flight_at = replica
+        self._is_fetching = is_fetch
+
+    def attempt_over(self) -> None:
+        """Record that no attempt of the request is in flight."""
+        self._in_flight_at = None
+        self._is_fetching = False
+
+    @property
+    def has_attempt_in_flight(self) -> bool:
+        """Whether an attempt of the request is in flight."""
+        return self._in_flight_at is not None
+
+    def needs_release(self, replica: int) -> bool:
+        """Return whether a replica has to release what it holds, and no attempt in flight may use it."""
+        return replica in self.unreleased and not self._is_fetching and replica != self._in_flight_at
+
     def attempt_given_up(self, now: int, attempt: object) -> None:
         """Record that an attempt was given up. Its connection shows when it ends, and `attempt_ended` follows."""
         self._given_up_at = now
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -94,7 +94,7 @@
             return self._finish(Outcome.UNREACHABLE)
         if not attempt.may_start():
             return
-        self.owner.releases.attempt_starts(attempt.request)  # else two attempts would be in flight
+        self.owner.releases.attempt_starts(attempt.request, attempt.replica)  # else two would be in flight
         self.may_have_sent = True
         try:
             await connection.send(self, self._build_request)
--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -61,24 +61,32 @@
         self._pool = pool
         self._retry_slots: WeakValueDictionary[Address, asyncio.Semaphore] = WeakValueDictionary()
 
-    async def send(self, release: ReleaseCall, is_needed: Callable[[], bool] = lambda: True) -> bool:
-        """Send a release until it is answered; any answer shows that it has arrived. Returns False if it was abandoned,
-        or is no longer needed."""
+    async def send(
+        self,
+        release: ReleaseCall,
+        is_needed: Callable[[], bool],
+        may_go_elsewhere: Callable[[], bool] = lambda: True,
+    ) -> bool:
+        """Send a release until it is answered; any answer shows that it has arrived. `may_go_elsewhere`: whether
+        another replica may get it too. Returns False if it was abandoned, or is no longer needed."""
         began_at = self._pool.deadlines.clock()
         if await self._is_answered_on_idle(release):
             return True
-        repeat_elsewhere = self._pool.spawn(self._repeat_elsewhere(release, is_needed))
+        repeat_elsewhere = self._pool.spawn(self._repeat_elsewhere(release, is_needed, may_go_elsewhere))
         try:
             return await self._retry_in_turn(release, is_needed, began_at)
         finally:
             repeat_elsewhere.cancel()
 
-    async def _repeat_elsewhere(self, release: ReleaseCall, is_needed: Callable[[], bool]) -> None:
+    async def _repeat_elsewhere(
+        self, release: ReleaseCall, is_needed: Callable[[], bool], may_go_elsewhere: Callable[[], bool]
+    ) -> None:
         """Send the release to another replica while its own one does not answer."""
         deadlines = self._pool.deadlines
         end = deadlines.clock() + ELSEWHERE_LIMIT_US
         while release.elsewhere and is_needed() and deadlines.clock() < end:
-            await self._try(release.elsewhere, MAX_ANSWER_TIMEOUT_US, fresh=False)
+            if may_go_elsewhere():
+                await self._try(release.elsewhere, MAX_ANSWER_TIMEOUT_US, fresh=False)
             await pause(deadlines, ELSEWHERE_INTERVAL_US)
 
     async def _retry_in_turn(self, release: ReleaseCall, is_needed: Callable[[], bool], began_at: int) -> bool:
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -57,10 +57,6 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def needs_release(self, replica: int) -> bool:
-        """Return whether a release is to be sent to a replica now."""
-        return replica in self.held.unreleased and not self.held.suspended
-
 
 class Releases:
     """The releases of one process. `pending` counts those in progress."""
@@ -85,7 +81,7 @@
                 entry.releasing.add(release.replica)
                 self.pending += 1
                 self.pool.spawn(self._release_at(entry, release))
-        entry.held.suspended = False
+        entry.held.attempt_over()
         entry.notify()
 
     def release_unless_fetched(self, request: Request, replicas: Collection[int]) -> None:
@@ -129,7 +125,7 @@
         held = entry.held
         try:
             while release.replica in held.unreleased:
-                if held.suspended:
+                if not held.needs_release(release.replica):
                     await entry.change.wait()
                 elif await self._send(entry, release):
                     await self._wait_until_next(entry, release.replica)
@@ -140,12 +136,15 @@
 
     async def _send(self, entry: RequestReleases, release: ReleaseCall) -> bool:
         """Send one release until it is answered. Returns False if it is not needed any more, or was abandoned."""
+        held = entry.held
         sent_at = self.pool.deadlines.clock()
-        is_answered = await self._calls.send(release, lambda: entry.needs_release(release.replica))
+        is_answered = await self._calls.send(
+            release, lambda: held.needs_release(release.replica), lambda: not held.has_attempt_in_flight
+        )
         if is_answered:
-            entry.held.release_answered(self.pool.deadlines.clock(), release.replica, sent_at)
-        elif entry.needs_release(release.replica):
-            entry.held.abandon(release.replica)
+            held.release_answered(self.pool.deadlines.clock(), release.replica, sent_at)
+        elif held.needs_release(release.replica):
+            held.abandon(release.replica)
         else:
             return False
         entry.unreached.discard(release.replica)
@@ -187,11 +186,12 @@
         entry.held.attempt_lost(self.pool.deadlines.clock(), replica)
         self._forget_later(entry)
 
-    def attempt_starts(self, request: Request) -> None:
-        """Give up the fetches that are kept open, because another attempt starts, and pause the releases."""
+    def attempt_starts(self, request: Request, replica: int) -> None:
+        """Give up the fetches that are kept open, because another attempt starts, and pause the releases of what that
+        attempt may use."""
         entry = self._requests.get(request.number)
         if entry:
-            entry.held.suspended = True
+            entry.held.attempt_starts(replica, is_fetch=bool(request.state_holders))
             self._end_sending(entry)
 
     def attempt_over(self, request: Request) -> None:
@@ -199,7 +199,7 @@
         entry = self._requests.get(request.number)
         if entry:
             entry.held.return_to_request(request.state_holders)
-            entry.held.suspended = False
+            entry.held.attempt_over()
             entry.notify()
             self._forget_if_settled(entry)
 
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from pearhill.core.deadlines import Deadlines
 from pearhill.lifecycle.held_state import REPEAT_INTERVAL_US, UNCERTAIN_END_US
 from pearhill.net.backend import HttpBackend
@@ -65,6 +67,27 @@
     return SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
 
 
+@pytest.mark.parametrize(("state_holders", "goes_on"), [(set(), True), ({3}, False)])
+def test_releases_go_on_while_a_read_of_the_request_is_in_flight_at_another_replica(
+    state_holders: set[int], goes_on: bool
+) -> None:
+    """A read that was given up ended well while the next one was in flight, and its state was held for as long."""
+
+    async def scenario() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        releases = replica.backend.releases
+        request = make_request()
+        releases.attempt_lost(request, REPLICA)
+        releases.release(request, {REPLICA})
+        request.state_holders = state_holders
+        releases.attempt_starts(request, HOLDER)
+        assert (await replica.advance(REPEAT_INTERVAL_US) > 0) == goes_on
+        await replica.close()
+
+    run(scenario())
+
+
 def test_no_release_is_sent_while_another_attempt_of_the_request_is_in_flight_or_its_state_is_used() -> None:
     """A repeated release for a read that was given up released the state of the next read at the same replica."""
 
@@ -76,7 +99,7 @@
         releases.attempt_lost(request, REPLICA)
         releases.release(request, {REPLICA})
         assert await replica.advance(REPEAT_INTERVAL_US) > 0
-        releases.attempt_starts(request)
+        releases.attempt_starts(request, REPLICA)
         assert await replica.advance(UNCERTAIN_END_US // 2) == 0
         request.state_holders = {REPLICA}
         releases.attempt_over(request)
@@ -122,7 +145,7 @@
             request = make_request()
             releases = replica.backend.releases
             releases.attempt_lost(request, HOLDER)
-            releases.attempt_starts(request)
+            releases.attempt_starts(request, REPLICA)
             releases.attempt_over(request)
             await replica.advance(2 * UNCERTAIN_END_US)
             releases.release(request, {REPLICA, HOLDER})
