Soak: the line of a broken connection in one write, and what a pipelined request waits behind

Its trace: the shim had broken that client's connection, as the plan wants, and its line on standard error read "127.0.0.1:-12-06T..", since `print` writes a line and its end in two calls, and the log thread wrote between them. The oracle took another port for broken. The test failed before.

The trace has the request before it now, and how long ago that one's answer ended. The check stays as it is.

--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -57,6 +57,10 @@
         record.ended_at = record.ended_at or at
         self._state.open_requests.discard(request)
 
+    def pipelined(self, request: str, previous: str) -> None:
+        """Record that a request was sent behind another one on the same connection, whose answer comes first."""
+        self._state.requests[request].pipelined_behind = previous
+
     def note(self, at: int, request: str, what: str) -> None:
         """Add a line to the request's trace; no rule uses it."""
         self._state.requests[request].note(at, what)
@@ -70,6 +74,8 @@
             self._state.exposure[f"rejections, {record.idempotency}"] += 1
         record.note(at, f"answered {status}")
         limit = record.at + record.timeout + MAX_ANSWER_DELAY_US
+        if previous := self._state.requests.get(record.pipelined_behind):
+            record.note(at, f"behind {record.pipelined_behind}, ended {(at - previous.ended_at) // 1000} ms before")
         if at > limit and not self._state.process_ends.excuses(record, at):
             detail = f"answered {(at - record.at) // 1000} ms after it was sent, ttl {record.timeout // 1000} ms"
             self._state.add_violation(at, "late", request, detail, at - limit, record.at)
--- a/pearhill/lab/soak/clients.py
+++ b/pearhill/lab/soak/clients.py
@@ -209,12 +209,14 @@
         self.outcomes["left"] += 1
 
     async def _pipelined(self, connection: DispatcherConnection, address: ListenAddress) -> None:
-        sent = []
+        sent: list[str] = []
         for _ in range(PIPELINED_REQUESTS):
             request_class = self.rng.choice(self.classes)
             request, data = self._message(request_class)
             self._record_sent(request, request_class, address)
             connection.writer.write(data)
+            if sent:
+                self.oracle.clients.pipelined(request, sent[-1])
             sent.append(request)
         for request in sent:
             if not await self._read_answer(connection, request, None):
--- a/pearhill/lab/soak/records.py
+++ b/pearhill/lab/soak/records.py
@@ -65,6 +65,7 @@
     idempotency_window: int
     timeout: int
     sent: list[SentRequest]
+    pipelined_behind: str = ""  # the request before it on its connection, whose answer comes first
     closed_at: int = 0  # when its client closed the connection
     answered_at: int = 0  # when the first byte of the final answer arrived
     status: int = 0
--- a/pearhill/lab/soak/shim.py
+++ b/pearhill/lab/soak/shim.py
@@ -25,6 +25,7 @@
 import time
 from typing import Any, ClassVar
 
+STANDARD_ERROR = 2  # the file descriptor
 _real_time_ns = time.time_ns
 _RealSocket = socket.socket
 
@@ -94,7 +95,8 @@
         except OSError:
             if self.side == "client":
                 host, port = self.getpeername()[:2]
-                print(f"shim: broke the connection of {host}:{port}", file=sys.stderr, flush=True)
+                # In one call: the program's log thread writes to the same pipe.
+                os.write(STANDARD_ERROR, f"shim: broke the connection of {host}:{port}\n".encode())
             raise
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -19,6 +20,7 @@
 from pearhill.lab.soak.processes import Dispatcher
 from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, AttemptRecord, Violation
 from pearhill.lab.soak.report import Report
+from pearhill.lab.soak.shim import Faults, FaultySocket
 from pearhill.lab.soak.slow_start import PlatformLimits
 
 S, MS = 1_000_000, 1000
@@ -402,6 +404,19 @@
     assert lines[3] == "  VIOLATION at 2.000 late r-1: 1 s"
 
 
+def test_the_shim_writes_the_line_of_a_broken_connection_in_one_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A line of the program's log came between its port and its end, and the oracle read another port."""
+    written: list[bytes] = []
+    monkeypatch.setattr("pearhill.lab.soak.shim.os.write", lambda descriptor, data: written.append(data))
+    monkeypatch.setattr(FaultySocket, "faults", faults := Faults(1), raising=False)
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.create_connection(server.getsockname()) as client:
+        faults.command("fail recv-client ETIMEDOUT 1.0")
+        accepted = FaultySocket(fileno=server.accept()[0].detach())
+        with accepted, pytest.raises(TimeoutError):
+            accepted.recv(1)
+        assert written == [b"shim: broke the connection of 127.0.0.1:%d\n" % client.getsockname()[1]]
+
+
 class ProcessThatExitsAtKill:
     """A process that is running when its time for shutdown is over, and has exited when it is killed."""
 
