--- a/pearhill/chat/endpoints/chat.py
+++ b/pearhill/chat/endpoints/chat.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from pearhill.chat.collected import CollectedCompletion
-from pearhill.chat.errors import ApiError
+from pearhill.chat.endpoints.collected_format import CollectedFormat
 from pearhill.chat.prompt import Prompt, ResponseIdentity, turn_from_message
 from pearhill.chat.schema.chat import ChatRequest
 from pearhill.chat.schema.reading import Reader
@@ -11,28 +10,16 @@
 _reader = Reader(ChatRequest)
 
 
-class ChatFormat:
+class ChatFormat(CollectedFormat):
     """Writes answers as chat completions. The `id` and `model` of the replica are kept."""
 
     def __init__(self, identity: ResponseIdentity) -> None:
-        self._collected = CollectedCompletion()
+        super().__init__()
 
     def convert_events(self, data: bytes) -> bytes:
         """Returns the events unchanged."""
         return data
 
-    def encode_end(self) -> bytes:
-        """Returns nothing, as the replica's `[DONE]` has already been forwarded."""
-        return b""
-
-    def encode_truncation(self, error: ApiError) -> bytes:
-        """Returns an event with the error object."""
-        return b"data: %b\n\n" % error.body()
-
-    def collect_events(self, data: bytes) -> None:
-        """Collect the events for `encode_complete`."""
-        self._collected.feed(data)
-
     def encode_complete(self) -> bytes:
         """Returns a chat completion that is made of all collected events."""
         return self._collected.body()
--- a/pearhill/chat/endpoints/completions.py
+++ b/pearhill/chat/endpoints/completions.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from pearhill.chat.collected import DONE, CollectedCompletion
-from pearhill.chat.errors import ApiError
+from pearhill.chat.collected import DONE
+from pearhill.chat.endpoints.collected_format import CollectedFormat
 from pearhill.chat.prompt import Prompt, ResponseIdentity, Turn
 from pearhill.chat.schema.completions import CompletionRequest
 from pearhill.chat.schema.reading import Reader
@@ -22,7 +22,7 @@
 _chunk_decoder: msgspec.json.Decoder[dict[str, Any]] = msgspec.json.Decoder(dict[str, Any])
 
 
-class CompletionFormat:
+class CompletionFormat(CollectedFormat):
     """Writes answers as text completions.
 
     `echo`: the text that each choice begins with, which is the prompt if the client requests it and empty otherwise;
@@ -30,12 +30,12 @@
     """
 
     def __init__(self, echo: str, with_usage: bool, identity: ResponseIdentity) -> None:
+        super().__init__()
         self._identity = identity
         self._echo = echo
         self._with_usage = with_usage
         self._parser = EventParser()
         self._offsets: dict[int, int] = {}  # by choice: the offset of the next token in its text, in characters
-        self._collected = CollectedCompletion()
 
     def convert_events(self, data: bytes) -> bytes:
         """Returns one event for each chunk, and the replica's `[DONE]`."""
@@ -48,18 +48,6 @@
                 events.append(b"data: %b\n\n" % msgspec.json.encode(self._completion_chunk(chunk)))
         return b"".join(events)
 
-    def encode_end(self) -> bytes:
-        """Returns nothing, as the replica's `[DONE]` has already been forwarded."""
-        return b""
-
-    def encode_truncation(self, error: ApiError) -> bytes:
-        """Returns an event with the error object."""
-        return b"data: %b\n\n" % error.body()
-
-    def collect_events(self, data: bytes) -> None:
-        """Collect the events for `encode_complete`."""
-        self._collected.feed(data)
-
     def encode_complete(self) -> bytes:
         """Returns a text completion that is made of all collected events."""
         choices = []
