Soak: the answer to a pipelined request may wait for the end of the stream before it

Answers on a connection come in the order of their requests (RFC 9112, 9.3.2), and a stream that has begun has no deadline, so no dispatcher can answer earlier.

The check is narrowed for such requests alone: their answer has to come within 0.1 s of the end of the one before it, where that is later than their own limit. A test plants an answer 0.15 s after it.

--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -76,6 +76,9 @@
         limit = record.at + record.timeout + MAX_ANSWER_DELAY_US
         if previous := self._state.requests.get(record.pipelined_behind):
             record.note(at, f"behind {record.pipelined_behind}, ended {(at - previous.ended_at) // 1000} ms before")
+            # Answers on one connection come in the order of their requests (RFC 9112, 9.3.2), and an answer that has
+            # started has no deadline.
+            limit = max(limit, previous.ended_at + MAX_CROSSING_US)
         if at > limit and not self._state.process_ends.excuses(record, at):
             detail = f"answered {(at - record.at) // 1000} ms after it was sent, ttl {record.timeout // 1000} ms"
             self._state.add_violation(at, "late", request, detail, at - limit, record.at)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -165,6 +165,15 @@
     oracle.scan(800 * MS)
 
 
+def answer_behind_a_long_stream(oracle: Oracle, delay: int) -> None:
+    """Answer a pipelined request with this delay after the stream before it, which ends 5 s after both were sent."""
+    start_stream(oracle, b"one two ").finished = True
+    oracle.clients.request_sent(1, "p", "d", IDEMPOTENT, 0, 2 * S)
+    oracle.clients.pipelined("p", "r")
+    oracle.clients.answer_completed(5 * S, "r")
+    oracle.clients.answer_started(5 * S + delay, "p", 503)
+
+
 def hold_state_too_long_after_the_replica_resumed(oracle: Oracle) -> None:
     oracle.held_states.prefilled(0, "r", "reader")
     oracle.replica_stopped(100 * MS, "reader", True)
@@ -225,6 +234,7 @@
         ("slow-start", IDEMPOTENT, overload_cold_replica),
         ("deadline", IDEMPOTENT, lambda oracle: oracle.attempts.arrived(S, "r", "w", True, 1300)),
         ("late", IDEMPOTENT, lambda oracle: oracle.clients.answer_started(2700 * MS, "r", 200)),
+        ("late", IDEMPOTENT, lambda oracle: answer_behind_a_long_stream(oracle, 150 * MS)),
         ("lost", IDEMPOTENT, lambda oracle: oracle.clients.answer_missing(S, "r", "closed")),
         ("bad-client", IDEMPOTENT, lambda oracle: oracle.clients.bad_client_ended(3200 * MS, "d", 0)),
         ("after-answer", IDEMPOTENT, start_attempt_after_answer),
@@ -337,6 +347,7 @@
         a_stream_that_its_replica_broke,
         a_stalled_stream,
         a_complete_stream,
+        lambda oracle: answer_behind_a_long_stream(oracle, 100 * MS),
         a_given_up_attempt_at_a_replica_that_is_stopped,
         an_endpoint_retracted_before_it_was_polled,
     ],
