Soak: a first request long after its connect may cross the close of its connection

That trace could not say who closed them, so the report now names the reason that the dispatcher logged for the connection, and the age counts from the start of the connect, not from the moment at which the soak's loop noticed it.

The dispatcher had waited 2 s for a first request that the late soak had not written yet. A dispatcher may do so: it has to end a connection without a request within 3 s, and the soak's own late clients write within 1.9 s. Narrowed for first requests written 1.9 s or more after the connect began: their close may cross them within 0.1 s and the soak's lateness, as on a used connection. Below 1.9 s nothing changes.

--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -10,6 +10,8 @@
 MAX_END_DELAY_US = SECOND  # within which the end of a stream is forwarded to the client
 MIN_SILENCE_US = 4 * SECOND  # a dispatcher may end a stream after this silence: its client must not wait 5 s in vain
 MAX_BAD_CLIENT_US = 3 * SECOND  # within which a client that sends a partial request gets an error or a close
+# For which a dispatcher waits for the first complete request of a connection. Afterwards it may close the connection.
+FIRST_REQUEST_WAIT_US = 1_900_000
 REJECTION_STATUSES = (429, 503)
 
 
@@ -150,18 +152,23 @@
         if not self._state.process_ends.excuses(record, at):
             self._state.add_violation(at, "lost", request, why)
 
-    def connection_ended(self, at: int, request: str, peer: int, used: bool) -> bool:
+    def connection_ended(
+        self, at: int, request: str, peer: int, used: bool, connecting_since: int | None = None
+    ) -> bool:
         """Record that the connection of a request ended without an answer.
 
-        `used`: the connection had carried a request before. Returns whether the client may send the request again,
+        `used`: the connection had carried a request before. `connecting_since`: when its client began to connect, if
+        that was before the request was sent. Returns whether the client may send the request again,
         because the dispatcher may have closed the connection while the request was on its way to it. Such a crossing
         takes milliseconds; a close that comes later counts as a lost request.
         """
         record = self._state.requests[request]
+        record.unanswered_on_port = peer
         record.note(at, "ended with no answer")
         if self._state.process_ends.excuses(record, at) or (record.dispatcher, peer) in self._state.broken_clients:
             return False
-        if not used and not self._may_cross_first_request(record, at):
+        waited = 0 if connecting_since is None else record.at - connecting_since
+        if not used and waited < FIRST_REQUEST_WAIT_US and not self._may_cross_first_request(record, at):
             self._state.add_violation(at, "lost", request, "its connection ended with no answer")
             return False
         limit = record.at + MAX_CROSSING_US
--- a/pearhill/lab/soak/clients.py
+++ b/pearhill/lab/soak/clients.py
@@ -316,7 +316,10 @@
                 self.oracle.clients.answer_broken(self.clock(), request, connection.port)
                 self.outcomes["broken"] += 1
                 return False
-            if self.oracle.clients.connection_ended(self.clock(), request, connection.port, used) and resend_arguments:
+            may_resend = self.oracle.clients.connection_ended(
+                self.clock(), request, connection.port, used, connection.connecting_since
+            )
+            if may_resend and resend_arguments:
                 return await self._resend(request, *resend_arguments)
         except TimeoutError:
             self.oracle.clients.answer_missing(
--- a/pearhill/lab/soak/oracle.py
+++ b/pearhill/lab/soak/oracle.py
@@ -63,6 +63,18 @@
         """Record that a failed system call broke the dispatcher's connection to this client."""
         self.state.broken_clients.add((dispatcher, port))
 
+    def client_connection_closed(self, dispatcher: str, port: int, reason: str) -> None:
+        """Record why the dispatcher says that it closed its connection to this client; no rule uses it."""
+        self.state.close_reasons[dispatcher, port] = reason
+
+    def close_reason(self, request: str) -> str:
+        """Returns why its dispatcher closed the connection of a request without an answer, or "" if that is not known.
+
+        The log line comes after the end of the connection: to be read at the end of the run.
+        """
+        record = self.state.requests[request]
+        return self.state.close_reasons.get((record.dispatcher, record.unanswered_on_port), "")
+
     def terminated(self, at: int, dispatcher: str) -> None:
         """Record that the dispatcher's process was sent SIGTERM."""
         self.state.process_ends.terminated(at, dispatcher)
--- a/pearhill/lab/soak/oracle_state.py
+++ b/pearhill/lab/soak/oracle_state.py
@@ -54,6 +54,7 @@
     failing: FaultSpans = field(default_factory=FaultSpans)  # dispatchers whose failing system calls break connections
     flooded: FaultSpans = field(default_factory=FaultSpans)  # dispatchers that are flooded with connections
     broken_clients: set[tuple[str, int]] = field(default_factory=set)  # dispatcher, client's port
+    close_reasons: dict[tuple[str, int], str] = field(default_factory=dict)  # by dispatcher and client's port
 
     def add_violation(
         self, at: int, rule: str, request: str, detail: str, excess: int | None = None, since: int | None = None
--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -21,6 +21,7 @@
 MAX_LOG_LINES = 400
 _LISTENING = re.compile(r"listens on ([\d.]+):(\d+)")
 _BROKEN_CONNECTION = re.compile(r"shim: broke the connection of [\d.]+:(\d+)")
+_CLOSED_CONNECTION = re.compile(r"connection side=client peer=[\d.]+:(\d+) reason=(\S+)")
 _FAULT_LINES = re.compile(r"Traceback|task failed|failed on|reached its deadline without an answer|violation rule=")
 
 
@@ -107,6 +108,8 @@
                 self._listening.set()
             if found := _BROKEN_CONNECTION.search(line):
                 self.oracle.client_connection_broken(self.name, int(found[1]))
+            if found := _CLOSED_CONNECTION.search(line):
+                self.oracle.client_connection_closed(self.name, int(found[1]), found[2])
             if _FAULT_LINES.search(line):
                 self.oracle.process_fault(self.clock(), self.name, line)
         code = await process.wait()
--- a/pearhill/lab/soak/records.py
+++ b/pearhill/lab/soak/records.py
@@ -74,6 +74,7 @@
     received: bytearray = field(default_factory=bytearray)  # the bytes of its stream
     attempts: list[AttemptRecord] = field(default_factory=list)
     held: HeldState | None = None
+    unanswered_on_port: int = 0  # the client's port of a connection that ended without an answer
     trace: list[str] = field(default_factory=list)
 
     @property
--- a/pearhill/lab/soak/run.py
+++ b/pearhill/lab/soak/run.py
@@ -127,7 +127,7 @@
         named |= {requests[v.request].dispatcher for v in found if v.request in requests}
         violations = [Violation(v.at - self._began, v.rule, v.request, v.detail) for v in found]
         traces = {
-            v.request: [record.dispatcher, record.idempotency, *record.trace]
+            v.request: [record.dispatcher, record.idempotency, *record.trace, *self._close_reason(v.request)]
             for v in violations
             if (record := requests.get(v.request))
         }
@@ -142,6 +142,10 @@
             {d.name: d.log[-TRACE_LINES:] for d in self.fleet.dispatchers if d.name in named},
         )
 
+    def _close_reason(self, request: str) -> list[str]:
+        reason = self.fleet.oracle.close_reason(request)
+        return [f"its dispatcher logged reason={reason}"] if reason else []
+
 
 def run_seed(seed: int, seconds: float, dispatchers: int) -> Report:
     """Run the plan of one seed, from the start of the first process to the end of the last one."""
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -147,6 +147,14 @@
     oracle.clients.connection_ended(300 * MS, "r", PORT, used=False)
 
 
+def ended_before_a_dispatcher_need_not_wait_longer(oracle: Oracle) -> None:
+    assert not oracle.clients.connection_ended(60 * MS, "r", PORT, used=False, connecting_since=-1899 * MS)
+
+
+def ended_long_after_a_first_request_on_an_old_connection(oracle: Oracle) -> None:
+    oracle.clients.connection_ended(300 * MS, "r", PORT, used=False, connecting_since=-3 * S)
+
+
 def ended_on_a_new_connection_to_the_next_process(oracle: Oracle) -> None:
     oracle.terminated(-2 * S, "d")
     oracle.exited(-S, "d")
@@ -253,6 +261,8 @@
         ("lost", IDEMPOTENT, lost_when_it_exited_by_itself),
         ("lost", IDEMPOTENT, ended_on_a_new_connection_shortly_after_sigterm),
         ("lost", IDEMPOTENT, ended_long_after_a_late_first_request),
+        ("lost", IDEMPOTENT, ended_before_a_dispatcher_need_not_wait_longer),
+        ("lost", IDEMPOTENT, ended_long_after_a_first_request_on_an_old_connection),
         ("lost", IDEMPOTENT, ended_on_a_new_connection_to_the_next_process),
     ],
 )
@@ -301,6 +311,11 @@
     assert oracle.clients.connection_ended(60 * MS, "r", PORT, used=False)
 
 
+def a_first_request_long_after_its_connect(oracle: Oracle) -> None:
+    """The soak was late between its connect and its request, and the dispatcher closed a connection without one."""
+    assert oracle.clients.connection_ended(60 * MS, "r", PORT, used=False, connecting_since=-1900 * MS)
+
+
 def a_connection_broken_by_a_failed_system_call(oracle: Oracle) -> None:
     oracle.client_connection_broken("d", PORT)
     assert not oracle.clients.connection_ended(S, "r", PORT, used=False)
@@ -343,6 +358,7 @@
         a_kill_after_sigterm,
         a_flood,
         a_late_first_request_after_sigterm,
+        a_first_request_long_after_its_connect,
         a_connection_broken_by_a_failed_system_call,
         a_stream_that_its_replica_broke,
         a_stalled_stream,
@@ -407,6 +423,15 @@
     assert report.outcomes["200"] > 50, report.text()
 
 
+def test_the_reason_that_its_dispatcher_logged_is_known_of_an_unanswered_request() -> None:
+    oracle = oracle_with_request()
+    oracle.clients.connection_ended(S, "r", PORT, used=True)
+    assert oracle.close_reason("r") == ""
+    oracle.client_connection_closed("d", PORT + 1, "idle")
+    oracle.client_connection_closed("d", PORT, "silent")
+    assert oracle.close_reason("r") == "silent"
+
+
 def test_a_report_lists_the_faults_before_the_violations() -> None:
     violation = Violation(2 * SECOND, "late", "r-1", "1 s")
     report = Report(7, [violation], Counter({"200": 3}), Counter(), 1.5, faults=["1.000 kill s-01"])
