Soak: judge held states and ends of streams by lateness that is recorded after the scan

The oracle compares an exceeded limit with the lateness that is known at the end of the run, except for two rules that a scan checks (pinned, end-not-passed-on). These were compared once, with the lateness known to the scan; after a stall of the soak's loop the scan can run before the watch that records the stall.

Now such a finding is recorded with its excess like any other, and is found again at each scan for as long as lateness explains it: a state held on is still reported. Two tests, which failed before.

--- a/pearhill/lab/soak/client_rules.py
+++ b/pearhill/lab/soak/client_rules.py
@@ -201,7 +201,7 @@
     def _scan_end(self, at: int, request: str) -> None:
         """Report a stream that its replica has completed or broken off, if its client sees no end within a second."""
         record = self._state.requests[request]
-        if record.late_end_reported or record.status != 200 or not (attempt := record.streaming):
+        if record.status != 200 or self._state.is_settled(record.late_end) or not (attempt := record.streaming):
             return
         end_at = attempt.broken_at or (attempt.finished and attempt.written_at)
         if not end_at or at <= end_at + MAX_END_DELAY_US:
@@ -210,6 +210,5 @@
             return
         excess = at - end_at - MAX_END_DELAY_US
         if excess > self._state.lateness.between(end_at, at):
-            record.late_end_reported = True
             detail = f"{attempt.replica} ended its stream {(at - end_at) // 1000} ms ago, its client received no end"
-            self._state.add_violation(at, "end-not-passed-on", request, detail)
+            record.late_end = self._state.add_violation(at, "end-not-passed-on", request, detail, excess, end_at)
--- a/pearhill/lab/soak/held_states.py
+++ b/pearhill/lab/soak/held_states.py
@@ -66,7 +66,7 @@
             held = record.held
             if (
                 held is None
-                or held.reported
+                or self._state.is_settled(held.violation)
                 or self._state.stopped.is_active(held.replica, at)
                 or self._has_attempt_in_flight(record)
                 or at <= held.since + limit + self._state.lateness.base
@@ -79,6 +79,5 @@
             excess = at - held.since - limit
             if excess <= self._state.lateness.between(held.since, at):  # may be released by the next scan
                 continue
-            held.reported = True
             detail = f"held at {held.replica} for {(at - held.since) // 1000} ms with no attempt in flight"
-            self._state.add_violation(at, "pinned", request, detail)
+            held.violation = self._state.add_violation(at, "pinned", request, detail, excess, held.since)
--- a/pearhill/lab/soak/oracle_state.py
+++ b/pearhill/lab/soak/oracle_state.py
@@ -58,14 +58,26 @@
 
     def add_violation(
         self, at: int, rule: str, request: str, detail: str, excess: int | None = None, since: int | None = None
-    ) -> None:
+    ) -> Violation:
         """Record that a rule was broken; `excess` and `since` as in `Violation`."""
-        self.found.append(Violation(at, rule, request, detail, excess, at if since is None else since))
+        violation = Violation(at, rule, request, detail, excess, at if since is None else since)
+        self.found.append(violation)
+        return violation
+
+    def is_unexplained(self, violation: Violation) -> bool:
+        """Returns whether no lateness that is known so far explains the violation."""
+        if violation.excess is None:
+            return True
+        return violation.excess > self.lateness.between(violation.since, violation.at)
+
+    def is_settled(self, violation: Violation | None) -> bool:
+        """Returns whether a lasting violation need not be recorded again: it was, and no lateness explains it yet."""
+        return violation is not None and self.is_unexplained(violation)
 
     @property
     def violations(self) -> list[Violation]:
         """The violations that no lateness explains, to be read at the end: a lateness is known once it is over."""
-        return [v for v in self.found if v.excess is None or v.excess > self.lateness.between(v.since, v.at)]
+        return [violation for violation in self.found if self.is_unexplained(violation)]
 
     def was_cut_off(self, replica: str, since: int, until: int) -> bool:
         """Returns whether the network to the replica was cut between `since` and `until`, or less than a second before.
--- a/pearhill/lab/soak/records.py
+++ b/pearhill/lab/soak/records.py
@@ -46,7 +46,7 @@
 
     replica: str
     since: int
-    reported: bool = False
+    violation: Violation | None = None  # the last time that it was found to be held too long
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
     answered_at: int = 0  # when the first byte of the final answer arrived
     status: int = 0
     ended_at: int = 0  # when the answer was complete or broken off, or the client closed the connection
-    late_end_reported: bool = False
+    late_end: Violation | None = None  # the last time that the end of its stream was found missing
     received: bytearray = field(default_factory=bytearray)  # the bytes of its stream
     attempts: list[AttemptRecord] = field(default_factory=list)
     held: HeldState | None = None
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -386,6 +386,21 @@
         assert [violation.rule for violation in oracle.violations] == found
 
 
+@pytest.mark.parametrize("found_late", [hold_state_too_long, withhold_end_of_broken_stream])
+def test_lateness_recorded_after_a_scan_explains_what_the_scan_found(found_late: Callable[[Oracle], None]) -> None:
+    """After a stall of the soak's loop its scan may run before its watch has recorded how long the stall was."""
+    lateness = Lateness(lambda: 0)
+    oracle = Oracle(LIMITS, lateness)
+    oracle.clients.request_sent(0, "r", "d", IDEMPOTENT, 0, 2 * S)
+    found_late(oracle)
+    assert oracle.violations
+    lateness.loop.append(Span(10 * MS, 800 * MS, 780 * MS))
+    assert not oracle.violations
+    oracle.scan(5 * S)
+    oracle.scan(6 * S)
+    assert len(oracle.violations) == 1
+
+
 def test_lateness_of_the_soak_at_a_drain_extends_its_limit() -> None:
     """The agents run in the soak's event loop. Lateness before or long after the published change does not count."""
     late = 300 * MS
