Connect test: let its attempt outlast the retransmissions of a SYN

No byte had reached the replica, so the rule that the test guards held.

Cause, in the test: the connection opens when the system sends its SYN again, after 1 or 3 s. When the test takes over 1 s to see the connect, the connection opens after 3 s, and the attempt has timed out before: the router has begun a second one, for a client that was still there. The assertions are unchanged.

--- a/tests/platform/test_owed.py
+++ b/tests/platform/test_owed.py
@@ -23,7 +23,12 @@
 PATH = "/v1/chat/completions"
 BODY = json.dumps({"model": "chat", "stream": True, "messages": []}).encode()
 SERVED = b"".join(STREAM_CHUNKS) + STREAM_END
-SLOW_CONNECT = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000}}
+# Connects and attempts outlast the retransmissions of a SYN after 1, 3 and 7 s.
+SLOW_CONNECT = {
+    **SETTINGS,
+    "allowed": {**SETTINGS["allowed"], "connect-timeout": 8_000_000},
+    "classes": [{**each, "aim": 9_000_000} for each in SETTINGS["classes"]],
+}
 
 
 def request(id: str, cls: str = "job-booking", wait_ms: int = 9000) -> bytes:
