Aggregation test: lose all aggregators once each counts its own dispatchers again

It is the test's race: docs/design/ capacity.md has a dispatcher's work taken by the new aggregator 3.50 s after its last word to the old one, and not heard until then, so that no sum has it twice. A kill in that time keeps the 4, as the last sums do.

The test now waits for what ends that time: each aggregator counts the dispatchers of its own region, and the sums have all 5.

--- a/tests/membership/test_aggregation_process.py
+++ b/tests/membership/test_aggregation_process.py
@@ -10,6 +10,7 @@
 import socket
 import tempfile
 import threading
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -145,8 +146,10 @@
         self.agree(5, 1, "d5")
         self.relay.cut()
         self.agree(5, 5, *DISPATCHERS)
-        # All dispatchers return to their home aggregators.
+        # All dispatchers return to their home aggregators, which count their work once it is in no other sums.
         self.wait_until(lambda: {d: self.aggregator_of(d) for d in DISPATCHERS} == HOME_AGGREGATORS, *DISPATCHERS)
+        self.wait_until(self.all_are_counted_at_home, *AGGREGATORS)
+        self.agree(5, 5, *DISPATCHERS)
         # All aggregators are killed: each dispatcher uses its own work and the last count.
         self.lose_all_aggregators()
         # A dispatcher that shuts down leaves the fleet at once.
@@ -176,6 +179,17 @@
         assert max(known.values(), default=0) < 1.3 * self.own_load
         return len(known) == 4 and min(known.values()) > 0.5 * self.own_load
 
+    def all_are_counted_at_home(self) -> bool:
+        """Returns whether the sums of each aggregator, as the others know them, have the work of its own dispatchers.
+
+        This takes the lease of the former aggregator, 3.5 s. Until then such a dispatcher is not heard.
+        """
+        homes = Counter(HOME_AGGREGATORS.values())
+        counted = [
+            (peer, figures["heard"]) for a in AGGREGATORS for peer, figures in self.fleet_state(a)["peers"].items()
+        ]
+        return all(heard == homes[peer] for peer, heard in counted)
+
     def survive_a_lossy_path(self) -> None:
         self.relay.drop, self.relay.double, self.relay.delay_s = 0.2, 0.3, 0.1
         seen = self.relay.forwarded
