Releases: repeat them until the timeout that the replica of a lost attempt was given

An attempt whose connection ends without a response may go on at its replica, behind a proxy that closes both sides, or where the replica notices the close late. Its releases ended 1.5 s after the first one that the replica answered, a bound that no rule gives: a read that was given 5 s could end well after that, and its state was kept until it expired.

The replica is told how long the attempt may take (Request-Timeout-Ms), so releases now go on until that time is over, and for 1.5 s more. Attempts that were given up by their own timeout, most of them, have no time left, and are followed for as long as before. Tests: one in test_releases.py and two cases in test_held_state.py, which failed with the old bound.

--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -14,8 +14,8 @@
 # Releases slow down after so long without an end of an attempt: hundreds of requests may wait for one replica.
 LONG_SILENCE_US = 10_000_000
 LONG_SILENCE_INTERVAL_US = 1_000_000
-# An attempt whose connection has ended without a response may go on at its replica this much longer, once the replica
-# has answered a release.
+# An attempt whose connection has ended without a response may go on at its replica for this much longer than the
+# timeout that the replica was given, and than the first answer of the replica to a release after that end.
 UNCERTAIN_END_US = 1_500_000
 # How long a lost attempt of an open request is remembered, whose replica has been sent no release yet.
 LOST_ATTEMPT_RETENTION_US = 60_000_000
@@ -34,6 +34,7 @@
         self._open_attempts: set[object] = set()  # given up, and not ended
         self._lost_at: dict[int, int] = {}  # replica of a lost attempt that has answered no release since: when
         self._given_up_at = 0
+        self._timeout_at = 0  # the latest timeout that the replica of a lost attempt was given for it
         self._ended_at = 0  # when the last given-up attempt ended
         self._may_end_until = 0  # until when an attempt may end whose connection does not show it
 
@@ -69,24 +70,23 @@
         self._given_up_at = now
         self._open_attempts.add(attempt)
 
-    def attempt_ended(self, now: int, attempt: object, replica: int, responded: bool) -> None:
-        """Record the end of a given-up attempt: its response, or (not `responded`) the end of its connection, which
-        does not show that the replica has noticed it."""
+    def attempt_ended(self, now: int, attempt: object) -> None:
+        """Record the end of a given-up attempt: its response, or the end of its connection, which does not show that
+        the replica has noticed it, so that `attempt_lost` follows."""
         self._open_attempts.discard(attempt)
         self._ended_at = now
-        if not responded:
-            self.attempt_lost(now, replica)
 
-    def attempt_lost(self, now: int, replica: int) -> None:
+    def attempt_lost(self, now: int, replica: int, timeout_at: int) -> None:
         """Record that the connection of an attempt has ended without a response. The replica may be unreachable, or not
-        respond, and end the attempt only after that."""
+        notice it, and end the attempt only after that. `timeout_at`: the end of the time that it was given."""
         self._given_up_at = now
         self._lost_at[replica] = now
+        self._timeout_at = max(self._timeout_at, timeout_at)
 
     def release_answered(self, now: int, replica: int, sent_at: int) -> None:
         """Record that a release, sent at `sent_at`, was answered."""
         if self._lost_at.pop(replica, None) is not None:
-            self._may_end_until = now + UNCERTAIN_END_US
+            self._may_end_until = max(now, self._timeout_at) + UNCERTAIN_END_US
         if not self._has_unknown_end() and sent_at >= max(self._ended_at, self._may_end_until):
             self.unreleased.discard(replica)
 
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -164,7 +164,7 @@
 
     def _lost(self) -> None:
         """End the attempt, whose connection has ended without a complete response."""
-        self.owner.releases.attempt_lost(self.attempt.request, self.attempt.replica)
+        self.owner.releases.attempt_lost(self.attempt)
         self._finish(Outcome.TRUNCATED, may_hold_state=True)
 
     def _head_received(self, status: int, headers: Mapping[str, str]) -> None:
@@ -313,15 +313,14 @@
         flight. An attempt before which no state is held has to be given up at once: its request may be rejected, and
         nothing that may be executed may be in flight at that time."""
         connection = self.connection
-        request = self.attempt.request
         releases = self.owner.releases
         if connection is None or connection.closed:
             return
         if not connection.sent or connection.exchange is not self or self.attempt.response_started:
             connection.close("called-off")
             if self.may_have_sent and not self.attempt.response_started:
-                releases.attempt_lost(request, self.attempt.replica)
-        elif request.state_holders:
-            releases.keep_open(request, self.attempt.replica, connection)
+                releases.attempt_lost(self.attempt)
+        elif self.attempt.request.state_holders:
+            releases.keep_open(self.attempt, connection)
         else:
-            releases.give_up(request, self.attempt.replica, connection)
+            releases.give_up(self.attempt, connection)
--- a/pearhill/net/given_up_attempts.py
+++ b/pearhill/net/given_up_attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from pearhill.core.deadlines import TimerKey
+from pearhill.core.request import Attempt
 from pearhill.http1.client import MAX_CHUNK, End, Event, Head
 from pearhill.net.pool import Pool
 from pearhill.net.pooled_connection import PooledConnection
@@ -23,9 +24,10 @@
     max_chunk = MAX_CHUNK
 
     def __init__(
-        self, pool: Pool, connection: PooledConnection, replica: int, on_end: Callable[[GivenUpAttempt], None]
+        self, pool: Pool, connection: PooledConnection, attempt: Attempt, on_end: Callable[[GivenUpAttempt], None]
     ) -> None:
-        self.replica = replica
+        self.replica = attempt.replica
+        self.timeout_at = attempt.deadline  # the end of the time that the replica was given
         self.request_id = connection.exchange.request_id if connection.exchange else ""
         self.responded = False
         self.in_flight = True
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import Any, Protocol
 
-from pearhill.core.request import Request
+from pearhill.core.request import Attempt, Request
 from pearhill.lifecycle.held_state import LOST_ATTEMPT_RETENTION_US, HeldState
 from pearhill.net.address import Address
 from pearhill.net.calls import call
@@ -165,25 +165,25 @@
 
     # Attempts that were given up.
 
-    def keep_open(self, request: Request, replica: int, connection: PooledConnection) -> None:
+    def keep_open(self, attempt: Attempt, connection: PooledConnection) -> None:
         """Keep the connection of a given-up fetch open until the request is forwarded again, or all replicas that hold
         state for it have answered a release: one of these always follows."""
-        entry = self._entry(request.number)
-        entry.kept.append(self._follow(entry, replica, connection))
+        entry = self._entry(attempt.request.number)
+        entry.kept.append(self._follow(entry, attempt, connection))
 
-    def give_up(self, request: Request, replica: int, connection: PooledConnection) -> None:
+    def give_up(self, attempt: Attempt, connection: PooledConnection) -> None:
         """End the sending of an attempt, and follow it until its replica has ended it too."""
-        self._follow(self._entry(request.number), replica, connection).end_sending()
+        self._follow(self._entry(attempt.request.number), attempt, connection).end_sending()
 
-    def _follow(self, entry: RequestReleases, replica: int, connection: PooledConnection) -> GivenUpAttempt:
-        attempt = GivenUpAttempt(self.pool, connection, replica, lambda attempt: self._attempt_ended(entry, attempt))
-        entry.held.attempt_given_up(self.pool.deadlines.clock(), attempt)
-        return attempt
+    def _follow(self, entry: RequestReleases, attempt: Attempt, connection: PooledConnection) -> GivenUpAttempt:
+        given_up = GivenUpAttempt(self.pool, connection, attempt, lambda ended: self._attempt_ended(entry, ended))
+        entry.held.attempt_given_up(self.pool.deadlines.clock(), given_up)
+        return given_up
 
-    def attempt_lost(self, request: Request, replica: int) -> None:
+    def attempt_lost(self, attempt: Attempt) -> None:
         """Note that the connection of an attempt has ended without a response, which its replica may notice later."""
-        entry = self._entry(request.number)
-        entry.held.attempt_lost(self.pool.deadlines.clock(), replica)
+        entry = self._entry(attempt.request.number)
+        entry.held.attempt_lost(self.pool.deadlines.clock(), attempt.replica, attempt.deadline)
         self._forget_later(entry)
 
     def attempt_starts(self, request: Request, replica: int) -> None:
@@ -216,7 +216,10 @@
         """Release the state that the end of an attempt has left."""
         if attempt in entry.kept:
             entry.kept.remove(attempt)
-        entry.held.attempt_ended(self.pool.deadlines.clock(), attempt, attempt.replica, attempt.responded)
+        now = self.pool.deadlines.clock()
+        entry.held.attempt_ended(now, attempt)
+        if not attempt.responded:
+            entry.held.attempt_lost(now, attempt.replica, attempt.timeout_at)
         entry.notify()
         self._forget_if_settled(entry)
         self._forget_later(entry)
--- a/tests/lifecycle/test_held_state.py
+++ b/tests/lifecycle/test_held_state.py
@@ -35,7 +35,7 @@
 def test_no_release_is_complete_before_the_end_of_a_given_up_attempt(held: HeldState) -> None:
     held.attempt_given_up(0, ATTEMPT)
     held.release_answered(10, READER, 10)
-    held.attempt_ended(20, ATTEMPT, READER, responded=True)
+    held.attempt_ended(20, ATTEMPT)
     assert READER in held.unreleased
     assert held.next_release_at(FIRST_REPEAT_US) == FIRST_REPEAT_US
     held.release_answered(20, READER, 20)
@@ -46,24 +46,26 @@
     held: HeldState,
 ) -> None:
     held.attempt_given_up(0, ATTEMPT)
-    held.attempt_ended(20, ATTEMPT, READER, responded=True)
+    held.attempt_ended(20, ATTEMPT)
     held.release_answered(10, READER, 10)
     assert READER in held.unreleased
 
 
-@pytest.mark.parametrize("ended_by", ["attempt_lost", "attempt_ended"])
-def test_releases_are_repeated_in_time_after_an_attempt_whose_end_is_not_seen(held: HeldState, ended_by: str) -> None:
-    if ended_by == "attempt_lost":
-        held.attempt_lost(0, READER)
-    else:
+@pytest.mark.parametrize("timeout_at", [-1, 0, 4_000_000])
+@pytest.mark.parametrize("given_up", [False, True])
+def test_releases_are_repeated_in_time_after_an_attempt_whose_end_is_not_seen(
+    held: HeldState, given_up: bool, timeout_at: int
+) -> None:
+    if given_up:
         held.attempt_given_up(0, ATTEMPT)
-        held.attempt_ended(0, ATTEMPT, READER, responded=False)
+        held.attempt_ended(0, ATTEMPT)
+    held.attempt_lost(0, READER, timeout_at)
     now, sent = 0, []
     while READER in held.unreleased:
         sent.append(now)
         held.release_answered(now, READER, now)
         now = held.next_release_at(now)
-    assert sent[-1] >= UNCERTAIN_END_US
+    assert sent[-1] >= max(0, timeout_at) + UNCERTAIN_END_US
     assert all(later - earlier < MAX_HOLD_US for earlier, later in zip(sent, sent[1:], strict=False))
 
 
@@ -73,7 +75,7 @@
 ) -> None:
     """The attempt may end at any time, and its end may not be seen: its replica is silent, or cut off."""
     if lost:
-        held.attempt_lost(0, WRITER)
+        held.attempt_lost(0, WRITER, 0)
     else:
         held.attempt_given_up(0, ATTEMPT)
     now, sent = 0, []
@@ -83,7 +85,8 @@
         assert READER in held.unreleased
         now = held.next_release_at(now)
     assert all(later - earlier < MAX_HOLD_US for earlier, later in zip(sent, sent[1:], strict=False))
-    held.attempt_ended(now, ATTEMPT, WRITER, responded=False)
+    held.attempt_ended(now, ATTEMPT)
+    held.attempt_lost(now, WRITER, 0)
     held.release_answered(now, WRITER, now)
     held.release_answered(now + UNCERTAIN_END_US, READER, now + UNCERTAIN_END_US)
     assert held.unreleased == {WRITER}
@@ -91,7 +94,7 @@
 
 def test_a_lost_attempt_is_remembered_while_its_request_goes_on() -> None:
     held = HeldState()
-    held.attempt_lost(0, WRITER)
+    held.attempt_lost(0, WRITER, 0)
     assert not held.is_settled(UNCERTAIN_END_US)
     assert held.is_settled(LOST_ATTEMPT_RETENTION_US)
 
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -67,6 +67,10 @@
     return SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
 
 
+def make_attempt(request: Any, replica: int, deadline: int = 0) -> Any:
+    return SimpleNamespace(request=request, replica=replica, deadline=deadline)
+
+
 @pytest.mark.parametrize(("state_holders", "goes_on"), [(set(), True), ({3}, False)])
 def test_releases_go_on_while_a_read_of_the_request_is_in_flight_at_another_replica(
     state_holders: set[int], goes_on: bool
@@ -78,7 +82,7 @@
         await replica.start()
         releases = replica.backend.releases
         request = make_request()
-        releases.attempt_lost(request, REPLICA)
+        releases.attempt_lost(make_attempt(request, REPLICA))
         releases.release(request, {REPLICA})
         request.state_holders = state_holders
         releases.attempt_starts(request, HOLDER)
@@ -88,6 +92,25 @@
     run(scenario())
 
 
+def test_releases_are_repeated_until_the_timeout_that_the_replica_of_a_lost_attempt_was_given() -> None:
+    """Behind a proxy that had closed the connection at both sides, the read went on for longer than the releases."""
+
+    async def scenario() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        releases = replica.backend.releases
+        request = make_request()
+        releases.attempt_lost(make_attempt(request, REPLICA, deadline=4 * UNCERTAIN_END_US))
+        releases.release(request, {REPLICA})
+        await replica.advance(3 * UNCERTAIN_END_US)
+        assert await replica.advance(UNCERTAIN_END_US) >= UNCERTAIN_END_US // MAX_HOLD_US
+        assert await replica.advance(2 * UNCERTAIN_END_US) > 0
+        assert releases.pending == 0
+        await replica.close()
+
+    run(scenario())
+
+
 def test_no_release_is_sent_while_another_attempt_of_the_request_is_in_flight_or_its_state_is_used() -> None:
     """A repeated release for a read that was given up released the state of the next read at the same replica."""
 
@@ -96,7 +119,7 @@
         await replica.start()
         releases = replica.backend.releases
         request = make_request()
-        releases.attempt_lost(request, REPLICA)
+        releases.attempt_lost(make_attempt(request, REPLICA))
         releases.release(request, {REPLICA})
         assert await replica.advance(REPEAT_INTERVAL_US) > 0
         releases.attempt_starts(request, REPLICA)
@@ -144,7 +167,7 @@
             replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
             request = make_request()
             releases = replica.backend.releases
-            releases.attempt_lost(request, HOLDER)
+            releases.attempt_lost(make_attempt(request, HOLDER))
             releases.attempt_starts(request, REPLICA)
             releases.attempt_over(request)
             await replica.advance(2 * UNCERTAIN_END_US)
