--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -63,6 +64,18 @@
         await asyncio.sleep(0)
 
 
+def play(scenario: Callable[[RespondingReplica], Awaitable[None]]) -> None:
+    """Run a scenario with a replica, which is closed at its end."""
+
+    async def with_replica() -> None:
+        replica = RespondingReplica()
+        await replica.start()
+        await scenario(replica)
+        await replica.close()
+
+    run(with_replica())
+
+
 def make_request() -> Any:
     return SimpleNamespace(number=7, state_holders=set(), payload=Payload("r7", "POST", "/", b"", ""))
 
@@ -77,9 +90,7 @@
 ) -> None:
     """A read that was given up ended well while the next one was in flight, and its state was held for as long."""
 
-    async def scenario() -> None:
-        replica = RespondingReplica()
-        await replica.start()
+    async def scenario(replica: RespondingReplica) -> None:
         releases = replica.backend.releases
         request = make_request()
         releases.attempt_lost(make_attempt(request, REPLICA))
@@ -87,17 +98,14 @@
         request.state_holders = state_holders
         releases.attempt_starts(request, HOLDER)
         assert (await replica.advance(REPEAT_INTERVAL_US) > 0) == goes_on
-        await replica.close()
 
-    run(scenario())
+    play(scenario)
 
 
 def test_releases_are_repeated_until_the_timeout_that_the_replica_of_a_lost_attempt_was_given() -> None:
     """Behind a proxy that had closed the connection at both sides, the read went on for longer than the releases."""
 
-    async def scenario() -> None:
-        replica = RespondingReplica()
-        await replica.start()
+    async def scenario(replica: RespondingReplica) -> None:
         releases = replica.backend.releases
         request = make_request()
         releases.attempt_lost(make_attempt(request, REPLICA, deadline=4 * UNCERTAIN_END_US))
@@ -106,17 +114,14 @@
         assert await replica.advance(UNCERTAIN_END_US) >= UNCERTAIN_END_US // MAX_HOLD_US
         assert await replica.advance(2 * UNCERTAIN_END_US) > 0
         assert releases.pending == 0
-        await replica.close()
 
-    run(scenario())
+    play(scenario)
 
 
 def test_no_release_is_sent_while_another_attempt_of_the_request_is_in_flight_or_its_state_is_used() -> None:
     """A repeated release for a read that was given up released the state of the next read at the same replica."""
 
-    async def scenario() -> None:
-        replica = RespondingReplica()
-        await replica.start()
+    async def scenario(replica: RespondingReplica) -> None:
         releases = replica.backend.releases
         request = make_request()
         releases.attempt_lost(make_attempt(request, REPLICA))
@@ -131,17 +136,14 @@
         releases.release(request, {REPLICA})
         assert await replica.advance(REPEAT_INTERVAL_US) == 1
         assert releases.pending == 0
-        await replica.close()
 
-    run(scenario())
+    play(scenario)
 
 
 def test_a_release_is_sent_to_another_replica_too_while_its_own_does_not_answer() -> None:
     """While connections to the holder do not come up or are silent, its time limit runs on."""
 
-    async def scenario() -> None:
-        replica = RespondingReplica()
-        await replica.start()
+    async def scenario(replica: RespondingReplica) -> None:
         address = replica.backend.addresses[REPLICA]
         replica.pool.put_back(await replica.pool.acquire(address))
         with socket.create_server(("127.0.0.1", 0)) as silent:
@@ -152,17 +154,14 @@
                 await replica.step(FIRST_ANSWER_TIMEOUT_US)
             assert replica.now <= MAX_HOLD_US
             assert replica.backend.pending_releases == 1
-        await replica.close()
 
-    run(scenario())
+    play(scenario)
 
 
 def test_releases_are_repeated_while_the_replica_of_an_attempt_that_was_lost_long_before_is_silent() -> None:
     """The lost attempt was forgotten while the request made others, and its replica ended it after the last release."""
 
-    async def scenario() -> None:
-        replica = RespondingReplica()
-        await replica.start()
+    async def scenario(replica: RespondingReplica) -> None:
         with socket.create_server(("127.0.0.1", 0)) as silent:
             replica.backend.update_addresses({HOLDER: silent.getsockname()}, [], full=False)
             request = make_request()
@@ -175,6 +174,5 @@
             before = replica.received
             while replica.received < before + 4:
                 await replica.step(FIRST_ANSWER_TIMEOUT_US)
-        await replica.close()
 
-    run(scenario())
+    play(scenario)
