Releases: keep their first tries 20 ms apart where connects fail at once

What replicas saw: state of a request whose client had its answer was held for 620 to 670 ms, over the 600 ms of the rule, while four in five connects of all dispatchers failed at once with ENETUNREACH.

Cause: the pause between two tries of a release doubled from 20 to 100 ms, so that 8 tries fitted into the time limit; with four in five failing, one release in six meets none that succeeds (0.8 ** 8).

The new test in test_releases.py, 20 failed connects in a row, failed before.

--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -27,7 +27,10 @@
 # is the shortest, because an idle connection may have failed silently while the time limit for the release runs.
 FIRST_ANSWER_TIMEOUT_US = 50_000
 MAX_ANSWER_TIMEOUT_US = 250_000
-FIRST_BACKOFF_US = 20_000  # between tries of a release; doubled each time
+FIRST_BACKOFF_US = 20_000  # between tries of a release
+# From then on, or from the first refused connect, the backoff is doubled after each try. Until then the time limit of
+# the release may run, and many connects in a row may fail at once.
+BACKOFF_GROWS_AFTER_US = 600_000
 # A replica that responds again may hold a state from that moment on, which has to be released within 600 ms: one try
 # and the pause before the next one take 350 ms.
 MAX_BACKOFF_US = 100_000
@@ -108,7 +111,8 @@
         limit = RETRY_LIMIT_US
         max_backoff = MAX_BACKOFF_US
         while is_needed():
-            if deadlines.clock() - began_at >= limit:
+            elapsed = deadlines.clock() - began_at
+            if elapsed >= limit:
                 logger.warning("a release at {peer} was abandoned without an answer", peer=_name(release.address))
                 return False
             self._pool.counters.release_retries += 1
@@ -120,7 +124,8 @@
             refused = result == TryResult.REFUSED
             limit = REFUSED_RETRY_LIMIT_US if refused else RETRY_LIMIT_US
             max_backoff = MAX_REFUSED_BACKOFF_US if refused else MAX_BACKOFF_US
-            backoff = min(2 * backoff, max_backoff)
+            if refused or elapsed >= BACKOFF_GROWS_AFTER_US:
+                backoff = min(2 * backoff, max_backoff)
         return False
 
     async def _try(self, release: ReleaseCall, timeout: int, *, fresh: bool) -> TryResult:
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -11,6 +11,7 @@
 from pearhill.core.deadlines import Deadlines
 from pearhill.lifecycle.held_state import REPEAT_INTERVAL_US, UNCERTAIN_END_US
 from pearhill.net.backend import HttpBackend
+from pearhill.net.errors import ConnectError
 from pearhill.net.release_calls import FIRST_ANSWER_TIMEOUT_US
 from pearhill.platform.front import Payload
 from pearhill.platform.replica import ReplicaDialect
@@ -18,6 +19,8 @@
 
 REPLICA, HOLDER = 1, 2
 MAX_HOLD_US = 600_000  # the platform's rule: `release-within` of 300 ms, and 300 ms more
+STEP_US = 10_000
+FAILED_CONNECTS = 20  # in a row; where four in five fail, a hundredth of the releases meet more
 TICKS_TO_BEGIN = 20  # of the event loop, from a deadline to the release that it lets begin
 
 
@@ -53,7 +56,7 @@
         before = self.received
         end = self.now + micros
         while self.now < end:
-            await self.step(REPEAT_INTERVAL_US // 10)
+            await self.step(STEP_US)
             while self.pool._connecting or len(self.pool.open) > sum(map(len, self.pool.idle.values())):
                 await asyncio.sleep(0)
         return self.received - before
@@ -140,6 +143,24 @@
     play(scenario)
 
 
+def test_a_release_is_in_time_where_many_connects_fail_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The pauses grew while four in five connects failed at once, and few of them fitted into the time limit."""
+
+    async def scenario(replica: RespondingReplica) -> None:
+        connect, failures = replica.pool._connect, iter(range(FAILED_CONNECTS))
+
+        async def fail_at_first(address: Any, timeout: int) -> socket.socket:
+            if next(failures, None) is not None:
+                raise ConnectError("unreachable")
+            return await connect(address, timeout)
+
+        monkeypatch.setattr(replica.pool, "_connect", fail_at_first)
+        replica.backend.release(make_request(), {REPLICA})
+        assert await replica.advance(MAX_HOLD_US) == 1
+
+    play(scenario)
+
+
 def test_a_release_is_sent_to_another_replica_too_while_its_own_does_not_answer() -> None:
     """While connections to the holder do not come up or are silent, its time limit runs on."""
 
