--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -98,14 +98,14 @@
         """Record that a replica could not be reached for as long as its release is repeated."""
         self.unreleased.discard(replica)
 
-    def next_release_at(self, now: int) -> int:
-        """Return when the next release is due at a replica that has just answered one."""
+    def next_release_at(self, now: int, sent_at: int) -> int:
+        """Return when the next release is due at a replica that has just answered one, sent at `sent_at`."""
         if now < self._given_up_at + FIRST_REPEAT_US:
             return self._given_up_at + FIRST_REPEAT_US
         if self._has_unknown_end():
             is_long = now >= self._given_up_at + LONG_SILENCE_US
-            return now + (LONG_SILENCE_INTERVAL_US if is_long else REPEAT_INTERVAL_US)
-        return min(now + REPEAT_INTERVAL_US, max(now, self._may_end_until))
+            return max(now, sent_at + (LONG_SILENCE_INTERVAL_US if is_long else REPEAT_INTERVAL_US))
+        return max(now, min(sent_at + REPEAT_INTERVAL_US, self._may_end_until))
 
     def is_settled(self, now: int) -> bool:
         """Return whether nothing is left to release, and no attempt can leave anything any more."""
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -125,19 +125,19 @@
         held = entry.held
         try:
             while release.replica in held.unreleased:
+                sent_at = self.pool.deadlines.clock()
                 if not held.needs_release(release.replica):
                     await entry.change.wait()
-                elif await self._send(entry, release):
-                    await self._wait_until_next(entry, release.replica)
+                elif await self._send(entry, release, sent_at):
+                    await self._wait_until_next(entry, release.replica, sent_at)
         finally:
             self.pending -= 1
             entry.releasing.discard(release.replica)
             self._forget_if_settled(entry)
 
-    async def _send(self, entry: RequestReleases, release: ReleaseCall) -> bool:
+    async def _send(self, entry: RequestReleases, release: ReleaseCall, sent_at: int) -> bool:
         """Send one release until it is answered. Returns False if it is not needed any more, or was abandoned."""
         held = entry.held
-        sent_at = self.pool.deadlines.clock()
         is_answered = await self._calls.send(
             release, lambda: held.needs_release(release.replica), lambda: not held.has_attempt_in_flight
         )
@@ -153,10 +153,10 @@
             self._end_sending(entry)
         return is_answered
 
-    async def _wait_until_next(self, entry: RequestReleases, replica: int) -> None:
+    async def _wait_until_next(self, entry: RequestReleases, replica: int, sent_at: int) -> None:
         """Wait until another release is due at a replica that has answered one, or the attempts have changed."""
         now = self.pool.deadlines.clock()
-        due_in = entry.held.next_release_at(now) - now
+        due_in = entry.held.next_release_at(now, sent_at) - now
         if replica not in entry.held.unreleased or due_in <= 0:
             return
         with contextlib.suppress(TimeoutError):
--- a/tests/lifecycle/test_held_state.py
+++ b/tests/lifecycle/test_held_state.py
@@ -37,7 +37,7 @@
     held.release_answered(10, READER, 10)
     held.attempt_ended(20, ATTEMPT)
     assert READER in held.unreleased
-    assert held.next_release_at(FIRST_REPEAT_US) == FIRST_REPEAT_US
+    assert held.next_release_at(FIRST_REPEAT_US, 10) == FIRST_REPEAT_US
     held.release_answered(20, READER, 20)
     assert READER not in held.unreleased
 
@@ -64,7 +64,7 @@
     while READER in held.unreleased:
         sent.append(now)
         held.release_answered(now, READER, now)
-        now = held.next_release_at(now)
+        now = held.next_release_at(now, now)
     assert sent[-1] >= max(0, timeout_at) + UNCERTAIN_END_US
     assert all(later - earlier < MAX_HOLD_US for earlier, later in zip(sent, sent[1:], strict=False))
 
@@ -83,7 +83,7 @@
         sent.append(now)
         held.release_answered(now, READER, now)
         assert READER in held.unreleased
-        now = held.next_release_at(now)
+        now = held.next_release_at(now, now)
     assert all(later - earlier < MAX_HOLD_US for earlier, later in zip(sent, sent[1:], strict=False))
     held.attempt_ended(now, ATTEMPT)
     held.attempt_lost(now, WRITER, 0)
--- a/tests/platform/test_held_states.py
+++ b/tests/platform/test_held_states.py
@@ -152,6 +152,69 @@
     assert prefill.released_after_read.wait(20), "no release came after the end of the read"
 
 
+class SlowReader(Standin):
+    """A prefill replica that answers each release later than a try waits for the answer. Its reads never end by
+    themselves.
+
+    `reading`, `released`: the ids of reads, and of releases that came after the reads had ended.
+    """
+
+    ANSWER_DELAY_S = 0.4
+
+    def __init__(self) -> None:
+        self.end_reads = threading.Event()
+        self.closing = threading.Event()
+        self.changed = threading.Condition()
+        self.reading: set[str] = set()
+        self.released: set[str] = set()
+        super().__init__()
+
+    def respond(self, handler: Any, body: bytes) -> None:
+        if handler.command == "DELETE":
+            if self.end_reads.is_set():
+                self._record(self.released, handler.path.rpartition("/")[2])
+            self.closing.wait(self.ANSWER_DELAY_S)
+            handler.send_response_body(204)
+        else:
+            self._record(self.reading, handler.headers["Request-Id"])
+            self.end_reads.wait(60)
+            handler.send_response_body(202, READ)
+
+    def _record(self, ids: set[str], id: str) -> None:
+        with self.changed:
+            ids.add(id)
+            self.changed.notify_all()
+
+    def wait_until_all(self, wanted: set[str], ids: set[str]) -> None:
+        """Wait until all wanted ids are recorded; fails after 10 s."""
+        with self.changed:
+            assert self.changed.wait_for(lambda: ids >= wanted, 10), wanted - ids
+
+    def close(self) -> None:
+        self.closing.set()
+        self.end_reads.set()
+        super().close()
+
+
+def test_state_of_many_reads_is_released_though_their_replica_answers_slowly(
+    loopback: LoopbackDispatcher,  # noqa: F811
+) -> None:
+    """Each try took its answer for lost. Two releases were repeated for a minute, and all others waited behind them."""
+    prefill, decode = SlowReader(), Standin()
+    loopback.start((prefill, "reader"), (decode, "writer"))
+    ids = {f"5{number}" for number in range(4)}
+    clients = [loopback.connect() for _ in ids]
+    for id, client in zip(ids, clients, strict=True):
+        client.sendall(request(id, "advice", 9000))
+    prefill.wait_until_all(ids, prefill.reading)
+    for client in clients:
+        client.close()
+    for id in ids:
+        prefill.wait_for("DELETE", f"/state/{id}")
+    prefill.end_reads.set()
+    prefill.wait_until_all(ids, prefill.released)
+
+
 class FailingWriter(Standin):
     """A decode replica that answers nothing. `die` ends it and its connections, as the end of its process does."""
 
