Soak: a replica that is slow at everything in half of the plans

The soak's replicas answered every release at once, so that it did not find that releases waited behind a replica that answers slowly. In half of the plans one replica is now busy for half of the load: its prefills take longer, it notices the end of an attempt late, and it answers releases 0.1 to 0.5 s late. The other random numbers of a plan are those of before.

--- a/pearhill/lab/soak/fault_injection.py
+++ b/pearhill/lab/soak/fault_injection.py
@@ -58,6 +58,7 @@
             "crowd": self._flood,
             "hang-and-terminate": self._hang_and_terminate,
             "stop-replica": self._stop_replica,
+            "busy-replica": self._make_busy,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -213,6 +214,14 @@
         else:
             replica.resume()
 
+    async def _make_busy(self, fault: Fault) -> None:
+        """Let a replica prefill slowly, notice the end of attempts late, and answer releases late."""
+        replica = self._pick_replica(fault)
+        replica.busy_delay_s = fault.amount
+        self._fleet.oracle.count("replicas that were busy")
+        await asyncio.sleep(fault.duration_s)
+        replica.busy_delay_s = 0.0
+
     async def _misbehave(self, fault: Fault) -> None:
         replica = self._pick_replica(fault)
         replica.misbehaviour, replica.misbehaving_share = fault.variant, fault.amount
--- a/pearhill/lab/soak/plan.py
+++ b/pearhill/lab/soak/plan.py
@@ -76,6 +76,8 @@
 RESUMES, DIES = "resumed", "died"  # how a stopped replica ends
 MIN_STOP_S, MAX_STOP_S = 1.5, 8.0
 STOPS_SEED = 0x570B  # so that the other random numbers of a plan are those of plans without these faults
+MIN_BUSY_DELAY_S, MAX_BUSY_DELAY_S = 0.1, 0.5
+BUSY_SEED = 0xB057  # as `STOPS_SEED`
 FLOOD_VARIANTS = (FLOOD_ONLY, DISCOVERY_IS_DOWN, REPLICAS_ARE_REPLACED, SHUTDOWN)
 LONG_MS, SHORT_MS = (1500, 2000, 3000, 4000), (250, 400, 600, 1000)
 WALL_STEPS_S = (-3600.0, -7.0, -2.0, 2.0, 7.0, 3600.0)
@@ -204,6 +206,15 @@
     ]
 
 
+def _draw_busy_replica(seed: int, seconds: float) -> list[Fault]:
+    """Returns, for half of the seeds, a fault that makes one replica slow at everything."""
+    rng = random.Random(seed ^ BUSY_SEED)
+    if rng.random() < 0.5:
+        return []
+    delay_s = rng.uniform(MIN_BUSY_DELAY_S, MAX_BUSY_DELAY_S)
+    return [Fault("busy-replica", rng.uniform(0.5, 1.5), seconds / 2, rng.random(), amount=delay_s)]
+
+
 def _failing_calls(rng: random.Random) -> str:
     """Returns one or two kinds of failing calls, each as CALL ERRNO SHARE, separated by commas."""
     chosen = rng.sample(CALL_ERRORS, rng.choice((1, 2)))
@@ -235,7 +246,7 @@
     weights = [FAULT_WEIGHTS.get(kind, 1) for kind in FAULT_KINDS]
     kinds = rng.choices(FAULT_KINDS, weights, k=rng.randint(7, 12))
     drawn = [_draw_fault(rng, kind, seconds) for kind in kinds]
-    faults = sorted([*drawn, *_draw_stops(seed, seconds)], key=lambda t: t.at_s)
+    faults = sorted([*drawn, *_draw_stops(seed, seconds), *_draw_busy_replica(seed, seconds)], key=lambda t: t.at_s)
     sockets = FEW_SOCKETS if "crowd" in kinds else MANY_SOCKETS
     return Plan(
         seed,
--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -17,6 +17,7 @@
 PREFILL, DECODE, MIXED = "read", "write", "both"
 EVENT_COUNT = 6
 HANG_S = 60.0
+BUSY_PREFILL_FACTOR = 2.0  # a busy replica is so much slower at a prefill than at an answer
 LATE_NOTICE_SHARE = 0.5  # of cancelled prefills, whose end the replica notices late, up to `MAX_LATE_NOTICE_S`
 MAX_LATE_NOTICE_S = 1.0
 LATE_NOTICE_SEED = 0x1A7E  # so that the other random numbers of a replica do not depend on cancelled prefills
@@ -72,6 +73,7 @@
         self._running = asyncio.Event()
         self._running.set()
         self.misbehaving_share, self.misbehaviour = 0.0, "error"
+        self.busy_delay_s = 0.0  # by which a busy replica is slow at everything
         self.state, self.boot_ms = "active", 0
         self.requests = 0
         self._server: asyncio.Server | None = None
@@ -130,6 +132,7 @@
             if reader.at_eof():  # given up while the replica was stopped
                 return False
             self.oracle.held_states.release_arrived(self.clock(), request, self.uid)
+            await asyncio.sleep(self.busy_delay_s)
             writer.write(answer(204 if message.method == "DELETE" else 404))
             return True
         if message.method != "POST":
@@ -172,7 +175,7 @@
         attempt.closed_by_dispatcher = True
         if self.role == PREFILL:
             self.oracle.attempts.ended(self.clock(), request, attempt)
-            if self._late_notices.random() < LATE_NOTICE_SHARE:
+            if self._late_notices.random() < LATE_NOTICE_SHARE or self.busy_delay_s:
                 await asyncio.wait((work,), timeout=self._late_notices.uniform(0, MAX_LATE_NOTICE_S))
         await self._running.wait()
 
@@ -206,6 +209,7 @@
         if misbehaviour in ("error", "half-line"):
             writer.write(answer(500))
             return True
+        await self._pause(BUSY_PREFILL_FACTOR * self.busy_delay_s)
         self.oracle.held_states.prefilled(self.clock(), request, self.uid)
         if attempt.ended_at:
             self.oracle.count("prefills that ended after they were given up")
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -425,6 +425,11 @@
     assert {variant for variants in stops for variant in variants} == {RESUMES, DIES}
 
 
+def test_a_replica_is_busy_in_some_plans_and_not_in_all() -> None:
+    busy = [any(fault.kind == "busy-replica" for fault in draw(seed).faults) for seed in range(20)]
+    assert set(busy) == {True, False}
+
+
 def test_a_seed_draws_the_same_plan_every_time() -> None:
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
