Releases: repeat those that are answered with 429 or 5xx

Any answer to a release counted as the release. Not seen in the incident's evidence; found by reading the related paths.

Test: one in test_releases.py, six statuses; the four that are to be repeated and were tried failed before.

--- a/pearhill/net/overlapping_tries.py
+++ b/pearhill/net/overlapping_tries.py
@@ -17,10 +17,12 @@
 
 LATE_ANSWER_TIMEOUT_US = 2_000_000  # for the answer to a try, from its start
 LATE_TRIES_SHARE = 8  # one in so many connections may wait for late answers; the others are left to requests
+# Answers after which a call is worth another try: the replica, or a proxy before it, may not have performed it.
+RETRIED_STATUSES = frozenset({429, 500, 502, 503, 504})
 
 
 class TryResult(enum.Enum):
-    """How one try ended, or that it is not answered yet."""
+    """How one try ended. UNANSWERED: it is to be tried again, though it may still be answered."""
 
     ANSWERED, UNANSWERED, REFUSED = range(3)
 
@@ -69,11 +71,13 @@
 
     async def _call(self, fresh: bool) -> TryResult:
         try:
-            await call(self._pool, self.address, self._data, LATE_ANSWER_TIMEOUT_US, fresh=fresh)
+            status, _ = await call(self._pool, self.address, self._data, LATE_ANSWER_TIMEOUT_US, fresh=fresh)
         except ConnectRefusedError:
             return TryResult.REFUSED
         except (OSError, ValueError, ConnectError):
             return TryResult.UNANSWERED
+        if status in RETRIED_STATUSES:
+            return TryResult.UNANSWERED
         self.answered.set()
         return TryResult.ANSWERED
 
--- a/pearhill/net/release_calls.py
+++ b/pearhill/net/release_calls.py
@@ -1,9 +1,9 @@
 """Release calls to replicas: each is repeated until the replica answers it.
 
-Only an answer shows that a running replica has the call: the system buffers what is sent to a process that does not
-respond, and may discard it. A few calls at a time are repeated at each replica, so that hundreds of requests whose
-replica is unresponsive do not use up the connections; all others wait until one of these is answered, or until a late
-answer to one of their own tries.
+Only an answer, other than one of an overloaded or failing server, shows that a running replica has performed the call:
+the system buffers what is sent to a process that does not respond, and may discard it. A few calls at a time are
+repeated at each replica, so that hundreds of requests whose replica is unresponsive do not use up the connections; all
+others wait until one of these is answered, or until a late answer to one of their own tries.
 """
 
 from __future__ import annotations
@@ -67,7 +67,7 @@
         is_needed: Callable[[], bool],
         may_go_elsewhere: Callable[[], bool] = lambda: True,
     ) -> bool:
-        """Send a release until it is answered; any answer shows that it has arrived. `may_go_elsewhere`: whether
+        """Send a release until it is answered. `may_go_elsewhere`: whether
         another replica may get it too. Returns False if it was abandoned, or is no longer needed."""
         began_at = self._pool.deadlines.clock()
         tries = OverlappingTries(self._pool, release.address, release.data, self._late_tries)
--- a/tests/net/test_releases.py
+++ b/tests/net/test_releases.py
@@ -33,6 +33,7 @@
         self.pool = make_pool(self.deadlines, idle_timeout=60_000_000)
         self.backend = HttpBackend(self.pool, ReplicaDialect())
         self.received = 0
+        self.statuses: list[bytes] = []  # of the next answers, before all others are 204
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -41,7 +42,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while await reader.read(4096):
             self.received += 1
-            writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+            status = self.statuses.pop(0) if self.statuses else b"204 No Content"
+            writer.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
         writer.close()
 
     async def step(self, micros: int) -> None:
@@ -143,6 +145,22 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ("status", "calls"),
+    [(b"429 Busy", 2), (b"500 Error", 2), (b"502 Gone", 2), (b"503 Full", 2), (b"404 Unknown", 1), (b"501 Unknown", 1)],
+)
+def test_a_release_that_was_turned_away_is_repeated(status: bytes, calls: int) -> None:
+    """A replica or proxy that had no room for the call answered it, and the answer counted as a release."""
+
+    async def scenario(replica: RespondingReplica) -> None:
+        replica.statuses.append(status)
+        replica.backend.release(make_request(), {REPLICA})
+        assert await replica.advance(MAX_HOLD_US) == calls
+        assert replica.backend.pending_releases == 0
+
+    play(scenario)
+
+
 def test_a_release_is_in_time_where_many_connects_fail_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """The pauses grew while four in five connects failed at once, and few of them fitted into the time limit."""
 
