Soak: a reset at a prefill replica's proxy breaks no stream of a decode replica

The trace: the request was prefilled at s-01 and its stream from s-03 stalled, a fault of the plan, so that the dispatcher ended it 4.5 s after its last event, as it may. Only s-01's proxy reset connections in that play. It names the last request of a connection, which by then carried a release, and the oracle ascribed the reset to whatever attempt of the request wrote an answer, here the one at s-03. It also excused streams that no reset had broken.

A reset now counts for the last writing attempt at the replica of that proxy. One more permitted outcome in test_soak.py, which could not be written before; the test of a reset behind events names its replica.

--- a/pearhill/lab/soak/attempt_rules.py
+++ b/pearhill/lab/soak/attempt_rules.py
@@ -123,18 +123,23 @@
         attempt.written += data
         attempt.written_at = at
 
-    def stream_broken(self, at: int, request: str, attempt: AttemptRecord | None = None) -> None:
-        """Record that the replica or the network ended or corrupted the stream of an attempt.
+    def connection_reset(self, at: int, request: str, replica: str) -> None:
+        """Record that the network reset the connection on which a request was sent to this replica.
 
-        If `attempt` is None, the last attempt of the request that writes an answer is taken.
+        After a prefill such a connection carries releases; its reset breaks no stream of another replica.
         """
         record = self._state.requests.get(request)
-        if attempt is None and record:
-            attempt = next((a for a in reversed(record.attempts) if a.writes_answer), None)
+        if record is None:
+            return
+        attempt = next((a for a in reversed(record.attempts) if a.replica == replica and a.writes_answer), None)
         if attempt:
-            attempt.broken_at = attempt.broken_at or at
-            self._state.exposure["streams that replicas broke"] += 1
-        if record and attempt:
+            self.stream_broken(at, request, attempt)
+
+    def stream_broken(self, at: int, request: str, attempt: AttemptRecord) -> None:
+        """Record that the replica or the network ended or corrupted the stream of an attempt."""
+        attempt.broken_at = attempt.broken_at or at
+        self._state.exposure["streams that replicas broke"] += 1
+        if record := self._state.requests.get(request):
             record.note(at, f"stream of {attempt.replica} broken")
 
     def endpoint_published(self, at: int, dispatcher: str, replica: str, ready: bool) -> None:
--- a/pearhill/lab/soak/replicas.py
+++ b/pearhill/lab/soak/replicas.py
@@ -86,7 +86,7 @@
         await self.proxy.start()
 
     def _connection_reset(self, request: str) -> None:
-        self.oracle.attempts.stream_broken(self.clock(), request)
+        self.oracle.attempts.connection_reset(self.clock(), request, self.uid)
 
     def stop(self) -> None:
         """Stop the process until `resume` or `restart`."""
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -87,7 +87,7 @@
     start_stream(oracle, b"one tow ")
     oracle.scan(50 * MS)
     oracle.clients.client_closed(60 * MS, "r")
-    oracle.attempts.stream_broken(60 * MS, "r")
+    oracle.attempts.connection_reset(60 * MS, "r", "w")
     oracle.clients.answer_broken(70 * MS, "r", PORT)
 
 
@@ -326,6 +326,13 @@
     oracle.clients.answer_broken(50 * MS, "r", PORT)
 
 
+def a_reset_at_the_prefill_replica_while_the_stream_stalls(oracle: Oracle) -> None:
+    oracle.attempts.arrived(5 * MS, "r", "reader", False, 1000)
+    start_stream(oracle)
+    oracle.attempts.connection_reset(40 * MS, "r", "reader")
+    oracle.scan(2 * S)
+
+
 def a_stalled_stream(oracle: Oracle) -> None:
     start_stream(oracle)
     oracle.clients.answer_broken(4600 * MS, "r", PORT)
@@ -362,6 +369,7 @@
         a_connection_broken_by_a_failed_system_call,
         a_stream_that_its_replica_broke,
         a_stalled_stream,
+        a_reset_at_the_prefill_replica_while_the_stream_stalls,
         a_complete_stream,
         lambda oracle: answer_behind_a_long_stream(oracle, 100 * MS),
         a_given_up_attempt_at_a_replica_that_is_stopped,
