Soak: send SIGKILL without reaping the process

Process.kill polls the process first; if it exits at that moment, it is reaped there, and the event loop finds no exit code. The test of signals has a case for it, which failed before; the stand-in process of the test beside it is killed by os.kill too.

--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -157,8 +157,7 @@
             return True
         except TimeoutError:
             self.oracle.killed(self.clock(), self.name)
-            with contextlib.suppress(ProcessLookupError):  # it has exited just now, which is too late as well
-                process.kill()
+            _send_signal(process, signal.SIGKILL)  # it may have exited just now, which is too late as well
             await process.wait()
             return False
         finally:
@@ -182,7 +181,7 @@
         process = self.process
         if process and process.returncode is None:
             self.shutting_down = True
-            process.kill()
+            _send_signal(process, signal.SIGKILL)
             self.oracle.killed(self.clock(), self.name)
             await process.wait()
         await self._wait_for_follower()
@@ -191,8 +190,8 @@
 def _send_signal(process: asyncio.subprocess.Process, number: int) -> None:
     """Send a signal, if the process still runs.
 
-    `Process.send_signal` is not used: it polls the process first and may reap it, so that the event loop finds no exit
-    code and reports 255.
+    `Process.send_signal` and `Process.kill` are not used: they poll the process first and may reap it, so that the
+    event loop finds no exit code and reports 255.
     """
     if process.returncode is None:
         with contextlib.suppress(ProcessLookupError):
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -494,15 +494,20 @@
         await self.ended.wait()
         return 0
 
-    def kill(self) -> None:
-        self.ended.set()
+    def kill(self, pid: int, number: int) -> None:
+        assert pid == self.pid
+        if number == signal.SIGKILL:
+            self.ended.set()
         raise ProcessLookupError
 
 
-def test_a_process_that_exits_at_its_kill_counts_as_killed(tmp_path: pathlib.Path) -> None:
+def test_a_process_that_exits_at_its_kill_counts_as_killed(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def terminate() -> bool:
         dispatcher = Dispatcher("d", tmp_path, {}, "127.0.0.1:1", Oracle(LIMITS), lambda: 0, 1)
         process: Any = ProcessThatExitsAtKill()
+        monkeypatch.setattr("pearhill.lab.soak.processes.os.kill", process.kill)
         dispatcher.process = process
         return await dispatcher.terminate(0.01)
 
@@ -524,8 +529,9 @@
     asyncio.set_child_watcher(before)
 
 
+@pytest.mark.parametrize("kills", [False, True])
 @pytest.mark.usefixtures("children_reaped_by_the_loop")
-def test_a_signal_to_an_exited_process_preserves_its_exit_code(tmp_path: pathlib.Path) -> None:
+def test_a_signal_to_an_exited_process_preserves_its_exit_code(tmp_path: pathlib.Path, kills: bool) -> None:
     async def exit_code() -> int:
         dispatcher = Dispatcher("d", tmp_path, {}, "127.0.0.1:1", Oracle(LIMITS), lambda: 0, 1)
         stdin, end_of_input = os.pipe()
@@ -535,7 +541,10 @@
         os.close(stdin)
         os.close(end_of_input)  # The process exits now, while this callback keeps the loop from reaping it.
         os.waitid(os.P_PID, dispatcher.process.pid, os.WEXITED | os.WNOWAIT)
-        dispatcher.signal(signal.SIGHUP)
+        if kills:
+            await dispatcher.kill()
+        else:
+            dispatcher.signal(signal.SIGHUP)
         return await dispatcher.process.wait()
 
     assert asyncio.run(exit_code()) == 0
