Lab and fleet command: replicas instead of engines in texts and names

The lab's progress lines, its report and the table of pearhill fleet said 'engine' for what is a replica in the glossary.

--- a/pearhill/cli/fleet.py
+++ b/pearhill/cli/fleet.py
@@ -97,19 +97,19 @@
     }
 
 
-def _add_own_load(replicas: dict[str, dict[str, int]], engines: list[dict[str, Any]]) -> None:
-    for engine in engines:
-        row = replicas.setdefault(engine["address"], {"waiting": 0, "load": 0, "dispatchers": 0, "avoided_by": 0})
-        own = engine["mine"]
+def _add_own_load(replicas: dict[str, dict[str, int]], reported: list[dict[str, Any]]) -> None:
+    for replica in reported:
+        row = replicas.setdefault(replica["address"], {"waiting": 0, "load": 0, "dispatchers": 0, "avoided_by": 0})
+        own = replica["mine"]
         row["waiting"] += own["waiting"]
         row["load"] += own["load"]
         row["dispatchers"] += own["load"] > 0
-        row["avoided_by"] += engine["avoided"]
+        row["avoided_by"] += replica["avoided"]
 
 
 def status_lines(status: dict[str, Any]) -> Iterator[str]:
     """Formats the sum as lines for the terminal: replicas, evenness, dispatchers, aggregators."""
-    yield f"{'engine':24} {'waiting':>10} {'under way':>10} {'dispatchers':>11} {'avoided by':>10}"
+    yield f"{'replica':24} {'waiting':>10} {'under way':>10} {'dispatchers':>11} {'avoided by':>10}"
     for name, row in status["engines"].items():
         yield f"{name:24} {row['waiting']:>10} {row['load']:>10} {row['dispatchers']:>11} {row['avoided_by']:>10}"
     even = status["evenness"]
--- a/pearhill/lab/fleet.py
+++ b/pearhill/lab/fleet.py
@@ -62,8 +62,8 @@
         return (
             f"{len(rows)} requests: served {share[load.SERVED]:.1%}, refused {share[load.REFUSED]:.1%}, "
             f"failed {share[load.FAILED]:.1%}\n"
-            f"peak over mean of work by engine in 1 s: mean {statistics.mean(peaks):.3f}, worst {max(peaks):.3f}\n"
-            f"longest idle of {self.replicas} engines: {max(self.idle_s):.1f} s; "
+            f"peak over mean of work by replica in 1 s: mean {statistics.mean(peaks):.3f}, worst {max(peaks):.3f}\n"
+            f"longest idle of {self.replicas} replicas: {max(self.idle_s):.1f} s; "
             f"load tool late p99: {late_p99_s * 1000:.0f} ms{self.cpu_limit_note}"
         )
 
@@ -204,7 +204,7 @@
             dispatchers = DispatcherProcesses(fleet, pathlib.Path(folder), text, lab.seed)
             try:
                 await dispatchers.start_all()
-                report_line(f"{fleet.dispatchers} dispatchers, {len(addresses)} engines, seed {lab.seed}")
+                report_line(f"{fleet.dispatchers} dispatchers, {len(addresses)} replicas, seed {lab.seed}")
                 rows, began = await _run_load(scenario, fleet, dispatchers, keys, report_line)
             finally:
                 dispatchers.close()
--- a/pearhill/lab/report.py
+++ b/pearhill/lab/report.py
@@ -134,7 +134,7 @@
 def fleet_plots(fleet: FleetResult) -> list[tuple[str, str]]:
     """Returns captions and SVG plots, by second, of the evenness of the work and of the share of requests served."""
     curves = (
-        ("peak over mean of work by engine", fleet.peaks, max(2.0, *fleet.peaks)),
+        ("peak over mean of work by replica", fleet.peaks, max(2.0, *fleet.peaks)),
         ("share served", fleet.served, 1.0),
     )
     return [
--- a/pearhill/lab/up.py
+++ b/pearhill/lab/up.py
@@ -89,8 +89,8 @@
         for table in tables:
             line = (await process.stdout.readline()).decode().strip()
             if line != table.listen.replace("localhost", "127.0.0.1"):
-                raise NotStartedError(f"stand-in engine: {line or 'ended at once'}")
-            report_line(f"stand-in engine, {table.kind}, on {line}")
+                raise NotStartedError(f"simulated replica: {line or 'ended at once'}")
+            report_line(f"simulated replica, {table.kind}, on {line}")
         yield
     finally:
         process.stdin.close()
--- a/tests/lab/test_up.py
+++ b/tests/lab/test_up.py
@@ -49,7 +49,7 @@
             occupied.listen()
             port = occupied.getsockname()[1]
             for address, why in (
-                (f"127.0.0.1:{port}", f"stand-in engine: cannot listen on 127.0.0.1:{port}: "),
+                (f"127.0.0.1:{port}", f"simulated replica: cannot listen on 127.0.0.1:{port}: "),
                 ("10.1.2.3:80", "server: found one at 10.1.2.3:80; allowed: addresses of this"),
                 ("engines.example:80", "server: found one at engines.example:80; allowed: addresses"),
             ):
