Shim: confirm each command, so that tests go on once a fault is in force

The test's own race: it sent the command that lets every write to a replica fail, and its request, without knowing whether the shim's thread had applied the command. A request that is written before it may have been executed, and a booking then fails with 500, as it has to.

The shim now prints what it has applied, and the tests wait for that line. The assertions are unchanged.

--- a/pearhill/lab/soak/shim.py
+++ b/pearhill/lab/soak/shim.py
@@ -8,8 +8,9 @@
                               discovery, recv-client and send-client only on connections of clients
     pieces BYTES              limits each read and write on a socket to so many bytes; 0 removes the limit
 
-`SOAK_COMMANDS` holds commands, separated by `;`, that are applied before the program starts. Functions of Python's
-library are replaced before the program is imported, so that the program itself runs unchanged.
+Each command is confirmed on standard error by `shim: applied` and the command. `SOAK_COMMANDS` holds commands,
+separated by `;`, that are applied before the program starts. Functions of Python's library are replaced before the
+program is imported, so that the program itself runs unchanged.
 """
 
 from __future__ import annotations
@@ -138,9 +139,11 @@
     sys.stderr.write = checked_write_log  # type: ignore[method-assign]
 
 
-def _read_commands(faults: Faults) -> None:
+def read_commands(faults: Faults) -> None:
+    """Apply each command of standard input, and confirm it."""
     for line in sys.stdin:
         faults.command(line)
+        os.write(STANDARD_ERROR, f"shim: applied {line}".encode())
 
 
 def main() -> int:
@@ -149,7 +152,7 @@
     for line in os.environ.get("SOAK_COMMANDS", "").split(";"):
         faults.command(line)
     install(faults)
-    threading.Thread(target=_read_commands, args=(faults,), daemon=True).start()
+    threading.Thread(target=read_commands, args=(faults,), daemon=True).start()
     sys.argv = sys.argv[:1]
     runpy.run_module("pearhill", run_name="__main__", alter_sys=True)
     return 0
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: its oracle reports injected violations, and a short run reports none."""
 
 import asyncio
+import io
 import os
 import pathlib
 import signal
@@ -20,7 +21,7 @@
 from pearhill.lab.soak.processes import Dispatcher
 from pearhill.lab.soak.records import IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, AttemptRecord, Violation
 from pearhill.lab.soak.report import Report
-from pearhill.lab.soak.shim import Faults, FaultySocket
+from pearhill.lab.soak.shim import Faults, FaultySocket, read_commands
 from pearhill.lab.soak.slow_start import PlatformLimits
 
 S, MS = 1_000_000, 1000
@@ -481,6 +482,17 @@
         assert written == [b"shim: broke the connection of 127.0.0.1:%d\n" % client.getsockname()[1]]
 
 
+def test_the_shim_confirms_a_command_once_it_is_in_force(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A test went on before the fault was in force, and the program sent what it should not have been able to send."""
+    faults, confirmed = Faults(1), list[tuple[bytes, bool]]()
+    monkeypatch.setattr("pearhill.lab.soak.shim.sys.stdin", io.StringIO("fail accept ENFILE 1\n"))
+    monkeypatch.setattr(
+        "pearhill.lab.soak.shim.os.write", lambda descriptor, data: confirmed.append((data, "accept" in faults.failing))
+    )
+    read_commands(faults)
+    assert confirmed == [(b"shim: applied fail accept ENFILE 1\n", True)]
+
+
 class ProcessThatExitsAtKill:
     """A process that is running when its time for shutdown is over, and has exited when it is killed."""
 
--- a/tests/platform/test_clock_steps.py
+++ b/tests/platform/test_clock_steps.py
@@ -49,14 +49,20 @@
 
 
 def start(folder: Any, discovery: Discovery, monkeypatch: pytest.MonkeyPatch) -> tuple[Program, Any]:
-    """Return the program and a function that sends a command to its shim."""
+    """Return the program and a function that sends a command to its shim, and waits until the shim has applied it."""
     read_end, write_end = os.pipe()
     monkeypatch.setattr("subprocess.Popen", _with_stdin(read_end))
     path = folder / "config.json"
     path.write_text(platform_file(discovery.address, settings=LONG_DEADLINES))
     program = ShimmedProgram(RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address)
     os.close(read_end)
-    return program, lambda line: os.write(write_end, line.encode() + b"\n")
+
+    def command(line: str) -> None:
+        earlier_lines = len(program.lines)
+        os.write(write_end, line.encode() + b"\n")
+        program.wait_line(f"shim: applied {line}", earlier_lines)
+
+    return program, command
 
 
 def _with_stdin(number: int) -> Any:
