Slow start: a restarted dispatcher knows the clock steps that its last process saw

The replica had started between the steps, and the new process, which knew none of them, took it for 7 s older than it was.

The processes of a dispatcher now keep the steps in a file in TMPDIR, for one boot; StartTimes begins with them. The soak gives each of its dispatchers the folder of the run as TMPDIR. test_takeover names the new file among those that the folder has to hold exactly.

--- a/pearhill/lab/soak/processes.py
+++ b/pearhill/lab/soak/processes.py
@@ -82,7 +82,7 @@
         self.shutting_down = False
         self.write_config()
         environ = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-        environ |= {"RELAY_CONFIG": str(self.path), "SOAK_SEED": str(self.seed)}
+        environ |= {"RELAY_CONFIG": str(self.path), "SOAK_SEED": str(self.seed), "TMPDIR": str(self.path.parent)}
         self._listening.clear()
         process = self.process = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/pearhill/node/node.py
+++ b/pearhill/node/node.py
@@ -15,6 +15,7 @@
 from pearhill.core.dispatcher import Dispatcher
 from pearhill.core.request_ids import RequestIds
 from pearhill.counters import Counters, Figures
+from pearhill.durable.clock_file import ClockFile
 from pearhill.http1.handler import Handler
 from pearhill.lifecycle.drain import Drain
 from pearhill.net.address import Address
@@ -58,7 +59,12 @@
     """
 
     def __init__(
-        self, deployment: Deployment, dialect: Dialect, limits: Limits, request_ids: RequestIds | None = None
+        self,
+        deployment: Deployment,
+        dialect: Dialect,
+        limits: Limits,
+        request_ids: RequestIds | None = None,
+        clock_file: ClockFile | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.loop = loop
@@ -67,7 +73,7 @@
         self.input_scheduler = InputScheduler(loop)
         self.deadlines = Deadlines(start_clock())
         self.ticks = EventLoopTicks(loop, self.deadlines, self.tick_meter)
-        self._wall_clock = WallClockObserver(self.deadlines, self.counters)
+        self._wall_clock = WallClockObserver(self.deadlines, self.counters, clock_file)
         self.limits = limits
         self.dispatcher_count = 0  # dispatchers that share the work; 0: not counted, the settings' number is used
         self.process_count = 1  # processes that share this dispatcher's limits and its part of the work
--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -10,6 +10,7 @@
 from pearhill.admin.endpoint import AdminEndpoint
 from pearhill.config import Config, for_next_start
 from pearhill.core.request_ids import RequestIds
+from pearhill.durable.clock_file import ClockFile
 from pearhill.durable.request_id_file import RequestIdFile
 from pearhill.net.listener import inherited_socket
 from pearhill.node.limits import Limits
@@ -53,6 +54,7 @@
                 memory_mb=config.memory_mb,
             ),
             _shared_request_ids(config),
+            _clock_file(config),
         )
         self.schedule = _schedule(config)
         self.watch = Watch(
@@ -144,6 +146,17 @@
         return None
 
 
+def _clock_file(config: Config) -> ClockFile | None:
+    """Return the file in which the processes of this dispatcher keep the steps of the wall clock, if there can be one.
+
+    Without the id of the boot, a file from before a reboot, whose times are of another clock, would be taken for ours.
+    """
+    boot = boot_id()
+    if not config.message_folder or not boot:
+        return None
+    return ClockFile(config.message_folder, config.name, boot)
+
+
 def _schedule(config: Config) -> CallSchedule:
     """Return the schedule of the calls to discovery.
 
--- a/pearhill/routing/start_times.py
+++ b/pearhill/routing/start_times.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from pearhill.routing.topology import Endpoint, Phase
@@ -17,7 +17,7 @@
 MAX_EPOCHS = 8  # number of epochs kept; a start before them is long past
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Epoch:
     """A span without steps. The wall clock is `offset` microseconds ahead of the monotonic one since `first`."""
 
@@ -34,11 +34,20 @@
 
 
 class StartTimes:
-    """Translates the start times of endpoint lists, given regular readings of both clocks."""
+    """Translates the start times of endpoint lists, given regular readings of both clocks.
+
+    `earlier`: the epochs that earlier processes of this dispatcher have seen, oldest first, by this one's clock.
+    """
 
-    def __init__(self, now: int, wall: int) -> None:
-        self._epochs = [Epoch(wall - now, now)]
+    def __init__(self, now: int, wall: int, earlier: Sequence[Epoch] = ()) -> None:
+        self._epochs = [epoch for epoch in earlier if epoch.first <= now] or [Epoch(wall - now, now)]
         self._translated: dict[int, _TranslatedStart] = {}  # by replica
+        self.observe(now, wall)
+
+    @property
+    def epochs(self) -> Sequence[Epoch]:
+        """The epochs that are known, oldest first."""
+        return self._epochs
 
     def observe(self, now: int, wall: int) -> int:
         """Compare both clocks, which have to be read together.
@@ -49,7 +58,7 @@
         last = self._epochs[-1]
         step = offset - last.offset
         if abs(step) <= MIN_STEP_US:
-            last.offset = offset
+            self._epochs[-1] = Epoch(offset, last.first)
             return 0
         self._epochs.append(Epoch(offset, now))
         del self._epochs[:-MAX_EPOCHS]
--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -161,7 +161,7 @@
 
         # The file of both processes, and one message: the old process's is removed. While the new one writes its own,
         # there is a temporary file too.
-        self.wait_for(lambda: files_left() == [".ids", ".note"])
+        self.wait_for(lambda: files_left() == [".clock", ".ids", ".note"])
 
     def hold_bookings(self) -> None:
         """Have the replicas begin the answers to bookings, and complete them once `release_answers` is set."""
--- a/tests/platform/test_clock_steps.py
+++ b/tests/platform/test_clock_steps.py
@@ -11,6 +11,7 @@
 import threading
 import time
 import unittest.mock
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
@@ -48,13 +49,15 @@
         return listed
 
 
-def start(folder: Any, discovery: Discovery, monkeypatch: pytest.MonkeyPatch) -> tuple[Program, Any]:
+def start(
+    folder: Any, discovery: Discovery, monkeypatch: pytest.MonkeyPatch, **environ: Any
+) -> tuple[Program, Callable[[str], None]]:
     """Return the program and a function that sends a command to its shim, and waits until the shim has applied it."""
     read_end, write_end = os.pipe()
     monkeypatch.setattr("subprocess.Popen", _with_stdin(read_end))
     path = folder / "config.json"
     path.write_text(platform_file(discovery.address, settings=LONG_DEADLINES))
-    program = ShimmedProgram(RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address)
+    program = ShimmedProgram(RELAY_CONFIG=str(path), RELAY_DISCOVERY=discovery.address, **environ)
     os.close(read_end)
 
     def command(line: str) -> None:
@@ -69,16 +72,54 @@
     return functools.partial(subprocess.Popen, stdin=number)
 
 
+class SlowStartCase:
+    """A warm replica and s-1, which has just started; neither ends an answer before `release_answers` is set."""
+
+    def __init__(self) -> None:
+        self.warm, self.cold, self.release_answers = Standin(), Standin(), threading.Event()
+        self.discovery = DiscoveryWithStartTimes(
+            ("s-0", self.warm.address, "all-in-one"), ("s-1", self.cold.address, "all-in-one")
+        )
+        for server in (self.warm, self.cold):
+            server.respond = self._respond
+
+    def _respond(self, handler: Any, body: bytes, /) -> Any:
+        self.release_answers.wait(20)
+        handler.chunks(*STREAM_CHUNKS, STREAM_END)
+
+    def check_slow_start(self, program: Program) -> None:
+        """Send requests at once, and check that the cold replica gets few of them."""
+        end = time.monotonic() + 20
+        clients = []
+        for number in range(REQUEST_COUNT):
+            connection = program.connect()
+            connection.request("POST", PATH, BODY, _headers(f"c{number}"))
+            clients.append(connection)
+        while self.warm.post_count + self.cold.post_count + program.counters()["refused"] < REQUEST_COUNT:
+            assert time.monotonic() < end, (self.warm.post_count, self.cold.post_count, program.counters())
+        # At 0.28 of its capacity this dispatcher's bucket for the replica holds one request at a time.
+        assert self.cold.post_count <= 3 < self.warm.post_count, (self.warm.post_count, self.cold.post_count)
+
+    def close(self) -> None:
+        self.release_answers.set()
+        for thing in (self.warm, self.cold, self.discovery):
+            thing.close()
+
+
+@pytest.fixture
+def case() -> Iterator[SlowStartCase]:
+    slow_start_case = SlowStartCase()
+    yield slow_start_case
+    slow_start_case.close()
+
+
 @pytest.mark.parametrize("step_s", [-HOUR_S, -20])
 def test_a_replica_that_restarts_after_the_clock_was_set_back_gets_a_slow_start(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, step_s: int
+    case: SlowStartCase, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, step_s: int
 ) -> None:
     """By the new clock its start is earlier than the last one. Taken for the last one, it would get no slow start."""
-    warm, cold, release_answers = Standin(), Standin(), threading.Event()
-    discovery = DiscoveryWithStartTimes(("s-0", warm.address, "all-in-one"), ("s-1", cold.address, "all-in-one"))
+    discovery = case.discovery
     discovery.boot_ms = {"s-1": int((time.time() - 15) * 1000)}
-    for server in (warm, cold):
-        server.respond = lambda handler, body: (release_answers.wait(20), handler.chunks(*STREAM_CHUNKS, STREAM_END))
     program, command = start(tmp_path, discovery, monkeypatch)
     try:
         program.wait_ready()
@@ -89,20 +130,33 @@
         end = time.monotonic() + 20
         while program.counters()["lists"] == lists:
             assert time.monotonic() < end
-        clients = []
-        for number in range(REQUEST_COUNT):
-            connection = program.connect()
-            connection.request("POST", PATH, BODY, _headers(f"c{number}"))
-            clients.append(connection)
-        while warm.post_count + cold.post_count + program.counters()["refused"] < REQUEST_COUNT:
-            assert time.monotonic() < end, (warm.post_count, cold.post_count, program.counters())
-        # At 0.28 of its capacity this dispatcher's bucket for the replica holds one request at a time.
-        assert cold.post_count <= 3 < warm.post_count, (warm.post_count, cold.post_count)
+        case.check_slow_start(program)
     finally:
-        release_answers.set()
+        case.release_answers.set()
         program.kill()
-        for thing in (warm, cold, discovery):
-            thing.close()
+
+
+@pytest.mark.parametrize("step_s", [20, HOUR_S])
+def test_a_dispatcher_that_restarts_after_a_step_gives_a_replica_that_started_before_it_a_slow_start(
+    case: SlowStartCase, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, step_s: int
+) -> None:
+    """By the clock that the new process finds, the replica has been warm for long."""
+    first, command = start(tmp_path, case.discovery, monkeypatch, TMPDIR=str(tmp_path))
+    try:
+        first.wait_ready()
+        case.discovery.boot_ms = {"s-1": int(time.time() * 1000)}
+        command(f"wall {step_s}")
+        first.wait_line(f"the wall clock was stepped by {step_s}")
+    finally:
+        first.stop()
+    commands = f"wall {step_s}"
+    second, _ = start(tmp_path, case.discovery, monkeypatch, TMPDIR=str(tmp_path), SOAK_COMMANDS=commands)
+    try:
+        second.wait_ready()
+        case.check_slow_start(second)
+    finally:
+        case.release_answers.set()
+        second.kill()
 
 
 def _headers(id: str) -> dict[str, str]:
--- a/tests/routing/test_start_times.py
+++ b/tests/routing/test_start_times.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearhill.routing.start_times import MIN_STEP_US, StartTimes
+from pearhill.routing.start_times import MIN_STEP_US, Epoch, StartTimes
 from pearhill.routing.topology import Endpoint, Phase
 from tests.driver import S
 
@@ -58,6 +58,23 @@
     assert started(times, NOW + S, NOW + S - HOUR) > before
 
 
+@pytest.mark.parametrize("second_step_seen", [True, False])
+def test_a_start_between_two_steps_is_translated_exactly_by_a_process_that_began_after_both(second_step_seen: bool):
+    earlier = StartTimes(NOW, NOW)
+    earlier.observe(NOW + S, NOW + 8 * S)
+    if second_step_seen:
+        earlier.observe(NOW + 3 * S, NOW + 17 * S)
+    now = NOW + 4 * S
+    times = StartTimes(now, now + 14 * S, earlier.epochs)
+    assert started(times, now, NOW + 9 * S) == NOW + 2 * S
+    assert started(times, now, NOW - 30 * S) == NOW - 30 * S
+
+
+def test_epochs_that_begin_in_the_future_are_not_used():
+    first = StartTimes(NOW + S, NOW + HOUR)
+    assert list(StartTimes(NOW, NOW, first.epochs).epochs) == [Epoch(0, NOW)]
+
+
 def test_small_adjustments_are_no_steps_and_an_absent_start_time_stays_absent():
     times = StartTimes(NOW, NOW)
     for second in range(1, 100):
