Pool: no exchange takes a connection within 20 ms of another one, of whatever kind

The delay that keeps a connection from its next request was for requests only: a release took the connection at once, and its answer ended the delay. Pool._take_idle alone decides now, for all purposes alike, and bytes that come before a request is written end its connection and are no response to it.

--- a/pearhill/net/pool.py
+++ b/pearhill/net/pool.py
@@ -20,7 +20,7 @@
 MAX_CONNECT_US = 75_000_000  # the system's own connect timeout is shorter
 DISCOVERY_CONNECTIONS = 8  # of the reserved ones, for the endpoint list alone
 # A faulty server that sends a second response after a first one does so some milliseconds later. If the connection
-# already carried another request, the second response would be mistaken for that request's response.
+# already carried another exchange, of whatever kind, the second response would be mistaken for that exchange's.
 REUSE_DELAY_US = 20_000
 SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -78,7 +78,7 @@
         `connect_within` limits the microseconds for a new one, if that is less than the settings allow. `fresh` forces
         a new one. Raises ConnectError if none is established."""
         if not fresh:
-            idle = self._take_idle(address, purpose)
+            idle = self._take_idle(address)
             if idle:
                 return idle
         if len(self.open) + self._connecting >= self._limit(purpose) and not self._close_one():
@@ -88,11 +88,14 @@
         self.open.add(connection)
         return connection
 
-    def _take_idle(self, address: Address, purpose: ConnectionPurpose) -> PooledConnection | None:
-        """Take the idle connection that was used last, or return None. Unusable ones that it finds are closed."""
+    def _take_idle(self, address: Address) -> PooledConnection | None:
+        """Take the reusable idle connection that was used last, or return None. Broken ones that it finds are closed.
+
+        This is the only place that decides whether a connection carries another exchange.
+        """
         now = self.deadlines.clock()
         for connection in reversed(self.idle.get(address, []).copy()):
-            if purpose == ConnectionPurpose.REQUEST and connection.reusable_at > now:
+            if connection.reusable_at > now:
                 continue
             expired = connection.idle_timer is not None and connection.idle_timer[0] <= now
             self._remove_idle(connection)
@@ -157,11 +160,10 @@
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
 
-    def put_back(self, connection: PooledConnection, delay_reuse: bool = False) -> None:
-        """Put back an idle connection, which may carry another exchange. With `delay_reuse`, it carries a request only
-        after `REUSE_DELAY_US`."""
+    def put_back(self, connection: PooledConnection) -> None:
+        """Put back a connection whose exchange has ended. It may carry another one after `REUSE_DELAY_US`."""
         self.idle.setdefault(connection.address, []).append(connection)
-        connection.reusable_at = self.deadlines.clock() + REUSE_DELAY_US if delay_reuse else 0
+        connection.reusable_at = self.deadlines.clock() + REUSE_DELAY_US
         # A server may close an idle connection silently, and a request that is then sent may have been executed.
         connection.idle_timer = self.deadlines.schedule_after(self.idle_timeout, lambda: connection.close("idle"))
 
--- a/pearhill/net/pooled_connection.py
+++ b/pearhill/net/pooled_connection.py
@@ -14,7 +14,7 @@
 from pearhill.counters import Counters
 from pearhill.http1.client import ClientConnection, Data, End, Event, Lost
 from pearhill.net.address import Address
-from pearhill.net.exchange import CollectedResponse, Exchange
+from pearhill.net.exchange import Exchange
 from pearhill.net.socket_reader import SocketReader
 from pearhill.net.socket_writer import SocketWriter
 from pearhill.net.tick_meter import TickMeter
@@ -32,8 +32,8 @@
     def spawn(self, work: Coroutine[Any, Any, None], /) -> asyncio.Task[None]:
         """Run a task. The pool keeps a reference to it until it ends."""
 
-    def put_back(self, connection: PooledConnection, delay_reuse: bool) -> None:
-        """Put back a connection, which may carry another exchange."""
+    def put_back(self, connection: PooledConnection) -> None:
+        """Put back a connection whose exchange has ended."""
 
     def forget(self, connection: PooledConnection) -> None:
         """Remove a closed connection."""
@@ -94,7 +94,7 @@
             while not self.closed:
                 try:
                     size = await reader.recv_into(buffer)
-                    events = self._parser.feed(view[:size]) if size else self._parser.eof()
+                    events = self._parse(view[:size])
                     reason = "server-eof"
                 except OSError as error:
                     name = type(error).__name__
@@ -112,6 +112,16 @@
             self.close(reason)
             self._parser.close()
 
+    def _parse(self, data: memoryview) -> list[Event]:
+        """Parse bytes of the server, or the end of its bytes if there are none.
+
+        A server cannot respond to a request that it has not received: bytes that come before the request is written
+        belong to an earlier one, or are noise.
+        """
+        if data and self.writing:
+            return [Lost("early")]
+        return self._parser.feed(data) if data else self._parser.eof()
+
     async def _deliver(self, event: Event) -> None:
         """Update the state of the connection, then pass the event to its exchange."""
         exchange = self.exchange
@@ -134,9 +144,8 @@
             self.close("unasked-bytes" if exchange is None else f"lost-{event.reason.partition(':')[0]}")
         elif isinstance(event, End):
             self.exchange = None
-            # After a response that precedes the end of its request, the rest of the request still follows on the wire.
-            if event.reusable and self.sent and not self.closed and not self.sending_ended:
-                self.pool.put_back(self, delay_reuse=not isinstance(exchange, CollectedResponse))
+            if event.reusable and not self.closed and not self.sending_ended:
+                self.pool.put_back(self)
             else:
                 self.close("server-asked")
 
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -44,15 +44,18 @@
     """A request written to it would fail with a reset, and may have been executed."""
 
     async def scenario() -> None:
-        pool = make_pool(Deadlines(start_clock()), reserved_connections=0)
+        now = 0
+        pool = make_pool(Deadlines(lambda: now), reserved_connections=0)
         with socket.create_server(("127.0.0.1", 0)) as server:
             first = await pool.acquire(server.getsockname())
             pool.put_back(first)
+            now += REUSE_DELAY_US
             server.accept()[0].close()  # no tick of the event loop between here and the next acquire
             second = await pool.acquire(server.getsockname())
             assert second is not first
             assert first.closed
             pool.put_back(second)
+            now += REUSE_DELAY_US
             assert await pool.acquire(server.getsockname()) is second
         pool.close()
         await asyncio.sleep(0)
@@ -60,24 +63,47 @@
     run(scenario())
 
 
-def test_a_connection_carries_no_request_until_the_reuse_delay_after_a_response_is_over() -> None:
-    """A second response, some milliseconds after the first, would be mistaken for the response to that request. A
-    control call is sent at once: its response is of another kind, and it causes no execution."""
+@pytest.mark.parametrize("purpose", ConnectionPurpose)
+def test_a_connection_carries_nothing_until_the_reuse_delay_after_an_exchange_is_over(
+    purpose: ConnectionPurpose,
+) -> None:
+    """A second response, some milliseconds after the first, would be mistaken for the response to the next exchange,
+    and a release that was taken for answered would not be repeated."""
 
     async def scenario() -> None:
         now = 0
         pool = make_pool(Deadlines(lambda: now))
         with socket.create_server(("127.0.0.1", 0)) as server:
             first = await pool.acquire(server.getsockname())
-            pool.put_back(first, delay_reuse=True)
-            assert await pool.acquire(server.getsockname(), ConnectionPurpose.CONTROL) is first
-            pool.put_back(first, delay_reuse=True)
-            second = await pool.acquire(server.getsockname(), ConnectionPurpose.REQUEST)
+            pool.put_back(first)
+            now += REUSE_DELAY_US - 1
+            second = await pool.acquire(server.getsockname(), purpose)
             assert second is not first
-            pool.put_back(second)  # it has carried no request
-            assert await pool.acquire(server.getsockname()) is second
-            now += REUSE_DELAY_US
-            assert await pool.acquire(server.getsockname()) is first
+            now += 1
+            assert await pool.acquire(server.getsockname(), purpose) is first
+        pool.close()
+        await asyncio.sleep(0)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("early", [EARLY_RESPONSE, EARLY_RESPONSE[:5]], ids=["whole", "begun"])
+def test_bytes_that_come_before_the_request_is_written_are_no_response_to_it(early: bytes) -> None:
+    async def scenario() -> None:
+        pool = make_pool(Deadlines(start_clock()))
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            connection = await pool.acquire(server.getsockname())
+            peer, _ = server.accept()
+            response = CollectedResponse(pool.loop, 100)
+            writing = asyncio.ensure_future(connection.send(response, lambda: LARGE_REQUEST))
+            await asyncio.sleep(0)
+            peer.sendall(early)
+            with pytest.raises(OSError, match="Bad file descriptor|Broken pipe|Connection reset"):
+                await asyncio.wait_for(writing, 20)
+            assert isinstance(await response.done, ConnectionResetError)
+            assert (response.status, connection.closed) == (0, True)
+            assert pool.counters.connections["server lost-early"] == 1
+            peer.close()
         pool.close()
         await asyncio.sleep(0)
 
@@ -88,19 +114,18 @@
     """The time limit is at least 300 ms, and 300 ms more are allowed. Here, two idle connections no longer answer."""
 
     async def scenario() -> None:
-        now = 0
+        now = connections = 0
         deadlines = Deadlines(lambda: now)
         pool = make_pool(deadlines, connect_timeout=250_000, idle_timeout=60_000_000)
         received: list[bytes] = []
-        connections = 0
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             nonlocal connections
             connections += 1
-            silent = connections <= 2
+            number = connections
             while data := await reader.read(4096):
                 received.append(data)
-                if not silent:
+                if number > 2:
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             writer.close()
 
@@ -111,6 +136,7 @@
             await asyncio.sleep(0)
         for connection in idle:
             pool.put_back(connection)
+        now = REUSE_DELAY_US
         backend = HttpBackend(pool, ReplicaDialect())
         backend.update_addresses({1: address}, [], full=True)
         request: Any = SimpleNamespace(number=7, payload=Payload("r7", "POST", "/", b"", ""))
@@ -125,7 +151,7 @@
         while backend.pending_releases:
             await asyncio.sleep(0)
         assert (len(received), connections) == (2, 3)
-        assert now <= 100_000
+        assert now - REUSE_DELAY_US <= 100_000
         pool.close()
         server.close()
         await asyncio.sleep(0)
