Responses: nothing is written on behalf of an answer that has ended

Each request gets a ResponseWriter of its own, on connections and under ASGI, which refuses what comes after its end. A response that has begun can't become another one: where a handler raised in it, a whole 500 was written into the stream.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -18,6 +18,7 @@
 from pearhill.chat.setup import ChatSetup
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage, add_header
+from pearhill.http1.response_writer import ResponseWriter
 from pearhill.net.input_scheduler import input_length
 from pearhill.net.memory_limit import MEMORY, MemoryLimit
 
@@ -210,10 +211,11 @@
         request = _request(scope, upload.take())
         request.arrived = service.node.deadlines.clock()  # the client's time runs while the request waits for its turn
         watch = asyncio.create_task(self._watch_disconnect(receive, reply))
+        response = ResponseWriter(reply)
         pending: Pending | None = None
         try:
             pending = await service.node.input_scheduler.run(
-                lambda: service.front.handle(request, reply), input_length(len(request.body))
+                lambda: service.front.handle(request, response), input_length(len(request.body))
             )
             reply.begin(pending)
             await self._send_answer(reply, send)
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -9,6 +9,7 @@
 from pearhill.http1 import messages
 from pearhill.http1.handler import Pending
 from pearhill.http1.messages import Headers, RequestMessage
+from pearhill.http1.response_writer import ResponseWriter
 from pearhill.http1.server import Discarded, Rejected
 from pearhill.net.client_socket import ClientSocket, ConnectionOwner
 from pearhill.net.memory_limit import MEMORY
@@ -24,7 +25,7 @@
 
 
 class AcceptedConnection(ClientSocket):
-    """One client's connection, and the Reply to the request that is being answered on it."""
+    """One client's connection. Each request gets a `ResponseWriter`, which uses it as its `Reply` until its end."""
 
     def __init__(self, owner: ConnectionOwner, sock: socket.socket, peer: str, delayed_accept: bool = False) -> None:
         self.pending: Pending | None = None
@@ -179,25 +180,21 @@
         self.requests += 1
         self._keep_alive = message.keep_alive
         self._announced_close = False
-        number = self.requests
+        response = ResponseWriter(self)
         try:
-            pending = self.owner.handler.handle(message, self)
+            pending = self.owner.handler.handle(message, response)
         except Exception:
             # The client must get an answer even if the handler fails.
             logger.exception("a handler failed on {method} {path}", method=message.method, path=message.path)
-            if self._is_answering(number):
+            if not response.ended:
                 self._keep_alive = False
-                self.answer(500)
+                response.answer(500)
             return
         if self.closed and pending:  # the client disconnected while the request was handled
             pending.handle_disconnect()
-        elif self._is_answering(number):
+        elif not response.ended:
             self.pending = pending
 
-    def _is_answering(self, number: int) -> bool:
-        """Whether the request with this number is still being answered."""
-        return self.answering and self.requests == number
-
     def _reject_discarded(self, message: Discarded) -> None:
         self.requests += 1
         self._keep_alive = message.keep_alive
--- a/tests/net/test_accepted.py
+++ b/tests/net/test_accepted.py
@@ -194,6 +194,41 @@
         assert handled == []
 
 
+class TestEndsOfResponses(UvloopTestCase):
+    async def test_what_is_written_after_the_end_of_a_response_is_not_sent(self) -> None:
+        """It would be read as a part of the next response."""
+
+        class LateWrites(LargeAnswers):
+            def handle(self, message: RequestMessage, reply: Reply) -> None:
+                reply.start(200)
+                late = asyncio.ensure_future(reply.write(b"late"))
+                reply.finish(b"in time")
+                late.add_done_callback(lambda _: reply.abort(b"later"))
+
+        async with open_listener(Deadlines(start_clock()), handler=LateWrites()) as listener:
+            reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            for _ in range(2):
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+                assert await reader.readuntil(b"0\r\n\r\n") == b"7\r\nin time\r\n0\r\n\r\n"
+            writer.close()
+
+    async def test_a_handler_that_fails_in_the_middle_of_a_response_has_it_truncated(self) -> None:
+        class FailingHandler(LargeAnswers):
+            def handle(self, message: RequestMessage, reply: Reply) -> None:
+                reply.start(200)
+                raise ValueError
+
+        async with open_listener(Deadlines(start_clock()), handler=FailingHandler()) as listener:
+            reader, writer = await asyncio.open_connection(*listener.listen(("127.0.0.1", 0)))
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            received = await reader.read()
+            assert received.count(b"HTTP/1.1 ") == 1
+            assert received.endswith(b"\r\n\r\n")
+            writer.close()
+
+
 class TestChecksForDisconnects(UvloopTestCase):
     """The client sends a request and, behind it, bytes that the dispatcher has not read when it checks."""
 
