Chat API: a usage event with impossible numbers or types fails the answer like any malformed event

What a replica reports of its usage was checked in part: numbers of any size were accepted, and a charge for them could not be encoded; completion_tokens_details was not declared, and the end of an answer of /v1/responses failed on it.

Usage is bounded at the edge (0 to 2**31 tokens, typed details). A malformed one ends the stream as failed, as every malformed event does; it is charged by its events, counted under malformed_responses, and logged once a replica.

--- a/pearhill/chat/schema/chunks.py
+++ b/pearhill/chat/schema/chunks.py
@@ -70,19 +70,31 @@
     logprobs: Logprobs | None = None
 
 
+# More than any model's context. Larger numbers are noise, and a charge for them could not be stored.
+MAX_REPORTED_TOKENS = 1 << 31
+TokenCount = Annotated[int, Meta(ge=0, le=MAX_REPORTED_TOKENS)]
+
+
 class PromptDetails(Struct):
     """The number of the prompt's tokens that were cached."""
 
-    cached_tokens: Annotated[int, Meta(ge=0)] | None = None
+    cached_tokens: TokenCount | None = None
+
+
+class CompletionDetails(Struct):
+    """The number of the answer's tokens that were spent on reasoning."""
+
+    reasoning_tokens: TokenCount | None = None
 
 
 class Usage(Struct):
     """A request's usage in tokens. The last event before `[DONE]` contains it."""
 
-    prompt_tokens: Annotated[int, Meta(ge=0)] = 0
-    completion_tokens: Annotated[int, Meta(ge=0)] = 0
-    total_tokens: Annotated[int, Meta(ge=0)] = 0
+    prompt_tokens: TokenCount = 0
+    completion_tokens: TokenCount = 0
+    total_tokens: Annotated[int, Meta(ge=0, le=2 * MAX_REPORTED_TOKENS)] = 0
     prompt_tokens_details: PromptDetails | None = None
+    completion_tokens_details: CompletionDetails | None = None
 
 
 class Chunk(Struct):
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -61,6 +61,7 @@
     released: int = 0  # calls that release the held state of a replica
     release_retries: int = 0
     unconfirmed: int = 0  # fetches without a response from their replica when the state had to be released
+    malformed_responses: int = 0  # streams of replicas that were ended for an event or bytes that make no sense
     lists: int = 0  # endpoint lists applied
     accept_failures: int = 0  # calls of accept() that failed for lack of descriptors or memory
     longest_tick_us: int = 0  # the longest tick of the event loop while it had work; left out while none is measured
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -49,6 +49,9 @@
     def forget(self, attempt: Attempt) -> None:
         """Remove an attempt that has ended."""
 
+    def record_malformed_response(self, replica: int, why: str) -> None:
+        """Count a response that makes no sense, and log the first one of each replica."""
+
 
 class AttemptExchange:
     """One attempt and the exchange that carries it on a connection."""
@@ -181,7 +184,8 @@
         try:
             ready = self.stream.feed(data)
         except MalformedResponseError as error:
-            return self._abort("malformed", self._broken_outcome(), str(error))
+            self.owner.record_malformed_response(attempt.replica, str(error))
+            return self._abort("malformed", self._broken_outcome())
         self._partial.record(self.stream.buffered_bytes)
         if ready and not attempt.ended:
             # Only forwarded events count as progress: bytes that never complete an event could arrive for ever.
--- a/pearhill/net/backend.py
+++ b/pearhill/net/backend.py
@@ -5,6 +5,8 @@
 from collections.abc import Collection
 from functools import partial
 
+from loguru import logger
+
 from pearhill.core.deadlines import TimerKey
 from pearhill.core.request import Attempt, Request
 from pearhill.net.address import Address
@@ -37,6 +39,7 @@
         self.removal_timers: dict[int, TimerKey] = {}  # by unlisted replica: the timer that removes its address
         self.exchanges: dict[Attempt, AttemptExchange] = {}
         self.releases = Releases(pool, dialect, self.addresses)
+        self._malformed_logged: set[int] = set()  # replicas whose first malformed response was logged
 
     # Addresses.
 
@@ -67,6 +70,7 @@
         others with new names."""
         del self.addresses[replica]
         del self.removal_timers[replica]
+        self._malformed_logged.discard(replica)
 
     # Attempts.
 
@@ -92,6 +96,13 @@
         self.exchanges.pop(attempt, None)
         self._resume_releases(attempt)
 
+    def record_malformed_response(self, replica: int, why: str) -> None:
+        """Count a response that makes no sense, and log the first one of each replica, which may send many."""
+        self.pool.counters.malformed_responses += 1
+        if replica not in self._malformed_logged:
+            self._malformed_logged.add(replica)
+            logger.warning("replica {replica}: malformed response: {why}", replica=replica, why=why)
+
     def _resume_releases(self, attempt: Attempt) -> None:
         """Resume the request's releases once the core has recorded the end of the attempt."""
         self.pool.loop.call_soon(self.releases.attempt_over, attempt.request)
