Core: an exception on the way of a request ends that request, whatever raised it

The core marks a request as ended before it calls its client, so that nothing else ended an answer whose client raised an exception in that call; an exception of a timer or a task of the request had no owner either.

Settlements that fail keep no answer from its end. The observer of the wall clock schedules its next check first: one exception had ended its checks.

--- a/pearhill/asgi.py
+++ b/pearhill/asgi.py
@@ -85,9 +85,9 @@
     def disconnect(self) -> None:
         """Record that the client has disconnected, and cancel its request if it has begun."""
         self.disconnected = True
+        self.messages.put_nowait(None)  # ends `_send_answer`: there is no client to write to
         if self._pending:
             self._pending.handle_disconnect()
-        self.messages.put_nowait(None)  # ends `_send_answer`: there is no client to write to
 
     def sent(self) -> None:
         """Record that the ASGI server has accepted a chunk."""
--- a/pearhill/chat/answers.py
+++ b/pearhill/chat/answers.py
@@ -162,6 +162,12 @@
         if self._end(502, TRUNCATED.code):
             self.reply.abort(self.format.encode_truncation(TRUNCATED))
 
+    def abandon(self) -> None:
+        """End the answer after an exception, whose cause may be anything that this object uses."""
+        self.ended = True
+        self.heartbeat.stop()
+        self.reply.answer(FAILED.status, JSON, FAILED.body())  # truncates an answer that has begun
+
     def has_disconnected(self) -> bool:
         """Returns whether the client has disconnected."""
         return self.reply.has_disconnected()
--- a/pearhill/chat/budget_accounting.py
+++ b/pearhill/chat/budget_accounting.py
@@ -69,18 +69,24 @@
 
     def reject(self, retry_after: int) -> None:
         """Settle a request for which no attempt was made. `retry_after` is in microseconds."""
-        self._settle(charges.REJECTED)
-        self._inner.reject(retry_after)
+        try:
+            self._settle(charges.REJECTED)
+        finally:
+            self._inner.reject(retry_after)
 
     def fail(self) -> None:
         """Settle a request that failed or reached its deadline."""
-        self._settle(charges.FAILED)
-        self._inner.fail()
+        try:
+            self._settle(charges.FAILED)
+        finally:
+            self._inner.fail()
 
     def decline(self, response: ReplicaErrorResponse) -> None:
         """Settle a request whose replica answered that the request itself is at fault."""
-        self._settle(charges.DECLINED)
-        self._inner.decline(response)
+        try:
+            self._settle(charges.DECLINED)
+        finally:
+            self._inner.decline(response)
 
     async def forward(self, data: bytes) -> None:
         """Forward events of the replica's stream."""
@@ -88,13 +94,24 @@
 
     def finish(self) -> None:
         """Settle a request whose answer is complete."""
-        self._settle(charges.ANSWERED)
-        self._inner.finish()
+        try:
+            self._settle(charges.ANSWERED)
+        finally:
+            self._inner.finish()
 
     def abort(self) -> None:
         """Settle a request whose answer was truncated."""
-        self._settle(charges.TRUNCATED)
-        self._inner.abort()
+        try:
+            self._settle(charges.TRUNCATED)
+        finally:
+            self._inner.abort()
+
+    def abandon(self) -> None:
+        """Settle a request on whose way an exception was raised, unless that was done before."""
+        try:
+            self._settle(charges.FAILED)
+        finally:
+            self._inner.abandon()
 
     def has_disconnected(self) -> bool:
         """Returns whether the client has disconnected and no other client can request the answer."""
--- a/pearhill/chat/records.py
+++ b/pearhill/chat/records.py
@@ -92,6 +92,13 @@
         """End a run whose answer was truncated."""
         self._end(RecordState.TRUNCATED)
 
+    def abandon(self) -> None:
+        """End a run after an exception. If it was raised while the run ended, its followers may wait for the end."""
+        if self.state == RecordState.OPEN:
+            self._end(RecordState.FAILED)
+        else:
+            self._wake_followers()
+
     def has_disconnected(self) -> bool:
         """Returns whether the run has ended because its only client has disconnected, which is checked now.
 
@@ -183,6 +190,8 @@
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self._record.followers -= 1
+        if not task.cancelled() and task.exception():  # which is logged where the task was started
+            self._answer.abandon()
 
 
 class RecordStore:
--- a/pearhill/chat/request_placement.py
+++ b/pearhill/chat/request_placement.py
@@ -47,11 +47,13 @@
 
     def handle_disconnect(self) -> None:
         """Cancel the request of a client that has disconnected."""
-        self._answer.handle_disconnect()
-        if self.settling:
-            self.settling.handle_disconnect()
-        if self.request:
-            self._dispatcher.handle_disconnect(self.request)
+        try:
+            self._answer.handle_disconnect()
+            if self.settling:
+                self.settling.handle_disconnect()
+        finally:
+            if self.request:
+                self._dispatcher.handle_disconnect(self.request)
 
 
 class UnrepeatableRequest:
--- a/pearhill/core/attempt_lifecycle.py
+++ b/pearhill/core/attempt_lifecycle.py
@@ -14,7 +14,7 @@
 from pearhill.core.request import Attempt, Request
 from pearhill.core.request_ids import RequestIds
 from pearhill.core.request_lifecycle import RequestLifecycle
-from pearhill.core.request_log import log_attempt_ended, log_state, log_unconfirmed_fetch
+from pearhill.core.request_log import log_attempt_ended, log_fault, log_state, log_unconfirmed_fetch
 from pearhill.counters import Counters
 from pearhill.routing.actions import SendAttempt
 from pearhill.routing.events import AttemptEnded, Event, ResponseStarted
@@ -256,6 +256,14 @@
         elif replica_error is not None:
             self._requests.decline(request, replica_error)
 
+    def abandon(self, attempt: Attempt, error: Exception) -> None:
+        """End the attempt's request after an exception. If the attempt has ended before, another may be in flight."""
+        if attempt.ended:
+            log_fault(attempt.request, error)
+            self._counters.faults += 1
+        else:
+            self._requests.abandon(attempt.request, error)
+
     # Calls from timers, from the endpoint list, and for a client that has disconnected.
 
     def expire(self, attempt: Attempt) -> None:
--- a/pearhill/core/client.py
+++ b/pearhill/core/client.py
@@ -33,6 +33,12 @@
     def abort(self) -> None:
         """End the answer, which has begun and will not be completed."""
 
+    def abandon(self) -> None:
+        """End the answer after an exception on the way of the request, however far it is: with an error or a close.
+
+        It may follow any other call, also one that has ended the answer, or has failed to.
+        """
+
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, checked now. No further work is started for such a client."""
 
--- a/pearhill/core/dispatcher.py
+++ b/pearhill/core/dispatcher.py
@@ -186,7 +186,14 @@
             case _:
                 request = self.requests.get(action.request)
                 if request:
-                    self._perform_on_request(request, action)
+                    self._perform_supervised(request, action)
+
+    def _perform_supervised(self, request: Request, action: Action) -> None:
+        """Perform an action. An exception ends its request, and none of the router's other actions."""
+        try:
+            self._perform_on_request(request, action)
+        except Exception as error:
+            self._requests.abandon(request, error)
 
     def _perform_on_request(self, request: Request, action: Action) -> None:
         match action:
--- a/pearhill/core/request.py
+++ b/pearhill/core/request.py
@@ -94,6 +94,9 @@
     def expire(self, attempt: Attempt) -> None:
         """Handle the passing of the attempt's deadline."""
 
+    def abandon(self, attempt: Attempt, error: Exception) -> None:
+        """See `Attempt.abandon`."""
+
     def release_unless_fetched(self, attempt: Attempt) -> None:
         """Release the state that the attempt fetches, if the attempt has not arrived by the time of the release."""
 
@@ -145,10 +148,14 @@
         self.ended = False
         self.last_forwarded_at = 0
         self._owner = owner
-        self._timeout_timer: TimerKey | None = owner.deadlines.schedule_at(deadline, lambda: owner.expire(self))
+        self._timeout_timer: TimerKey | None = owner.deadlines.schedule_at(
+            deadline, lambda: owner.expire(self), self.abandon
+        )
         self._release_timer: TimerKey | None = None
         if release_at:
-            self._release_timer = owner.deadlines.schedule_at(release_at, lambda: owner.release_unless_fetched(self))
+            self._release_timer = owner.deadlines.schedule_at(
+                release_at, lambda: owner.release_unless_fetched(self), self.abandon
+            )
 
     @property
     def timeout(self) -> int:
@@ -174,6 +181,10 @@
         """Close the attempt's connection and end the attempt, because its answer is no longer needed."""
         self._owner.cancel(self)
 
+    def abandon(self, error: Exception) -> None:
+        """End the attempt and its request, because an exception was raised on the way of the attempt."""
+        self._owner.abandon(self, error)
+
     def start_response(self) -> bool:
         """Report the first event of the answer.
 
--- a/pearhill/core/request_lifecycle.py
+++ b/pearhill/core/request_lifecycle.py
@@ -11,7 +11,8 @@
 from pearhill.core.event_queue import FeedEvent
 from pearhill.core.request import Attempt, Request, RequestSpec
 from pearhill.core.request_ids import RequestIds
-from pearhill.core.request_log import log_incomplete_answer, log_missed_deadline, log_state, log_violation
+from pearhill.core.request_log import log_fault, log_incomplete_answer, log_missed_deadline, log_state, log_violation
+from pearhill.core.supervised_client import SupervisedClient
 from pearhill.counters import BUSY, FAILURE, SUCCESS, Calls, Counters
 from pearhill.routing.events import ClientDisconnected, RequestArrived
 from pearhill.routing.outcomes import Outcome
@@ -23,6 +24,7 @@
 EXPIRED = "expired"  # the deadline passed before the request was processed
 DEADLINE_EXCEEDED = "overdue"  # the router did not answer the request by its deadline
 REJECTED_AFTER_EXECUTION = "refused-after-effect"
+FAULT = "fault"  # an exception was raised on the way of the request
 
 
 class RequestLifecycle:
@@ -57,7 +59,8 @@
         """Accept a request. Its deadline runs from `arrived`, the time of its last byte; None means now."""
         now = self._clock()
         deadline = (now if arrived is None else arrived) + spec.timeout
-        request = Request(self._next_number, spec.request_class, client, payload, deadline, spec.id)
+        supervised = SupervisedClient(client, self._counters, spec.id)
+        request = Request(self._next_number, spec.request_class, supervised, payload, deadline, spec.id)
         self._next_number += 1
         self.open_requests[request.number] = request
         self._counters.taken += 1
@@ -66,7 +69,9 @@
             self.reject(request, 0, EXPIRED)
             self._remove(request)
             return request
-        request.deadline_timer = self._deadlines.schedule_at(deadline, lambda: self._deadline_exceeded(request))
+        request.deadline_timer = self._deadlines.schedule_at(
+            deadline, lambda: self._deadline_exceeded(request), lambda error: self.abandon(request, error)
+        )
         self._feed(_arrival(request.number, spec, max(1, deadline - now)), now)
         return request
 
@@ -117,6 +122,23 @@
         log_state(request, "failed", reason)
         request.client.fail()
 
+    def abandon(self, request: Request, error: Exception) -> None:
+        """End a request on whose way an exception was raised, whatever raised it: its answer and its attempt.
+
+        What replicas hold for it is released once the router has been told.
+        """
+        self._counters.faults += 1
+        log_fault(request, error)
+        if not request.answered:
+            self._finish(request, FAILURE)
+            self._counters.failed += 1
+            self._counters.failures[FAULT] += 1
+            request.client.abandon()
+            self._feed(ClientDisconnected(request.number))
+        attempt = request.current_attempt
+        if attempt and not attempt.ended:
+            attempt.cancel()
+
     def complete(self, request: Request) -> None:
         """End the request, whose answer is complete."""
         self._finish(request, SUCCESS)
--- a/pearhill/core/request_log.py
+++ b/pearhill/core/request_log.py
@@ -62,6 +62,11 @@
     logger.error("violation rule={rule} request={number} id={id}", rule=rule, number=request.number, id=request.id)
 
 
+def log_fault(request: Request, error: Exception) -> None:
+    """Log an exception on the way of a request."""
+    logger.opt(exception=error).error("fault request={number} id={id}", number=request.number, id=request.id)
+
+
 def log_missed_deadline(request: Request) -> None:
     """Log that the router let a request's deadline pass, so that the core answered it."""
     logger.error("request {request} reached its deadline without an answer from the router", request=request.number)
--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -67,7 +67,7 @@
     longest_tick_us: int = 0  # the longest tick of the event loop while it had work; left out while none is measured
     shortages: int = 0  # sockets that failed for lack of descriptors, memory or ports
     clock_steps: int = 0  # steps of the wall clock while the process runs
-    faults: int = 0  # exceptions raised by the router
+    faults: int = 0  # exceptions raised by the router, or on the way of a request
     replayed: int = 0  # answers repeated from the idempotency store
     refusals: Counter[str] = field(default_factory=Counter)  # by reason
     failures: Counter[str] = field(default_factory=Counter)  # by reason
--- a/pearhill/http1/response_writer.py
+++ b/pearhill/http1/response_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from pearhill.http1.handler import Reply
 from pearhill.http1.messages import Headers
@@ -34,12 +35,12 @@
     def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """Send a complete response. One that has started is truncated instead."""
         if self._end_unstarted():
-            self._reply.answer(status, headers, body)
+            self._send_or_abort(lambda: self._reply.answer(status, headers, body))
 
     def reject(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response to invalid input. One that has started is truncated instead."""
         if self._end_unstarted():
-            self._reply.reject(status, headers, body)
+            self._send_or_abort(lambda: self._reply.reject(status, headers, body))
 
     def start(self, status: int, headers: Headers = ()) -> None:
         """Begin a response whose body follows in pieces."""
@@ -58,7 +59,7 @@
             self.abort()
         elif not self.ended:
             self._state = ResponseState.ENDED
-            self._reply.finish(last)
+            self._send_or_abort(lambda: self._reply.finish(last))
 
     def abort(self, last: bytes = b"") -> None:
         """Truncate the response after these last bytes of the body, which need a head before them."""
@@ -76,6 +77,14 @@
         """Check now whether bytes from the client wait to be read."""
         return self._reply.has_unread_input()
 
+    def _send_or_abort(self, send: Callable[[], None]) -> None:
+        """Send the end of the response. If that raises, the client gets a close in its place."""
+        try:
+            send()
+        except Exception:
+            self._reply.abort()
+            raise
+
     def _end_unstarted(self) -> bool:
         """End the response. Returns whether a complete one may be sent."""
         if self._state == ResponseState.STARTED:
--- a/pearhill/lab/scale/work.py
+++ b/pearhill/lab/scale/work.py
@@ -117,6 +117,10 @@
         """Final result: the response is truncated, which counts as failed."""
         self._on_result(RequestResult.FAILED)
 
+    def abandon(self) -> None:
+        """Final result: the request failed, because an exception was raised on its way."""
+        self._on_result(RequestResult.FAILED)
+
     def has_disconnected(self) -> bool:
         """Returns False: a simulated client never disconnects."""
         return False
--- a/pearhill/net/accepted.py
+++ b/pearhill/net/accepted.py
@@ -186,12 +186,13 @@
         except Exception:
             # The client must get an answer even if the handler fails.
             logger.exception("a handler failed on {method} {path}", method=message.method, path=message.path)
+            self.owner.counters.faults += 1
             if not response.ended:
                 self._keep_alive = False
                 response.answer(500)
             return
         if self.closed and pending:  # the client disconnected while the request was handled
-            pending.handle_disconnect()
+            self._report_disconnect(pending)
         elif not response.ended:
             self.pending = pending
 
@@ -231,10 +232,12 @@
         if self.closed or self.answering or self.last_answer_given or self.intake.waiting:
             return
         if self.awaits_request:
-            self._timer = deadlines.schedule_at(self.state_since + REQUEST_TIMEOUT_US, self._request_overdue)
+            self._timer = deadlines.schedule_at(
+                self.state_since + REQUEST_TIMEOUT_US, self._request_overdue, self._close_after_fault
+            )
         else:
             self._timer = deadlines.schedule_at(
-                self.state_since + IDLE_TIMEOUT_US, lambda: self.close_unless_unread("idle")
+                self.state_since + IDLE_TIMEOUT_US, lambda: self.close_unless_unread("idle"), self._close_after_fault
             )
 
     def _request_overdue(self) -> None:
@@ -278,7 +281,9 @@
             case UnreadInput.UNKNOWN:
                 deadlines = self.owner.deadlines
                 deadlines.cancel(self._timer)
-                self._timer = deadlines.schedule_after(RECHECK_INTERVAL_US, lambda: self.close_unless_unread(reason))
+                self._timer = deadlines.schedule_after(
+                    RECHECK_INTERVAL_US, lambda: self.close_unless_unread(reason), self._close_after_fault
+                )
 
     def _on_closed(self) -> None:
         """Notify the handler that the client of the request being answered has disconnected."""
@@ -286,4 +291,12 @@
         pending = self.pending
         self.pending = None
         if pending:
+            self._report_disconnect(pending)
+
+    def _report_disconnect(self, pending: Pending) -> None:
+        try:
             pending.handle_disconnect()
+        except Exception:
+            # The request ends at its next step, or at its deadline.
+            logger.exception("a handler failed on the disconnect of a client")
+            self.owner.counters.faults += 1
--- a/pearhill/net/attempt_exchange.py
+++ b/pearhill/net/attempt_exchange.py
@@ -74,12 +74,20 @@
         self._stall_timer: TimerKey | None = None
         self._send_timer: TimerKey | None = None
         if attempt.send_before:
-            self._send_timer = owner.pool.deadlines.schedule_at(attempt.send_before, self._send_overdue)
+            self._send_timer = owner.pool.deadlines.schedule_at(attempt.send_before, self._send_overdue, self.fail)
         self.task: asyncio.Task[None] | None = owner.pool.spawn(self._run())
 
     # The request.
 
     async def _run(self) -> None:
+        """Send the request. An exception ends the attempt."""
+        try:
+            await self._send_request()
+        except Exception as error:
+            logger.exception("an attempt failed while its request was sent")
+            self.fail(error)
+
+    async def _send_request(self) -> None:
         """Get a connection and write the request on it."""
         attempt = self.attempt
         address = self.owner.addresses.get(attempt.replica)
@@ -198,7 +206,7 @@
             attempt.last_forwarded_at = deadlines.clock()
             if self._stall_timer is None and not attempt.ended:
                 self._stall_timer = deadlines.schedule_at(
-                    attempt.last_forwarded_at + STALL_TIMEOUT_US, self._check_stall
+                    attempt.last_forwarded_at + STALL_TIMEOUT_US, self._check_stall, self.fail
                 )
         if self.stream.complete and not attempt.ended:
             self._finish(Outcome.ANSWERED, self.stream.cached_tokens)
@@ -214,7 +222,7 @@
         stalled_at = self.attempt.last_forwarded_at + STALL_TIMEOUT_US
         if deadlines.clock() >= stalled_at:
             return self._abort("stalled", Outcome.TRUNCATED)
-        self._stall_timer = deadlines.schedule_at(stalled_at, self._check_stall)
+        self._stall_timer = deadlines.schedule_at(stalled_at, self._check_stall, self.fail)
 
     def _last_chunk_overdue(self) -> None:
         """Close the connection if the last chunk is missing, which would otherwise occupy the connection for ever."""
@@ -270,6 +278,19 @@
 
     # End of the attempt.
 
+    def fail(self, error: Exception) -> None:
+        """End the attempt after an exception, as one whose connection was lost. If that fails too, end its request."""
+        if self.connection:
+            self.connection.close("fault")
+        try:
+            if not self.attempt.ended:
+                self._lost()
+        except Exception:
+            logger.exception("an attempt could not be ended after an exception")
+        finally:
+            if not self.attempt.ended:
+                self.attempt.abandon(error)
+
     def _abort(self, reason: str, outcome: Outcome, detail: str = "") -> None:
         """Close the connection and end the attempt. Otherwise the client would wait for ever for a machine that failed
         during the stream and sends nothing, or for one that sends malformed data without end."""
--- a/pearhill/net/client_socket.py
+++ b/pearhill/net/client_socket.py
@@ -173,7 +173,9 @@
 
     async def _write(self) -> None:
         while self.output.unsent and not self.closed:
-            write_timer = self.owner.deadlines.schedule_after(WRITE_TIMEOUT_US, lambda: self.close("client-stuck"))
+            write_timer = self.owner.deadlines.schedule_after(
+                WRITE_TIMEOUT_US, lambda: self.close("client-stuck"), self._close_after_fault
+            )
             try:
                 await self.output.write_some()
             except OSError as error:
@@ -192,7 +194,9 @@
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             return self.close(self._reason)
-        self._timer = self.owner.deadlines.schedule_after(LINGER_US, lambda: self.close(self._reason))
+        self._timer = self.owner.deadlines.schedule_after(
+            LINGER_US, lambda: self.close(self._reason), self._close_after_fault
+        )
 
     @property
     def _is_writing(self) -> bool:
@@ -213,6 +217,11 @@
         self._record_end(reason)
         self._on_closed()
 
+    def _close_after_fault(self, error: Exception) -> None:
+        """Close the connection because one of its timers failed."""
+        logger.opt(exception=error).error("a timer of a client's connection failed")
+        self.close("fault")
+
     def _cancel_tasks(self) -> None:
         """Cancel the reader and the writer, except the one that runs this."""
         for task in (self._reader, self._writer):
--- a/pearhill/net/exchange.py
+++ b/pearhill/net/exchange.py
@@ -23,6 +23,9 @@
     async def handle(self, event: Event) -> None:
         """Handle one event of the response. Events arrive in order."""
 
+    def fail(self, error: Exception) -> None:
+        """End the exchange after an exception, which `handle` may have raised. Its connection is closed."""
+
     def record_partial_chunk(self, size: int) -> None:
         """Record that `size` bytes of an incomplete chunk are buffered, if they are more than a read."""
 
@@ -53,6 +56,10 @@
                 if len(self.body) > self.max_body:
                     self._finish(ValueError(f"response body larger than {self.max_body} bytes"))
 
+    def fail(self, error: Exception) -> None:
+        """Set the exception as the result."""
+        self._finish(error)
+
     def record_partial_chunk(self, size: int) -> None:
         """Do nothing: few such exchanges are open at once, and `max_body` bounds each."""
 
--- a/pearhill/net/given_up_attempts.py
+++ b/pearhill/net/given_up_attempts.py
@@ -54,6 +54,9 @@
             self.responded = True
             self.close()
 
+    def fail(self, error: Exception) -> None:
+        """Do nothing: the close of the connection has ended the exchange."""
+
     def record_partial_chunk(self, size: int) -> None:
         """Do nothing: the connection is closed before any chunk."""
 
--- a/pearhill/net/pooled_connection.py
+++ b/pearhill/net/pooled_connection.py
@@ -107,6 +107,12 @@
                     self.exchange.record_partial_chunk(self._parser.buffered_bytes)
                 if not size:
                     break
+        except Exception as error:
+            logger.exception("the reader of a connection to a server failed")
+            exchange = None if self.writing else self.exchange  # a writer gets an error from the closed socket
+            self.close(reason)
+            if exchange:
+                exchange.fail(error)
         finally:
             reader.close()
             self.close(reason)
@@ -131,12 +137,11 @@
             return
         try:
             await exchange.handle(event)
-        except Exception:
+        except Exception as error:
             # An error while handling one event would end the reader, and the request would wait for ever.
             logger.exception("an exchange failed while handling a {event} event", event=type(event).__name__)
             self.close("fault")
-            if not isinstance(event, Lost):
-                await exchange.handle(Lost("fault"))
+            exchange.fail(error)
 
     def _update(self, event: Event, exchange: Exchange | None) -> None:
         """Close the connection, or put it back into the pool, if a response has ended or is lost."""
--- a/pearhill/net/ticks.py
+++ b/pearhill/net/ticks.py
@@ -68,7 +68,11 @@
 async def pause(deadlines: Deadlines, micros: int) -> None:
     """Wait for this many microseconds."""
     elapsed = asyncio.get_running_loop().create_future()
-    key = deadlines.schedule_after(micros, lambda: None if elapsed.done() else elapsed.set_result(None))
+    key = deadlines.schedule_after(
+        micros,
+        lambda: None if elapsed.done() else elapsed.set_result(None),
+        lambda error: None if elapsed.done() else elapsed.set_exception(error),
+    )
     try:
         await elapsed
     finally:
--- a/pearhill/node/wall_clock.py
+++ b/pearhill/node/wall_clock.py
@@ -37,8 +37,8 @@
         return self._start_times.translate(self._deadlines.clock(), full, entries)
 
     def _check_periodically(self) -> None:
-        self._check()
         self._deadlines.schedule_after(WALL_CLOCK_CHECK_INTERVAL_US, self._check_periodically)
+        self._check()
 
     def _check(self) -> None:
         step = self._start_times.observe(self._deadlines.clock(), wall_clock())
--- a/pearhill/platform/front.py
+++ b/pearhill/platform/front.py
@@ -90,6 +90,10 @@
         self._end()
         self.reply.abort()
 
+    def abandon(self) -> None:
+        """End the answer after an exception. One that has begun is truncated by the writer of the response."""
+        self.fail()
+
     def has_disconnected(self) -> bool:
         """Check now whether the client has disconnected."""
         return self.reply.has_disconnected()
--- a/tests/core/harness.py
+++ b/tests/core/harness.py
@@ -51,6 +51,9 @@
     def abort(self) -> None:
         self.answers.append("abort")
 
+    def abandon(self) -> None:
+        self.answers.append("abandon")
+
     def has_disconnected(self) -> bool:
         return self.disconnected
 
