--- a/pearhill/chat/translate.py
+++ b/pearhill/chat/translate.py
@@ -65,7 +65,7 @@
 
 
 def _top_logprobs(entry: dict[str, Any]) -> dict[str, float | None]:
-    return {top["token"]: top["logprob"] for top in entry.get("top_logprobs") or ()}
+    return {top["token"]: top.get("logprob") for top in entry.get("top_logprobs") or ()}
 
 
 def items_to_messages(request: ResponseRequest) -> list[dict[str, Any]]:
--- a/tests/chat/test_front.py
+++ b/tests/chat/test_front.py
@@ -128,6 +128,22 @@
         assert answer["choices"][0]["finish_reason"] == "stop"
         assert json.loads(self.program.request("GET", "/v1/models")[2])["data"][0]["id"] == "help"
 
+    def test_a_text_completion_has_null_for_a_log_probability_that_the_replica_left_out(self):
+        (replica,) = self.start()
+        choice = {
+            "delta": {"content": "one"},
+            "logprobs": {"content": [{"token": "one", "top_logprobs": [{"token": "one"}, {"token": "two"}]}]},
+        }
+        event = b"data: %b\n\n" % json.dumps({"choices": [choice]}).encode()
+        replica.respond = lambda handler, sent: handler.chunks(event, STREAM_END)
+        for stream in (False, True):
+            sent = json.dumps({"model": "help", "prompt": "How long?", "logprobs": 2, "stream": stream}).encode()
+            status, _, got = self.program.request("POST", "/v1/completions", sent)
+            first = got.partition(b"\n")[0].removeprefix(b"data: ")
+            logprobs = json.loads(first)["choices"][0]["logprobs"]
+            assert (status, logprobs["token_logprobs"]) == (200, [None])
+            assert logprobs["top_logprobs"] == [{"one": None, "two": None}]
+
     def test_invalid_requests_get_error_objects_and_are_counted(self):
         (replica,) = self.start()
         bad = [
