Eureka: the changes of a delta apply before the full list that its hash code asks for

A replica that a delta takes out of service got new requests for as long as the full list could not be fetched, if the delta's hash code did not match. Its changes are passed on first now.

--- a/pearhill/eureka/client.py
+++ b/pearhill/eureka/client.py
@@ -56,7 +56,7 @@
             try:
                 await self._update_registry(needs_full_list)
                 needs_full_list = False
-                self.on_list(True, *self.registry.endpoints(self.setup.replica_app, self.deployment))
+                self._report_list()
             except CALL_ERRORS as e:
                 logger.warning(
                     "eureka: fetching the instance list failed, the previous list stays in use: {error}", error=repr(e)
@@ -96,10 +96,16 @@
         except CALL_ERRORS as e:
             logger.warning("eureka: cancelling the registration failed: {error}", error=repr(e))
 
+    def _report_list(self) -> None:
+        self.on_list(True, *self.registry.endpoints(self.setup.replica_app, self.deployment))
+
     async def _update_registry(self, full: bool) -> None:
         if not full:
             if self.registry.apply(await self._fetch("/apps/delta")):
                 return
+            # Its changes have been told, whatever was missed before them: a replica that drains may get no requests
+            # while the full list is waited for.
+            self._report_list()
             logger.warning("eureka: the hash code after the delta does not match, fetching the full list")
         self.registry.replace(await self._fetch("/apps"))
 
--- a/tests/eureka/test_eureka.py
+++ b/tests/eureka/test_eureka.py
@@ -57,11 +57,12 @@
         self.delta = registry_response()
         self.leases = set[str]()
         self.down = False
+        self.has_full_list = True
         super().__init__()
 
     def respond(self, handler: StandinHandler, body: bytes, /) -> None:
         path = handler.path.partition("?")[0]
-        if self.down:
+        if self.down or (not self.has_full_list and path.endswith("/apps")):
             return handler.send_response_body(500)
         if handler.command == "GET":
             return handler.send_response_body(
@@ -116,6 +117,14 @@
         self.program.wait_line("does not match, fetching the full list")
         self.eureka.wait_for("GET", "/eureka/apps", 3)
 
+    def test_a_delta_with_a_wrong_hash_code_is_applied_before_the_full_list_comes(self) -> None:
+        self.eureka.has_full_list = False
+        self.eureka.delta = registry_response(
+            instance("m1", self.replica.address, status="OUT_OF_SERVICE", action="MODIFIED"), code="UP_2_"
+        )
+        self.program.wait_ready(503)
+        assert (self.program.request("POST", PATH, body())[0], self.replica.post_count) == (503, 0)
+
     def test_a_reload_cancels_the_registration_and_registers_with_the_new_registry(self) -> None:
         self.eureka.wait_for("POST", "/eureka/apps/PEARHILL")
         new_registry = RegistryStandin()
