Discovery: the known list is not used before a shared service was called

With discovery that is asked, the first call comes up to 3.5 s after the start, but the list known at the start was used from 1 s on, whatever its age: a request got a 200 from a replica that had left (the test, before). It is used now when the first call has had no answer for 1 s, as at an agent, which is called at once. A start may take 3.5 s longer.

--- a/pearhill/platform/daemon.py
+++ b/pearhill/platform/daemon.py
@@ -23,7 +23,7 @@
 from pearhill.platform.replica import ReplicaDialect
 from pearhill.platform.schedule import CallSchedule
 
-# If discovery has not answered for so long after the start, the list known at the start is used.
+# If discovery has not answered the first call for so long, the list known at the start is used.
 KNOWN_LIST_DELAY_US = 1_000_000
 
 # Derives the schedule's seed from the node's. The Router draws from the node's seed: the two must not draw the same.
@@ -65,7 +65,6 @@
             self.schedule,
             config.known_endpoints,
         )
-        self.known_list_usable_from = self.node.deadlines.clock() + KNOWN_LIST_DELAY_US
         self.takeover: TakeoverTask | None = None
         if config.passed_socket is not None and config.message_folder:
             self.takeover = TakeoverTask(self.node, config.message_folder, config.name)
@@ -92,10 +91,13 @@
     def has_current_list(self) -> bool:
         """Return whether there is an endpoint list that may be used.
 
-        The list known at the start may be outdated. It is used only if discovery does not answer within
-        `KNOWN_LIST_DELAY_US`.
+        The list known at the start may be outdated. It is used only if discovery does not answer the first call within
+        `KNOWN_LIST_DELAY_US`. At a shared service that call may be some seconds after the start.
         """
-        return self.watch.has_answered or self.node.deadlines.clock() > self.known_list_usable_from
+        if self.watch.has_answered:
+            return True
+        called_at = self.watch.first_call_at
+        return called_at is not None and self.node.deadlines.clock() > called_at + KNOWN_LIST_DELAY_US
 
     def can_serve(self) -> bool:
         """Return whether there is a usable endpoint list with a replica that can answer."""
--- a/pearhill/platform/discovery.py
+++ b/pearhill/platform/discovery.py
@@ -60,6 +60,7 @@
         self.on_update = on_update
         self.schedule = schedule
         self.has_answered = False  # whether discovery has answered since the start
+        self.first_call_at: int | None = None  # when discovery was called first, or None if it was not called yet
         self.revision = 0
         self.endpoints: dict[int, Endpoint] = {}  # by replica, as last listed
         if known.get("targets"):
@@ -164,6 +165,8 @@
         revision = self.revision
         # Set here and not when the task is created: `move` may cancel the task before it runs.
         started_at = self._last_call_at = clock()
+        if self.first_call_at is None:
+            self.first_call_at = started_at
         try:
             await self._request_update(target, wait)
         except Exception as e:
--- a/tests/platform/test_schedule.py
+++ b/tests/platform/test_schedule.py
@@ -2,11 +2,14 @@
 
 import heapq
 import random
+import socket
 from collections import deque
 
 import pytest
 
+from pearhill.platform.daemon import SCHEDULE_SEED_MASK
 from pearhill.platform.schedule import MAX_CALL_INTERVAL_US, MAX_QUEUE_WAIT_US, WATCH_WAIT_US, CallSchedule
+from tests.platform.test_owed import read_answer, request
 from tests.standins import SETTINGS, Discovery, Program, Standin, StandinHandler, platform
 
 S = 1_000_000
@@ -222,6 +225,30 @@
             thing()
 
 
+def test_the_known_list_is_not_used_before_a_shared_discovery_was_called() -> None:
+    """Its calls are spread over seconds after the start, and the list may be older than what a dispatcher may use."""
+    server, discovery = Standin(), Discovery()
+    fleet = 100
+    schedules = ((n, CallSchedule(True, fleet, GRACE, random.Random(n ^ SCHEDULE_SEED_MASK))) for n in range(100))
+    seed = next(n for n, schedule in schedules if schedule.first_call_delay() > 2 * S)
+    program = platform(
+        discovery.address,
+        settings={**SETTINGS, "discovery": "on_request", "n-instances": fleet},
+        known=[{"uid": "s-0", "endpoint": server.address, **KNOWN}],
+        seed=f"{seed:x}",
+    )
+    try:
+        client = socket.create_connection((program.host, program.port), timeout=20)
+        client.sendall(request("a"))
+        status, _ = read_answer(client)
+        client.close()
+        assert (status, server.post_count) == (503, 0)
+        discovery.wait_for("GET", "/v1/endpoints")
+    finally:
+        for thing in (program.kill, discovery.close, server.close):
+            thing()
+
+
 def test_a_discovery_with_restarted_revisions_is_polled_for_its_complete_list() -> None:
     """An older revision, a failure and an invalid answer are each logged in one line. The next good list is applied."""
     server, discovery = Standin(), Discovery()
