--- a/tests/faults/test_cases.py
+++ b/tests/faults/test_cases.py
@@ -12,7 +12,7 @@
 LENGTH_S = "8"
 
 
-@pytest.mark.parametrize("name", ["asgi", "eureka"])
+@pytest.mark.parametrize("name", ["asgi", "eureka", "membership"])
 def test_a_short_fault_case_breaks_no_rule(name: str) -> None:
     command = [sys.executable, "-m", f"tests.faults.{name}_case"]
     environ = {**os.environ, "LENGTH_S": LENGTH_S}
