--- a/pearhill/core/deadlines.py
+++ b/pearhill/core/deadlines.py
@@ -17,7 +17,7 @@
     logger.opt(exception=error).error("a timer failed")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)  # Not frozen: several are created for each request, and a frozen one is slower.
 class _Timer:
     callback: Callable[[], None]
     on_fault: FaultHandler
