--- a/pearhill/durable/clock_file.py
+++ b/pearhill/durable/clock_file.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import os
-import pathlib
 from collections.abc import Sequence
 
 import msgspec
 
+from pearhill.durable.shared_files import shared_file
 from pearhill.routing.start_times import Epoch
 
 FORMAT_VERSION = 1
@@ -34,8 +33,7 @@
     """The epochs that the latest process named `name` stored in a folder, during the boot with the id `boot`."""
 
     def __init__(self, folder: str, name: str, boot: str) -> None:
-        digest = hashlib.blake2b(f"{name}\0{boot}".encode(), digest_size=8).hexdigest()
-        self.path = pathlib.Path(folder) / f"pearhill-{digest}-{FORMAT_VERSION}.clock"
+        self.path = shared_file(folder, name, boot, FORMAT_VERSION, "clock")
 
     def read(self) -> list[Epoch]:
         """Return the stored epochs, oldest first; none if there is no file.
--- a/pearhill/durable/request_id_file.py
+++ b/pearhill/durable/request_id_file.py
@@ -10,13 +10,12 @@
 
 import contextlib
 import fcntl
-import hashlib
 import mmap
 import os
-import pathlib
 
 from pearhill.core.expiring_keys import ExpiringKeys
 from pearhill.core.request_ids import KEY_BITS, TABLE_BYTES, RequestIds
+from pearhill.durable.shared_files import shared_file
 
 MAX_PROCESSES = 4  # that can share the file at one time
 FILE_BYTES = MAX_PROCESSES * TABLE_BYTES
@@ -32,7 +31,7 @@
     """
 
     def __init__(self, folder: str, name: str, boot: str) -> None:
-        self.path = pathlib.Path(folder) / _file_name(name, boot)
+        self.path = shared_file(folder, name, boot, FORMAT_VERSION, "ids")
         self._descriptor = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             # Without its space, an access to the mapped file would end the process once the disk is full.
@@ -72,8 +71,3 @@
         except (BlockingIOError, PermissionError):  # the system may report either of them
             return False
         return True
-
-
-def _file_name(name: str, boot: str) -> str:
-    digest = hashlib.blake2b(f"{name}\0{boot}".encode(), digest_size=8).hexdigest()
-    return f"pearhill-{digest}-{FORMAT_VERSION}.ids"
