Releases: an answer does not count if an attempt that uses the state was in flight meanwhile

A release that was sent before a fetch arrived after the fetch's start, so the replica ignored it, but its answer counted.

HeldState keeps when the last fetch, and the last attempt at each replica, were over: a release that was sent before that is sent again. The tests failed before (attempt_over had no time).

--- a/pearhill/lifecycle/held_state.py
+++ b/pearhill/lifecycle/held_state.py
@@ -31,6 +31,8 @@
         self.unreleased: set[int] = set()
         self._in_flight_at: int | None = None  # the replica of the request's attempt that is in flight
         self._is_fetching = False  # that attempt fetches held state
+        self._fetched_until = 0  # when the last attempt that fetched held state was over
+        self._attempt_until: dict[int, int] = {}  # by replica: when the last attempt there was over
         self._open_attempts: set[object] = set()  # given up, and not ended
         self._lost_at: dict[int, int] = {}  # replica of a lost attempt that has answered no release since: when
         self._given_up_at = 0
@@ -51,8 +53,13 @@
         self._in_flight_at = replica
         self._is_fetching = is_fetch
 
-    def attempt_over(self) -> None:
+    def attempt_over(self, now: int) -> None:
         """Record that no attempt of the request is in flight."""
+        if self._in_flight_at is None:
+            return
+        self._attempt_until[self._in_flight_at] = now
+        if self._is_fetching:
+            self._fetched_until = now
         self._in_flight_at = None
         self._is_fetching = False
 
@@ -87,9 +94,20 @@
         """Record that a release, sent at `sent_at`, was answered."""
         if self._lost_at.pop(replica, None) is not None:
             self._may_end_until = max(now, self._timeout_at) + UNCERTAIN_END_US
-        if not self._has_unknown_end() and sent_at >= max(self._ended_at, self._may_end_until):
+        if self._has_unknown_end() or sent_at < max(self._ended_at, self._may_end_until):
+            return
+        if not self._may_have_been_ignored(replica, sent_at):
             self.unreleased.discard(replica)
 
+    def _may_have_been_ignored(self, replica: int, sent_at: int) -> bool:
+        """Return whether an attempt that may use the state was in flight since a release was sent.
+
+        While its connection came up, or while it was on its way, the attempt may have started.
+        """
+        if self._is_fetching or replica == self._in_flight_at:
+            return True
+        return sent_at < max(self._fetched_until, self._attempt_until.get(replica, 0))
+
     def _has_unknown_end(self) -> bool:
         # A replica that has nothing to release is sent no release, whose answer could end the wait for it.
         return bool(self._open_attempts) or not self.unreleased.isdisjoint(self._lost_at)
--- a/pearhill/net/releases.py
+++ b/pearhill/net/releases.py
@@ -81,7 +81,7 @@
                 entry.releasing.add(release.replica)
                 self.pending += 1
                 self.pool.spawn(self._release_at(entry, release))
-        entry.held.attempt_over()
+        entry.held.attempt_over(self.pool.deadlines.clock())
         entry.notify()
 
     def release_unless_fetched(self, request: Request, replicas: Collection[int]) -> None:
@@ -199,7 +199,7 @@
         entry = self._requests.get(request.number)
         if entry:
             entry.held.return_to_request(request.state_holders)
-            entry.held.attempt_over()
+            entry.held.attempt_over(self.pool.deadlines.clock())
             entry.notify()
             self._forget_if_settled(entry)
 
--- a/tests/lifecycle/test_held_state.py
+++ b/tests/lifecycle/test_held_state.py
@@ -108,3 +108,25 @@
     held.abandon(READER)
     held.abandon(WRITER)
     assert held.is_settled(0)
+
+
+@pytest.mark.parametrize("over_before_answer", [False, True])
+@pytest.mark.parametrize("is_fetch", [False, True])
+def test_a_release_does_not_count_if_an_attempt_that_may_use_the_state_was_in_flight_since_it_was_sent(
+    held: HeldState, is_fetch: bool, over_before_answer: bool
+) -> None:
+    """It was sent before that attempt, and may have arrived after it, so that the replica ignored it."""
+    held.attempt_starts(WRITER if is_fetch else READER, is_fetch)
+    if over_before_answer:
+        held.attempt_over(50)
+    held.release_answered(60, READER, 10)
+    assert READER in held.unreleased
+    held.attempt_over(70)
+    held.release_answered(90, READER, 80)
+    assert READER not in held.unreleased
+
+
+def test_a_release_counts_beside_an_attempt_at_another_replica_that_fetches_nothing(held: HeldState) -> None:
+    held.attempt_starts(WRITER, is_fetch=False)
+    held.release_answered(60, READER, 10)
+    assert READER not in held.unreleased
