--- a/pearhill/counters.py
+++ b/pearhill/counters.py
@@ -11,6 +11,7 @@
 SUCCESS = "success"
 BUSY = "busy"
 FAILURE = "failure"
+_OMITTED_AT_ZERO = ("longest_tick_us", "malformed_responses")  # newer counters, without which the format stays
 
 
 @dataclass(slots=True)
@@ -61,7 +62,7 @@
     released: int = 0  # calls that release the held state of a replica
     release_retries: int = 0
     unconfirmed: int = 0  # fetches without a response from their replica when the state had to be released
-    malformed_responses: int = 0  # streams of replicas that were ended for an event or bytes that make no sense
+    malformed_responses: int = 0  # streams of replicas ended for an event or bytes that make no sense; left out at 0
     lists: int = 0  # endpoint lists applied
     accept_failures: int = 0  # calls of accept() that failed for lack of descriptors or memory
     longest_tick_us: int = 0  # the longest tick of the event loop while it had work; left out while none is measured
@@ -90,6 +91,7 @@
         `dataclasses.asdict` would rebuild each `Counter` from its items, and count the items instead.
         """
         values = {f.name: getattr(self, f.name) for f in fields(self)}
-        if not self.longest_tick_us:
-            del values["longest_tick_us"]
+        for name in _OMITTED_AT_ZERO:
+            if not values[name]:
+                del values[name]
         return {name: dict(v) if isinstance(v, Counter) else v for name, v in values.items()}
